--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! Stand-ins for the outside systems, a load tool and experiments; never shipped.
+
+#![forbid(unsafe_code)]
+#![warn(
+    missing_debug_implementations,
+    missing_docs,
+    rust_2018_idioms,
+    unused_qualifications
+)]
+
+pub mod client;
+pub mod demo;
+pub mod engine;
+pub mod fleet;
+pub mod load;
+pub mod plain;
+pub mod platform;
+pub mod process;
+pub mod relay;
+pub mod report;
+pub mod web;
--- /dev/null
+++ b/src/delivery.rs
@@ -0,0 +1,229 @@
+//! Delivery of an answer to its caller: whole or not at all, or as events with a clear end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::Response;
+use bytes::Bytes;
+use futures_util::stream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::answer;
+use crate::attempt::Running;
+use crate::bundle::PoolKind;
+use crate::entry::{Counted, Entry};
+use crate::intake::Job;
+use crate::outcome::{FailReason, Outcome, UnknownReason, Usage};
+use crate::run::MAX_PLAIN_ANSWER;
+use crate::sse::{self, Event, Splitter};
+use crate::wire::{Answer, FromSidecar};
+
+/// Parts of an answer that wait for a slow caller; behind them the stream stands still.
+const PARTS_AHEAD: usize = 8;
+/// Time for a caller to take one part before its answer is cut.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
+/// Largest whole answer, in bytes.
+const MAX_WHOLE: usize = 8 * MAX_PLAIN_ANSWER;
+
+/// Marks the end of a stream that did not complete; the connection is then cut.
+#[derive(Debug, Clone, Copy)]
+struct Truncated;
+
+impl std::fmt::Display for Truncated {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer did not complete")
+    }
+}
+
+impl std::error::Error for Truncated {}
+
+/// What one message from the sidecar means for the caller.
+enum Step {
+    Part(Vec<u8>),
+    Head(u16, String),
+    End(Outcome),
+}
+
+/// Answers with what a running request delivers.
+pub async fn deliver(
+    entry: Rc<Entry>,
+    job: Job,
+    running: Running,
+    counted: Counted,
+) -> Response<BoxBody> {
+    let is_model = job.policy.pool_at(job.pool).kind == PoolKind::Model;
+    let has_head = matches!(running.first, FromSidecar::Head { .. });
+    if is_model && job.stream && !has_head {
+        return deliver_events(entry, job, running, counted);
+    }
+    let whole = collect(&entry, &job, running).await;
+    match whole {
+        Ok((answer, usage)) => {
+            entry.settle(&job, &Outcome::Completed(usage));
+            if is_model && !has_head {
+                completion(&job, &answer.body, usage)
+            } else {
+                answer::passed_on(job.request, answer)
+            }
+        }
+        Err(outcome) => {
+            entry.settle(&job, &outcome);
+            answer::refusal(job.request, &outcome)
+        }
+    }
+}
+
+/// Answers with what an earlier run under the same key delivered.
+pub fn replay(job: &Job, earlier: Answer) -> Response<BoxBody> {
+    if job.policy.pool_at(job.pool).kind == PoolKind::Plain || earlier.status != 200 {
+        return answer::passed_on(job.request, earlier);
+    }
+    if job.stream {
+        let parts = [Bytes::from(earlier.body), Bytes::from_static(sse::DONE)];
+        let parts = parts.into_iter().map(Ok::<_, Truncated>);
+        return answer::events(job.request, BodyStream::new(stream::iter(parts)));
+    }
+    let tokens = text_of(&earlier.body).1;
+    let usage = Usage {
+        completion_tokens: tokens,
+        ..Usage::default()
+    };
+    completion(job, &earlier.body, usage)
+}
+
+fn completion(job: &Job, events: &[u8], usage: Usage) -> Response<BoxBody> {
+    answer::completion(job, &text_of(events).0, &usage)
+}
+
+/// The text of a stream of events, and its count of tokens.
+fn text_of(events: &[u8]) -> (String, u64) {
+    let mut splitter = Splitter::default();
+    splitter.push(events);
+    let mut text = String::new();
+    let mut tokens = 0;
+    while let Some(event) = splitter.next_event() {
+        if let Event::Token(token) = sse::read(&event) {
+            text.push_str(&token);
+            tokens += 1;
+        }
+    }
+    (text, tokens)
+}
+
+/// Collects a whole answer; nothing is shown to the caller before its end is known.
+async fn collect(entry: &Entry, job: &Job, running: Running) -> Result<(Answer, Usage), Outcome> {
+    let Running {
+        mut reader,
+        first,
+        writer: _writer,
+        guard: _guard,
+        ..
+    } = running;
+    let mut answer = Answer {
+        status: 200,
+        content_type: String::new(),
+        body: Vec::new(),
+    };
+    let mut message = Ok(Some(first));
+    loop {
+        match step(entry, job, message) {
+            Step::Part(part) => answer.body.extend_from_slice(&part),
+            Step::Head(status, content_type) => {
+                answer.status = status;
+                answer.content_type = content_type;
+            }
+            Step::End(Outcome::Completed(usage)) => return Ok((answer, usage)),
+            Step::End(outcome) => return Err(outcome),
+        }
+        if answer.body.len() > MAX_WHOLE {
+            return Err(Outcome::Failed(FailReason::EndpointError));
+        }
+        message = reader.next().await;
+    }
+}
+
+fn deliver_events(
+    entry: Rc<Entry>,
+    job: Job,
+    running: Running,
+    counted: Counted,
+) -> Response<BoxBody> {
+    let (tx, rx) = mpsc::channel(PARTS_AHEAD);
+    let request = job.request;
+    actix_rt::spawn(pump(entry, job, running, tx, counted));
+    let body = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
+    answer::events(request, BodyStream::new(body))
+}
+
+/// Moves the parts of a stream to the caller until its end.
+async fn pump(
+    entry: Rc<Entry>,
+    job: Job,
+    running: Running,
+    tx: mpsc::Sender<Result<Bytes, Truncated>>,
+    _counted: Counted,
+) {
+    let Running {
+        mut reader,
+        first,
+        writer: _writer,
+        guard: _guard,
+        ..
+    } = running;
+    let mut message = Ok(Some(first));
+    let outcome = loop {
+        match step(&entry, &job, message) {
+            Step::Part(part) => {
+                if !hand_over(&tx, part.into()).await {
+                    entry.node.metrics.caller_gone();
+                    break Outcome::Failed(FailReason::SlowCaller);
+                }
+            }
+            Step::Head(..) => break Outcome::Failed(FailReason::EndpointError),
+            Step::End(outcome) => break outcome,
+        }
+        message = tokio::select! {
+            message = reader.next() => message,
+            () = tx.closed() => {
+                entry.node.metrics.caller_gone();
+                break Outcome::Failed(FailReason::SlowCaller);
+            }
+        };
+    };
+    entry.settle(&job, &outcome);
+    if outcome.is_completed() {
+        hand_over(&tx, Bytes::from_static(sse::DONE)).await;
+    } else {
+        hand_over(&tx, answer::error_event(job.request, &outcome)).await;
+        let _ = tx.send(Err(Truncated)).await;
+    }
+}
+
+async fn hand_over(tx: &mpsc::Sender<Result<Bytes, Truncated>>, part: Bytes) -> bool {
+    matches!(timeout(SLOW_CALLER, tx.send(Ok(part))).await, Ok(Ok(())))
+}
+
+/// Reads one message; a broken stream or another request's end is an unknown outcome.
+fn step(
+    entry: &Entry,
+    job: &Job,
+    message: Result<Option<FromSidecar>, crate::link::LinkError>,
+) -> Step {
+    match message {
+        Ok(Some(FromSidecar::Chunk(part))) => Step::Part(part),
+        Ok(Some(FromSidecar::Head {
+            status,
+            content_type,
+        })) => Step::Head(status, content_type),
+        Ok(Some(FromSidecar::End {
+            request, outcome, ..
+        })) if request == job.request => Step::End(outcome),
+        Ok(Some(FromSidecar::End { .. })) => {
+            entry.node.metrics.foreign_answer();
+            Step::End(Outcome::Unknown(UnknownReason::SidecarLost))
+        }
+        _ => Step::End(Outcome::Unknown(UnknownReason::SidecarLost)),
+    }
+}
--- /dev/null
+++ b/src/endpoint.rs
@@ -0,0 +1,206 @@
+//! Endpoints as a sidecar sees them: a trait at the process's edge, and HTTP behind it.
+
+use std::time::Duration;
+
+use actix_http::error::PayloadError;
+use awc::error::SendRequestError;
+use awc::{Client, ClientResponse, Connector};
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::LocalBoxStream;
+use futures_util::{FutureExt, Stream, StreamExt};
+
+use crate::bundle::PoolKind;
+use crate::ids::{Incarnation, RequestId};
+
+/// Time for small orders such as a cancellation.
+const ORDER_TIME: Duration = Duration::from_secs(2);
+/// Time to connect.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Header that names the run.
+pub const RUN_HEADER: &str = "x-run-id";
+/// Header that names the life of the sidecar that orders.
+pub const INCARNATION_HEADER: &str = "x-incarnation";
+/// Header with the class's urgency, 0 first.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header with the count of tokens to go on after.
+pub const RESUME_HEADER: &str = "x-resume-from";
+
+/// One order to run something.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The run.
+    pub run: RequestId,
+    /// The sidecar's life.
+    pub incarnation: Incarnation,
+    /// The class's urgency.
+    pub priority: u8,
+    /// Path on a plain service.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// Tokens already delivered of a run that goes on.
+    pub resume_from: u64,
+}
+
+/// Why an endpoint did not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointError {
+    /// Nothing was sent: it positively did not run.
+    NotSent,
+    /// The work was sent, and the answer did not come.
+    Lost,
+}
+
+/// The head and the coming body of an endpoint's answer.
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// Position that a resumed stream goes on after, if the endpoint says so.
+    pub resumed_at: Option<u64>,
+    /// Body in pieces.
+    pub body: LocalBoxStream<'static, Result<Bytes, EndpointError>>,
+}
+
+impl std::fmt::Debug for Reply {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Reply")
+            .field("status", &self.status)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The endpoint's protocol; the users' real one takes this place.
+pub trait Endpoint {
+    /// Runs a call; nothing is sent twice.
+    fn call(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, EndpointError>>;
+    /// Stops a run; returns once the endpoint has confirmed or can't be reached.
+    fn cancel(&self, run: RequestId) -> LocalBoxFuture<'_, bool>;
+    /// Shuts out orders and ends runs of earlier incarnations.
+    fn fence(&self, incarnation: Incarnation) -> LocalBoxFuture<'_, bool>;
+}
+
+/// An endpoint over HTTP.
+#[derive(Clone)]
+pub struct HttpEndpoint {
+    client: Client,
+    base: String,
+    kind: PoolKind,
+}
+
+impl std::fmt::Debug for HttpEndpoint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpEndpoint")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpEndpoint {
+    /// An endpoint at a base address.
+    ///
+    /// Redirects are off, since following one sends the call again. Plain services get a fresh
+    /// connection for each call: on a reused one that the service is closing, a call that was
+    /// never read could not be told from one that ran.
+    pub fn new(base: &str, kind: PoolKind) -> Self {
+        let connector = Connector::new().timeout(CONNECT_TIME).limit(0);
+        let connector = match kind {
+            PoolKind::Model => connector,
+            PoolKind::Plain => connector.conn_keep_alive(Duration::ZERO),
+        };
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            base: base.trim_end_matches('/').into(),
+            kind,
+        }
+    }
+
+    async fn send(&self, call: Call) -> Result<Reply, EndpointError> {
+        let url = match self.kind {
+            PoolKind::Model => format!("{}/v1/chat/completions", self.base),
+            PoolKind::Plain => format!("{}{}", self.base, call.path),
+        };
+        let mut req = self
+            .client
+            .post(url)
+            .insert_header((RUN_HEADER, call.run.to_string()))
+            .insert_header((INCARNATION_HEADER, call.incarnation.0.to_string()))
+            .insert_header((PRIORITY_HEADER, call.priority.to_string()))
+            .insert_header(("content-type", "application/json"));
+        if call.resume_from > 0 {
+            req = req.insert_header((RESUME_HEADER, call.resume_from.to_string()));
+        }
+        let res = req
+            .send_body(call.body)
+            .await
+            .map_err(|err| classify(&err))?;
+        Ok(reply(res))
+    }
+
+    async fn order(&self, path: String, incarnation: Option<Incarnation>) -> bool {
+        let mut req = self
+            .client
+            .post(format!("{}{path}", self.base))
+            .timeout(ORDER_TIME);
+        if let Some(incarnation) = incarnation {
+            req = req.insert_header((INCARNATION_HEADER, incarnation.0.to_string()));
+        }
+        matches!(req.send().await, Ok(res) if res.status().is_success())
+    }
+}
+
+impl Endpoint for HttpEndpoint {
+    fn call(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, EndpointError>> {
+        self.send(call).boxed_local()
+    }
+
+    fn cancel(&self, run: RequestId) -> LocalBoxFuture<'_, bool> {
+        match self.kind {
+            PoolKind::Model => self
+                .order(format!("/v1/runs/{run}/cancel"), None)
+                .boxed_local(),
+            PoolKind::Plain => std::future::ready(false).boxed_local(),
+        }
+    }
+
+    fn fence(&self, incarnation: Incarnation) -> LocalBoxFuture<'_, bool> {
+        match self.kind {
+            PoolKind::Model => self
+                .order("/v1/fence".into(), Some(incarnation))
+                .boxed_local(),
+            PoolKind::Plain => std::future::ready(false).boxed_local(),
+        }
+    }
+}
+
+fn classify(err: &SendRequestError) -> EndpointError {
+    match err {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => EndpointError::NotSent,
+        _ => EndpointError::Lost,
+    }
+}
+
+fn reply<S>(res: ClientResponse<S>) -> Reply
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let header = |name: &str| {
+        let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+        value.map(str::to_owned)
+    };
+    Reply {
+        status: res.status().as_u16(),
+        content_type: header("content-type").unwrap_or_default(),
+        resumed_at: header(RESUME_HEADER).and_then(|v| v.parse().ok()),
+        body: res
+            .map(|piece| piece.map_err(|_| EndpointError::Lost))
+            .boxed_local(),
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,349 @@
+//! The process that takes callers' requests: thin, keeps the work until a slot is granted.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, Method, Request, Response};
+use rand::Rng;
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::admin::{self, Report};
+use crate::answer;
+use crate::attempt::{self, Placed};
+use crate::audit::{Change, What};
+use crate::budget::RerunBudget;
+use crate::clock::{Clock, Millis};
+use crate::delivery;
+use crate::gossip;
+use crate::intake::{self, BadRequest, Job};
+use crate::limit::Limiter;
+use crate::link;
+use crate::links::Links;
+use crate::listener::{self, CallerSocket};
+use crate::node::{self, Life, Node};
+use crate::outcome::{NotRunReason, Outcome};
+use crate::route::{Place, Router};
+use crate::schedule::spread;
+use crate::settings::EntrySettings;
+use crate::supervisor::Supervisor;
+use crate::wire::GOSSIP_PATH;
+
+/// Advice to come back to another entry while this one stops or starts.
+const ELSEWHERE: Millis = Millis(200);
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_secs(5);
+/// Time between two looks at whether a planned stop has ended.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// Time for last bytes to leave before the process ends.
+const FLUSH: Duration = Duration::from_millis(300);
+/// Path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+/// Paths that an entry serves on links.
+const PATHS: [&str; 1] = [GOSSIP_PATH];
+
+/// One entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Common part.
+    pub node: Rc<Node>,
+    /// Links to sidecars.
+    pub links: Links,
+    /// What is known of endpoints.
+    pub router: RefCell<Router>,
+    /// Budget of reruns.
+    pub reruns: RefCell<RerunBudget>,
+    limiter: RefCell<Limiter>,
+    in_flight: Cell<u64>,
+    lingering: Cell<bool>,
+}
+
+/// Counts a request as in flight until its answer has been handed over.
+#[derive(Debug)]
+pub struct Counted(Rc<Entry>);
+
+impl Counted {
+    fn new(entry: &Rc<Entry>) -> Self {
+        entry.in_flight.set(entry.in_flight.get() + 1);
+        Self(Rc::clone(entry))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+impl Entry {
+    /// An entry that knows no endpoint yet.
+    pub fn new(node: Rc<Node>, settings: &EntrySettings) -> Rc<Self> {
+        let place = Place {
+            zone: settings.node.zone.clone(),
+            region: settings.node.region.clone(),
+        };
+        let seed = rand::thread_rng().gen();
+        Rc::new(Self {
+            node,
+            links: Links::default(),
+            router: RefCell::new(Router::new(settings.routing, place, seed)),
+            reruns: RefCell::default(),
+            limiter: RefCell::default(),
+            in_flight: Cell::new(0),
+            lingering: Cell::new(true),
+        })
+    }
+
+    /// Puts a job under the documents in force now, keeping what the caller asked for.
+    pub fn redecide(&self, job: &mut Job) {
+        let Some(policy) = self.node.replica.policy() else {
+            return;
+        };
+        let old = Rc::clone(&job.policy);
+        let class = policy.class(&old.class_at(job.class).name);
+        let team = policy.team(&old.team_at(job.team).name);
+        let pool = policy.pool(&old.pool_at(job.pool).name);
+        if let (Some(class), Some(team), Some(pool)) = (class, team, pool) {
+            job.class = class;
+            job.team = team;
+            job.pool = pool;
+            job.policy = policy;
+            job.stamps = self.node.replica.stamps();
+        }
+    }
+
+    /// Corrects a team's account when a request has ended.
+    pub fn settle(&self, job: &Job, outcome: &Outcome) {
+        let output = match outcome {
+            Outcome::NotRun { .. } => None,
+            Outcome::Completed(usage) => Some(usage.completion_tokens),
+            _ => Some(0),
+        };
+        let team = &job.policy.team_at(job.team).name;
+        self.limiter
+            .borrow_mut()
+            .settle(team, job.est_tokens, job.prompt_tokens, output);
+        self.node
+            .metrics
+            .request(&job.policy.class_at(job.class).name, outcome);
+    }
+
+    /// Charges the team, or says that it is over its limit.
+    fn admit(&self, job: &mut Job) -> Result<(), Outcome> {
+        let team = job.policy.team_at(job.team);
+        let share = 1.0 / self.node.replica.members().entries() as f64;
+        let now = self.node.clock.now();
+        let admitted = self
+            .limiter
+            .borrow_mut()
+            .admit(now, team, share, job.prompt_tokens);
+        match admitted {
+            Ok(estimate) => {
+                job.est_tokens = estimate;
+                Ok(())
+            }
+            Err(after) => {
+                self.node.metrics.over_limit(&team.name);
+                Err(Outcome::not_run(
+                    NotRunReason::OverLimit,
+                    spread(after, job.request),
+                ))
+            }
+        }
+    }
+}
+
+impl Report for Entry {
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn state(&self) -> Value {
+        let now = self.node.clock.now();
+        let rows = self.router.borrow().rows(now);
+        let endpoints: Vec<Value> = rows
+            .into_iter()
+            .map(|row| {
+                json!({
+                    "id": row.id, "load": row.load,
+                    "in_flight": row.in_flight, "set_aside": row.aside,
+                })
+            })
+            .collect();
+        json!({
+            "in_flight": self.in_flight.get(),
+            "links": self.links.len(),
+            "endpoints": endpoints,
+            "team_tokens": self.limiter.borrow().used().into_iter().collect::<BTreeMap<_, _>>(),
+        })
+    }
+
+    fn gauges(&self) {
+        self.node.metrics.set("in_flight", "", self.in_flight.get());
+        self.node.metrics.set("links", "", self.links.len() as u64);
+        self.node
+            .metrics
+            .set("teams", "", self.limiter.borrow().len() as u64);
+    }
+}
+
+/// Runs an entry until a planned stop has ended.
+pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    let callers = TcpListener::bind(settings.callers).await?;
+    let peers = TcpListener::bind(settings.node.listen).await?;
+    let admin_listener = TcpListener::bind(settings.node.admin).await?;
+    let node = Node::new(settings.node.clone(), Clock::system());
+    let addresses = [
+        ("callers", &callers),
+        ("listen", &peers),
+        ("admin", &admin_listener),
+    ];
+    node::announce("entry", &addresses)?;
+    let entry = Entry::new(Rc::clone(&node), &settings);
+    let mut supervisor = Supervisor::new("entry");
+    node::spawn_common(&mut supervisor, &node);
+    let cx = Rc::clone(&entry);
+    supervisor.child("housekeeping", move || keep_house(Rc::clone(&cx)));
+    actix_rt::spawn(admin::serve(
+        Rc::clone(&node),
+        Rc::clone(&entry),
+        admin_listener,
+    ));
+    actix_rt::spawn(accept_peers(Rc::clone(&node), peers));
+    let cx = Rc::clone(&entry);
+    let handler = move |req: Request| handle(Rc::clone(&cx), req);
+    actix_rt::spawn(listener::serve(callers, handler));
+    wait_for_end(&entry, Millis(settings.linger_ms)).await;
+    supervisor.close();
+    node.audit
+        .record(Change::plain(What::Stop, "planned stop", ""));
+    Ok(())
+}
+
+/// Serves one caller's request.
+async fn handle(entry: Rc<Entry>, mut req: Request) -> Response<BoxBody> {
+    let counted = Counted::new(&entry);
+    let socket = req.conn_data::<CallerSocket>().cloned();
+    let answering = answer(Rc::clone(&entry), &mut req, counted);
+    let Some(socket) = socket else {
+        return answering.await;
+    };
+    tokio::select! {
+        res = answering => res,
+        () = socket.gone() => {
+            entry.node.metrics.caller_gone();
+            Response::new(actix_http::StatusCode::REQUEST_TIMEOUT).set_body(BoxBody::new(""))
+        }
+    }
+}
+
+async fn answer(entry: Rc<Entry>, req: &mut Request, counted: Counted) -> Response<BoxBody> {
+    let mut job = match read(&entry, req).await {
+        Ok(job) => job,
+        Err(res) => return res,
+    };
+    entry
+        .reruns
+        .borrow_mut()
+        .deposit(job.policy.bundle.limits.retry_percent);
+    if let Err(refusal) = entry.admit(&mut job) {
+        let outcome = attempt::refuse_with_word(&entry, &mut job, refusal).await;
+        entry
+            .node
+            .metrics
+            .request(&job.policy.class_at(job.class).name, &outcome);
+        return answer::refusal(job.request, &outcome);
+    }
+    match attempt::place(&entry, &mut job).await {
+        Placed::Running(running) => delivery::deliver(entry, job, *running, counted).await,
+        Placed::Replay(earlier) => {
+            entry.settle(&job, &Outcome::AlreadyRan);
+            delivery::replay(&job, earlier)
+        }
+        Placed::Ended(outcome) => {
+            entry.settle(&job, &outcome);
+            answer::refusal(job.request, &outcome)
+        }
+    }
+}
+
+/// Reads and checks a request; the error is the answer to it.
+async fn read(entry: &Entry, req: &mut Request) -> Result<Job, Response<BoxBody>> {
+    let refuse = |reason| {
+        let request = crate::ids::RequestId::random();
+        let outcome = Outcome::not_run(reason, spread(ELSEWHERE, request));
+        answer::refusal(request, &outcome)
+    };
+    let policy = entry
+        .node
+        .replica
+        .policy()
+        .filter(|_| entry.node.is_ready());
+    let policy = policy.ok_or_else(|| refuse(NotRunReason::NotReady))?;
+    if !entry.lingering.get() {
+        return Err(refuse(NotRunReason::Stopping));
+    }
+    let stamps = entry.node.replica.stamps();
+    let bad = |bad: BadRequest| {
+        entry.node.metrics.bad_request();
+        answer::bad_request(&bad)
+    };
+    let team = intake::team(&policy, req.headers()).map_err(bad)?;
+    if req.method() == Method::GET && req.path() == MODELS_PATH {
+        return Err(models(&policy));
+    }
+    intake::method(req).map_err(bad)?;
+    let limit = policy.bundle.limits.max_body_bytes as usize;
+    let body = intake::body(req.take_payload(), limit).await.map_err(bad)?;
+    intake::job(policy, stamps, team, req, body).map_err(bad)
+}
+
+fn models(policy: &crate::bundle::Policy) -> Response<BoxBody> {
+    let names = policy.bundle.pools.iter().flat_map(|pool| &pool.models);
+    let data: Vec<Value> = names
+        .map(|id| json!({ "id": id, "object": "model" }))
+        .collect();
+    answer::json(&json!({ "object": "list", "data": data }))
+}
+
+async fn keep_house(entry: Rc<Entry>) -> anyhow::Result<()> {
+    loop {
+        sleep(HOUSEKEEPING).await;
+        entry.links.close_idle();
+        let members = entry.node.replica.members();
+        entry
+            .router
+            .borrow_mut()
+            .retain(|id| members.get(id).is_some());
+    }
+}
+
+async fn accept_peers(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            sleep(STOP_LOOK).await;
+            continue;
+        };
+        let cx = Rc::clone(&node);
+        actix_rt::spawn(link::serve(tcp, &PATHS, move |incoming| {
+            gossip::answer(Rc::clone(&cx), incoming);
+        }));
+    }
+}
+
+/// Returns when a planned stop was asked for, the balancer has had time to notice, and nothing
+/// is left in flight.
+async fn wait_for_end(entry: &Entry, linger: Millis) {
+    let mut life = entry.node.watch_life();
+    let _ = life.wait_for(|life| *life == Life::Draining).await;
+    sleep(linger.duration()).await;
+    entry.lingering.set(false);
+    while entry.in_flight.get() > 0 {
+        sleep(STOP_LOOK).await;
+    }
+    sleep(FLUSH).await;
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,67 @@
+//! violetline routes language-model traffic with service levels and priorities.
+//!
+//! A request goes caller -> entry -> sidecar -> endpoint and streams back the same way. Entries
+//! are thin and keep the work; the sidecar beside each endpoint owns the endpoint's run slots,
+//! orders the waiting requests and grants slots one at a time.
+//!
+//! Decisions ([`schedule`], [`keys`], [`limit`], [`route`], [`document`]) are state machines
+//! without I/O; the processes ([`entry`], [`sidecar`]) own sockets and clocks.
+//!
+//! ```
+//! use violetline::bundle::Bundle;
+//!
+//! let err = Bundle::parse(b"{\"version\": 0}").unwrap_err();
+//! assert!(err.to_string().contains("version"));
+//! ```
+
+#![forbid(unsafe_code)]
+#![warn(
+    missing_copy_implementations,
+    missing_debug_implementations,
+    missing_docs,
+    rust_2018_idioms,
+    trivial_casts,
+    trivial_numeric_casts,
+    unused_qualifications
+)]
+
+pub mod admin;
+pub mod answer;
+pub mod attempt;
+pub mod audit;
+pub mod budget;
+pub mod bundle;
+pub mod check;
+pub mod cli;
+pub mod clock;
+pub mod delivery;
+pub mod document;
+pub mod endpoint;
+pub mod entry;
+pub mod finding;
+pub mod gossip;
+pub mod health;
+pub mod ids;
+pub mod intake;
+pub mod keys;
+pub mod limit;
+pub mod link;
+pub mod links;
+pub mod listener;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod outcome;
+pub mod overlay;
+pub mod platform;
+pub mod replica;
+pub mod route;
+pub mod run;
+pub mod schedule;
+pub mod seal;
+pub mod session;
+pub mod settings;
+pub mod sidecar;
+pub mod sse;
+pub mod supervisor;
+pub mod wire;
--- /dev/null
+++ b/src/schedule.rs
@@ -0,0 +1,781 @@
+//! Order of service at one endpoint: a state machine over tickets and run slots.
+//!
+//! Entries keep the work and leave a ticket here; a slot is granted to one ticket at a time
+//! (late binding). Between classes the order is strict urgency, except that a class below its
+//! floor goes first; between teams of one class it is start-time fair queueing on tokens.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use slotmap::{new_key_type, SlotMap};
+
+use crate::clock::Millis;
+use crate::ids::{ClassKey, RequestId};
+use crate::outcome::NotRunReason;
+use crate::wire::Load;
+
+new_key_type! {
+    /// A ticket in the scheduler's arena.
+    pub struct TicketKey;
+}
+
+/// Half-life of the slot time that floors are judged by.
+const SHARE_HALF_LIFE_MS: f64 = 10_000.0;
+/// Weight of the newest run in the mean service time.
+const SERVICE_WEIGHT: f64 = 0.1;
+/// Shortest wait that a refusal advises.
+const RETRY_LEAST: Millis = Millis(200);
+/// Longest wait that a refusal advises.
+const RETRY_MOST: Millis = Millis(60_000);
+
+/// How waiting requests are ordered; the first two are baselines to measure against.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// First come, first served, whatever the class.
+    Fifo,
+    /// Strict urgency without floors or pauses.
+    Strict,
+    /// Urgency with floors, fairness and pauses.
+    #[default]
+    Floors,
+}
+
+/// What the scheduler needs to know of a class.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClassSpec {
+    /// Name; ties a class to its successor in the next bundle.
+    pub name: String,
+    /// Urgency, 0 first.
+    pub priority: u8,
+    /// Share of slot time kept while it has work, in percent.
+    pub floor_percent: u8,
+    /// Whether its runs may be paused.
+    pub preemptible: bool,
+}
+
+/// The parameters of one scheduler.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shape {
+    /// Run slots of the endpoint.
+    pub slots: u32,
+    /// Slots for classes of priority 0 only.
+    pub reserved: u32,
+    /// How long a grant is held.
+    pub grant: Millis,
+    /// Pauses that one run may suffer.
+    pub max_preemptions: u32,
+    /// Waiting tickets of one class.
+    pub queue_per_class: u32,
+    /// Classes in the bundle's order.
+    pub classes: Vec<ClassSpec>,
+}
+
+/// What a request asks of the scheduler.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The request, for the spread of retry hints.
+    pub request: RequestId,
+    /// Its class.
+    pub class: ClassKey,
+    /// Its team.
+    pub team: String,
+    /// The team's weight.
+    pub weight: u32,
+    /// Tokens expected.
+    pub est_tokens: u32,
+    /// Longest wait for a grant.
+    pub max_wait: Millis,
+}
+
+/// What the sidecar has to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Tell the entry that it may start until `until`.
+    Grant {
+        /// Whose turn it is.
+        ticket: TicketKey,
+        /// End of the grant.
+        until: Millis,
+    },
+    /// Tell the entry that the request is not run.
+    Refuse {
+        /// Whose it is; gone from the arena.
+        ticket: TicketKey,
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after: Millis,
+    },
+    /// Stop the run and report it with [`Scheduler::paused`].
+    Pause {
+        /// The run to stop.
+        ticket: TicketKey,
+    },
+    /// Go on with a paused run.
+    Resume {
+        /// The run to go on with.
+        ticket: TicketKey,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Waiting { expires: Millis },
+    Granted { until: Millis },
+    Running { since: Millis },
+    Pausing { since: Millis },
+    Paused,
+}
+
+#[derive(Debug)]
+struct Ticket {
+    ask: Ask,
+    phase: Phase,
+    preemptions: u32,
+    ran: Millis,
+    arrival: u64,
+    charged: f64,
+}
+
+#[derive(Debug, Default)]
+struct TeamQueue {
+    virtual_time: f64,
+    waiting: VecDeque<TicketKey>,
+}
+
+#[derive(Debug)]
+struct ClassQueue {
+    spec: ClassSpec,
+    teams: BTreeMap<String, TeamQueue>,
+    paused: VecDeque<TicketKey>,
+    waiting: usize,
+    running: u32,
+    /// Virtual time of the last start; a team that comes back begins here.
+    virtual_time: f64,
+    /// Decayed slot time, in ms.
+    used_ms: f64,
+}
+
+/// The requests of one class at this moment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ClassRow {
+    /// Class name.
+    pub class: String,
+    /// Waiting for a first grant.
+    pub waiting: usize,
+    /// Holding a slot.
+    pub running: u32,
+    /// Paused for more urgent work.
+    pub paused: usize,
+}
+
+/// Counts kept since the start, for metrics and measurements.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// Grants given.
+    pub granted: u64,
+    /// Grants that were not used in time.
+    pub lapsed: u64,
+    /// Runs paused for more urgent work.
+    pub paused: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Grants given because a class was below its floor.
+    pub by_floor: u64,
+}
+
+/// The scheduler of one endpoint.
+#[derive(Debug)]
+pub struct Scheduler {
+    order: Order,
+    shape: Shape,
+    tickets: SlotMap<TicketKey, Ticket>,
+    classes: Vec<ClassQueue>,
+    actions: Vec<Action>,
+    used: u32,
+    pausing: u32,
+    slots_open: u32,
+    draining: bool,
+    arrivals: u64,
+    service_ms: f64,
+    counted_at: Millis,
+    tally: Tally,
+}
+
+impl Scheduler {
+    /// An idle scheduler.
+    pub fn new(order: Order, shape: Shape) -> Self {
+        let classes = shape.classes.iter().cloned().map(ClassQueue::new).collect();
+        let slots_open = shape.slots;
+        Self {
+            order,
+            shape,
+            tickets: SlotMap::with_key(),
+            classes,
+            actions: Vec::new(),
+            used: 0,
+            pausing: 0,
+            slots_open,
+            draining: false,
+            arrivals: 0,
+            service_ms: 0.0,
+            counted_at: Millis(0),
+            tally: Tally::default(),
+        }
+    }
+
+    /// Takes over the parameters of a new bundle; waiting requests keep their places.
+    pub fn reshape(&mut self, now: Millis, shape: Shape) {
+        self.count_time(now);
+        let mut old = std::mem::take(&mut self.classes);
+        for spec in &shape.classes {
+            let found = old.iter().position(|class| class.spec.name == spec.name);
+            let mut class = found.map_or_else(|| ClassQueue::new(spec.clone()), |i| old.remove(i));
+            class.spec = spec.clone();
+            self.classes.push(class);
+        }
+        let busy =
+            |class: &ClassQueue| class.waiting > 0 || class.running > 0 || class.has_paused();
+        self.classes.extend(old.into_iter().filter(busy));
+        self.rekey();
+        self.slots_open = shape.slots;
+        self.shape = shape;
+        self.pump(now);
+    }
+
+    /// Leaves a ticket; the answer comes as an action.
+    pub fn offer(&mut self, now: Millis, ask: Ask) -> TicketKey {
+        self.count_time(now);
+        let class = ask.class;
+        let expires = now + ask.max_wait;
+        let refusal = self.refusal(&ask);
+        self.arrivals += 1;
+        let ticket = self.tickets.insert(Ticket {
+            ask,
+            phase: Phase::Waiting { expires },
+            preemptions: 0,
+            ran: Millis(0),
+            arrival: self.arrivals,
+            charged: 0.0,
+        });
+        if let Some((reason, after)) = refusal {
+            self.refuse(ticket, reason, after);
+            return ticket;
+        }
+        let team = self.tickets[ticket].ask.team.clone();
+        self.classes[class.0].push(ticket, team);
+        self.pump(now);
+        ticket
+    }
+
+    /// The entry sent the work; false when the grant has lapsed and nothing may run.
+    #[must_use]
+    pub fn start(&mut self, now: Millis, ticket: TicketKey) -> bool {
+        self.count_time(now);
+        let Some(held) = self.tickets.get_mut(ticket) else {
+            return false;
+        };
+        match held.phase {
+            Phase::Granted { until } if now < until => {
+                held.phase = Phase::Running { since: now };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A run that was told to pause has stopped at the endpoint.
+    pub fn paused(&mut self, now: Millis, ticket: TicketKey) {
+        self.count_time(now);
+        let Some(held) = self.tickets.get_mut(ticket) else {
+            return;
+        };
+        let Phase::Pausing { since } = held.phase else {
+            return;
+        };
+        held.phase = Phase::Paused;
+        held.ran = held.ran + (now - since);
+        let class = held.ask.class;
+        self.pausing -= 1;
+        self.release_slot(class);
+        self.classes[class.0].paused.push_back(ticket);
+        self.pump(now);
+    }
+
+    /// A ticket is over, in whatever state it is: answered, withdrawn or failed.
+    pub fn finish(&mut self, now: Millis, ticket: TicketKey, tokens: u64) {
+        self.count_time(now);
+        let Some(held) = self.tickets.remove(ticket) else {
+            return;
+        };
+        let class = held.ask.class;
+        match held.phase {
+            Phase::Waiting { .. } => self.classes[class.0].unqueue(ticket, &held.ask.team),
+            Phase::Granted { .. } => self.release_slot(class),
+            Phase::Running { since } => {
+                self.release_slot(class);
+                self.note_service(held.ran + (now - since));
+            }
+            Phase::Pausing { .. } => {
+                self.pausing -= 1;
+                self.release_slot(class);
+            }
+            Phase::Paused => self.classes[class.0].paused.retain(|t| *t != ticket),
+        }
+        self.settle(&held, tokens);
+        self.pump(now);
+    }
+
+    /// Drops what has lapsed; called at least every few milliseconds.
+    pub fn tick(&mut self, now: Millis) {
+        self.count_time(now);
+        self.pump(now);
+    }
+
+    /// Sets how many slots the endpoint's health allows; 0 refuses all that waits.
+    pub fn open_slots(&mut self, now: Millis, slots: u32, retry_after: Millis) {
+        self.slots_open = slots.min(self.shape.slots);
+        if slots == 0 {
+            self.refuse_waiting(NotRunReason::EndpointFailing, retry_after);
+        }
+        self.pump(now);
+    }
+
+    /// Takes no new work while set; what waits is handed back as not run.
+    pub fn set_draining(&mut self, now: Millis, draining: bool) {
+        self.draining = draining;
+        if draining {
+            self.refuse_waiting(NotRunReason::Draining, RETRY_LEAST);
+        }
+        self.pump(now);
+    }
+
+    /// Whether no ticket is left.
+    pub fn is_idle(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// Takes the actions that came up since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The load as entries should see it.
+    pub fn load(&self) -> Load {
+        let waiting: usize = self
+            .classes
+            .iter()
+            .map(|c| c.waiting + c.paused.len())
+            .sum();
+        Load {
+            slots: self.shape.slots,
+            running: self.used,
+            waiting: waiting as u32,
+            service_ms: self.service_ms as u32,
+        }
+    }
+
+    /// Counts since the start.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Run slots, whatever the endpoint's health.
+    pub fn slots(&self) -> u32 {
+        self.shape.slots
+    }
+
+    /// Waiting, running and paused requests of each class.
+    pub fn by_class(&self) -> Vec<ClassRow> {
+        let row = |c: &ClassQueue| ClassRow {
+            class: c.spec.name.clone(),
+            waiting: c.waiting,
+            running: c.running,
+            paused: c.paused.len(),
+        };
+        self.classes.iter().map(row).collect()
+    }
+
+    fn refusal(&self, ask: &Ask) -> Option<(NotRunReason, Millis)> {
+        let estimate = self.estimate_wait(ask.class);
+        if self.draining {
+            return Some((NotRunReason::Draining, RETRY_LEAST));
+        }
+        if self.slots_open == 0 {
+            return Some((NotRunReason::EndpointFailing, RETRY_LEAST));
+        }
+        if self.classes[ask.class.0].waiting >= self.shape.queue_per_class as usize {
+            return Some((NotRunReason::QueueFull, estimate));
+        }
+        (estimate > ask.max_wait).then_some((NotRunReason::TooLate, estimate))
+    }
+
+    /// Expected wait of a new request, from what is ahead of it and the mean service time.
+    fn estimate_wait(&self, class: ClassKey) -> Millis {
+        let spec = &self.classes[class.0].spec;
+        let all = self.order == Order::Fifo;
+        let counts = |c: &&ClassQueue| all || c.spec.priority <= spec.priority;
+        let ahead: usize = self.classes.iter().filter(counts).map(|c| c.waiting).sum();
+        let slots = self.slots_for(spec.priority).max(1);
+        let free = slots.saturating_sub(self.used) as usize;
+        if ahead < free || self.find_victim(spec.priority).is_some() {
+            return Millis(0);
+        }
+        let rounds = (ahead - free + 1) as f64 / f64::from(slots);
+        Millis((rounds * self.service_ms) as u64)
+    }
+
+    fn pump(&mut self, now: Millis) {
+        self.expire(now);
+        while let Some(ticket) = self.choose() {
+            self.occupy(now, ticket);
+        }
+        self.preempt(now);
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let lapsed: Vec<(TicketKey, NotRunReason)> = self
+            .tickets
+            .iter()
+            .filter_map(|(key, ticket)| match ticket.phase {
+                Phase::Waiting { expires } if now >= expires => {
+                    Some((key, NotRunReason::DeadlinePassed))
+                }
+                Phase::Granted { until } if now >= until => Some((key, NotRunReason::GrantLapsed)),
+                _ => None,
+            })
+            .collect();
+        for (ticket, reason) in lapsed {
+            let class = self.tickets[ticket].ask.class;
+            if reason == NotRunReason::GrantLapsed {
+                self.tally.lapsed += 1;
+                self.release_slot(class);
+            } else {
+                let team = self.tickets[ticket].ask.team.clone();
+                self.classes[class.0].unqueue(ticket, &team);
+            }
+            let after = self.estimate_wait(class);
+            self.refuse(ticket, reason, after);
+        }
+    }
+
+    /// The ticket that takes the next free slot, taken off its queue.
+    fn choose(&mut self) -> Option<TicketKey> {
+        let ready: Vec<usize> = (0..self.classes.len())
+            .filter(|i| self.may_run(*i))
+            .collect();
+        let class = match self.order {
+            Order::Fifo => ready.into_iter().min_by_key(|i| self.first_arrival(*i)),
+            Order::Strict => ready
+                .into_iter()
+                .min_by_key(|i| self.classes[*i].spec.priority),
+            Order::Floors => self.below_floor(&ready).or_else(|| {
+                ready
+                    .into_iter()
+                    .min_by_key(|i| self.classes[*i].spec.priority)
+            }),
+        }?;
+        let by_arrival = self.order == Order::Fifo;
+        let tickets = &self.tickets;
+        let cost = |ticket: TicketKey| {
+            let ask = &tickets[ticket].ask;
+            f64::from(ask.est_tokens.max(1)) / f64::from(ask.weight.max(1))
+        };
+        let (ticket, charged) = self.classes[class].pop(by_arrival, tickets, cost)?;
+        if charged > 0.0 {
+            self.tickets[ticket].charged = charged;
+        }
+        Some(ticket)
+    }
+
+    fn may_run(&self, class: usize) -> bool {
+        let queue = &self.classes[class];
+        let has_work = queue.waiting > 0 || queue.has_paused();
+        has_work && self.used < self.slots_for(queue.spec.priority)
+    }
+
+    fn slots_for(&self, priority: u8) -> u32 {
+        let reserved = if priority == 0 || self.order == Order::Fifo {
+            0
+        } else {
+            self.shape.reserved
+        };
+        self.slots_open.min(self.shape.slots - reserved)
+    }
+
+    /// The class with work that is furthest below its floor.
+    fn below_floor(&mut self, ready: &[usize]) -> Option<usize> {
+        let total: f64 = self.classes.iter().map(|c| c.used_ms).sum();
+        let lacking = |i: &usize| {
+            let class = &self.classes[*i];
+            let share = if total > 0.0 {
+                class.used_ms / total
+            } else {
+                0.0
+            };
+            f64::from(class.spec.floor_percent) / 100.0 - share
+        };
+        let busier = |i: &&usize| {
+            let mine = self.classes[**i].spec.priority;
+            ready.iter().any(|j| self.classes[*j].spec.priority < mine)
+        };
+        let below = ready
+            .iter()
+            .filter(busier)
+            .map(|i| (*i, lacking(i)))
+            .filter(|(_, l)| *l > 0.0);
+        let found = below.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i);
+        self.tally.by_floor += u64::from(found.is_some());
+        found
+    }
+
+    fn first_arrival(&self, class: usize) -> u64 {
+        let heads = self.classes[class]
+            .teams
+            .values()
+            .filter_map(|team| team.waiting.front());
+        heads
+            .map(|t| self.tickets[*t].arrival)
+            .min()
+            .unwrap_or_default()
+    }
+
+    fn occupy(&mut self, now: Millis, ticket: TicketKey) {
+        let held = &mut self.tickets[ticket];
+        let class = held.ask.class;
+        if held.phase == Phase::Paused {
+            held.phase = Phase::Running { since: now };
+            self.actions.push(Action::Resume { ticket });
+        } else {
+            let until = now + self.shape.grant;
+            held.phase = Phase::Granted { until };
+            self.tally.granted += 1;
+            self.actions.push(Action::Grant { ticket, until });
+        }
+        self.used += 1;
+        self.classes[class.0].running += 1;
+    }
+
+    /// Pauses lower work while more urgent requests wait than slots are being freed for.
+    fn preempt(&mut self, _now: Millis) {
+        loop {
+            let urgent = self.classes.iter().filter(|c| c.waiting > 0);
+            let Some(priority) = urgent.map(|c| c.spec.priority).min() else {
+                return;
+            };
+            let same = self.classes.iter().filter(|c| c.spec.priority == priority);
+            let waiting: usize = same.map(|c| c.waiting).sum();
+            if waiting <= self.pausing as usize {
+                return;
+            }
+            let Some(ticket) = self.find_victim(priority) else {
+                return;
+            };
+            let held = &mut self.tickets[ticket];
+            let Phase::Running { since } = held.phase else {
+                return;
+            };
+            held.phase = Phase::Pausing { since };
+            held.preemptions += 1;
+            self.pausing += 1;
+            self.tally.paused += 1;
+            self.actions.push(Action::Pause { ticket });
+        }
+    }
+
+    /// The run to pause for work of `priority`: the least urgent class's newest start.
+    fn find_victim(&self, priority: u8) -> Option<TicketKey> {
+        if self.order != Order::Floors {
+            return None;
+        }
+        let total: f64 = self.classes.iter().map(|c| c.used_ms).sum();
+        let above_floor = |class: &ClassQueue| {
+            let share = if total > 0.0 {
+                class.used_ms / total
+            } else {
+                0.0
+            };
+            share >= f64::from(class.spec.floor_percent) / 100.0
+        };
+        let runs = self.tickets.iter().filter_map(|(key, ticket)| {
+            let class = &self.classes[ticket.ask.class.0];
+            let Phase::Running { since } = ticket.phase else {
+                return None;
+            };
+            let allowed = class.spec.priority > priority
+                && class.spec.preemptible
+                && ticket.preemptions < self.shape.max_preemptions
+                && above_floor(class);
+            allowed.then_some((class.spec.priority, since, key))
+        });
+        runs.max().map(|(_, _, key)| key)
+    }
+
+    fn refuse(&mut self, ticket: TicketKey, reason: NotRunReason, after: Millis) {
+        let Some(held) = self.tickets.remove(ticket) else {
+            return;
+        };
+        self.tally.refused += 1;
+        let retry_after = spread(after, held.ask.request);
+        self.actions.push(Action::Refuse {
+            ticket,
+            reason,
+            retry_after,
+        });
+    }
+
+    fn refuse_waiting(&mut self, reason: NotRunReason, after: Millis) {
+        let is_waiting = |t: &Ticket| matches!(t.phase, Phase::Waiting { .. });
+        let waiting: Vec<TicketKey> = self
+            .tickets
+            .iter()
+            .filter(|(_, t)| is_waiting(t))
+            .map(|(key, _)| key)
+            .collect();
+        for ticket in waiting {
+            let ask = &self.tickets[ticket].ask;
+            self.classes[ask.class.0].unqueue(ticket, &ask.team);
+            self.refuse(ticket, reason, after);
+        }
+    }
+
+    fn release_slot(&mut self, class: ClassKey) {
+        self.used -= 1;
+        self.classes[class.0].running -= 1;
+    }
+
+    fn note_service(&mut self, ran: Millis) {
+        let ran = ran.0 as f64;
+        let first = self.service_ms == 0.0;
+        let weight = if first { 1.0 } else { SERVICE_WEIGHT };
+        self.service_ms += weight * (ran - self.service_ms);
+    }
+
+    /// Corrects a team's virtual time by what the request really took.
+    fn settle(&mut self, held: &Ticket, tokens: u64) {
+        let class = &mut self.classes[held.ask.class.0];
+        if held.charged > 0.0 && tokens > 0 {
+            let real = tokens as f64 / f64::from(held.ask.weight.max(1));
+            class.settle(&held.ask.team, real - held.charged);
+        }
+    }
+
+    /// Adds the slot time since the last event, decaying what was there.
+    fn count_time(&mut self, now: Millis) {
+        let passed = (now - self.counted_at).0 as f64;
+        self.counted_at = self.counted_at.max(now);
+        if passed == 0.0 {
+            return;
+        }
+        let keep = (-passed * std::f64::consts::LN_2 / SHARE_HALF_LIFE_MS).exp();
+        for class in &mut self.classes {
+            class.used_ms = class.used_ms * keep + passed * f64::from(class.running);
+        }
+    }
+
+    /// Points tickets to the new positions of their classes.
+    fn rekey(&mut self) {
+        let old: Vec<String> = self.shape.classes.iter().map(|c| c.name.clone()).collect();
+        let position = |name: &str| self.classes.iter().position(|c| c.spec.name == name);
+        for ticket in self.tickets.values_mut() {
+            let name = old
+                .get(ticket.ask.class.0)
+                .map(String::as_str)
+                .unwrap_or_default();
+            if let Some(at) = position(name) {
+                ticket.ask.class = ClassKey(at);
+            }
+        }
+    }
+}
+
+impl ClassQueue {
+    fn new(spec: ClassSpec) -> Self {
+        Self {
+            spec,
+            teams: BTreeMap::new(),
+            paused: VecDeque::new(),
+            waiting: 0,
+            running: 0,
+            virtual_time: 0.0,
+            used_ms: 0.0,
+        }
+    }
+
+    fn has_paused(&self) -> bool {
+        !self.paused.is_empty()
+    }
+
+    fn push(&mut self, ticket: TicketKey, team: String) {
+        let floor = self.virtual_time;
+        let queue = self.teams.entry(team).or_default();
+        if queue.waiting.is_empty() {
+            queue.virtual_time = queue.virtual_time.max(floor);
+        }
+        queue.waiting.push_back(ticket);
+        self.waiting += 1;
+    }
+
+    /// Takes the next ticket and what its team was charged for it.
+    fn pop(
+        &mut self,
+        by_arrival: bool,
+        tickets: &SlotMap<TicketKey, Ticket>,
+        cost: impl Fn(TicketKey) -> f64,
+    ) -> Option<(TicketKey, f64)> {
+        if let Some(ticket) = self.paused.pop_front() {
+            return Some((ticket, 0.0));
+        }
+        let rank = |queue: &TeamQueue| {
+            let arrival = queue.waiting.front().map_or(0, |t| tickets[*t].arrival);
+            let time = if by_arrival { 0.0 } else { queue.virtual_time };
+            (time, arrival)
+        };
+        let waiting = self
+            .teams
+            .values_mut()
+            .filter(|queue| !queue.waiting.is_empty());
+        let queue = waiting.min_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
+        })?;
+        let ticket = queue.waiting.pop_front()?;
+        let charged = cost(ticket);
+        self.virtual_time = self.virtual_time.max(queue.virtual_time);
+        queue.virtual_time += charged;
+        self.waiting -= 1;
+        Some((ticket, charged))
+    }
+
+    fn unqueue(&mut self, ticket: TicketKey, team: &str) {
+        let Some(queue) = self.teams.get_mut(team) else {
+            return;
+        };
+        let before = queue.waiting.len();
+        queue.waiting.retain(|t| *t != ticket);
+        self.waiting -= before - queue.waiting.len();
+        self.forget_idle_teams();
+    }
+
+    fn settle(&mut self, team: &str, correction: f64) {
+        if let Some(queue) = self.teams.get_mut(team) {
+            queue.virtual_time += correction;
+        }
+        self.forget_idle_teams();
+    }
+
+    /// Drops teams that wait for nothing and are not ahead of their share.
+    fn forget_idle_teams(&mut self) {
+        let floor = self.virtual_time;
+        self.teams
+            .retain(|_, queue| !queue.waiting.is_empty() || queue.virtual_time > floor);
+    }
+}
+
+/// Spreads retry hints over one to two times the estimate, so that callers don't come together.
+pub fn spread(after: Millis, request: RequestId) -> Millis {
+    let base = after.max(RETRY_LEAST).min(RETRY_MOST);
+    let part = (request.0 % 1_000) as u64;
+    Millis(base.0 + base.0 * part / 1_000)
+}
--- /dev/null
+++ b/src/sidecar.rs
@@ -0,0 +1,482 @@
+//! The process in the slot beside an endpoint: owns its run slots and orders what waits.
+
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use slotmap::SecondaryMap;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::time::sleep;
+
+use crate::admin::{self, Report};
+use crate::audit::{Change, What};
+use crate::bundle::{Policy, Pool, PoolKind};
+use crate::clock::{Clock, Millis};
+use crate::endpoint::{Endpoint, HttpEndpoint};
+use crate::gossip;
+use crate::health::Breaker;
+use crate::ids::GrantId;
+use crate::keys::KeyMemory;
+use crate::link;
+use crate::members::{LifeState, Members, Role};
+use crate::node::{self, Life, Node};
+use crate::outcome::NotRunReason;
+use crate::schedule::{Action, Ask, ClassSpec, Scheduler, Shape, TicketKey};
+use crate::session;
+use crate::settings::SidecarSettings;
+use crate::supervisor::Supervisor;
+use crate::wire::{Load, GOSSIP_PATH, REQUEST_PATH};
+
+/// Time between two ticks of the scheduler.
+const TICK: Duration = Duration::from_millis(10);
+/// Time between two tries to take the listening port from a predecessor.
+const BIND_AGAIN: Duration = Duration::from_millis(200);
+/// Time for last messages to leave before the process ends.
+const FLUSH: Duration = Duration::from_millis(300);
+/// Time between two trims of the key memory.
+const TRIM_EVERY: Duration = Duration::from_secs(5);
+/// Paths that a sidecar serves on links.
+const PATHS: [&str; 2] = [REQUEST_PATH, GOSSIP_PATH];
+
+/// What the scheduler says to one session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// A slot is held until the given time.
+    Granted {
+        /// End of the grant, on this process's clock.
+        until: Millis,
+    },
+    /// Not run.
+    Refused {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after: Millis,
+    },
+    /// Stop the run for more urgent work.
+    Pause,
+    /// Go on with the run.
+    Resume,
+}
+
+/// Where the sidecar's duty stands by the instance list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// Listed as live, or not listed yet.
+    Live,
+    /// Listed as leaving.
+    Leaving,
+    /// Another instance is listed in its place.
+    Superseded,
+}
+
+/// One sidecar.
+pub struct Sidecar {
+    /// Common part.
+    pub node: Rc<Node>,
+    /// Settings.
+    pub settings: SidecarSettings,
+    /// The endpoint.
+    pub endpoint: Rc<dyn Endpoint>,
+    /// Keys whose home is here.
+    pub keys: RefCell<KeyMemory>,
+    /// Duty by the instance list.
+    pub listing: Cell<Listing>,
+    scheduler: RefCell<Option<Scheduler>>,
+    sessions: RefCell<SecondaryMap<TicketKey, UnboundedSender<Turn>>>,
+    breaker: RefCell<Breaker>,
+    grants: Cell<u64>,
+    kind: PoolKind,
+}
+
+impl std::fmt::Debug for Sidecar {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Sidecar")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Sidecar {
+    /// A sidecar whose key memory begins now; call it only once the listening port is held.
+    pub fn new(node: Rc<Node>, settings: SidecarSettings, policy: &Policy) -> Rc<Self> {
+        let pool = policy.pool(&settings.pool);
+        let kind = pool.map_or(PoolKind::Plain, |key| policy.pool_at(key).kind);
+        let skew = Millis(policy.bundle.limits.clock_skew_ms);
+        let endpoint = Rc::new(HttpEndpoint::new(&settings.endpoint, kind));
+        let keys = KeyMemory::new(node.clock.wall(), skew);
+        Rc::new(Self {
+            node,
+            settings,
+            endpoint,
+            keys: RefCell::new(keys),
+            listing: Cell::new(Listing::Live),
+            scheduler: RefCell::new(None),
+            sessions: RefCell::default(),
+            breaker: RefCell::default(),
+            grants: Cell::new(0),
+            kind,
+        })
+    }
+
+    /// The pool's kind, fixed for the life of the process.
+    pub fn kind(&self) -> PoolKind {
+        self.kind
+    }
+
+    /// The pool as the policy in force describes it.
+    pub fn pool<'a>(&self, policy: &'a Policy) -> Option<&'a Pool> {
+        policy
+            .pool(&self.settings.pool)
+            .map(|key| policy.pool_at(key))
+    }
+
+    /// Leaves a ticket and returns where its turns will come.
+    pub fn offer(&self, ask: Ask) -> Option<(TicketKey, UnboundedReceiver<Turn>)> {
+        let now = self.node.clock.now();
+        let ticket = self.scheduler.borrow_mut().as_mut()?.offer(now, ask);
+        let (tx, rx) = unbounded_channel();
+        self.sessions.borrow_mut().insert(ticket, tx);
+        self.dispatch();
+        Some((ticket, rx))
+    }
+
+    /// Uses a grant; false when it has lapsed.
+    #[must_use]
+    pub fn start(&self, ticket: TicketKey) -> bool {
+        let now = self.node.clock.now();
+        self.with(|scheduler| scheduler.start(now, ticket))
+            .unwrap_or(false)
+    }
+
+    /// Reports that a run stands still.
+    pub fn paused(&self, ticket: TicketKey) {
+        let now = self.node.clock.now();
+        self.with(|scheduler| scheduler.paused(now, ticket));
+        self.dispatch();
+    }
+
+    /// Ends a ticket.
+    pub fn finish(&self, ticket: TicketKey, tokens: u64) {
+        let now = self.node.clock.now();
+        self.with(|scheduler| scheduler.finish(now, ticket, tokens));
+        self.sessions.borrow_mut().remove(ticket);
+        self.dispatch();
+    }
+
+    /// Notes whether the endpoint answered.
+    pub fn note_health(&self, ok: bool) {
+        let now = self.node.clock.now();
+        let mut breaker = self.breaker.borrow_mut();
+        if ok {
+            breaker.succeeded();
+        } else {
+            breaker.failed(now);
+        }
+    }
+
+    /// The load to tell entries.
+    pub fn load(&self) -> Load {
+        self.with(|scheduler| scheduler.load()).unwrap_or_default()
+    }
+
+    /// A grant's name, different from those of earlier lives.
+    pub fn next_grant(&self) -> GrantId {
+        self.grants.set(self.grants.get() + 1);
+        GrantId(self.node.incarnation.0.rotate_left(20) ^ self.grants.get())
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut Scheduler) -> T) -> Option<T> {
+        self.scheduler.borrow_mut().as_mut().map(work)
+    }
+
+    /// Hands the scheduler's actions to the sessions.
+    fn dispatch(&self) {
+        let actions = self.with(Scheduler::take_actions).unwrap_or_default();
+        for action in actions {
+            let (ticket, turn) = match action {
+                Action::Grant { ticket, until } => (ticket, Turn::Granted { until }),
+                Action::Refuse {
+                    ticket,
+                    reason,
+                    retry_after,
+                } => (
+                    ticket,
+                    Turn::Refused {
+                        reason,
+                        retry_after,
+                    },
+                ),
+                Action::Pause { ticket } => (ticket, Turn::Pause),
+                Action::Resume { ticket } => (ticket, Turn::Resume),
+            };
+            if let Some(tx) = self.sessions.borrow().get(ticket) {
+                let _ = tx.send(turn);
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.node.clock.now();
+        self.with(|scheduler| {
+            let slots = scheduler.slots();
+            let (open, wait) = self.breaker.borrow_mut().allowance(now, slots);
+            scheduler.open_slots(now, open, wait);
+            scheduler.tick(now);
+        });
+        self.dispatch();
+    }
+
+    /// Takes over a changed bundle or instance list.
+    fn apply_documents(&self) {
+        if let Some(shape) = self
+            .node
+            .replica
+            .policy()
+            .and_then(|policy| self.shape(&policy))
+        {
+            self.apply_shape(shape);
+        }
+        let members = self.node.replica.members();
+        let listing = self.listing_in(&members);
+        if listing != self.listing.replace(listing) {
+            tracing::info!(?listing, "duty");
+        }
+        let draining = listing != Listing::Live || self.node.life() == Life::Draining;
+        let now = self.node.clock.now();
+        self.with(|scheduler| scheduler.set_draining(now, draining));
+        self.dispatch();
+    }
+
+    fn apply_shape(&self, shape: Shape) {
+        let now = self.node.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        match scheduler.as_mut() {
+            Some(scheduler) => scheduler.reshape(now, shape),
+            None => *scheduler = Some(Scheduler::new(self.settings.order, shape)),
+        }
+    }
+
+    fn shape(&self, policy: &Policy) -> Option<Shape> {
+        let pool = self.pool(policy)?;
+        let limits = &policy.bundle.limits;
+        let classes = policy.bundle.classes.iter().map(|class| ClassSpec {
+            name: class.name.clone(),
+            priority: class.priority,
+            floor_percent: class.floor_percent,
+            preemptible: class.preemptible && pool.kind == PoolKind::Model,
+        });
+        Some(Shape {
+            slots: pool.slots,
+            reserved: pool.reserved_slots,
+            grant: Millis(limits.grant_ms),
+            max_preemptions: limits.max_preemptions,
+            queue_per_class: limits.queue_per_class,
+            classes: classes.collect(),
+        })
+    }
+
+    fn listing_in(&self, members: &Members) -> Listing {
+        let mine = members.get(&self.node.settings.id);
+        match mine.map(|instance| instance.state) {
+            Some(LifeState::Live) => Listing::Live,
+            Some(LifeState::Leaving) => Listing::Leaving,
+            None => {
+                let here = |i: &&crate::members::Instance| {
+                    i.role == Role::Sidecar
+                        && i.pool == self.settings.pool
+                        && i.ordinal == self.settings.ordinal
+                };
+                let other = members.instances.iter().find(here);
+                other.map_or(Listing::Live, |_| Listing::Superseded)
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.with(|scheduler| scheduler.is_idle()).unwrap_or(true)
+    }
+}
+
+impl Report for Sidecar {
+    fn is_ready(&self) -> bool {
+        self.keys.borrow().remembers(self.node.clock.wall())
+    }
+
+    fn state(&self) -> Value {
+        let classes: Vec<Value> = self
+            .with(|scheduler| scheduler.by_class())
+            .unwrap_or_default()
+            .into_iter()
+            .map(|row| {
+                json!({
+                    "class": row.class, "waiting": row.waiting,
+                    "running": row.running, "paused": row.paused,
+                })
+            })
+            .collect();
+        json!({
+            "pool": self.settings.pool,
+            "ordinal": self.settings.ordinal,
+            "listing": format!("{:?}", self.listing.get()),
+            "health": format!("{:?}", self.breaker.borrow_mut().health(self.node.clock.now())),
+            "load": self.load(),
+            "classes": classes,
+            "tally": self.with(|scheduler| scheduler.tally()),
+            "keys": self.keys.borrow().len(),
+        })
+    }
+
+    fn gauges(&self) {
+        let metrics = &self.node.metrics;
+        let load = self.load();
+        metrics.set("slots", "", u64::from(load.slots));
+        metrics.set("running", "", u64::from(load.running));
+        metrics.set("keys", "", self.keys.borrow().len() as u64);
+        for row in self
+            .with(|scheduler| scheduler.by_class())
+            .unwrap_or_default()
+        {
+            metrics.set("waiting", &row.class, row.waiting as u64);
+        }
+        let tally = self.with(|scheduler| scheduler.tally()).unwrap_or_default();
+        metrics.set("granted", "", tally.granted);
+        metrics.set("grants_lapsed", "", tally.lapsed);
+        metrics.set("paused", "", tally.paused);
+        metrics.set("granted_by_floor", "", tally.by_floor);
+    }
+}
+
+/// Runs a sidecar until a planned stop has ended.
+pub async fn run(settings: SidecarSettings) -> anyhow::Result<()> {
+    let listener = hold_place(&settings).await?;
+    let node = Node::new(settings.node.clone(), Clock::system());
+    let admin_listener = TcpListener::bind(settings.node.admin).await?;
+    node::announce(
+        "sidecar",
+        &[("listen", &listener), ("admin", &admin_listener)],
+    )?;
+    let mut common = Supervisor::new("sidecar");
+    node::spawn_common(&mut common, &node);
+    let policy = node::first_policy(&node).await;
+    let sidecar = Sidecar::new(Rc::clone(&node), settings, &policy);
+    sidecar.apply_documents();
+    shut_out_predecessor(&sidecar).await;
+    let mut duty = Supervisor::new("duty");
+    spawn_duty(&mut duty, &sidecar);
+    let report = Rc::clone(&sidecar);
+    actix_rt::spawn(admin::serve(Rc::clone(&node), report, admin_listener));
+    actix_rt::spawn(accept(Rc::clone(&sidecar), listener));
+    wait_for_end(&sidecar).await;
+    duty.close();
+    common.close();
+    node.audit
+        .record(Change::plain(What::Stop, "planned stop", ""));
+    Ok(())
+}
+
+/// Takes the listening port, which only one process on an instance can hold; a predecessor
+/// that is frozen keeps it, and then this process waits and takes no work.
+async fn hold_place(settings: &SidecarSettings) -> anyhow::Result<TcpListener> {
+    let mut waiting = false;
+    loop {
+        match TcpListener::bind(settings.node.listen).await {
+            Ok(listener) => return Ok(listener),
+            Err(err) if err.kind() == ErrorKind::AddrInUse => {
+                if !waiting {
+                    tracing::info!(addr = %settings.node.listen, "waiting for predecessor");
+                }
+                waiting = true;
+                sleep(BIND_AGAIN).await;
+            }
+            Err(err) => return Err(err.into()),
+        }
+    }
+}
+
+async fn shut_out_predecessor(sidecar: &Sidecar) {
+    let policy = sidecar.node.replica.policy();
+    let checks = policy
+        .as_deref()
+        .and_then(|p| sidecar.pool(p))
+        .is_some_and(|p| p.checks_orders);
+    if checks {
+        let done = sidecar.endpoint.fence(sidecar.node.incarnation).await;
+        let note = format!("confirmed: {done}");
+        sidecar
+            .node
+            .audit
+            .record(Change::plain(What::Fence, "start", note));
+    }
+}
+
+fn spawn_duty(supervisor: &mut Supervisor, sidecar: &Rc<Sidecar>) {
+    let cx = Rc::clone(sidecar);
+    supervisor.child("ticks", move || keep_ticking(Rc::clone(&cx)));
+    let cx = Rc::clone(sidecar);
+    supervisor.child("documents", move || keep_applying(Rc::clone(&cx)));
+    let cx = Rc::clone(sidecar);
+    supervisor.child("keys", move || keep_trimming(Rc::clone(&cx)));
+}
+
+async fn keep_ticking(sidecar: Rc<Sidecar>) -> anyhow::Result<()> {
+    loop {
+        sidecar.tick();
+        sleep(TICK).await;
+    }
+}
+
+async fn keep_applying(sidecar: Rc<Sidecar>) -> anyhow::Result<()> {
+    let mut documents = sidecar.node.replica.subscribe();
+    let mut life = sidecar.node.watch_life();
+    loop {
+        sidecar.apply_documents();
+        tokio::select! {
+            changed = documents.changed() => changed?,
+            changed = life.changed() => changed?,
+        }
+    }
+}
+
+async fn keep_trimming(sidecar: Rc<Sidecar>) -> anyhow::Result<()> {
+    loop {
+        sleep(TRIM_EVERY).await;
+        if let Some(policy) = sidecar.node.replica.policy() {
+            let memory = Millis::from_secs(policy.bundle.limits.key_memory_s);
+            sidecar
+                .keys
+                .borrow_mut()
+                .trim(sidecar.node.clock.wall(), memory);
+        }
+    }
+}
+
+async fn accept(sidecar: Rc<Sidecar>, listener: TcpListener) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            sleep(TICK).await;
+            continue;
+        };
+        let cx = Rc::clone(&sidecar);
+        actix_rt::spawn(link::serve(tcp, &PATHS, move |incoming| {
+            if incoming.path == GOSSIP_PATH {
+                gossip::answer(Rc::clone(&cx.node), incoming);
+            } else {
+                actix_rt::spawn(session::serve(Rc::clone(&cx), incoming));
+            }
+        }));
+    }
+}
+
+/// Returns when a planned stop was asked for and nothing is left in flight.
+async fn wait_for_end(sidecar: &Sidecar) {
+    let mut life = sidecar.node.watch_life();
+    let _ = life.wait_for(|life| *life == Life::Draining).await;
+    while !sidecar.is_idle() {
+        sleep(TICK).await;
+    }
+    sleep(FLUSH).await;
+}
