--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -148,14 +148,7 @@
             "lab": { "id": chat.id, "tokens": chat.tokens },
         });
         let mut reply = self
-            .post(
-                entry,
-                "/v1/chat/completions",
-                &chat.bearer,
-                &chat.class,
-                &chat.headers,
-                body,
-            )
+            .post(entry, "/v1/chat/completions", chat.head(), body)
             .await;
         if !chat.stream && reply.end == End::Complete {
             let whole: Value = serde_json::from_str(&reply.text).unwrap_or_default();
@@ -178,9 +171,7 @@
     pub async fn call(&self, entry: SocketAddr, call: &Call) -> Reply {
         let path = format!("/v1/pools/{}/run", call.pool);
         let body = json!({ "lab_id": call.id });
-        let mut reply = self
-            .post(entry, &path, &call.bearer, &call.class, &call.headers, body)
-            .await;
+        let mut reply = self.post(entry, &path, call.head(), body).await;
         if reply.end == End::Complete {
             let whole: Value = serde_json::from_str(&reply.text).unwrap_or_default();
             if whole["echo"] != call.id.as_str() {
