--- /dev/null
+++ b/lab/tests/own_answer.rs
@@ -0,0 +1,245 @@
+//! A caller gets the complete answer to its own request, or a clear error.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use violetline::clock::Millis;
+use violetline::ids::{GrantId, RequestId};
+use violetline::link;
+use violetline::outcome::{Outcome, Usage};
+use violetline::wire::{FromSidecar, Load, ToSidecar, GOSSIP_PATH, REQUEST_PATH};
+use violetline_lab::client::End;
+use violetline_lab::fleet::Fleet;
+
+#[actix_rt::test]
+async fn cut_stream() {
+    let fleet = fleet(1, 1).await;
+    let engine = &fleet.slots[position(&fleet, MODEL_POOL, 0)].endpoint;
+    fleet
+        .fault(engine, json!({ "cut_after": 10 }))
+        .await
+        .unwrap();
+    for stream in [true, false] {
+        let mut chat = chat(&format!("cut-{stream}"), "annotation", 50);
+        chat.stream = stream;
+        let reply = fleet.caller.chat(fleet.callers(0), &chat).await;
+        assert!(reply.is("failed_after_start"), "{:?}", reply.end);
+    }
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn killed_sidecar() {
+    let mut fleet = fleet(1, 1).await;
+    let at = position(&fleet, MODEL_POOL, 0);
+    let stream = spawn_chat(&fleet, 0, chat("killed", "annotation", 3_000));
+    let engine = fleet.slots[at].endpoint.addr("listen");
+    until(&fleet, engine, "/lab/stats", |s| {
+        s["generated"].as_u64() > Some(20)
+    })
+    .await;
+    fleet.slots[at].sidecar.kill();
+    let reply = stream.await.unwrap();
+    assert!(reply.is("outcome_unknown"), "{:?}", reply.end);
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn killed_entry() {
+    let mut fleet = fleet(1, 1).await;
+    let stream = spawn_chat(&fleet, 0, chat("killed", "annotation", 3_000));
+    runs_reach(&fleet, "killed", 1).await;
+    fleet.entries[0].process.kill();
+    let reply = stream.await.unwrap();
+    assert!(
+        matches!(reply.end, End::Cut | End::NoAnswer),
+        "{:?}",
+        reply.end
+    );
+    let engine = fleet.slots[position(&fleet, MODEL_POOL, 0)]
+        .endpoint
+        .addr("listen");
+    until(&fleet, engine, "/lab/stats", |stats| stats["running"] == 0).await;
+    fleet.close();
+}
+
+/// One slot, so that a lookup must pause the batch run.
+async fn one_slot() -> Fleet {
+    let mut spec = spec(1, 1);
+    spec.bundle["pools"][0]["slots"] = json!(1);
+    spec.bundle["pools"][0]["reserved_slots"] = json!(0);
+    Fleet::start(spec).await.unwrap()
+}
+
+#[actix_rt::test]
+async fn seam_after_pause() {
+    let fleet = one_slot().await;
+    let at = position(&fleet, MODEL_POOL, 0);
+    let batch = spawn_chat(&fleet, 0, chat("batch", "batch", 800));
+    let engine = fleet.slots[at].endpoint.addr("listen");
+    until(&fleet, engine, "/lab/stats", |s| {
+        s["generated"].as_u64() > Some(50)
+    })
+    .await;
+    let lookup = fleet
+        .caller
+        .chat(fleet.callers(1), &chat("lookup", "lookup", 5))
+        .await;
+    assert_eq!(lookup.end, End::Complete);
+    let batch = batch.await.unwrap();
+    assert_eq!(batch.end, End::Complete, "every token once, in order");
+    let state = fleet
+        .caller
+        .get(fleet.slots[at].sidecar.addr("admin"), "/v1/state")
+        .await
+        .unwrap();
+    assert!(
+        state["tally"]["paused"].as_u64() >= Some(1),
+        "it was paused: {state}"
+    );
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn faulty_seam() {
+    let fleet = one_slot().await;
+    let at = position(&fleet, MODEL_POOL, 0);
+    fleet
+        .fault(&fleet.slots[at].endpoint, json!({ "skip_at_resume": 3 }))
+        .await
+        .unwrap();
+    let batch = spawn_chat(&fleet, 0, chat("batch", "batch", 800));
+    let engine = fleet.slots[at].endpoint.addr("listen");
+    until(&fleet, engine, "/lab/stats", |s| {
+        s["generated"].as_u64() > Some(50)
+    })
+    .await;
+    let lookup = fleet
+        .caller
+        .chat(fleet.callers(1), &chat("lookup", "lookup", 5))
+        .await;
+    assert_eq!(lookup.end, End::Complete);
+    let batch = batch.await.unwrap();
+    let told = End::Refused("failed_after_start".into(), "bad_seam".into());
+    assert_eq!(batch.end, told, "tokens that are missing are not hidden");
+    fleet.close();
+}
+
+/// A sidecar that ends every request with the id of another one.
+async fn mixed_up_sidecar() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((tcp, _)) = listener.accept().await {
+            actix_rt::spawn(link::serve(
+                tcp,
+                &[REQUEST_PATH, GOSSIP_PATH],
+                |mut incoming| {
+                    actix_rt::spawn(async move {
+                        let Ok(Some(ToSidecar::Offer(_))) = incoming.reader.next().await else {
+                            return;
+                        };
+                        let load = Load::default();
+                        let grant = GrantId(1);
+                        let granted = FromSidecar::Granted {
+                            grant,
+                            valid_ms: 1_000,
+                            load,
+                        };
+                        incoming.writer.send(&granted).await.unwrap();
+                        let _ = incoming.reader.next::<ToSidecar>().await;
+                        let outcome = Outcome::Completed(Usage::default());
+                        let chunk =
+                            b"data: {\"choices\":[{\"delta\":{\"content\":\"foreign \"}}]}\n\n";
+                        let end = FromSidecar::End {
+                            request: RequestId(7),
+                            outcome,
+                            load,
+                        };
+                        for message in [
+                            FromSidecar::Started,
+                            FromSidecar::Chunk(chunk.to_vec()),
+                            end,
+                        ] {
+                            incoming.writer.send(&message).await.unwrap();
+                        }
+                        sleep(Duration::from_millis(Millis(200).0)).await;
+                    });
+                },
+            ));
+        }
+    });
+    addr
+}
+
+#[actix_rt::test]
+async fn foreign_end() {
+    let mut fleet = fleet(1, 1).await;
+    let addr = mixed_up_sidecar().await;
+    fleet.revision += 1;
+    let mut members = fleet.members();
+    for instance in &mut members.instances {
+        if instance.pool == MODEL_POOL {
+            instance.addr = addr;
+        }
+    }
+    let text = serde_json::to_string(&members).unwrap();
+    fleet
+        .caller
+        .send(fleet.platform.addr("listen"), "/lab/members", text)
+        .await
+        .unwrap();
+    fleet.members_reached(fleet.revision).await.unwrap();
+    for stream in [true, false] {
+        let mut chat = chat("mixed", "annotation", 1);
+        chat.stream = stream;
+        let reply = fleet.caller.chat(fleet.callers(0), &chat).await;
+        assert!(reply.is("outcome_unknown"), "{stream}: {:?}", reply.end);
+    }
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn slow_caller() {
+    let mut spec = spec(1, 1);
+    spec.engine.token_us = 10;
+    let fleet = Fleet::start(spec).await.unwrap();
+    let at = position(&fleet, MODEL_POOL, 0);
+    let mut tcp = TcpStream::connect(fleet.callers(0)).await.unwrap();
+    let body = json!({
+        "model": "violet-1", "stream": true, "messages": [{ "role": "user", "content": "slow" }],
+        "lab": { "id": "slow", "tokens": 2_000_000 },
+    })
+    .to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer demo-beam-ops\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    tcp.write_all(body.as_bytes()).await.unwrap();
+    let mut buf = [0; 1_024];
+    assert!(tcp.read(&mut buf).await.unwrap() > 0);
+    let engine = fleet.slots[at].endpoint.addr("listen");
+    let mut last = 0;
+    loop {
+        sleep(Duration::from_millis(700)).await;
+        let stats = fleet.caller.get(engine, "/lab/stats").await.unwrap();
+        let generated = stats["generated"].as_u64().unwrap();
+        assert!(generated < 2_000_000, "nobody holds back the engine");
+        if generated == last {
+            break;
+        }
+        last = generated;
+    }
+    drop(tcp);
+    until(&fleet, engine, "/lab/stats", |stats| stats["running"] == 0).await;
+    fleet.close();
+}
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::answer;
 use crate::attempt::Running;
@@ -24,6 +24,8 @@
 const PARTS_AHEAD: usize = 8;
 /// Time for a caller to take one part before its answer is cut.
 const SLOW_CALLER: Duration = Duration::from_secs(30);
+/// Time for an error event to leave before the connection is cut.
+const ERROR_LEAVES: Duration = Duration::from_millis(50);
 /// Largest whole answer, in bytes.
 const MAX_WHOLE: usize = 8 * MAX_PLAIN_ANSWER;
 
@@ -197,6 +199,7 @@
         hand_over(&tx, Bytes::from_static(sse::DONE)).await;
     } else {
         hand_over(&tx, answer::error_event(job.request, &outcome)).await;
+        sleep(ERROR_LEAVES).await;
         let _ = tx.send(Err(Truncated)).await;
     }
 }
