--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -221,13 +221,14 @@
     }
     let run = web::header(&req, RUN_HEADER).unwrap_or_default().to_owned();
     let priority = number(&req, PRIORITY_HEADER) as u8;
+    let resumed = web::header(&req, RESUME_HEADER).is_some();
     let from = number(&req, RESUME_HEADER);
     let Some(body) = web::json_body::<Value>(&mut req).await else {
         return web::status(StatusCode::BAD_REQUEST);
     };
     let prompt = prompt_of(&body);
     let tokens = body["lab"]["tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
-    if from == 0 {
+    if !resumed {
         let id = body["lab"]["id"].as_str().unwrap_or_default().to_owned();
         *engine.stats.borrow_mut().starts.entry(id).or_default() += 1;
     }
@@ -250,7 +251,7 @@
     let body = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
     let mut builder = Response::build(StatusCode::OK);
     builder.insert_header(("content-type", "text/event-stream"));
-    if from > 0 {
+    if resumed {
         builder.insert_header((RESUME_HEADER, from_shown.to_string()));
     }
     builder.body(BodyStream::new(body)).map_into_boxed_body()
--- /dev/null
+++ b/lab/tests/bundle_rollout.rs
@@ -0,0 +1,223 @@
+//! A bundle is in force everywhere soon after it is accepted, and never gives way to an older.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+use tokio::time::sleep;
+use violetline_lab::client::End;
+use violetline_lab::fleet::Fleet;
+
+async fn version_at(fleet: &Fleet, admin: std::net::SocketAddr) -> (u64, u64) {
+    let page = fleet.caller.get(admin, "/v1/bundle").await.unwrap();
+    let field = |name: &str| page["in_force"][name].as_u64().unwrap();
+    (field("version"), field("digest"))
+}
+
+async fn platform(fleet: &Fleet, faults: serde_json::Value) {
+    fleet.fault(&fleet.platform, faults).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn change_everywhere() {
+    let mut fleet = fleet(3, 2).await;
+    let version = fleet
+        .change_bundle(|bundle| bundle["note"] = json!("second"))
+        .await
+        .unwrap();
+    fleet.bundle_reached(version).await.unwrap();
+    let audit = fleet
+        .caller
+        .get(fleet.admins()[0], "/v1/audit")
+        .await
+        .unwrap();
+    let accepted = audit
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|c| c["to"]["version"] == version)
+        .unwrap();
+    assert_eq!(accepted["note"], "second");
+    assert_eq!(accepted["from"]["version"], version - 1);
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn service_goes_back() {
+    let mut fleet = fleet(2, 1).await;
+    let version = fleet.change_bundle(|_| {}).await.unwrap();
+    fleet.bundle_reached(version).await.unwrap();
+    platform(&fleet, json!({ "stale": true })).await;
+    sleep(Duration::from_millis(2_500)).await;
+    fleet.slots[0].sidecar.kill();
+    fleet.restart_sidecar(0).unwrap();
+    let admin = fleet.slots[0].sidecar.addr("admin");
+    fleet.ready(admin).await.unwrap();
+    assert_eq!(
+        version_at(&fleet, admin).await.0,
+        version,
+        "fresh, with a stale service"
+    );
+    for admin in fleet.admins() {
+        assert_eq!(version_at(&fleet, admin).await.0, version);
+    }
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn service_down() {
+    let mut fleet = fleet(2, 1).await;
+    let version = fleet.change_bundle(|_| {}).await.unwrap();
+    fleet.bundle_reached(version).await.unwrap();
+    platform(&fleet, json!({ "down": true })).await;
+    fleet.slots[1].sidecar.kill();
+    fleet.restart_sidecar(1).unwrap();
+    let admin = fleet.slots[1].sidecar.addr("admin");
+    fleet.ready(admin).await.unwrap();
+    assert_eq!(
+        version_at(&fleet, admin).await.0,
+        version,
+        "from its peers alone"
+    );
+    let reply = fleet
+        .caller
+        .chat(fleet.callers(0), &chat("down", "lookup", 5))
+        .await;
+    assert_eq!(reply.end, End::Complete);
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn racing_operators() {
+    let mut fleet = fleet(2, 1).await;
+    let mut second = fleet.spec.bundle.clone();
+    second["version"] = json!(2);
+    second["note"] = json!("one operator");
+    fleet.publish_bundle(&second).await.unwrap();
+    fleet.bundle_reached(2).await.unwrap();
+    second["note"] = json!("another operator");
+    fleet.publish_bundle(&second).await.unwrap();
+    sleep(Duration::from_millis(2_500)).await;
+    let mut stamps = Vec::new();
+    for admin in fleet.admins() {
+        stamps.push(version_at(&fleet, admin).await);
+    }
+    stamps.dedup();
+    assert_eq!(stamps.len(), 1, "all hold the same of the two: {stamps:?}");
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn refused_bundles() {
+    let mut fleet = fleet(1, 1).await;
+    let good = fleet.spec.bundle.clone();
+    let mut invalid = good.clone();
+    invalid["version"] = json!(5);
+    invalid["pools"][0]["slots"] = json!(0);
+    fleet.publish_bundle(&invalid).await.unwrap();
+    let admin = fleet.admins()[0];
+    until(&fleet, admin, "/v1/audit", |audit| {
+        let refused = |c: &serde_json::Value| c["what"] == "bundle_refused";
+        audit
+            .as_array()
+            .is_some_and(|list| list.iter().any(refused))
+    })
+    .await;
+    let addr = fleet.platform.addr("listen");
+    let sealed = fleet
+        .sign(&json!({ "version": 9 }))
+        .unwrap()
+        .replace("9", "8");
+    fleet
+        .caller
+        .send(addr, "/lab/bundle", sealed)
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(1_500)).await;
+    fleet
+        .caller
+        .send(addr, "/lab/bundle", "{\"payload\":".into())
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(1_500)).await;
+    for admin in fleet.admins() {
+        assert_eq!(version_at(&fleet, admin).await.0, 1);
+    }
+    fleet.spec.bundle = good;
+    let reply = fleet
+        .caller
+        .chat(fleet.callers(0), &chat("still", "lookup", 5))
+        .await;
+    assert_eq!(reply.end, End::Complete);
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn thawed_entry_decides_anew() {
+    let mut fleet = fleet(2, 1).await;
+    let muon = "demo-muon";
+    let mut asked = chat("muon", "batch", 5);
+    asked.bearer = muon.into();
+    let before = fleet.caller.chat(fleet.callers(0), &asked).await;
+    assert_eq!(before.end, End::Complete);
+    fleet.entries[0].process.freeze();
+    let version = fleet
+        .change_bundle(|bundle| {
+            let teams = bundle["teams"].as_array_mut().unwrap();
+            teams.retain(|team| team["name"] != "muon");
+        })
+        .await
+        .unwrap();
+    for slot in &fleet.slots {
+        until(&fleet, slot.sidecar.addr("admin"), "/v1/bundle", |p| {
+            p["in_force"]["version"] == 2
+        })
+        .await;
+    }
+    assert_eq!(version, 2);
+    let addr = fleet.callers(0);
+    asked.id = "muon-late".into();
+    let late = asked.clone();
+    let waiting = actix_rt::spawn(async move {
+        violetline_lab::client::Caller::default()
+            .chat(addr, &late)
+            .await
+    });
+    sleep(Duration::from_millis(300)).await;
+    fleet.entries[0].process.thaw();
+    let reply = waiting.await.unwrap();
+    assert_ne!(
+        reply.end,
+        End::Complete,
+        "the team is gone in the bundle in force"
+    );
+    assert_eq!(fleet.runs("muon-late").await, 0);
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn few_reads() {
+    let mut fleet = fleet(3, 2).await;
+    for _ in 0..3 {
+        let version = fleet.change_bundle(|_| {}).await.unwrap();
+        fleet.bundle_reached(version).await.unwrap();
+    }
+    let stats = fleet
+        .caller
+        .get(fleet.platform.addr("listen"), "/lab/stats")
+        .await
+        .unwrap();
+    assert_eq!(stats["refused"], 0, "under the service's rate: {stats}");
+    let parcels = fleet
+        .caller
+        .get(fleet.admins()[0], "/metrics")
+        .await
+        .unwrap();
+    assert!(
+        parcels.as_str().unwrap().contains("bundle_version"),
+        "{parcels}"
+    );
+    fleet.close();
+}
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -39,8 +39,8 @@
     pub path: String,
     /// Body.
     pub body: Bytes,
-    /// Tokens already delivered of a run that goes on.
-    pub resume_from: u64,
+    /// Tokens already delivered of a paused run that goes on; `None` for a first start.
+    pub resume_from: Option<u64>,
 }
 
 /// Why an endpoint did not answer.
@@ -134,8 +134,8 @@
             .insert_header((INCARNATION_HEADER, call.incarnation.0.to_string()))
             .insert_header((PRIORITY_HEADER, call.priority.to_string()))
             .insert_header(("content-type", "application/json"));
-        if call.resume_from > 0 {
-            req = req.insert_header((RESUME_HEADER, call.resume_from.to_string()));
+        if let Some(from) = call.resume_from {
+            req = req.insert_header((RESUME_HEADER, from.to_string()));
         }
         let res = req
             .send_body(call.body)
--- a/src/run.rs
+++ b/src/run.rs
@@ -85,6 +85,7 @@
     usage: EngineUsage,
     kept: Vec<u8>,
     entry_gone: bool,
+    resumed: bool,
 }
 
 /// Runs a job whose grant has been used.
@@ -107,6 +108,7 @@
         usage: EngineUsage::default(),
         kept: Vec::new(),
         entry_gone,
+        resumed: false,
     };
     if entry_gone && !run.outlives_entry() {
         return Ran::NeverStarted(Outcome::not_run(NotRunReason::GrantLapsed, UNREACHABLE));
@@ -130,7 +132,7 @@
             priority: self.job.priority,
             path: self.job.start.path.clone(),
             body: Bytes::copy_from_slice(&self.job.start.body),
-            resume_from: self.delivered,
+            resume_from: self.resumed.then_some(self.delivered),
         }
     }
 
@@ -149,6 +151,7 @@
                     if !self.sit_out().await {
                         return self.failed(FailReason::SlowCaller).await;
                     }
+                    self.resumed = true;
                 }
             }
         }
@@ -156,7 +159,7 @@
 
     /// Sends the call and checks the head of the answer.
     async fn open(&mut self) -> Result<Reply, Ran> {
-        let first = self.delivered == 0;
+        let first = !self.resumed;
         let bound = self.job.stall.duration();
         let called = timeout(bound, self.sidecar.endpoint.call(self.call())).await;
         let reply = match called {
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -86,6 +86,8 @@
     pub est_tokens: u32,
     /// Longest wait for a grant.
     pub max_wait: Millis,
+    /// Whether the run may be paused, if its class allows it.
+    pub preemptible: bool,
 }
 
 /// What the sidecar has to do next.
@@ -625,6 +627,7 @@
             };
             let allowed = class.spec.priority > priority
                 && class.spec.preemptible
+                && ticket.ask.preemptible
                 && ticket.preemptions < self.shape.max_preemptions
                 && above_floor(class);
             allowed.then_some((class.spec.priority, since, key))
--- a/src/session.rs
+++ b/src/session.rs
@@ -178,6 +178,7 @@
         weight: policy.team_at(team).weight,
         est_tokens: offer.est_tokens,
         max_wait: Millis(u64::from(offer.max_wait_ms)),
+        preemptible: !offer.once,
     };
     let priority = policy.class_at(class).priority;
     Ok(Admitted {
--- a/tests/schedule_invariants.rs
+++ b/tests/schedule_invariants.rs
@@ -90,6 +90,7 @@
             weight: 1,
             est_tokens: 10,
             max_wait,
+            preemptible: true,
         };
         let ticket = self.scheduler.offer(self.now, ask);
         self.states.insert(ticket, (State::Waiting, class, 0));
@@ -250,6 +251,7 @@
                     weight: 1,
                     est_tokens: 10,
                     max_wait: Millis(2_000),
+                    preemptible: true,
                 };
                 classes.insert(scheduler.offer(now, ask), class);
             }
--- a/tests/schedule_sessions.rs
+++ b/tests/schedule_sessions.rs
@@ -110,6 +110,7 @@
             weight: 1,
             est_tokens: 100,
             max_wait: Millis(wait),
+            preemptible: true,
         };
         let ticket = self.scheduler.offer(now, ask);
         self.names.insert(event[2].into(), ticket);
