Scheduler: cost of a grant no longer grows with the queue

Cause: every event looked through all tickets for lapsed waits and for victims of a pause. Now waits and grants stand in an ordered set, and victims are sought among the tickets that hold slots.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -47,6 +47,8 @@
     pub routing: Routing,
     /// Whether entries reach sidecars through relays that can be cut.
     pub relays: bool,
+    /// Another build of this binary that runs the product, to compare with.
+    pub product: Option<PathBuf>,
 }
 
 impl FleetSpec {
@@ -62,6 +64,7 @@
             order: Order::default(),
             routing: Routing::default(),
             relays: false,
+            product: None,
         })
     }
 
@@ -245,7 +248,11 @@
     /// Starts a process of the product with some settings.
     pub fn start_product(&mut self, role: &str, settings: &Value) -> anyhow::Result<Process> {
         let path = self.settings_file(role, settings)?;
-        Process::start(&["product", "--", role, "--settings", &path])
+        let args = ["product", "--", role, "--settings", &path];
+        match &self.spec.product {
+            Some(program) => Process::start_other(program, &args),
+            None => Process::start(&args),
+        }
     }
 
     /// Writes settings to a file and returns its path.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
     unused_qualifications
 )]
 
+pub mod chaos;
 pub mod client;
 pub mod demo;
 pub mod engine;
@@ -18,4 +19,5 @@
 pub mod process;
 pub mod relay;
 pub mod report;
+pub mod scenario;
 pub mod web;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,11 +3,13 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use violetline_lab::demo::DemoOptions;
+use violetline_lab::chaos::{chaos_options, ChaosOptions};
+use violetline_lab::demo::{demo_options, DemoOptions};
 use violetline_lab::engine::EngineSettings;
 use violetline_lab::plain::PlainSettings;
 use violetline_lab::platform::PlatformSettings;
-use violetline_lab::{demo, engine, plain, platform};
+use violetline_lab::scenario::{scenario_options, ScenarioOptions};
+use violetline_lab::{chaos, demo, engine, plain, platform, scenario};
 
 /// Stand-ins, load tool and experiments for violetline
 #[derive(Debug, Clone, Bpaf)]
@@ -16,6 +18,12 @@
     /// Starts everything, sends a mixed load, reports and ends
     #[bpaf(command)]
     Demo(#[bpaf(external(demo_options))] DemoOptions),
+    /// Runs the scenarios against the baselines and prints tables
+    #[bpaf(command)]
+    Scenarios(#[bpaf(external(scenario_options))] ScenarioOptions),
+    /// Runs seeded failures under load and counts broken promises
+    #[bpaf(command)]
+    Chaos(#[bpaf(external(chaos_options))] ChaosOptions),
     /// A model engine
     #[bpaf(command)]
     Engine {
@@ -46,10 +54,6 @@
     },
 }
 
-fn demo_options() -> impl bpaf::Parser<DemoOptions> {
-    violetline_lab::demo::demo_options()
-}
-
 fn main() -> ExitCode {
     match dispatch(command().run()) {
         Ok(code) => code,
@@ -64,6 +68,8 @@
     let system = || actix_rt::System::new();
     match command {
         Command::Demo(options) => system().block_on(demo::run(options)),
+        Command::Scenarios(options) => system().block_on(scenario::run(options)),
+        Command::Chaos(options) => system().block_on(chaos::run(options)),
         Command::Engine { settings } => {
             let settings: EngineSettings = serde_json::from_str(&settings)?;
             system()
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -4,7 +4,7 @@
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -33,7 +33,18 @@
 
     /// Starts a child without waiting for its addresses.
     pub fn start_silent<S: AsRef<OsStr>>(args: &[S]) -> anyhow::Result<Self> {
-        let mut command = Command::new(program()?);
+        Self::start_program(&program()?, args)
+    }
+
+    /// Starts a child of another build of this binary, and waits for its addresses.
+    pub fn start_other<S: AsRef<OsStr>>(program: &Path, args: &[S]) -> anyhow::Result<Self> {
+        let mut process = Self::start_program(program, args)?;
+        process.read_addresses()?;
+        Ok(process)
+    }
+
+    fn start_program<S: AsRef<OsStr>>(program: &Path, args: &[S]) -> anyhow::Result<Self> {
+        let mut command = Command::new(program);
         command
             .args(args)
             .stdin(Stdio::null())
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -236,3 +236,36 @@
     ));
     lines.join("\n")
 }
+
+/// Head of a Markdown table with a column of attainment for each class.
+pub fn markdown_head(classes: &[&str]) -> String {
+    let names: Vec<String> = classes
+        .iter()
+        .map(|class| format!("{class} in target"))
+        .collect();
+    let rest = "goodput tokens/s | wasted | Jain | double, false, foreign";
+    let head = format!("| | {} | {rest} |", names.join(" | "));
+    let columns = classes.len() + 5;
+    format!("{head}\n|{}", "---|".repeat(columns))
+}
+
+/// Row of that table.
+pub fn markdown_row(name: &str, classes: &[&str], report: &Report) -> String {
+    let cell = |class: &&str| {
+        report.classes.get(*class).map_or_else(String::new, |row| {
+            format!("{:.1}% of {}", row.attained_percent, row.sent)
+        })
+    };
+    let cells: Vec<String> = classes.iter().map(cell).collect();
+    let broken = report.broken;
+    format!(
+        "| {name} | {} | {:.0} | {:.2}% | {:.3} | {}, {}, {} |",
+        cells.join(" | "),
+        report.goodput_per_s,
+        report.wasted_percent,
+        report.jain,
+        broken.double_runs,
+        broken.false_not_run,
+        broken.wrong_answers
+    )
+}
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -4,7 +4,7 @@
 //! (late binding). Between classes the order is strict urgency, except that a class below its
 //! floor goes first; between teams of one class it is start-time fair queueing on tokens.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use slotmap::{new_key_type, SlotMap};
@@ -193,6 +193,10 @@
     order: Order,
     shape: Shape,
     tickets: SlotMap<TicketKey, Ticket>,
+    /// Ends of waits and of grants, soonest first.
+    expiries: BTreeSet<(Millis, TicketKey)>,
+    /// Tickets that hold a slot; at most as many as there are slots.
+    active: Vec<TicketKey>,
     classes: Vec<ClassQueue>,
     actions: Vec<Action>,
     used: u32,
@@ -214,6 +218,8 @@
             order,
             shape,
             tickets: SlotMap::with_key(),
+            expiries: BTreeSet::new(),
+            active: Vec::new(),
             classes,
             actions: Vec::new(),
             used: 0,
@@ -265,6 +271,7 @@
             self.refuse(ticket, reason, after);
             return ticket;
         }
+        self.expiries.insert((expires, ticket));
         let team = self.tickets[ticket].ask.team.clone();
         self.classes[class.0].push(ticket, team);
         self.pump(now);
@@ -281,6 +288,7 @@
         match held.phase {
             Phase::Granted { until } if now < until => {
                 held.phase = Phase::Running { since: now };
+                self.expiries.remove(&(until, ticket));
                 true
             }
             _ => false,
@@ -300,7 +308,7 @@
         held.ran = held.ran + (now - since);
         let class = held.ask.class;
         self.pausing -= 1;
-        self.release_slot(class);
+        self.release_slot(ticket, class);
         self.classes[class.0].paused.push_back(ticket);
         self.pump(now);
     }
@@ -313,15 +321,21 @@
         };
         let class = held.ask.class;
         match held.phase {
-            Phase::Waiting { .. } => self.classes[class.0].unqueue(ticket, &held.ask.team),
-            Phase::Granted { .. } => self.release_slot(class),
+            Phase::Waiting { expires } => {
+                self.expiries.remove(&(expires, ticket));
+                self.classes[class.0].unqueue(ticket, &held.ask.team);
+            }
+            Phase::Granted { until } => {
+                self.expiries.remove(&(until, ticket));
+                self.release_slot(ticket, class);
+            }
             Phase::Running { since } => {
-                self.release_slot(class);
+                self.release_slot(ticket, class);
                 self.note_service(held.ran + (now - since));
             }
             Phase::Pausing { .. } => {
                 self.pausing -= 1;
-                self.release_slot(class);
+                self.release_slot(ticket, class);
             }
             Phase::Paused => self.classes[class.0].paused.retain(|t| *t != ticket),
         }
@@ -437,26 +451,21 @@
     }
 
     fn expire(&mut self, now: Millis) {
-        let lapsed: Vec<(TicketKey, NotRunReason)> = self
-            .tickets
-            .iter()
-            .filter_map(|(key, ticket)| match ticket.phase {
-                Phase::Waiting { expires } if now >= expires => {
-                    Some((key, NotRunReason::DeadlinePassed))
-                }
-                Phase::Granted { until } if now >= until => Some((key, NotRunReason::GrantLapsed)),
-                _ => None,
-            })
-            .collect();
-        for (ticket, reason) in lapsed {
-            let class = self.tickets[ticket].ask.class;
-            if reason == NotRunReason::GrantLapsed {
+        while let Some(&(at, ticket)) = self.expiries.first() {
+            if at > now {
+                return;
+            }
+            self.expiries.pop_first();
+            let Ticket { ask, phase, .. } = &self.tickets[ticket];
+            let class = ask.class;
+            let reason = if matches!(phase, Phase::Granted { .. }) {
                 self.tally.lapsed += 1;
-                self.release_slot(class);
+                self.release_slot(ticket, class);
+                NotRunReason::GrantLapsed
             } else {
-                let team = self.tickets[ticket].ask.team.clone();
-                self.classes[class.0].unqueue(ticket, &team);
-            }
+                self.classes[class.0].unqueue(ticket, &ask.team);
+                NotRunReason::DeadlinePassed
+            };
             let after = self.estimate_wait(class);
             self.refuse(ticket, reason, after);
         }
@@ -566,16 +575,22 @@
     fn occupy(&mut self, now: Millis, ticket: TicketKey) {
         let held = &mut self.tickets[ticket];
         let class = held.ask.class;
-        if held.phase == Phase::Paused {
-            held.phase = Phase::Running { since: now };
-            self.actions.push(Action::Resume { ticket });
-        } else {
-            let until = now + self.shape.grant;
-            held.phase = Phase::Granted { until };
-            self.tally.granted += 1;
-            self.actions.push(Action::Grant { ticket, until });
+        match held.phase {
+            Phase::Waiting { expires } => {
+                let until = now + self.shape.grant;
+                held.phase = Phase::Granted { until };
+                self.expiries.remove(&(expires, ticket));
+                self.expiries.insert((until, ticket));
+                self.tally.granted += 1;
+                self.actions.push(Action::Grant { ticket, until });
+            }
+            _ => {
+                held.phase = Phase::Running { since: now };
+                self.actions.push(Action::Resume { ticket });
+            }
         }
         self.used += 1;
+        self.active.push(ticket);
         self.classes[class.0].running += 1;
     }
 
@@ -620,7 +635,8 @@
             };
             share >= f64::from(class.spec.floor_percent) / 100.0
         };
-        let runs = self.tickets.iter().filter_map(|(key, ticket)| {
+        let runs = self.active.iter().filter_map(|key| {
+            let ticket = &self.tickets[*key];
             let class = &self.classes[ticket.ask.class.0];
             let Phase::Running { since } = ticket.phase else {
                 return None;
@@ -630,7 +646,7 @@
                 && ticket.ask.preemptible
                 && ticket.preemptions < self.shape.max_preemptions
                 && above_floor(class);
-            allowed.then_some((class.spec.priority, since, key))
+            allowed.then_some((class.spec.priority, since, *key))
         });
         runs.max().map(|(_, _, key)| key)
     }
@@ -657,14 +673,18 @@
             .map(|(key, _)| key)
             .collect();
         for ticket in waiting {
-            let ask = &self.tickets[ticket].ask;
+            let Ticket { ask, phase, .. } = &self.tickets[ticket];
+            if let Phase::Waiting { expires } = phase {
+                self.expiries.remove(&(*expires, ticket));
+            }
             self.classes[ask.class.0].unqueue(ticket, &ask.team);
             self.refuse(ticket, reason, after);
         }
     }
 
-    fn release_slot(&mut self, class: ClassKey) {
+    fn release_slot(&mut self, ticket: TicketKey, class: ClassKey) {
         self.used -= 1;
+        self.active.retain(|held| *held != ticket);
         self.classes[class.0].running -= 1;
     }
 
