Homes and prefixes by jump hash, sidecars indexed by pool

Cause: rendezvous hashing looked at every place. Jump consistent hash needs the count of places only. Ruled out: the two random draws (the same before and after).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -217,7 +217,10 @@
 }
 
 fn shelves(teams: usize) -> (Shelf, Shelf, usize) {
-    let (old, new) = (bundle(teams, 1), bundle(teams, 2).replace("1e9", "2e9"));
+    let (old, new) = (
+        bundle(teams, 1),
+        bundle(teams, 2).replacen("1000000000.0", "2000000000.0", 1),
+    );
     let (mut sender, mut receiver) = (Shelf::default(), Shelf::default());
     for shelf in [&mut sender, &mut receiver] {
         shelf.put(Stamp::new(1, old.as_bytes()), old.as_bytes());
@@ -250,10 +253,7 @@
 
 #[divan::bench(args = [100, 1_000, 4_000])]
 fn members_parsed(bencher: Bencher<'_, '_>, count: usize) {
-    let members = Members {
-        revision: 1,
-        instances: instances(count),
-    };
+    let members = Members::new(1, instances(count));
     let text = serde_json::to_vec(&members).unwrap();
     eprintln!("instances {count}: list {} B", text.len());
     bencher.bench_local(|| Members::parse(&text).unwrap().instances.len());
@@ -261,10 +261,7 @@
 
 #[divan::bench(args = [100, 1_000, 4_000])]
 fn partners_by_members(bencher: Bencher<'_, '_>, count: usize) {
-    let members = Members {
-        revision: 1,
-        instances: instances(count),
-    };
+    let members = Members::new(1, instances(count));
     let addr: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let node = NodeSettings {
         id: "endpoint-1".into(),
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -346,10 +346,7 @@
             pool: slot.pool.clone(),
             ordinal: slot.ordinal,
         });
-        Members {
-            revision: self.revision,
-            instances: entries.chain(sidecars).collect(),
-        }
+        Members::new(self.revision, entries.chain(sidecars).collect())
     }
 
     /// Waits until every process says that it is ready.
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -179,15 +179,25 @@
 
 /// The ordinal that is a key's home: the same in every process that holds the same bundle.
 pub fn home(key: Uuid, places: u32) -> u32 {
-    let weight = |ordinal: u32| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(key.as_bytes());
-        hasher.update(&ordinal.to_be_bytes());
-        *hasher.finalize().as_bytes()
-    };
-    (0..places)
-        .max_by_key(|ordinal| weight(*ordinal))
-        .unwrap_or_default()
+    let mut head = [0; 8];
+    head.copy_from_slice(&blake3::hash(key.as_bytes()).as_bytes()[..8]);
+    ordinal(u64::from_be_bytes(head), places)
+}
+
+/// Spreads hashes over `places` ordinals; a further place takes over only its own part (jump
+/// consistent hash, Lamping and Veach 2014).
+pub fn ordinal(hash: u64, places: u32) -> u32 {
+    const MULTIPLIER: u64 = 2_862_933_555_777_941_757;
+    const SPAN: f64 = (1_u64 << 31) as f64;
+    let mut state = hash;
+    let mut found = 0;
+    let mut next = 0_i64;
+    while next < i64::from(places) {
+        found = next;
+        state = state.wrapping_mul(MULTIPLIER).wrapping_add(1);
+        next = ((found + 1) as f64 * (SPAN / ((state >> 33) + 1) as f64)) as i64;
+    }
+    found as u32
 }
 
 fn verdict(state: &State) -> KeyVerdict {
--- a/src/members.rs
+++ b/src/members.rs
@@ -1,5 +1,6 @@
 //! The platform's instance list: who is live or leaving, and where.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -56,19 +57,41 @@
     pub revision: u64,
     /// All known instances.
     pub instances: Vec<Instance>,
+    /// Positions of the live sidecars by pool; built by [`Members::parse`].
+    #[serde(skip)]
+    by_pool: HashMap<String, Vec<usize>>,
 }
 
 impl Members {
     /// Parses a list as the platform publishes it.
     pub fn parse(text: &[u8]) -> Result<Self, Findings> {
-        serde_json::from_slice(text).map_err(|e| Findings::from_json(&e))
+        let parsed: Self = serde_json::from_slice(text).map_err(|e| Findings::from_json(&e))?;
+        Ok(Self::new(parsed.revision, parsed.instances))
+    }
+
+    /// A list with its index.
+    pub fn new(revision: u64, instances: Vec<Instance>) -> Self {
+        let mut by_pool: HashMap<String, Vec<usize>> = HashMap::new();
+        for (at, instance) in instances.iter().enumerate() {
+            if instance.role == Role::Sidecar && instance.state == LifeState::Live {
+                by_pool.entry(instance.pool.clone()).or_default().push(at);
+            }
+        }
+        Self {
+            revision,
+            instances,
+            by_pool,
+        }
     }
 
     /// The live sidecars of a pool.
-    pub fn sidecars<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Instance> + 'a {
-        self.instances.iter().filter(move |i| {
-            i.role == Role::Sidecar && i.state == LifeState::Live && i.pool == pool
-        })
+    pub fn sidecars(&self, pool: &str) -> impl Iterator<Item = &Instance> {
+        let positions = self
+            .by_pool
+            .get(pool)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        positions.iter().map(|at| &self.instances[*at])
     }
 
     /// Count of live entries, at least one.
--- a/src/route.rs
+++ b/src/route.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::keys;
 use crate::members::Instance;
 use crate::wire::Load;
 
@@ -230,17 +231,12 @@
     }
 }
 
-/// The endpoint that most likely holds a prefix in its cache: rendezvous hashing.
+/// The endpoint that most likely holds a prefix in its cache: the prefix's own ordinal, which
+/// stays the same while others come and go.
 fn preferred<'a>(pool: &[&'a Instance], prefix: u64) -> Option<&'a Instance> {
-    if prefix == 0 {
-        return None;
-    }
-    pool.iter().copied().max_by_key(|i| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&prefix.to_be_bytes());
-        hasher.update(i.id.as_bytes());
-        let mut head = [0; 8];
-        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        u64::from_be_bytes(head)
-    })
+    let places = pool.iter().map(|i| i.ordinal + 1).max()?;
+    let wanted = keys::ordinal(prefix, places);
+    pool.iter()
+        .copied()
+        .find(|i| prefix != 0 && i.ordinal == wanted)
 }
