Limits over the whole fleet: leases of shares from each team's owner

The balancer spreads a team's traffic unevenly, so an equal share per entry refuses work that the limit allows. Each team now has an owner among the entries (rendezvous over the instance list) that leases shares by max-min fairness; the sum of leases stays at or under the limit. All of it is soft state: a new owner begins cautiously, and without a lease an entry uses an equal share. Weighed and left: gossip of usage per team (450 entries x active teams is about 700 KB/s a node), push-sum averages (mass is lost with each failed entry), limits at the sidecars (each sees a 3,500th of the traffic).

--- a/lab/tests/order_service.rs
+++ b/lab/tests/order_service.rs
@@ -153,3 +153,30 @@
     assert_eq!(other.end, End::Complete, "another team is not touched");
     fleet.close();
 }
+
+#[actix_rt::test]
+async fn uneven_balancer() {
+    let mut spec = spec(1, 1);
+    for team in spec.bundle["teams"].as_array_mut().unwrap() {
+        if team["name"] == "cryo" {
+            team["requests_per_s"] = json!(20);
+        }
+    }
+    let fleet = Fleet::start(spec).await.unwrap();
+    let admin = fleet.entries[0].process.addr("admin");
+    let mut asked = chat("cryo", "lookup", 2);
+    asked.bearer = "demo-cryo".into();
+    let end = Instant::now() + LONG;
+    loop {
+        fleet.caller.chat(fleet.callers(0), &asked).await;
+        let state = fleet.caller.get(admin, "/v1/state").await.unwrap();
+        if state["shares"]["cryo"].as_f64() > Some(0.7) {
+            break;
+        }
+        assert!(
+            Instant::now() < end,
+            "one of two entries has all the traffic: {state}"
+        );
+    }
+    fleet.close();
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,6 +17,8 @@
 use crate::attempt::{self, Placed};
 use crate::audit::{Change, What};
 use crate::budget::RerunBudget;
+use crate::bundle::Team;
+use crate::claims;
 use crate::clock::{Clock, Millis};
 use crate::delivery;
 use crate::gossip;
@@ -27,11 +29,12 @@
 use crate::listener::{self, CallerSocket};
 use crate::node::{self, Life, Node};
 use crate::outcome::{NotRunReason, Outcome};
+use crate::quota::{Claim, QuotaBook, Shares};
 use crate::route::{Place, Router};
 use crate::schedule::spread;
 use crate::settings::EntrySettings;
 use crate::supervisor::Supervisor;
-use crate::wire::GOSSIP_PATH;
+use crate::wire::{GOSSIP_PATH, QUOTA_PATH};
 
 /// Advice to come back to another entry while this one stops or starts.
 const ELSEWHERE: Millis = Millis(200);
@@ -44,7 +47,7 @@
 /// Path of the list of models.
 const MODELS_PATH: &str = "/v1/models";
 /// Paths that an entry serves on links.
-const PATHS: [&str; 1] = [GOSSIP_PATH];
+const PATHS: [&str; 2] = [GOSSIP_PATH, QUOTA_PATH];
 
 /// One entry.
 #[derive(Debug)]
@@ -57,6 +60,10 @@
     pub router: RefCell<Router>,
     /// Budget of reruns.
     pub reruns: RefCell<RerunBudget>,
+    /// Shares of teams' limits that this entry holds.
+    pub shares: RefCell<Shares>,
+    /// Shares that this entry has leased to others, for the teams it owns.
+    pub book: RefCell<QuotaBook>,
     limiter: RefCell<Limiter>,
     in_flight: Cell<u64>,
     lingering: Cell<bool>,
@@ -87,8 +94,11 @@
             region: settings.node.region.clone(),
         };
         let seed = rand::thread_rng().gen();
+        let book = RefCell::new(QuotaBook::new(node.clock.now()));
         Rc::new(Self {
             node,
+            shares: RefCell::default(),
+            book,
             links: Links::default(),
             router: RefCell::new(Router::new(settings.routing, place, seed)),
             reruns: RefCell::default(),
@@ -132,11 +142,28 @@
             .request(&job.policy.class_at(job.class).name, outcome);
     }
 
+    /// Demand of each limited team at this entry, as a part of its limit.
+    pub fn demands(&self, now: Millis) -> Vec<Claim> {
+        let Some(policy) = self.node.replica.policy() else {
+            return Vec::new();
+        };
+        let mut limiter = self.limiter.borrow_mut();
+        let demand = |team: &Team| {
+            let demand = limiter.demand(now, team)?;
+            Some(Claim {
+                team: team.name.clone(),
+                demand,
+            })
+        };
+        policy.bundle.teams.iter().filter_map(demand).collect()
+    }
+
     /// Charges the team, or says that it is over its limit.
     fn admit(&self, job: &mut Job) -> Result<(), Outcome> {
         let team = job.policy.team_at(job.team);
-        let share = 1.0 / self.node.replica.members().entries() as f64;
         let now = self.node.clock.now();
+        let entries = self.node.replica.members().entries();
+        let share = self.shares.borrow().of(now, &team.name, entries);
         let admitted = self
             .limiter
             .borrow_mut()
@@ -178,6 +205,7 @@
             "in_flight": self.in_flight.get(),
             "links": self.links.len(),
             "endpoints": endpoints,
+            "shares": self.shares.borrow().rows(now),
             "team_tokens": self.limiter.borrow().used().into_iter().collect::<BTreeMap<_, _>>(),
         })
     }
@@ -213,7 +241,9 @@
         Rc::clone(&entry),
         admin_listener,
     ));
-    actix_rt::spawn(accept_peers(Rc::clone(&node), peers));
+    let cx = Rc::clone(&entry);
+    supervisor.child("claims", move || claims::keep_claiming(Rc::clone(&cx)));
+    actix_rt::spawn(accept_peers(Rc::clone(&entry), peers));
     let cx = Rc::clone(&entry);
     let handler = move |req: Request| handle(Rc::clone(&cx), req);
     actix_rt::spawn(listener::serve(callers, handler));
@@ -322,15 +352,19 @@
     }
 }
 
-async fn accept_peers(node: Rc<Node>, listener: TcpListener) {
+async fn accept_peers(entry: Rc<Entry>, listener: TcpListener) {
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             sleep(STOP_LOOK).await;
             continue;
         };
-        let cx = Rc::clone(&node);
+        let cx = Rc::clone(&entry);
         actix_rt::spawn(link::serve(tcp, &PATHS, move |incoming| {
-            gossip::answer(Rc::clone(&cx), incoming);
+            if incoming.path == QUOTA_PATH {
+                claims::answer(Rc::clone(&cx), incoming);
+            } else {
+                gossip::answer(Rc::clone(&cx.node), incoming);
+            }
         }));
     }
 }
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -14,8 +14,8 @@
 const FIRST_ESTIMATE: f64 = 256.0;
 /// Weight of the newest answer in a team's mean output.
 const OUTPUT_WEIGHT: f64 = 0.05;
-/// Smallest share of a rate that an entry keeps, whatever the others report.
-const LEAST_SHARE: f64 = 0.05;
+/// Time over which a team's demand is averaged, in ms.
+const DEMAND_MEMORY_MS: f64 = 3_000.0;
 
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
@@ -52,6 +52,40 @@
     tokens: Bucket,
     mean_output: f64,
     used: f64,
+    asked: Asked,
+}
+
+/// What a team has asked for lately, admitted or not: an exponential mean.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    requests_per_s: f64,
+    tokens_per_s: f64,
+    at: Millis,
+}
+
+impl Asked {
+    fn new(now: Millis) -> Self {
+        Self {
+            requests_per_s: 0.0,
+            tokens_per_s: 0.0,
+            at: now,
+        }
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let passed = (now - self.at).0 as f64;
+        let keep = (-passed / DEMAND_MEMORY_MS).exp();
+        self.requests_per_s *= keep;
+        self.tokens_per_s *= keep;
+        self.at = now;
+    }
+
+    fn add(&mut self, now: Millis, tokens: f64) {
+        self.decay(now);
+        let per_s = 1_000.0 / DEMAND_MEMORY_MS;
+        self.requests_per_s += per_s;
+        self.tokens_per_s += tokens * per_s;
+    }
 }
 
 /// The accounts of all teams seen by one entry.
@@ -71,17 +105,17 @@
         share: f64,
         prompt: u64,
     ) -> Result<u64, Millis> {
-        let share = share.max(LEAST_SHARE.min(1.0 / 450.0)).min(1.0);
         let (request_rate, token_rate) = (team.requests_per_s * share, team.tokens_per_s * share);
-        let account = self
-            .accounts
-            .entry(team.name.clone())
-            .or_insert_with(|| Account {
-                requests: Bucket::new(request_rate, now),
-                tokens: Bucket::new(token_rate, now),
-                mean_output: FIRST_ESTIMATE,
-                used: 0.0,
-            });
+        let account = self.accounts.entry(team.name.clone());
+        let account = account.or_insert_with(|| Account {
+            requests: Bucket::new(request_rate, now),
+            tokens: Bucket::new(token_rate, now),
+            mean_output: FIRST_ESTIMATE,
+            used: 0.0,
+            asked: Asked::new(now),
+        });
+        let estimate = prompt + account.mean_output as u64;
+        account.asked.add(now, estimate as f64);
         account.requests.fill(now, request_rate);
         account.tokens.fill(now, token_rate);
         if team.requests_per_s > 0.0 && account.requests.level < 1.0 {
@@ -90,7 +124,6 @@
         if team.tokens_per_s > 0.0 && account.tokens.level <= 0.0 {
             return Err(account.tokens.wait(1.0));
         }
-        let estimate = prompt + account.mean_output as u64;
         account.requests.level -= 1.0;
         account.tokens.level -= estimate as f64;
         Ok(estimate)
@@ -111,6 +144,17 @@
         account.mean_output += OUTPUT_WEIGHT * (output as f64 - account.mean_output);
     }
 
+    /// A team's demand here as a part of its fleet-wide limit; `None` without limit or account.
+    pub fn demand(&mut self, now: Millis, team: &Team) -> Option<f64> {
+        let account = self.accounts.get_mut(&team.name)?;
+        account.asked.decay(now);
+        let part = |asked: f64, limit: f64| if limit > 0.0 { asked / limit } else { 0.0 };
+        let requests = part(account.asked.requests_per_s, team.requests_per_s);
+        let tokens = part(account.asked.tokens_per_s, team.tokens_per_s);
+        let limited = team.requests_per_s > 0.0 || team.tokens_per_s > 0.0;
+        limited.then_some(requests.max(tokens))
+    }
+
     /// Tokens charged to each team so far, for the administration page.
     pub fn used(&self) -> Vec<(String, u64)> {
         self.accounts
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -16,6 +16,8 @@
 pub const REQUEST_PATH: &str = "/vl1/request";
 /// Path of the stream over which two processes exchange documents.
 pub const GOSSIP_PATH: &str = "/vl1/gossip";
+/// Path of the stream over which an entry claims shares of teams' limits from their owner.
+pub const QUOTA_PATH: &str = "/vl1/quota";
 /// Largest frame, in bytes: a whole document with room for its head.
 pub const MAX_FRAME: usize = MAX_DOCUMENT_BYTES + 4_096;
 /// Bytes of the length before each frame.
