Leases: nothing is cut below an equal share while nobody contends

Cause: a first claim told of a demand that was still rising, and its lease was smaller than an equal share until it was renewed 5 s later. Uncontended claims now get at least an equal share, and an outgrown lease is claimed anew within a second.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -18,8 +18,8 @@
 pub const CLAIM_FROM: f64 = 0.1;
 /// Room above the demand, so that a growing demand is not cut at once.
 const HEADROOM: f64 = 1.25;
-/// Smallest share leased, as a part of an equal share.
-const LEAST: f64 = 0.2;
+/// Part of its lease that an entry's demand may reach before it claims anew.
+const OUTGROWN: f64 = 0.9;
 
 /// One team's demand at one entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -80,10 +80,15 @@
             .filter(|(id, _)| *id != entry)
             .map(|(_, h)| h.demand)
             .collect();
-        let wanted = (claim.demand * HEADROOM).max(equal * LEAST);
+        let wanted = claim.demand * HEADROOM;
         demands.push(wanted);
-        let fair = fair_level(demands, total);
-        let mut share = wanted.min(fair).min((total - others).max(0.0));
+        let contended = demands.iter().sum::<f64>() > total;
+        let ceiling = if contended {
+            fair_level(demands, total).min(wanted)
+        } else {
+            wanted.max(equal)
+        };
+        let mut share = ceiling.min((total - others).max(0.0));
         if now < self.cautious_until {
             share = share.min(equal);
         }
@@ -148,13 +153,13 @@
         held.map_or(equal, |share| share.share)
     }
 
-    /// Whether to claim now: there is enough demand, and no fresh lease.
+    /// Whether to claim now: there is enough demand, and no fresh lease that covers it.
     pub fn is_due(&self, now: Millis, team: &str, demand: f64, entries: usize) -> bool {
         let enough = demand > CLAIM_FROM / entries.max(1) as f64;
         let fresh = self
             .held
             .get(team)
-            .is_some_and(|share| now < share.renew_at);
+            .is_some_and(|held| now < held.renew_at && demand < held.share * OUTGROWN);
         enough && !fresh
     }
 
