Proofs that can be run: each mechanism taken out of a copy, its test must fail

'lab proofs' replaces one line at a time in a scratch copy and runs the test that stands for it. Also here: capacity and rollout measurements of the lab. Found while writing them: (1) an entry that caught up with a newer bundle did not look again whether the team may still use the class (thawed_entry_decides_anew now asks for 403); (2) leaving_refused could pass without the door, since entries learn quickly, and now offers at the door itself; (3) refused_engine_orders passed without the fence, since the stand-in ended runs whose connection had gone; it now keeps them, as some engines do.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -81,6 +81,8 @@
     pub skip_at_resume: u64,
     /// Stands still.
     pub frozen: bool,
+    /// Goes on with a run whose connection has ended, as some engines do.
+    pub keeps_orphans: bool,
 }
 
 /// What an engine has done.
@@ -280,7 +282,7 @@
     let finished = tokio::select! {
         finished = emit(&engine, &sequence, &tx, &emitted) => finished,
         () = stop.notified() => false,
-        () = tx.closed() => false,
+        () = tx.closed(), if !engine.faults.get().keeps_orphans => false,
     };
     engine.running.borrow_mut().remove(&sequence.run);
     if !finished {
@@ -312,11 +314,8 @@
         let chunk = json!({ "id": sequence.run, "object": "chat.completion.chunk",
             "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }] });
         emitted.set(at + 1);
-        if tx
-            .send(Ok(Bytes::from(format!("data: {chunk}\n\n"))))
-            .await
-            .is_err()
-        {
+        let sent = tx.send(Ok(Bytes::from(format!("data: {chunk}\n\n")))).await;
+        if sent.is_err() && !engine.faults.get().keeps_orphans {
             return false;
         }
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
     unused_qualifications
 )]
 
+pub mod capacity;
 pub mod chaos;
 pub mod client;
 pub mod demo;
@@ -17,7 +18,10 @@
 pub mod plain;
 pub mod platform;
 pub mod process;
+pub mod proofs;
 pub mod relay;
 pub mod report;
+pub mod rollout;
 pub mod scenario;
+pub mod usage;
 pub mod web;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,13 +3,16 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use violetline_lab::capacity::{capacity_options, CapacityOptions};
 use violetline_lab::chaos::{chaos_options, ChaosOptions};
 use violetline_lab::demo::{demo_options, DemoOptions};
 use violetline_lab::engine::EngineSettings;
 use violetline_lab::plain::PlainSettings;
 use violetline_lab::platform::PlatformSettings;
+use violetline_lab::proofs::{proof_options, ProofOptions};
+use violetline_lab::rollout::{rollout_options, RolloutOptions};
 use violetline_lab::scenario::{scenario_options, ScenarioOptions};
-use violetline_lab::{chaos, demo, engine, plain, platform, scenario};
+use violetline_lab::{capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario};
 
 /// Stand-ins, load tool and experiments for violetline
 #[derive(Debug, Clone, Bpaf)]
@@ -24,6 +27,15 @@
     /// Runs seeded failures under load and counts broken promises
     #[bpaf(command)]
     Chaos(#[bpaf(external(chaos_options))] ChaosOptions),
+    /// Measures slopes of processes and the path against a direct call
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
+    /// Measures how documents spread over many nodes
+    #[bpaf(command)]
+    Rollout(#[bpaf(external(rollout_options))] RolloutOptions),
+    /// Takes each mechanism out of a copy and shows that its test then fails
+    #[bpaf(command)]
+    Proofs(#[bpaf(external(proof_options))] ProofOptions),
     /// A model engine
     #[bpaf(command)]
     Engine {
@@ -70,6 +82,9 @@
         Command::Demo(options) => system().block_on(demo::run(options)),
         Command::Scenarios(options) => system().block_on(scenario::run(options)),
         Command::Chaos(options) => system().block_on(chaos::run(options)),
+        Command::Capacity(options) => system().block_on(capacity::run(options)),
+        Command::Rollout(options) => system().block_on(rollout::run(options)),
+        Command::Proofs(options) => proofs::run(&options),
         Command::Engine { settings } => {
             let settings: EngineSettings = serde_json::from_str(&settings)?;
             system()
--- a/lab/tests/at_most_once.rs
+++ b/lab/tests/at_most_once.rs
@@ -299,7 +299,11 @@
 async fn refused_engine_orders() {
     let mut fleet = fleet(1, 1).await;
     let at = position(&fleet, MODEL_POOL, 0);
-    let long = spawn_chat(&fleet, 0, chat("long", "summary", 2_000));
+    fleet
+        .fault(&fleet.slots[at].endpoint, json!({ "keeps_orphans": true }))
+        .await
+        .unwrap();
+    let long = spawn_chat(&fleet, 0, chat("long", "summary", 200_000));
     runs_reach(&fleet, "long", 1).await;
     fleet.slots[at].sidecar.kill();
     let told = long.await.unwrap();
@@ -367,3 +371,66 @@
     .await;
     fleet.close();
 }
+
+#[actix_rt::test]
+async fn unkeyed_lost() {
+    let fleet = fleet(1, 2).await;
+    for ordinal in 0..2 {
+        let service = &fleet.slots[position(&fleet, PLAIN_POOL, ordinal)].endpoint;
+        fleet
+            .fault(service, json!({ "cut_after_run": true }))
+            .await
+            .unwrap();
+    }
+    let reply = fleet
+        .caller
+        .call(fleet.callers(0), &call("unkeyed", None))
+        .await;
+    assert!(reply.is("outcome_unknown"), "{:?}", reply.end);
+    assert_eq!(
+        fleet.runs("unkeyed").await,
+        1,
+        "not tried at the other endpoint"
+    );
+    fleet.close();
+}
+
+#[actix_rt::test]
+async fn limited_repeat() {
+    let mut spec = spec(1, 1);
+    for team in spec.bundle["teams"].as_array_mut().unwrap() {
+        if team["name"] == "beam-ops" {
+            team["requests_per_s"] = json!(0.2);
+        }
+    }
+    let fleet = violetline_lab::fleet::Fleet::start(spec).await.unwrap();
+    let key = key();
+    let first = fleet
+        .caller
+        .call(fleet.callers(0), &call("limited", Some(&key)))
+        .await;
+    assert_eq!(first.end, End::Complete);
+    let second = fleet
+        .caller
+        .call(fleet.callers(0), &call("limited", Some(&key)))
+        .await;
+    assert!(
+        second.is("already_ran"),
+        "over the limit, and it did run: {:?}",
+        second.end
+    );
+    let fresh = fleet
+        .caller
+        .call(
+            fleet.callers(0),
+            &call("other", Some(&violetline_lab::client::key())),
+        )
+        .await;
+    assert!(
+        fresh.is("not_run"),
+        "the home says that nothing ran: {:?}",
+        fresh.end
+    );
+    assert_eq!(fleet.runs("other").await, 0);
+    fleet.close();
+}
--- a/lab/tests/bundle_rollout.rs
+++ b/lab/tests/bundle_rollout.rs
@@ -165,8 +165,11 @@
     fleet.entries[0].process.freeze();
     let version = fleet
         .change_bundle(|bundle| {
-            let teams = bundle["teams"].as_array_mut().unwrap();
-            teams.retain(|team| team["name"] != "muon");
+            for team in bundle["teams"].as_array_mut().unwrap() {
+                if team["name"] == "muon" {
+                    team["classes"] = json!(["lookup"]);
+                }
+            }
         })
         .await
         .unwrap();
--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -8,6 +8,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 use violetline::members::LifeState;
+use violetline::outcome::{NotRunReason, Outcome};
+use violetline::wire::FromSidecar;
 use violetline_lab::client::End;
 use violetline_lab::fleet::Fleet;
 
@@ -126,6 +128,21 @@
     fleet.publish_members().await.unwrap();
     let admin = fleet.slots[at].sidecar.addr("admin");
     until(&fleet, admin, "/v1/state", |s| s["listing"] == "Leaving").await;
+    let mut bare = Bare::offer(&fleet, &fleet.slots[at], None).await;
+    let told = bare.next().await;
+    let refused = |outcome: &Outcome| {
+        matches!(
+            outcome,
+            Outcome::NotRun {
+                reason: NotRunReason::Draining,
+                ..
+            }
+        )
+    };
+    assert!(
+        matches!(&told, Some(FromSidecar::End { outcome, .. }) if refused(outcome)),
+        "refused at the door: {told:?}"
+    );
     let before = starts(&fleet, at).await;
     fleet.entries[1].process.thaw();
     for n in 0..20 {
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -179,6 +179,10 @@
             reason: NotRunReason::KeyFromFuture,
             ..
         } => StatusCode::BAD_REQUEST,
+        Outcome::NotRun {
+            reason: NotRunReason::NotAllowed,
+            ..
+        } => StatusCode::FORBIDDEN,
         Outcome::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
         Outcome::Unknown(UnknownReason::KeyInFlight) | Outcome::AlreadyRan => StatusCode::CONFLICT,
         Outcome::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -321,9 +321,12 @@
         self.home_spoke |= reason.speaks_for_key();
         if reason.disagrees() && self.disagreements < MAX_DISAGREEMENTS {
             self.disagreements += 1;
-            self.agree().await;
             tried.retain(|id| *id != instance.id);
-            return None;
+            if self.agree().await {
+                return None;
+            }
+            let outcome = Outcome::not_run(NotRunReason::NotAllowed, NO_ENDPOINT);
+            return Some(Found::Ended(outcome));
         }
         if matches!(
             reason,
@@ -335,14 +338,15 @@
         (!reason.try_elsewhere() && !reason.disagrees()).then_some(Found::Ended(outcome))
     }
 
-    /// Waits for newer documents and decides under them from here on.
-    async fn agree(&mut self) {
+    /// Waits for newer documents and decides under them from here on; false when they no longer
+    /// allow the request.
+    async fn agree(&mut self) -> bool {
         let replica = &self.entry.node.replica;
         let mut changed = replica.subscribe();
         if replica.stamps() == self.job.stamps {
             let _ = timeout(AGREE_TIME, changed.changed()).await;
         }
-        self.entry.redecide(self.job);
+        self.entry.redecide(self.job)
     }
 
     /// Of several refusals the one with the shortest wait is told.
@@ -507,7 +511,9 @@
                 return refusal;
             }
             Reply::Ended(Outcome::NotRun { reason, .. }) if reason.disagrees() => {
-                search.agree().await;
+                if !search.agree().await {
+                    return unreachable;
+                }
             }
             Reply::Ended(Outcome::NotRun { .. }) | Reply::Silent | Reply::Reserved(_) => {
                 return unreachable;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -108,22 +108,28 @@
         })
     }
 
-    /// Puts a job under the documents in force now, keeping what the caller asked for.
-    pub fn redecide(&self, job: &mut Job) {
+    /// Puts a job under the documents in force now, keeping what the caller asked for; false
+    /// when the bundle in force no longer allows it.
+    #[must_use]
+    pub fn redecide(&self, job: &mut Job) -> bool {
         let Some(policy) = self.node.replica.policy() else {
-            return;
+            return false;
         };
         let old = Rc::clone(&job.policy);
-        let class = policy.class(&old.class_at(job.class).name);
+        let class_name = &old.class_at(job.class).name;
+        let class = policy.class(class_name);
         let team = policy.team(&old.team_at(job.team).name);
         let pool = policy.pool(&old.pool_at(job.pool).name);
-        if let (Some(class), Some(team), Some(pool)) = (class, team, pool) {
-            job.class = class;
-            job.team = team;
-            job.pool = pool;
-            job.policy = policy;
-            job.stamps = self.node.replica.stamps();
-        }
+        let (Some(class), Some(team), Some(pool)) = (class, team, pool) else {
+            return false;
+        };
+        let allowed = policy.team_at(team).classes.contains(class_name);
+        job.class = class;
+        job.team = team;
+        job.pool = pool;
+        job.policy = policy;
+        job.stamps = self.node.replica.stamps();
+        allowed
     }
 
     /// Corrects a team's account when a request has ended.
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -34,6 +34,8 @@
     KeyFromFuture,
     /// The key's home remembers as many keys as it can.
     KeyMemoryFull,
+    /// The bundle in force no longer allows the request.
+    NotAllowed,
     /// This entry is stopping.
     Stopping,
     /// This entry is not yet ready.
