Links at any fleet size: bounded subsets, no cost while idle

An entry that chose among all endpoints would end up with links to most of 3,500, each with a ping a second and a gossip stream. Now an entry turns to a fixed subset of 24 per pool first and widens the search when these make a request wait; an idle link costs nothing (pings only when streams are open and silent for 1.5 s; documents are exchanged on a request link only after a disagreement); the fleet reads the platform 20 times a second instead of 200. Tests: route_choice (bounded_subset, widened_search and four on load and prefix).

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Millis;
 use crate::entry::Entry;
+use crate::gossip;
 use crate::ids::GrantId;
 use crate::intake::Job;
 use crate::keys;
@@ -322,7 +323,7 @@
         if reason.disagrees() && self.disagreements < MAX_DISAGREEMENTS {
             self.disagreements += 1;
             tried.retain(|id| *id != instance.id);
-            if self.agree().await {
+            if self.agree(&instance).await {
                 return None;
             }
             let outcome = Outcome::not_run(NotRunReason::NotAllowed, NO_ENDPOINT);
@@ -340,15 +341,24 @@
 
     /// Waits for newer documents and decides under them from here on; false when they no longer
     /// allow the request.
-    async fn agree(&mut self) -> bool {
+    async fn agree(&mut self, instance: &Instance) -> bool {
         let replica = &self.entry.node.replica;
         let mut changed = replica.subscribe();
         if replica.stamps() == self.job.stamps {
+            self.exchange_documents(instance).await;
             let _ = timeout(AGREE_TIME, changed.changed()).await;
         }
         self.entry.redecide(self.job)
     }
 
+    /// Talks with the sidecar about documents for a while: whoever is behind catches up.
+    async fn exchange_documents(&self, instance: &Instance) {
+        if let Ok(link) = self.entry.links.get(instance.addr).await {
+            let node = Rc::clone(&self.entry.node);
+            let _ = gossip::exchange_on(node, &link, instance.id.clone()).await;
+        }
+    }
+
     /// Of several refusals the one with the shortest wait is told.
     fn keep_refusal(&mut self, reason: NotRunReason, after: Millis) {
         if self.refusal.is_none_or(|(_, kept)| after < kept) {
@@ -387,11 +397,7 @@
 ) -> Option<Reply> {
     let request = offer.request;
     let opening = async {
-        let link = entry
-            .links
-            .get(&entry.node, instance.addr, &instance.id)
-            .await
-            .ok()?;
+        let link = entry.links.get(instance.addr).await.ok()?;
         let (mut writer, mut reader) = link.open(REQUEST_PATH).await.ok()?;
         writer.send(&ToSidecar::Offer(offer)).await.ok()?;
         let first = reader.next::<FromSidecar>().await.ok()??;
@@ -506,12 +512,13 @@
             ..search.offer(&instance)
         };
         let (queued_tx, _queued_rx) = mpsc::unbounded_channel();
-        match ask(Rc::clone(entry), instance, offer, queued_tx).await.1 {
+        let (asked, reply) = ask(Rc::clone(entry), instance, offer, queued_tx).await;
+        match reply {
             Reply::Ended(Outcome::NotRun { reason, .. }) if reason.speaks_for_key() => {
                 return refusal;
             }
             Reply::Ended(Outcome::NotRun { reason, .. }) if reason.disagrees() => {
-                if !search.agree().await {
+                if !search.agree(&asked).await {
                     return unreachable;
                 }
             }
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -132,11 +132,7 @@
 }
 
 async fn ask(entry: &Rc<Entry>, owner: &Instance, claims: &Claims) -> Option<Leases> {
-    let link = entry
-        .links
-        .get(&entry.node, owner.addr, &owner.id)
-        .await
-        .ok()?;
+    let link = entry.links.get(owner.addr).await.ok()?;
     let (mut writer, mut reader) = link.open(QUOTA_PATH).await.ok()?;
     writer.send(claims).await.ok()?;
     reader.next().await.ok()?
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::document::{DocumentKind, Stamp};
 use crate::link::{Incoming, Link, LinkError, Reader, Writer};
@@ -17,13 +17,15 @@
 use crate::wire::{Gossip, GOSSIP_PATH};
 
 /// Time between two digests on a quiet link.
-const HEARTBEAT: Duration = Duration::from_millis(2_000);
+const HEARTBEAT: Duration = Duration::from_millis(1_400);
 /// Time after which a document that was asked for may be asked for again.
 const WANT_AGAIN: Duration = Duration::from_millis(1_000);
 /// Time between two looks at the choice of partners.
 const REVIEW: Duration = Duration::from_millis(1_000);
 /// Reviews after which one partner is given up for another, so that the graph keeps mixing.
 const REMIX_REVIEWS: u64 = 60;
+/// Time that an entry and a sidecar talk after they disagreed on documents.
+const BRIEF_TALK: Duration = Duration::from_millis(1_500);
 const KINDS: [DocumentKind; 2] = [DocumentKind::Bundle, DocumentKind::Members];
 
 /// What this process has asked for and from how many peers it has heard.
@@ -182,11 +184,11 @@
     });
 }
 
-/// Opens a gossip stream on a link and talks on it in the background.
-pub async fn start_on(node: Rc<Node>, link: &Link, peer: String) -> Result<(), LinkError> {
+/// Opens a gossip stream on a link and talks on it for [`BRIEF_TALK`], in the background.
+pub async fn exchange_on(node: Rc<Node>, link: &Link, peer: String) -> Result<(), LinkError> {
     let (writer, reader) = link.open(GOSSIP_PATH).await?;
     actix_rt::spawn(async move {
-        let _ = converse(node, writer, reader, peer).await;
+        let _ = timeout(BRIEF_TALK, converse(node, writer, reader, peer)).await;
     });
     Ok(())
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,6 +1,6 @@
 //! Links between processes: h2 connections (RFC 9113) that carry framed messages.
 
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::wire::{self, WireError};
 
@@ -26,10 +26,12 @@
 const MAX_STREAMS: u32 = 10_000;
 /// Time to connect and shake hands.
 const CONNECT_TIME: Duration = Duration::from_millis(1_000);
-/// Time between two pings on a link.
-const PING_EVERY: Duration = Duration::from_millis(1_000);
-/// Silence after which a link counts as dead and all its streams end.
-const PING_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time between two looks at whether a link needs a ping.
+const PING_LOOK: Duration = Duration::from_millis(500);
+/// Silence on a link with open streams after which it is pinged; without open streams it is not.
+const PING_AFTER: Duration = Duration::from_millis(1_500);
+/// Time for the answer to a ping; after it the link counts as dead and all its streams end.
+const PING_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Why a link or a stream ended.
 #[derive(Debug, Clone, Copy)]
@@ -44,18 +46,45 @@
     Wire(WireError),
 }
 
+/// What the streams of a link and the task that drives it share.
+#[derive(Debug)]
+struct Activity {
+    alive: Cell<bool>,
+    heard: Cell<Instant>,
+    streams: Cell<usize>,
+}
+
+/// Counts a stream as open until it is dropped.
+#[derive(Debug)]
+struct OpenStream(Rc<Activity>);
+
+impl OpenStream {
+    fn new(activity: &Rc<Activity>) -> Self {
+        activity.streams.set(activity.streams.get() + 1);
+        Self(Rc::clone(activity))
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.streams.set(self.0.streams.get() - 1);
+    }
+}
+
 /// The reading half of a stream.
 #[derive(Debug)]
 pub struct Reader {
     recv: RecvStream,
     buf: BytesMut,
+    open: Option<OpenStream>,
 }
 
 impl Reader {
-    fn new(recv: RecvStream) -> Self {
+    fn new(recv: RecvStream, open: Option<OpenStream>) -> Self {
         Self {
             recv,
             buf: BytesMut::new(),
+            open,
         }
     }
 
@@ -75,6 +104,9 @@
             let data = data.map_err(|_| LinkError::Broken)?;
             let _ = self.recv.flow_control().release_capacity(data.len());
             self.buf.extend_from_slice(&data);
+            if let Some(open) = &self.open {
+                open.0.heard.set(Instant::now());
+            }
         }
     }
 }
@@ -118,7 +150,7 @@
 #[derive(Debug, Clone)]
 pub struct Link {
     send: SendRequest<Bytes>,
-    alive: Rc<RefCell<bool>>,
+    activity: Rc<Activity>,
 }
 
 impl Link {
@@ -142,27 +174,32 @@
         let (send, mut conn) = timeout(CONNECT_TIME, opening)
             .await
             .map_err(|_| LinkError::Connect)??;
-        let alive = Rc::new(RefCell::new(true));
-        let flag = Rc::clone(&alive);
+        let activity = Rc::new(Activity {
+            alive: Cell::new(true),
+            heard: Cell::new(Instant::now()),
+            streams: Cell::new(0),
+        });
+        let shared = Rc::clone(&activity);
         let pings = conn.ping_pong();
         actix_rt::spawn(async move {
             tokio::select! {
                 _ = conn => {}
-                () = watch_pings(pings) => {}
+                () = watch_pings(pings, &shared) => {}
             }
-            *flag.borrow_mut() = false;
+            shared.alive.set(false);
         });
-        Ok(Self { send, alive })
+        Ok(Self { send, activity })
     }
 
     /// Whether the connection still answers.
     pub fn is_alive(&self) -> bool {
-        *self.alive.borrow()
+        self.activity.alive.get()
     }
 
     /// Opens a stream; nothing is sent again by itself if it fails.
     pub async fn open(&self, path: &str) -> Result<(Writer, Reader), LinkError> {
         let mut send = self.send.clone();
+        let open = OpenStream::new(&self.activity);
         poll_fn(|cx| send.poll_ready(cx))
             .await
             .map_err(|_| LinkError::Broken)?;
@@ -175,21 +212,29 @@
         if res.status() != StatusCode::OK {
             return Err(LinkError::Refused);
         }
-        Ok((Writer { send: stream }, Reader::new(res.into_body())))
+        Ok((
+            Writer { send: stream },
+            Reader::new(res.into_body(), Some(open)),
+        ))
     }
 }
 
 /// Returns when a ping stays unanswered for [`PING_TIMEOUT`].
-async fn watch_pings(pings: Option<h2::PingPong>) {
+async fn watch_pings(pings: Option<h2::PingPong>, activity: &Activity) {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
     loop {
-        tokio::time::sleep(PING_EVERY).await;
+        sleep(PING_LOOK).await;
+        let silent = activity.heard.get().elapsed() >= PING_AFTER;
+        if activity.streams.get() == 0 || !silent {
+            continue;
+        }
         let answered = timeout(PING_TIMEOUT, pings.ping(h2::Ping::opaque())).await;
         if !matches!(answered, Ok(Ok(_))) {
             return;
         }
+        activity.heard.set(Instant::now());
     }
 }
 
@@ -246,7 +291,7 @@
             continue;
         };
         if known {
-            let reader = Reader::new(req.into_body());
+            let reader = Reader::new(req.into_body(), None);
             handle(Incoming {
                 path,
                 writer: Writer { send },
--- a/src/links.rs
+++ b/src/links.rs
@@ -9,9 +9,7 @@
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
-use crate::gossip;
 use crate::link::{Link, LinkError};
-use crate::node::Node;
 
 /// Time after which an unused link is closed.
 const IDLE_CLOSE: Duration = Duration::from_secs(60);
@@ -28,20 +26,14 @@
 }
 
 impl Links {
-    /// The link to a sidecar; several callers share one attempt to open it.
-    pub async fn get(
-        &self,
-        node: &Rc<Node>,
-        addr: SocketAddr,
-        id: &str,
-    ) -> Result<Link, LinkError> {
+    /// The link to a process; several callers share one attempt to open it.
+    pub async fn get(&self, addr: SocketAddr) -> Result<Link, LinkError> {
         let place = self.place(addr);
         let mut held = place.link.lock().await;
         if let Some(link) = held.as_ref().filter(|link| link.is_alive()) {
             return Ok(link.clone());
         }
         let link = Link::connect(addr).await?;
-        gossip::start_on(Rc::clone(node), &link, id.to_owned()).await?;
         *held = Some(link.clone());
         Ok(link)
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,8 +12,9 @@
 use crate::node::Node;
 use crate::overlay;
 
-/// Reads a second that the whole fleet makes, a tenth of what the service allows.
-pub const FLEET_READS_PER_S: u32 = 200;
+/// Reads a second that the whole fleet makes: a hundredth of what the service allows, and a
+/// change is still found within 50 ms on average.
+pub const FLEET_READS_PER_S: u32 = 20;
 /// Shortest time between two reads by one process, in ms.
 pub const LEAST_INTERVAL_MS: u64 = 1_000;
 /// Time for one read.
--- a/src/route.rs
+++ b/src/route.rs
@@ -19,6 +19,8 @@
 const REGION_COST_MS: f64 = 80.0;
 /// Cached prefix: part of the run time that a hit is assumed to save.
 const AFFINITY_GAIN: f64 = 0.2;
+/// Endpoints of one pool that an entry turns to first; bounds its links at any fleet size.
+pub const SUBSET: usize = 24;
 /// Age after which a load report counts half.
 const LOAD_HALF_LIFE_MS: f64 = 2_000.0;
 /// First time that an unreachable endpoint is left alone.
@@ -78,6 +80,7 @@
     views: HashMap<String, View>,
     turn: usize,
     rng: SmallRng,
+    seed: u64,
 }
 
 impl Router {
@@ -89,6 +92,7 @@
             views: HashMap::new(),
             turn: 0,
             rng: SmallRng::seed_from_u64(seed),
+            seed,
         }
     }
 
@@ -115,6 +119,7 @@
             return None;
         }
         match self.routing {
+            Routing::TwoChoices => Some(self.better_of_few(now, &pool, tried.is_empty(), prefix)),
             Routing::RoundRobin => {
                 self.turn += 1;
                 Some(pool[self.turn % pool.len()])
@@ -122,7 +127,6 @@
             Routing::LeastOutstanding => {
                 pool.into_iter().min_by_key(|i| self.view(&i.id).in_flight)
             }
-            Routing::TwoChoices => Some(self.better_of_few(now, &pool, prefix)),
         }
     }
 
@@ -181,15 +185,22 @@
         self.views.get(id).copied().unwrap_or_default()
     }
 
-    /// Two random endpoints and the prefix's own one; the cheapest of them.
+    /// Two random endpoints of the entry's subset, or of the whole pool when the subset has made
+    /// the request wait, and the prefix's own one; the cheapest of them.
     fn better_of_few<'a>(
         &mut self,
         now: Millis,
         pool: &[&'a Instance],
+        first_try: bool,
         prefix: u64,
     ) -> &'a Instance {
-        let first = pool[self.rng.gen_range(0..pool.len())];
-        let second = pool[self.rng.gen_range(0..pool.len())];
+        let near = if first_try {
+            subset(pool, &self.place, self.seed)
+        } else {
+            pool.to_vec()
+        };
+        let first = near[self.rng.gen_range(0..near.len())];
+        let second = near[self.rng.gen_range(0..near.len())];
         let mut best = (f64::MAX, first);
         let cached = preferred(pool, prefix);
         for candidate in [Some(first), Some(second), cached].into_iter().flatten() {
@@ -231,6 +242,27 @@
     }
 }
 
+/// The endpoints of a pool that an entry turns to first: a fixed random choice for each entry,
+/// from its own region as long as there are enough. Others are tried when these make it wait.
+pub fn subset<'a>(candidates: &[&'a Instance], place: &Place, entry: u64) -> Vec<&'a Instance> {
+    if candidates.len() <= SUBSET {
+        return candidates.to_vec();
+    }
+    let rank = |i: &&Instance| (i.region != place.region, mix(entry ^ u64::from(i.ordinal)));
+    let mut ranked = candidates.to_vec();
+    ranked.select_nth_unstable_by_key(SUBSET, rank);
+    ranked.truncate(SUBSET);
+    ranked
+}
+
+/// A cheap mix of bits (the finalizer of SplitMix64, Steele, Lea and Flood 2014).
+const fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
 /// The endpoint that most likely holds a prefix in its cache: the prefix's own ordinal, which
 /// stays the same while others come and go.
 fn preferred<'a>(pool: &[&'a Instance], prefix: u64) -> Option<&'a Instance> {
--- /dev/null
+++ b/tests/route_choice.rs
@@ -0,0 +1,165 @@
+//! Choice of endpoints: by load, by distance, by cached prefix, within a bounded subset.
+
+use std::collections::{HashMap, HashSet};
+
+use violetline::clock::Millis;
+use violetline::members::{Instance, LifeState, Role};
+use violetline::route::{subset, Place, Router, Routing, SUBSET};
+use violetline::wire::Load;
+
+const NOW: Millis = Millis(1_000);
+
+fn place() -> Place {
+    Place {
+        zone: "zone-0".into(),
+        region: "region-0".into(),
+    }
+}
+
+fn instances(count: u32, regions: u32) -> Vec<Instance> {
+    let instance = |n: u32| Instance {
+        id: format!("e{n}"),
+        role: Role::Sidecar,
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: format!("zone-{}", n % 3),
+        region: format!("region-{}", n % regions),
+        state: LifeState::Live,
+        pool: "p".into(),
+        ordinal: n,
+    };
+    (0..count).map(instance).collect()
+}
+
+fn load(running: u32, service_ms: u32) -> Load {
+    Load {
+        slots: 8,
+        running,
+        waiting: 0,
+        service_ms,
+    }
+}
+
+fn counts(router: &mut Router, all: &[&Instance], prefix: u64) -> HashMap<String, usize> {
+    let mut counts = HashMap::new();
+    for _ in 0..600 {
+        let chosen = router.choose(NOW, all, &[], prefix).unwrap();
+        *counts.entry(chosen.id.clone()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn busy_avoided() {
+    let list = instances(6, 1);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut router = Router::new(Routing::TwoChoices, place(), 1);
+    for instance in &list {
+        router.heard(
+            NOW,
+            &instance.id,
+            load(if instance.id == "e3" { 30 } else { 2 }, 100),
+        );
+    }
+    let found = counts(&mut router, &all, 0);
+    assert!(
+        found.get("e3").copied().unwrap_or_default() < 40,
+        "{found:?}"
+    );
+}
+
+#[test]
+fn slow_avoided() {
+    let list = instances(6, 1);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut router = Router::new(Routing::TwoChoices, place(), 1);
+    for instance in &list {
+        let service = if instance.id == "e3" { 1_000 } else { 100 };
+        router.heard(NOW, &instance.id, load(2, service));
+    }
+    let found = counts(&mut router, &all, 0);
+    assert!(
+        found.get("e3").copied().unwrap_or_default() < 40,
+        "{found:?}"
+    );
+}
+
+#[test]
+fn failed_set_aside() {
+    let list = instances(3, 1);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut router = Router::new(Routing::TwoChoices, place(), 1);
+    router.failed(NOW, "e1");
+    assert!(!counts(&mut router, &all, 0).contains_key("e1"));
+    for id in ["e0", "e2"] {
+        router.failed(NOW, id);
+    }
+    assert_eq!(
+        counts(&mut router, &all, 0).len(),
+        3,
+        "all aside: any is better than none"
+    );
+    let tried: Vec<String> = list.iter().map(|i| i.id.clone()).collect();
+    assert!(router.choose(NOW, &all, &tried, 0).is_none());
+}
+
+#[test]
+fn prefix_kept() {
+    let list = instances(9, 1);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut router = Router::new(Routing::TwoChoices, place(), 1);
+    for instance in &list {
+        router.heard(NOW, &instance.id, load(1, 1_000));
+    }
+    let found = counts(&mut router, &all, 77);
+    let most = found.iter().max_by_key(|(_, n)| **n).unwrap().0.clone();
+    assert!(
+        found[&most] > 500,
+        "one endpoint holds the prefix: {found:?}"
+    );
+    router.heard(NOW, &most, load(30, 1_000));
+    let loaded = counts(&mut router, &all, 77);
+    assert!(
+        loaded.get(&most).copied().unwrap_or_default() < 100,
+        "but not at any load: {loaded:?}"
+    );
+}
+
+#[test]
+fn bounded_subset() {
+    let list = instances(400, 4);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut uses: HashMap<String, usize> = HashMap::new();
+    for entry in 0..300 {
+        let chosen = subset(&all, &place(), entry * 7_919);
+        assert_eq!(chosen.len(), SUBSET);
+        assert!(
+            chosen.iter().all(|i| i.region == "region-0"),
+            "the own region has enough"
+        );
+        for instance in chosen {
+            *uses.entry(instance.id.clone()).or_default() += 1;
+        }
+    }
+    assert_eq!(
+        uses.len(),
+        100,
+        "every endpoint of the region is in some subset"
+    );
+    let most = uses.values().max().unwrap();
+    assert!(*most < 130, "none is in far more than 72 of them: {most}");
+}
+
+#[test]
+fn widened_search() {
+    let list = instances(200, 1);
+    let all: Vec<&Instance> = list.iter().collect();
+    let mut router = Router::new(Routing::TwoChoices, place(), 1);
+    let mut tried: Vec<String> = Vec::new();
+    let mut seen = HashSet::new();
+    for _ in 0..150 {
+        let chosen = router.choose(NOW, &all, &tried, 0).unwrap();
+        seen.insert(chosen.id.clone());
+        tried.push(chosen.id.clone());
+    }
+    assert_eq!(seen.len(), 150, "nothing outside the subset stays idle");
+}
