--- a/lab/tests/bundle_rollout.rs
+++ b/lab/tests/bundle_rollout.rs
@@ -7,6 +7,9 @@
 use common::*;
 use serde_json::json;
 use tokio::time::sleep;
+use violetline::document::Stamp;
+use violetline::outcome::{NotRunReason, Outcome};
+use violetline::wire::FromSidecar;
 use violetline_lab::client::End;
 use violetline_lab::fleet::Fleet;
 
@@ -200,6 +203,39 @@
     fleet.close();
 }
 
+#[actix_rt::test]
+async fn stale_offer_refused() {
+    let mut fleet = fleet(1, 1).await;
+    let at = position(&fleet, PLAIN_POOL, 0);
+    let old = stamp_of(&fleet, &fleet.slots[at]).await;
+    let version = fleet.change_bundle(|_| {}).await.unwrap();
+    fleet.bundle_reached(version).await.unwrap();
+    let slot = &fleet.slots[at];
+    let ahead = Stamp {
+        version: 99,
+        digest: 1,
+    };
+    for stamp in [old, ahead] {
+        let told = Bare::offer_under(stamp, slot, None).await.next().await;
+        let stale = |outcome: &Outcome| {
+            matches!(
+                outcome,
+                Outcome::NotRun {
+                    reason: NotRunReason::StaleBundle,
+                    ..
+                }
+            )
+        };
+        assert!(
+            matches!(&told, Some(FromSidecar::End { outcome, .. }) if stale(outcome)),
+            "{told:?}"
+        );
+    }
+    let now = stamp_of(&fleet, slot).await;
+    Bare::offer_under(now, slot, None).await.granted().await;
+    fleet.close();
+}
+
 #[actix_rt::test]
 async fn few_reads() {
     let mut fleet = fleet(3, 2).await;
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -109,6 +109,13 @@
     }
 }
 
+/// Stamp of the bundle in force at a sidecar.
+pub async fn stamp_of(fleet: &Fleet, slot: &Slot) -> Stamp {
+    let admin = slot.sidecar.addr("admin");
+    let page = fleet.caller.get(admin, "/v1/bundle").await.unwrap();
+    serde_json::from_value(page["in_force"].clone()).unwrap()
+}
+
 /// A link of the test's own to a sidecar, to send what an entry would, when it likes.
 pub struct Bare {
     pub writer: Writer,
@@ -118,9 +125,12 @@
 
 impl Bare {
     pub async fn offer(fleet: &Fleet, slot: &Slot, key: Option<Uuid>) -> Self {
-        let admin = slot.sidecar.addr("admin");
-        let page = fleet.caller.get(admin, "/v1/bundle").await.unwrap();
-        let bundle: Stamp = serde_json::from_value(page["in_force"].clone()).unwrap();
+        let bundle = stamp_of(fleet, slot).await;
+        Self::offer_under(bundle, slot, key).await
+    }
+
+    /// Offers under a bundle of the test's choice.
+    pub async fn offer_under(bundle: Stamp, slot: &Slot, key: Option<Uuid>) -> Self {
         let link = Link::connect(slot.sidecar.addr("listen")).await.unwrap();
         let (mut writer, reader) = link.open(REQUEST_PATH).await.unwrap();
         let offer = Offer {
