--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -4,23 +4,23 @@
 //! (late binding). Between classes the order is strict urgency, except that a class below its
 //! floor goes first; between teams of one class it is start-time fair queueing on tokens.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
-use serde::{Deserialize, Serialize};
 use slotmap::{new_key_type, SlotMap};
 
 use crate::clock::Millis;
 use crate::ids::{ClassKey, RequestId};
 use crate::outcome::NotRunReason;
+use crate::queue::{ClassQueue, Picked, Waiter};
 use crate::wire::Load;
 
+pub use crate::order::{Action, Ask, ClassRow, ClassSpec, Order, Shape, Tally};
+
 new_key_type! {
     /// A ticket in the scheduler's arena.
     pub struct TicketKey;
 }
 
-/// Half-life of the slot time that floors are judged by.
-const SHARE_HALF_LIFE_MS: f64 = 10_000.0;
 /// Weight of the newest run in the mean service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 /// Shortest wait that a refusal advises.
@@ -28,99 +28,6 @@
 /// Longest wait that a refusal advises.
 const RETRY_MOST: Millis = Millis(60_000);
 
-/// How waiting requests are ordered; the first two are baselines to measure against.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Order {
-    /// First come, first served, whatever the class.
-    Fifo,
-    /// Strict urgency without floors or pauses.
-    Strict,
-    /// Urgency with floors, fairness and pauses.
-    #[default]
-    Floors,
-}
-
-/// What the scheduler needs to know of a class.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClassSpec {
-    /// Name; ties a class to its successor in the next bundle.
-    pub name: String,
-    /// Urgency, 0 first.
-    pub priority: u8,
-    /// Share of slot time kept while it has work, in percent.
-    pub floor_percent: u8,
-    /// Whether its runs may be paused.
-    pub preemptible: bool,
-}
-
-/// The parameters of one scheduler.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Shape {
-    /// Run slots of the endpoint.
-    pub slots: u32,
-    /// Slots for classes of priority 0 only.
-    pub reserved: u32,
-    /// How long a grant is held.
-    pub grant: Millis,
-    /// Pauses that one run may suffer.
-    pub max_preemptions: u32,
-    /// Waiting tickets of one class.
-    pub queue_per_class: u32,
-    /// Classes in the bundle's order.
-    pub classes: Vec<ClassSpec>,
-}
-
-/// What a request asks of the scheduler.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// The request, for the spread of retry hints.
-    pub request: RequestId,
-    /// Its class.
-    pub class: ClassKey,
-    /// Its team.
-    pub team: String,
-    /// The team's weight.
-    pub weight: u32,
-    /// Tokens expected.
-    pub est_tokens: u32,
-    /// Longest wait for a grant.
-    pub max_wait: Millis,
-    /// Whether the run may be paused, if its class allows it.
-    pub preemptible: bool,
-}
-
-/// What the sidecar has to do next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Action {
-    /// Tell the entry that it may start until `until`.
-    Grant {
-        /// Whose turn it is.
-        ticket: TicketKey,
-        /// End of the grant.
-        until: Millis,
-    },
-    /// Tell the entry that the request is not run.
-    Refuse {
-        /// Whose it is; gone from the arena.
-        ticket: TicketKey,
-        /// Why.
-        reason: NotRunReason,
-        /// When to come back.
-        retry_after: Millis,
-    },
-    /// Stop the run and report it with [`Scheduler::paused`].
-    Pause {
-        /// The run to stop.
-        ticket: TicketKey,
-    },
-    /// Go on with a paused run.
-    Resume {
-        /// The run to go on with.
-        ticket: TicketKey,
-    },
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Waiting { expires: Millis },
@@ -136,57 +43,9 @@
     phase: Phase,
     preemptions: u32,
     ran: Millis,
-    arrival: u64,
     charged: f64,
 }
 
-#[derive(Debug, Default)]
-struct TeamQueue {
-    virtual_time: f64,
-    waiting: VecDeque<TicketKey>,
-}
-
-#[derive(Debug)]
-struct ClassQueue {
-    spec: ClassSpec,
-    teams: BTreeMap<String, TeamQueue>,
-    paused: VecDeque<TicketKey>,
-    waiting: usize,
-    running: u32,
-    /// Virtual time of the last start; a team that comes back begins here.
-    virtual_time: f64,
-    /// Decayed slot time, in ms.
-    used_ms: f64,
-}
-
-/// The requests of one class at this moment.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct ClassRow {
-    /// Class name.
-    pub class: String,
-    /// Waiting for a first grant.
-    pub waiting: usize,
-    /// Holding a slot.
-    pub running: u32,
-    /// Paused for more urgent work.
-    pub paused: usize,
-}
-
-/// Counts kept since the start, for metrics and measurements.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct Tally {
-    /// Grants given.
-    pub granted: u64,
-    /// Grants that were not used in time.
-    pub lapsed: u64,
-    /// Runs paused for more urgent work.
-    pub paused: u64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Grants given because a class was below its floor.
-    pub by_floor: u64,
-}
-
 /// The scheduler of one endpoint.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -243,8 +102,7 @@
             class.spec = spec.clone();
             self.classes.push(class);
         }
-        let busy =
-            |class: &ClassQueue| class.waiting > 0 || class.running > 0 || class.has_paused();
+        let busy = |class: &ClassQueue| class.has_work() || class.running > 0;
         self.classes.extend(old.into_iter().filter(busy));
         self.rekey();
         self.slots_open = shape.slots;
@@ -264,7 +122,6 @@
             phase: Phase::Waiting { expires },
             preemptions: 0,
             ran: Millis(0),
-            arrival: self.arrivals,
             charged: 0.0,
         });
         if let Some((reason, after)) = refusal {
@@ -272,8 +129,13 @@
             return ticket;
         }
         self.expiries.insert((expires, ticket));
-        let team = self.tickets[ticket].ask.team.clone();
-        self.classes[class.0].push(ticket, team);
+        let ask = &self.tickets[ticket].ask;
+        let waiter = Waiter {
+            ticket,
+            arrival: self.arrivals,
+            cost: f64::from(ask.est_tokens.max(1)) / f64::from(ask.weight.max(1)),
+        };
+        self.classes[class.0].push(ask.team.clone(), waiter);
         self.pump(now);
         ticket
     }
@@ -323,7 +185,7 @@
         match held.phase {
             Phase::Waiting { expires } => {
                 self.expiries.remove(&(expires, ticket));
-                self.classes[class.0].unqueue(ticket, &held.ask.team);
+                self.classes[class.0].remove(&held.ask.team, ticket);
             }
             Phase::Granted { until } => {
                 self.expiries.remove(&(until, ticket));
@@ -463,7 +325,7 @@
                 self.release_slot(ticket, class);
                 NotRunReason::GrantLapsed
             } else {
-                self.classes[class.0].unqueue(ticket, &ask.team);
+                self.classes[class.0].remove(&ask.team, ticket);
                 NotRunReason::DeadlinePassed
             };
             let after = self.estimate_wait(class);
@@ -477,7 +339,9 @@
             .filter(|i| self.may_run(*i))
             .collect();
         let class = match self.order {
-            Order::Fifo => ready.into_iter().min_by_key(|i| self.first_arrival(*i)),
+            Order::Fifo => ready
+                .into_iter()
+                .min_by_key(|i| self.classes[*i].first_arrival()),
             Order::Strict => ready
                 .into_iter()
                 .min_by_key(|i| self.classes[*i].spec.priority),
@@ -488,12 +352,7 @@
             }),
         }?;
         let by_arrival = self.order == Order::Fifo;
-        let tickets = &self.tickets;
-        let cost = |ticket: TicketKey| {
-            let ask = &tickets[ticket].ask;
-            f64::from(ask.est_tokens.max(1)) / f64::from(ask.weight.max(1))
-        };
-        let (ticket, charged) = self.classes[class].pop(by_arrival, tickets, cost)?;
+        let Picked { ticket, charged } = self.classes[class].pop(by_arrival)?;
         if charged > 0.0 {
             self.tickets[ticket].charged = charged;
         }
@@ -502,8 +361,7 @@
 
     fn may_run(&self, class: usize) -> bool {
         let queue = &self.classes[class];
-        let has_work = queue.waiting > 0 || queue.has_paused();
-        has_work && self.free_for(queue.spec.priority) > 0
+        queue.has_work() && self.free_for(queue.spec.priority) > 0
     }
 
     /// Slots that work of a priority may hold in all.
@@ -537,16 +395,8 @@
 
     /// The class with work that is furthest below its floor.
     fn below_floor(&mut self, ready: &[usize]) -> Option<usize> {
-        let total: f64 = self.classes.iter().map(|c| c.used_ms).sum();
-        let lacking = |i: &usize| {
-            let class = &self.classes[*i];
-            let share = if total > 0.0 {
-                class.used_ms / total
-            } else {
-                0.0
-            };
-            f64::from(class.spec.floor_percent) / 100.0 - share
-        };
+        let total = self.total_ms();
+        let lacking = |i: &usize| self.classes[*i].lacking(total);
         let busier = |i: &&usize| {
             let mine = self.classes[**i].spec.priority;
             ready.iter().any(|j| self.classes[*j].spec.priority < mine)
@@ -561,17 +411,6 @@
         found
     }
 
-    fn first_arrival(&self, class: usize) -> u64 {
-        let heads = self.classes[class]
-            .teams
-            .values()
-            .filter_map(|team| team.waiting.front());
-        heads
-            .map(|t| self.tickets[*t].arrival)
-            .min()
-            .unwrap_or_default()
-    }
-
     fn occupy(&mut self, now: Millis, ticket: TicketKey) {
         let held = &mut self.tickets[ticket];
         let class = held.ask.class;
@@ -626,15 +465,7 @@
         if self.order != Order::Floors {
             return None;
         }
-        let total: f64 = self.classes.iter().map(|c| c.used_ms).sum();
-        let above_floor = |class: &ClassQueue| {
-            let share = if total > 0.0 {
-                class.used_ms / total
-            } else {
-                0.0
-            };
-            share >= f64::from(class.spec.floor_percent) / 100.0
-        };
+        let total = self.total_ms();
         let runs = self.active.iter().filter_map(|key| {
             let ticket = &self.tickets[*key];
             let class = &self.classes[ticket.ask.class.0];
@@ -645,7 +476,7 @@
                 && class.spec.preemptible
                 && ticket.ask.preemptible
                 && ticket.preemptions < self.shape.max_preemptions
-                && above_floor(class);
+                && class.lacking(total) <= 0.0;
             allowed.then_some((class.spec.priority, since, *key))
         });
         runs.max().map(|(_, _, key)| key)
@@ -677,7 +508,7 @@
             if let Phase::Waiting { expires } = phase {
                 self.expiries.remove(&(*expires, ticket));
             }
-            self.classes[ask.class.0].unqueue(ticket, &ask.team);
+            self.classes[ask.class.0].remove(&ask.team, ticket);
             self.refuse(ticket, reason, after);
         }
     }
@@ -706,17 +537,20 @@
 
     /// Adds the slot time since the last event, decaying what was there.
     fn count_time(&mut self, now: Millis) {
-        let passed = (now - self.counted_at).0 as f64;
+        let passed = now - self.counted_at;
         self.counted_at = self.counted_at.max(now);
-        if passed == 0.0 {
-            return;
-        }
-        let keep = (-passed * std::f64::consts::LN_2 / SHARE_HALF_LIFE_MS).exp();
-        for class in &mut self.classes {
-            class.used_ms = class.used_ms * keep + passed * f64::from(class.running);
+        if passed > Millis(0) {
+            self.classes
+                .iter_mut()
+                .for_each(|class| class.count_time(passed));
         }
     }
 
+    /// Decayed slot time of all classes, in ms.
+    fn total_ms(&self) -> f64 {
+        self.classes.iter().map(ClassQueue::used_ms).sum()
+    }
+
     /// Points tickets to the new positions of their classes.
     fn rekey(&mut self) {
         let old: Vec<String> = self.shape.classes.iter().map(|c| c.name.clone()).collect();
@@ -733,89 +567,6 @@
     }
 }
 
-impl ClassQueue {
-    fn new(spec: ClassSpec) -> Self {
-        Self {
-            spec,
-            teams: BTreeMap::new(),
-            paused: VecDeque::new(),
-            waiting: 0,
-            running: 0,
-            virtual_time: 0.0,
-            used_ms: 0.0,
-        }
-    }
-
-    fn has_paused(&self) -> bool {
-        !self.paused.is_empty()
-    }
-
-    fn push(&mut self, ticket: TicketKey, team: String) {
-        let floor = self.virtual_time;
-        let queue = self.teams.entry(team).or_default();
-        if queue.waiting.is_empty() {
-            queue.virtual_time = queue.virtual_time.max(floor);
-        }
-        queue.waiting.push_back(ticket);
-        self.waiting += 1;
-    }
-
-    /// Takes the next ticket and what its team was charged for it.
-    fn pop(
-        &mut self,
-        by_arrival: bool,
-        tickets: &SlotMap<TicketKey, Ticket>,
-        cost: impl Fn(TicketKey) -> f64,
-    ) -> Option<(TicketKey, f64)> {
-        if let Some(ticket) = self.paused.pop_front() {
-            return Some((ticket, 0.0));
-        }
-        let rank = |queue: &TeamQueue| {
-            let arrival = queue.waiting.front().map_or(0, |t| tickets[*t].arrival);
-            let time = if by_arrival { 0.0 } else { queue.virtual_time };
-            (time, arrival)
-        };
-        let waiting = self
-            .teams
-            .values_mut()
-            .filter(|queue| !queue.waiting.is_empty());
-        let queue = waiting.min_by(|a, b| {
-            let (a, b) = (rank(a), rank(b));
-            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
-        })?;
-        let ticket = queue.waiting.pop_front()?;
-        let charged = cost(ticket);
-        self.virtual_time = self.virtual_time.max(queue.virtual_time);
-        queue.virtual_time += charged;
-        self.waiting -= 1;
-        Some((ticket, charged))
-    }
-
-    fn unqueue(&mut self, ticket: TicketKey, team: &str) {
-        let Some(queue) = self.teams.get_mut(team) else {
-            return;
-        };
-        let before = queue.waiting.len();
-        queue.waiting.retain(|t| *t != ticket);
-        self.waiting -= before - queue.waiting.len();
-        self.forget_idle_teams();
-    }
-
-    fn settle(&mut self, team: &str, correction: f64) {
-        if let Some(queue) = self.teams.get_mut(team) {
-            queue.virtual_time += correction;
-        }
-        self.forget_idle_teams();
-    }
-
-    /// Drops teams that wait for nothing and are not ahead of their share.
-    fn forget_idle_teams(&mut self) {
-        let floor = self.virtual_time;
-        self.teams
-            .retain(|_, queue| !queue.waiting.is_empty() || queue.virtual_time > floor);
-    }
-}
-
 /// Spreads retry hints over one to two times the estimate, so that callers don't come together.
 pub fn spread(after: Millis, request: RequestId) -> Millis {
     let base = after.max(RETRY_LEAST).min(RETRY_MOST);
