Streams that break off go on elsewhere; a silent sidecar is hedged

Offers to the frozen sidecar waited 1.5 s before another was asked, and streams in the middle ended with an error when the link was found dead. Ruled out: the plain calls' homes (none was frozen), the engines (idle slots everywhere). Now (1) an offer without any answer for 100 ms is made to another sidecar as well, which runs nothing twice since offers carry no work, and the silent one is left alone for a while; (2) a repeatable stream of a pool marked resumable is taken up at another endpoint after the tokens that were delivered, with the seam checked there. taken_up_elsewhere kills the engine, kills the sidecar and freezes the sidecar in the middle of a stream: before all three failed, now every token comes once and in order.

--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -175,6 +175,7 @@
             grant,
             path: "/run".into(),
             body,
+            resume_from: 0,
         };
         self.writer.send(&ToSidecar::Start(start)).await.unwrap();
     }
--- a/lab/tests/own_answer.rs
+++ b/lab/tests/own_answer.rs
@@ -51,6 +51,44 @@
     fleet.close();
 }
 
+/// The slot whose engine runs the request now.
+async fn running_slot(fleet: &Fleet) -> usize {
+    let end = tokio::time::Instant::now() + LONG;
+    loop {
+        for ordinal in 0..2 {
+            let at = position(fleet, MODEL_POOL, ordinal);
+            let engine = fleet.slots[at].endpoint.addr("listen");
+            let stats = fleet.caller.get(engine, "/lab/stats").await.unwrap();
+            if stats["generated"].as_u64() > Some(20) {
+                return at;
+            }
+        }
+        assert!(tokio::time::Instant::now() < end, "no engine runs it");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn taken_up_elsewhere() {
+    for what in ["engine", "sidecar", "frozen"] {
+        let mut fleet = fleet(2, 1).await;
+        let stream = spawn_chat(&fleet, 0, chat(what, "annotation", 700));
+        let at = running_slot(&fleet).await;
+        match what {
+            "engine" => fleet.slots[at].endpoint.kill(),
+            "sidecar" => fleet.slots[at].sidecar.kill(),
+            _ => fleet.slots[at].sidecar.freeze(),
+        }
+        let reply = stream.await.unwrap();
+        assert_eq!(
+            reply.end,
+            End::Complete,
+            "{what}: every token once, in order"
+        );
+        fleet.close();
+    }
+}
+
 #[actix_rt::test]
 async fn killed_entry() {
     let mut fleet = fleet(1, 1).await;
@@ -165,7 +203,10 @@
                         };
                         for message in [
                             FromSidecar::Started,
-                            FromSidecar::Chunk(chunk.to_vec()),
+                            FromSidecar::Chunk {
+                                tokens: 1,
+                                part: chunk.to_vec(),
+                            },
                             end,
                         ] {
                             incoming.writer.send(&message).await.unwrap();
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::wire::{Answer, FromSidecar, Offer, Start, ToSidecar};
 
 /// Time for a sidecar to confirm a start before repeatable work goes elsewhere.
-const START_REPLY: Duration = Duration::from_millis(2_000);
+const START_REPLY: Duration = Duration::from_millis(1_000);
 /// Time added to the longest wait for answers to travel.
 const GRACE: Millis = Millis(500);
 
@@ -31,7 +31,7 @@
     /// Answers.
     pub reader: Reader,
     /// The first message after the start.
-    pub first: FromSidecar,
+    pub first: Option<FromSidecar>,
     /// Counts the request as in flight.
     pub guard: InFlight,
 }
@@ -49,7 +49,7 @@
 
 /// Places a request and starts it, trying again only what is honest to try.
 pub async fn place(entry: &Rc<Entry>, job: &mut Job) -> Placed {
-    let mut tried = Vec::new();
+    let mut tried = job.avoid.clone();
     loop {
         let reserved = match reserve(entry, job, &mut tried).await {
             Ok(reserved) => reserved,
@@ -127,6 +127,7 @@
         grant,
         path: job.path.clone(),
         body: job.body.to_vec(),
+        resume_from: job.resume_from,
     });
     if writer.send(&message).await.is_err() {
         return Err(lost);
@@ -161,7 +162,7 @@
                 instance,
                 writer,
                 reader,
-                first,
+                first: Some(first),
                 guard,
             };
             Ok(Placed::Running(Box::new(running)))
@@ -186,8 +187,8 @@
             key: Some(key),
             ..search.offer(&instance)
         };
-        let (queued_tx, _queued_rx) = mpsc::unbounded_channel();
-        let (asked, reply) = offer::ask(Rc::clone(entry), instance, offer, queued_tx).await;
+        let (notices, _noticed) = mpsc::unbounded_channel();
+        let (asked, reply) = offer::ask(Rc::clone(entry), instance, offer, notices).await;
         match reply {
             Reply::Ended(Outcome::NotRun { reason, .. }) if reason.speaks_for_key() => {
                 return refusal;
--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -107,6 +107,9 @@
     /// Whether calls may run only once unless the caller says otherwise.
     #[serde(default)]
     pub not_repeatable: bool,
+    /// Whether a stream that broke off may go on at another endpoint of the pool.
+    #[serde(default)]
+    pub resumable: bool,
     /// Whether endpoints refuse orders of an older incarnation.
     #[serde(default)]
     pub checks_orders: bool,
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -14,11 +14,12 @@
 use crate::attempt::Running;
 use crate::bundle::PoolKind;
 use crate::entry::{Counted, Entry};
+use crate::flow::{Flow, Step};
 use crate::intake::Job;
-use crate::outcome::{FailReason, Outcome, UnknownReason, Usage};
+use crate::outcome::{FailReason, Outcome, Usage};
 use crate::run::MAX_PLAIN_ANSWER;
 use crate::sse::{self, Event, Splitter};
-use crate::wire::{Answer, FromSidecar};
+use crate::wire::Answer;
 
 /// Parts of an answer that wait for a slow caller; behind them the stream stands still.
 const PARTS_AHEAD: usize = 8;
@@ -41,13 +42,6 @@
 
 impl std::error::Error for Truncated {}
 
-/// What one message from the sidecar means for the caller.
-enum Step {
-    Part(Vec<u8>),
-    Head(u16, String),
-    End(Outcome),
-}
-
 /// Answers with what a running request delivers.
 pub async fn deliver(
     entry: Rc<Entry>,
@@ -56,22 +50,24 @@
     counted: Counted,
 ) -> Response<BoxBody> {
     let is_model = job.policy.pool_at(job.pool).kind == PoolKind::Model;
-    let has_head = matches!(running.first, FromSidecar::Head { .. });
-    if is_model && job.stream && !has_head {
-        return deliver_events(entry, job, running, counted);
+    let mut flow = Flow::new(Rc::clone(&entry), job, running);
+    let has_head = flow.has_head();
+    if is_model && flow.job.stream && !has_head {
+        return deliver_events(entry, flow, counted);
     }
-    let whole = collect(&entry, &job, running).await;
+    let whole = collect(&mut flow).await;
+    let job = &flow.job;
     match whole {
         Ok((answer, usage)) => {
-            entry.settle(&job, &Outcome::Completed(usage));
+            entry.settle(job, &Outcome::Completed(usage));
             if is_model && !has_head {
-                completion(&job, &answer.body, usage)
+                completion(job, &answer.body, usage)
             } else {
                 answer::passed_on(job.request, answer)
             }
         }
         Err(outcome) => {
-            entry.settle(&job, &outcome);
+            entry.settle(job, &outcome);
             answer::refusal(job.request, &outcome)
         }
     }
@@ -115,24 +111,19 @@
 }
 
 /// Collects a whole answer; nothing is shown to the caller before its end is known.
-async fn collect(entry: &Entry, job: &Job, running: Running) -> Result<(Answer, Usage), Outcome> {
-    let Running {
-        mut reader,
-        first,
-        writer: _writer,
-        guard: _guard,
-        ..
-    } = running;
+async fn collect(flow: &mut Flow) -> Result<(Answer, Usage), Outcome> {
     let mut answer = Answer {
         status: 200,
         content_type: String::new(),
         body: Vec::new(),
     };
-    let mut message = Ok(Some(first));
     loop {
-        match step(entry, job, message) {
+        match flow.next().await {
             Step::Part(part) => answer.body.extend_from_slice(&part),
-            Step::Head(status, content_type) => {
+            Step::Head {
+                status,
+                content_type,
+            } => {
                 answer.status = status;
                 answer.content_type = content_type;
             }
@@ -142,19 +133,13 @@
         if answer.body.len() > MAX_WHOLE {
             return Err(Outcome::Failed(FailReason::EndpointError));
         }
-        message = reader.next().await;
     }
 }
 
-fn deliver_events(
-    entry: Rc<Entry>,
-    job: Job,
-    running: Running,
-    counted: Counted,
-) -> Response<BoxBody> {
+fn deliver_events(entry: Rc<Entry>, flow: Flow, counted: Counted) -> Response<BoxBody> {
     let (tx, rx) = mpsc::channel(PARTS_AHEAD);
-    let request = job.request;
-    actix_rt::spawn(pump(entry, job, running, tx, counted));
+    let request = flow.job.request;
+    actix_rt::spawn(pump(entry, flow, tx, counted));
     let body = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
     answer::events(request, BodyStream::new(body))
 }
@@ -162,43 +147,34 @@
 /// Moves the parts of a stream to the caller until its end.
 async fn pump(
     entry: Rc<Entry>,
-    job: Job,
-    running: Running,
+    mut flow: Flow,
     tx: mpsc::Sender<Result<Bytes, Truncated>>,
     _counted: Counted,
 ) {
-    let Running {
-        mut reader,
-        first,
-        writer: _writer,
-        guard: _guard,
-        ..
-    } = running;
-    let mut message = Ok(Some(first));
     let outcome = loop {
-        match step(&entry, &job, message) {
+        let step = tokio::select! {
+            step = flow.next() => step,
+            () = tx.closed() => {
+                entry.node.metrics.caller_gone();
+                break Outcome::Failed(FailReason::SlowCaller);
+            }
+        };
+        match step {
             Step::Part(part) => {
                 if !hand_over(&tx, part.into()).await {
                     entry.node.metrics.caller_gone();
                     break Outcome::Failed(FailReason::SlowCaller);
                 }
             }
-            Step::Head(..) => break Outcome::Failed(FailReason::EndpointError),
+            Step::Head { .. } => break Outcome::Failed(FailReason::EndpointError),
             Step::End(outcome) => break outcome,
         }
-        message = tokio::select! {
-            message = reader.next() => message,
-            () = tx.closed() => {
-                entry.node.metrics.caller_gone();
-                break Outcome::Failed(FailReason::SlowCaller);
-            }
-        };
     };
-    entry.settle(&job, &outcome);
+    entry.settle(&flow.job, &outcome);
     if outcome.is_completed() {
         hand_over(&tx, Bytes::from_static(sse::DONE)).await;
     } else {
-        hand_over(&tx, answer::error_event(job.request, &outcome)).await;
+        hand_over(&tx, answer::error_event(flow.job.request, &outcome)).await;
         sleep(ERROR_LEAVES).await;
         let _ = tx.send(Err(Truncated)).await;
     }
@@ -207,26 +183,3 @@
 async fn hand_over(tx: &mpsc::Sender<Result<Bytes, Truncated>>, part: Bytes) -> bool {
     matches!(timeout(SLOW_CALLER, tx.send(Ok(part))).await, Ok(Ok(())))
 }
-
-/// Reads one message; a broken stream or another request's end is an unknown outcome.
-fn step(
-    entry: &Entry,
-    job: &Job,
-    message: Result<Option<FromSidecar>, crate::link::LinkError>,
-) -> Step {
-    match message {
-        Ok(Some(FromSidecar::Chunk(part))) => Step::Part(part),
-        Ok(Some(FromSidecar::Head {
-            status,
-            content_type,
-        })) => Step::Head(status, content_type),
-        Ok(Some(FromSidecar::End {
-            request, outcome, ..
-        })) if request == job.request => Step::End(outcome),
-        Ok(Some(FromSidecar::End { .. })) => {
-            entry.node.metrics.foreign_answer();
-            Step::End(Outcome::Unknown(UnknownReason::SidecarLost))
-        }
-        _ => Step::End(Outcome::Unknown(UnknownReason::SidecarLost)),
-    }
-}
--- /dev/null
+++ b/src/flow.rs
@@ -0,0 +1,145 @@
+//! A running answer as the entry reads it; one that breaks off goes on at another endpoint.
+//!
+//! Engines can resume a stream after a given token. So when the sidecar or the engine is lost
+//! in the middle of a repeatable stream, the request is placed anew, asking for what comes
+//! after the tokens that were delivered. The seam is checked at the sidecar.
+
+use std::rc::Rc;
+
+use crate::attempt::{self, Placed, Running};
+use crate::bundle::PoolKind;
+use crate::entry::Entry;
+use crate::intake::Job;
+use crate::link::LinkError;
+use crate::outcome::{FailReason, Outcome, UnknownReason};
+use crate::wire::FromSidecar;
+
+/// Times that one stream is taken up again.
+const MAX_RESUMES: u32 = 3;
+
+/// What comes next in an answer.
+#[derive(Debug)]
+pub enum Step {
+    /// A part of the answer.
+    Part(Vec<u8>),
+    /// The head of a plain service's answer, or of an engine's refusal.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: String,
+    },
+    /// The end.
+    End(Outcome),
+}
+
+/// A running answer.
+#[derive(Debug)]
+pub struct Flow {
+    /// The request.
+    pub job: Job,
+    entry: Rc<Entry>,
+    running: Running,
+    first: Option<FromSidecar>,
+    resumes: u32,
+}
+
+impl Flow {
+    /// The answer of a request that has been started.
+    pub fn new(entry: Rc<Entry>, job: Job, mut running: Running) -> Self {
+        let first = running.first.take();
+        Self {
+            job,
+            entry,
+            running,
+            first,
+            resumes: 0,
+        }
+    }
+
+    /// Whether the answer begins with a head, as plain services' do.
+    pub fn has_head(&self) -> bool {
+        matches!(self.first, Some(FromSidecar::Head { .. }))
+    }
+
+    /// The next step; takes the stream up elsewhere when it breaks off.
+    pub async fn next(&mut self) -> Step {
+        loop {
+            let message = match self.first.take() {
+                Some(first) => Ok(Some(first)),
+                None => self.running.reader.next().await,
+            };
+            let outcome = match self.read(message) {
+                Step::End(outcome) => outcome,
+                step => return step,
+            };
+            if !self.may_resume(&outcome) || !self.resume().await {
+                return Step::End(outcome);
+            }
+        }
+    }
+
+    /// Reads one message; a broken stream is an unknown outcome.
+    fn read(&mut self, message: Result<Option<FromSidecar>, LinkError>) -> Step {
+        match message {
+            Ok(Some(FromSidecar::Chunk { tokens, part })) => {
+                self.job.resume_from += u64::from(tokens);
+                Step::Part(part)
+            }
+            Ok(Some(FromSidecar::Head {
+                status,
+                content_type,
+            })) => Step::Head {
+                status,
+                content_type,
+            },
+            Ok(Some(FromSidecar::End {
+                request, outcome, ..
+            })) => {
+                if request == self.job.request {
+                    return Step::End(outcome);
+                }
+                self.entry.node.metrics.foreign_answer();
+                self.resumes = MAX_RESUMES;
+                Step::End(Outcome::Unknown(UnknownReason::SidecarLost))
+            }
+            _ => Step::End(Outcome::Unknown(UnknownReason::SidecarLost)),
+        }
+    }
+
+    /// Whether the stream may go on elsewhere: repeatable work of a pool that resumes.
+    fn may_resume(&self, outcome: &Outcome) -> bool {
+        let pool = self.job.policy.pool_at(self.job.pool);
+        let broke_off = match outcome {
+            Outcome::Unknown(UnknownReason::SidecarLost | UnknownReason::EndpointLost) => true,
+            Outcome::Failed(reason) => {
+                matches!(reason, FailReason::StreamCut | FailReason::Stalled)
+            }
+            _ => false,
+        };
+        broke_off
+            && pool.kind == PoolKind::Model
+            && pool.resumable
+            && !self.job.once
+            && self.resumes < MAX_RESUMES
+            && self.entry.reruns.borrow_mut().withdraw()
+    }
+
+    /// Places the rest of the stream at another endpoint; false when none takes it.
+    async fn resume(&mut self) -> bool {
+        self.resumes += 1;
+        self.entry.node.metrics.resumed();
+        let lost = self.running.instance.id.clone();
+        let now = self.entry.node.clock.now();
+        self.entry.router.borrow_mut().failed(now, &lost);
+        self.job.avoid.push(lost);
+        match attempt::place(&self.entry, &mut self.job).await {
+            Placed::Running(mut running) => {
+                self.first = running.first.take();
+                self.running = *running;
+                true
+            }
+            Placed::Replay(_) | Placed::Ended(_) => false,
+        }
+    }
+}
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -72,6 +72,10 @@
     pub stream: bool,
     /// Model named, for the answer's head.
     pub model: String,
+    /// Tokens that the caller has already, when the stream broke off.
+    pub resume_from: u64,
+    /// Instances at which the stream broke off.
+    pub avoid: Vec<String>,
 }
 
 /// A request that is at fault, with the status to answer.
@@ -181,6 +185,8 @@
         body: target.body,
         stream: target.stream,
         model: target.model,
+        resume_from: 0,
+        avoid: Vec::new(),
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod finding;
+pub mod flow;
 pub mod gossip;
 pub mod health;
 pub mod ids;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,6 +19,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     reruns: Counter<u64>,
+    resumed: Counter<u64>,
     limited: Counter<u64>,
     bad_requests: Counter<u64>,
     bad_frames: Counter<u64>,
@@ -55,6 +56,7 @@
             requests: counter("requests"),
             attempts: counter("attempts"),
             reruns: counter("reruns"),
+            resumed: counter("streams_resumed"),
             limited: counter("over_limit"),
             bad_requests: counter("bad_requests"),
             bad_frames: counter("bad_frames"),
@@ -93,6 +95,11 @@
         self.reruns.add(1, &[]);
     }
 
+    /// A stream that broke off was taken up at another endpoint.
+    pub fn resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+
     /// A team was over its limit.
     pub fn over_limit(&self, team: &str) {
         self.limited
--- a/src/offer.rs
+++ b/src/offer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::entry::Entry;
 use crate::ids::GrantId;
@@ -15,6 +15,18 @@
 
 /// Time for a sidecar to answer an offer, be it only that the request waits.
 const OFFER_REPLY: Duration = Duration::from_millis(1_500);
+/// Silence after which the request is offered to another sidecar as well. Offers carry no work,
+/// so asking twice runs nothing twice.
+const HEDGE: Duration = Duration::from_millis(100);
+
+/// What happens to an offer before it is decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// The sidecar said that the request waits.
+    Queued,
+    /// The sidecar has not answered yet.
+    Silent,
+}
 
 /// Counts a request at an endpoint until dropped, since a withdrawn offer is a dropped future.
 #[derive(Debug)]
@@ -72,11 +84,11 @@
     entry: Rc<Entry>,
     instance: Instance,
     offer: Offer,
-    queued: mpsc::UnboundedSender<()>,
+    notices: mpsc::UnboundedSender<Notice>,
 ) -> (Instance, Reply) {
     entry.node.metrics.attempt();
     let guard = InFlight::new(&entry, &instance.id);
-    let reply = ask_with(&entry, &instance, offer, queued, guard).await;
+    let reply = ask_with(&entry, &instance, offer, notices, guard).await;
     (instance, reply.unwrap_or(Reply::Silent))
 }
 
@@ -84,7 +96,7 @@
     entry: &Rc<Entry>,
     instance: &Instance,
     offer: Offer,
-    queued: mpsc::UnboundedSender<()>,
+    notices: mpsc::UnboundedSender<Notice>,
     guard: InFlight,
 ) -> Option<Reply> {
     let request = offer.request;
@@ -95,13 +107,23 @@
         let first = reader.next::<FromSidecar>().await.ok()??;
         Some((writer, reader, first))
     };
-    let (writer, mut reader, mut message) = timeout(OFFER_REPLY, opening).await.ok()??;
+    let mut opening = Box::pin(timeout(OFFER_REPLY, opening));
+    let opened = tokio::select! {
+        opened = &mut opening => opened,
+        () = sleep(HEDGE) => {
+            let now = entry.node.clock.now();
+            entry.router.borrow_mut().failed(now, &instance.id);
+            let _ = notices.send(Notice::Silent);
+            opening.await
+        }
+    };
+    let (writer, mut reader, mut message) = opened.ok()??;
     loop {
         let now = entry.node.clock.now();
         match message {
             FromSidecar::Queued(load) => {
                 entry.router.borrow_mut().heard(now, &instance.id, load);
-                let _ = queued.send(());
+                let _ = notices.send(Notice::Queued);
             }
             FromSidecar::Granted { grant, load, .. } => {
                 entry.router.borrow_mut().heard(now, &instance.id, load);
@@ -124,7 +146,9 @@
                 entry.router.borrow_mut().heard(now, &instance.id, load);
                 return (ended == request).then_some(Reply::Ended(outcome));
             }
-            FromSidecar::Started | FromSidecar::Head { .. } | FromSidecar::Chunk(_) => return None,
+            FromSidecar::Started | FromSidecar::Head { .. } | FromSidecar::Chunk { .. } => {
+                return None
+            }
         }
         message = reader.next::<FromSidecar>().await.ok()??;
     }
--- a/src/run.rs
+++ b/src/run.rs
@@ -85,7 +85,10 @@
     usage: EngineUsage,
     kept: Vec<u8>,
     entry_gone: bool,
+    /// Whether the run goes on after tokens that the caller has already.
     resumed: bool,
+    /// Whether anything was sent to the endpoint.
+    sent: bool,
 }
 
 /// Runs a job whose grant has been used.
@@ -99,16 +102,18 @@
         sidecar.keys.borrow_mut().started(key);
     }
     let entry_gone = writer.send(&FromSidecar::Started).await.is_err();
+    let resume_from = job.start.resume_from;
     let mut run = Run {
         sidecar,
         job,
         turns,
         writer,
-        delivered: 0,
+        delivered: resume_from,
         usage: EngineUsage::default(),
         kept: Vec::new(),
         entry_gone,
-        resumed: false,
+        resumed: resume_from > 0,
+        sent: false,
     };
     if entry_gone && !run.outlives_entry() {
         return Ran::NeverStarted(Outcome::not_run(NotRunReason::GrantLapsed, UNREACHABLE));
@@ -166,13 +171,14 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(EndpointError::NotSent)) => {
                 self.sidecar.note_health(false);
-                return Err(self.not_sent(first));
+                return Err(self.not_sent());
             }
             Ok(Err(EndpointError::Lost)) | Err(_) => {
                 self.sidecar.note_health(false);
                 return Err(self.lost().await);
             }
         };
+        self.sent = true;
         if reply.status >= 500 {
             self.sidecar.note_health(false);
             return Err(self.lost().await);
@@ -214,8 +220,10 @@
             if splitter.is_oversize() {
                 return Stop::Failed(FailReason::EndpointError);
             }
+            let before = self.delivered;
             let (part, done) = self.collect(&mut splitter, &mut skip);
-            if !part.is_empty() && !self.deliver(part).await {
+            let tokens = (self.delivered - before) as u32;
+            if !part.is_empty() && !self.deliver(tokens, part).await {
                 return Stop::Abandoned;
             }
             if done {
@@ -244,14 +252,15 @@
     }
 
     /// Sends a part to the entry; false when the entry does not take it in time.
-    async fn deliver(&mut self, part: Vec<u8>) -> bool {
+    async fn deliver(&mut self, tokens: u32, part: Vec<u8>) -> bool {
         if self.outlives_entry() && self.kept.len() <= MAX_KEPT_ANSWER {
             self.kept.extend_from_slice(&part);
         }
         if self.entry_gone {
             return self.outlives_entry();
         }
-        let sent = timeout(SLOW_CALLER, self.writer.send(&FromSidecar::Chunk(part))).await;
+        let chunk = FromSidecar::Chunk { tokens, part };
+        let sent = timeout(SLOW_CALLER, self.writer.send(&chunk)).await;
         if matches!(sent, Ok(Ok(()))) {
             return true;
         }
@@ -283,7 +292,7 @@
     fn completed(&mut self) -> Ran {
         self.sidecar.note_health(true);
         let metrics = &self.sidecar.node.metrics;
-        metrics.tokens(self.delivered);
+        metrics.tokens(self.delivered - self.job.start.resume_from);
         metrics.wasted(self.usage.recomputed_tokens);
         let usage = Usage {
             prompt_tokens: self.usage.prompt_tokens,
@@ -301,7 +310,10 @@
     }
 
     async fn failed(&mut self, reason: FailReason) -> Ran {
-        self.sidecar.node.metrics.wasted(self.delivered);
+        self.sidecar
+            .node
+            .metrics
+            .wasted(self.delivered - self.job.start.resume_from);
         if !matches!(reason, FailReason::SlowCaller) {
             self.sidecar.note_health(false);
         }
@@ -314,8 +326,8 @@
         self.ended(Outcome::Unknown(UnknownReason::EndpointLost), None)
     }
 
-    fn not_sent(&self, first: bool) -> Ran {
-        if first {
+    fn not_sent(&self) -> Ran {
+        if !self.sent {
             let reason = NotRunReason::EndpointFailing;
             return Ran::NeverStarted(Outcome::not_run(reason, UNREACHABLE));
         }
@@ -326,7 +338,7 @@
         Ran::Ended {
             outcome,
             answer,
-            tokens: self.delivered,
+            tokens: self.delivered - self.job.start.resume_from,
         }
     }
 
@@ -346,7 +358,7 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(EndpointError::NotSent)) => {
                 self.sidecar.note_health(false);
-                return self.not_sent(true);
+                return self.not_sent();
             }
             Ok(Err(EndpointError::Lost)) | Err(_) => {
                 self.sidecar.note_health(false);
@@ -389,7 +401,10 @@
             status: answer.status,
             content_type: answer.content_type.clone(),
         };
-        let body = FromSidecar::Chunk(answer.body.clone());
+        let body = FromSidecar::Chunk {
+            tokens: 0,
+            part: answer.body.clone(),
+        };
         for message in [&head, &body] {
             let _ = timeout(SLOW_CALLER, self.writer.send(message)).await;
         }
--- a/src/search.rs
+++ b/src/search.rs
@@ -14,7 +14,7 @@
 use crate::intake::Job;
 use crate::keys;
 use crate::members::Instance;
-use crate::offer::{self, Reply, Reserved};
+use crate::offer::{self, Notice, Reply, Reserved};
 use crate::outcome::{NotRunReason, Outcome};
 use crate::schedule::spread;
 use crate::wire::{Answer, Offer};
@@ -75,7 +75,7 @@
         let urgent = self.job.policy.class_at(self.job.class).priority == 0;
         let most_queues = if urgent { QUEUES_URGENT } else { QUEUES };
         let mut queues = 1;
-        let (queued_tx, mut queued_rx) = mpsc::unbounded_channel();
+        let (notices, mut noticed) = mpsc::unbounded_channel();
         let mut open = FuturesUnordered::new();
         loop {
             while open.len() < queues && tried.len() < self.most_attempts(urgent) {
@@ -88,7 +88,7 @@
                     Rc::clone(self.entry),
                     instance,
                     offer,
-                    queued_tx.clone(),
+                    notices.clone(),
                 ));
             }
             if open.is_empty() {
@@ -100,8 +100,8 @@
                         return found;
                     }
                 }
-                Some(()) = queued_rx.recv() => {
-                    self.home_spoke = true;
+                Some(notice) = noticed.recv() => {
+                    self.home_spoke |= notice == Notice::Queued;
                     queues = (queues + 1).min(most_queues);
                 }
             }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -70,6 +70,8 @@
     pub path: String,
     /// The caller's body.
     pub body: Vec<u8>,
+    /// Tokens that the caller has already; the run goes on after them.
+    pub resume_from: u64,
 }
 
 /// What a sidecar says on a request stream.
@@ -96,7 +98,12 @@
         content_type: String,
     },
     /// A part of the answer, in order.
-    Chunk(Vec<u8>),
+    Chunk {
+        /// Tokens in it; 0 for a plain service.
+        tokens: u32,
+        /// Bytes for the caller.
+        part: Vec<u8>,
+    },
     /// The answer that an earlier run under the same key gave.
     Replay(Answer),
     /// The end; nothing follows.
--- a/tests/wire_decoding.rs
+++ b/tests/wire_decoding.rs
@@ -24,7 +24,10 @@
             load,
         },
         FromSidecar::Started,
-        FromSidecar::Chunk(b"data: x\n\n".to_vec()),
+        FromSidecar::Chunk {
+            tokens: 1,
+            part: b"data: x\n\n".to_vec(),
+        },
         FromSidecar::End {
             request: RequestId(9),
             outcome,
@@ -90,6 +93,7 @@
             grant: GrantId(u.arbitrary()?),
             path: u.arbitrary()?,
             body: u.arbitrary()?,
+            resume_from: u.arbitrary()?,
         };
         let sent = ToSidecar::Start(start);
         let mut frame = BytesMut::from(&wire::encode(&sent)[..]);
