--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -39,7 +39,7 @@
     state_slopes().await?;
     stream_slopes().await?;
     work_slopes(options.requests).await?;
-    quiet_links().await?;
+    quiet_links(&options).await?;
     path(&options).await?;
     Ok(ExitCode::SUCCESS)
 }
@@ -60,6 +60,7 @@
 /// A deployment without limits that get in the way of a measurement.
 fn open_spec(models: u32) -> anyhow::Result<FleetSpec> {
     let mut spec = FleetSpec::small(models, 1)?;
+    spec.forget_new_fields();
     spec.entries = 1;
     spec.engine = EngineSettings {
         slots: 1_000,
@@ -208,38 +209,48 @@
 }
 
 /// Loopback bytes of a deployment that has served requests and is quiet now.
-async fn quiet_links() -> anyhow::Result<()> {
+async fn quiet_links(options: &CapacityOptions) -> anyhow::Result<()> {
     println!("\n### Control bytes of a quiet deployment whose entries hold links\n");
-    println!(
-        "| sidecars | entries | links held by entries | loopback bytes/s in all | an entry KiB |"
-    );
-    println!("|---|---|---|---|---|");
+    println!("| version | sidecars | entries | links | loopback bytes/s in all | an entry KiB |");
+    println!("|---|---|---|---|---|---|");
     for places in [3, 9, 18] {
-        let mut spec = open_spec(places)?;
-        spec.entries = 3;
-        let fleet = Fleet::start(spec).await?;
-        for at in 0..fleet.entries.len() {
-            closed_loop(fleet.callers(at), 300, 1, 10).await?;
+        quiet_row("violetline", places, None).await?;
+        if options.previous.is_some() {
+            quiet_row("first version", places, options.previous.clone()).await?;
         }
-        sleep(SETTLE).await;
-        let before = usage::loopback_bytes();
-        sleep(IDLE).await;
-        let bytes = (usage::loopback_bytes() - before) as f64 / IDLE.as_secs_f64();
-        let mut links = 0;
-        for entry in &fleet.entries {
-            let state = fleet
-                .caller
-                .get(entry.process.addr("admin"), "/v1/state")
-                .await?;
-            links += state["links"].as_u64().unwrap_or_default();
-        }
-        let memory = usage::resident(fleet.entries[0].process.id()) / KIB;
-        println!("| {} | 3 | {links} | {bytes:.0} | {memory} |", places + 1);
-        fleet.close();
     }
     Ok(())
 }
 
+async fn quiet_row(name: &str, places: u32, product: Option<PathBuf>) -> anyhow::Result<()> {
+    let mut spec = open_spec(places)?;
+    spec.entries = 3;
+    spec.product = product;
+    let fleet = Fleet::start(spec).await?;
+    for at in 0..fleet.entries.len() {
+        closed_loop(fleet.callers(at), 300, 1, 10).await?;
+    }
+    sleep(SETTLE).await;
+    let before = usage::loopback_bytes();
+    sleep(IDLE).await;
+    let bytes = (usage::loopback_bytes() - before) as f64 / IDLE.as_secs_f64();
+    let mut links = 0;
+    for entry in &fleet.entries {
+        let state = fleet
+            .caller
+            .get(entry.process.addr("admin"), "/v1/state")
+            .await?;
+        links += state["links"].as_u64().unwrap_or_default();
+    }
+    let memory = usage::resident(fleet.entries[0].process.id()) / KIB;
+    println!(
+        "| {name} | {} | 3 | {links} | {bytes:.0} | {memory} |",
+        places + 1
+    );
+    fleet.close();
+    Ok(())
+}
+
 /// Sends requests with some callers at a time; the times of all, in order of length.
 async fn closed_loop(
     target: SocketAddr,
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -68,6 +68,14 @@
         })
     }
 
+    /// Takes out of the bundle what the first version did not know.
+    pub fn forget_new_fields(&mut self) {
+        for pool in self.bundle["pools"].as_array_mut().into_iter().flatten() {
+            pool.as_object_mut()
+                .and_then(|fields| fields.remove("resumable"));
+        }
+    }
+
     /// Kereru's bundle cut down to few endpoints, for tests.
     pub fn small(models: u32, plains: u32) -> anyhow::Result<Self> {
         let mut spec = Self::new(KERERU)?;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -275,6 +275,9 @@
     };
     spec.order = variant.order;
     spec.routing = variant.routing;
+    if variant.product.is_some() {
+        spec.forget_new_fields();
+    }
     spec.product = variant.product.clone();
     let mut fleet = Fleet::start(spec).await?;
     let entries: Vec<_> = (0..fleet.entries.len())
