--- a/lab/src/platform.rs
+++ b/lab/src/platform.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform: configuration service and instance list, read only for others.
 
 use std::cell::{Cell, RefCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -82,7 +83,8 @@
         return web::json(&platform.stats.get());
     }
     if req.method() == Method::GET {
-        return read(&platform, &path);
+        let known = web::header(&req, "if-none-match").map(str::to_owned);
+        return read(&platform, &path, known.as_deref());
     }
     let body = web::body(&mut req).await;
     match path.as_str() {
@@ -97,7 +99,7 @@
     web::status(StatusCode::OK)
 }
 
-fn read(platform: &Platform, path: &str) -> Response<BoxBody> {
+fn read(platform: &Platform, path: &str, known: Option<&str>) -> Response<BoxBody> {
     if !platform.count() {
         return web::status(StatusCode::TOO_MANY_REQUESTS);
     }
@@ -118,12 +120,20 @@
         "/members" => Some(platform.members.borrow().clone()).filter(|m| !m.is_empty()),
         _ => None,
     };
-    match held {
-        Some(text) => Response::build(StatusCode::OK)
-            .body(text)
-            .map_into_boxed_body(),
-        None => web::status(StatusCode::NOT_FOUND),
+    let Some(text) = held else {
+        return web::status(StatusCode::NOT_FOUND);
+    };
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    let tag = format!("\"{:x}\"", hasher.finish());
+    if known == Some(tag.as_str()) {
+        return web::status(StatusCode::NOT_MODIFIED);
     }
+    let mut builder = Response::build(StatusCode::OK);
+    builder
+        .insert_header(("etag", tag))
+        .body(text)
+        .map_into_boxed_body()
 }
 
 impl Platform {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,5 @@
 //! What every process of the system has: clock, replica, gossip, metrics, audit trail, state.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -54,8 +53,6 @@
     pub metrics: Rc<Metrics>,
     /// Trail of changes.
     pub audit: Rc<Audit>,
-    /// Whether the platform has been asked at least once.
-    pub platform_read: Cell<bool>,
     life: watch::Sender<Life>,
 }
 
@@ -80,7 +77,6 @@
             exchange: Exchange::default(),
             metrics,
             audit,
-            platform_read: Cell::new(false),
             life: watch::Sender::new(Life::Serving),
         })
     }
