Homes that move, readiness that stays, stops before readiness, signers in the trail

Four faults found by reading, each with a test or proof: - a changed count of places moved keys to homes that took them for fresh; for 10 s after the change a new home now answers keys issued before as unknown (changed_places); - a sidecar could decide on an offer between accepting a bundle and applying it; it now applies it at the door; - an entry that had heard of a newer bundle counted as not ready until it held it, so each rollout refused requests for some milliseconds; readiness now stays; - a sidecar without any bundle did not end at SIGTERM (stop_before_ready). The audit trail names the key that signed a bundle. The rollout measurement spreads its nodes over six threads, since one thread's work hid the spread.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -211,8 +211,8 @@
     let sealed = seal::sign(&bundle(teams, 1), &secret).unwrap();
     let text = serde_json::to_vec(&sealed).unwrap();
     bencher.bench_local(|| {
-        let (sealed, _) = trust.open(&text).unwrap();
-        Policy::new(Bundle::parse(sealed.payload.as_bytes()).unwrap())
+        let opened = trust.open(&text).unwrap();
+        Policy::new(Bundle::parse(opened.sealed.payload.as_bytes()).unwrap())
     });
 }
 
--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -14,6 +14,7 @@
 use crate::client::{Caller, Chat, End};
 use crate::engine::EngineSettings;
 use crate::fleet::{Fleet, FleetSpec};
+use crate::process::Process;
 use crate::usage;
 
 /// Time over which an idle process is watched.
@@ -29,6 +30,9 @@
     /// Binary of an earlier version of this crate, to compare the path with
     #[bpaf(argument("FILE"), optional)]
     pub previous: Option<PathBuf>,
+    /// Only the path against a direct call
+    #[bpaf(switch)]
+    pub path_only: bool,
     /// Requests of each measured batch
     #[bpaf(argument("N"), fallback(3000))]
     pub requests: usize,
@@ -36,10 +40,12 @@
 
 /// Measures everything and prints tables.
 pub async fn run(options: CapacityOptions) -> anyhow::Result<ExitCode> {
-    state_slopes().await?;
-    stream_slopes().await?;
-    work_slopes(options.requests).await?;
-    quiet_links(&options).await?;
+    if !options.path_only {
+        state_slopes().await?;
+        stream_slopes().await?;
+        work_slopes(options.requests).await?;
+        quiet_links(&options).await?;
+    }
     path(&options).await?;
     Ok(ExitCode::SUCCESS)
 }
@@ -290,9 +296,11 @@
     println!("\n### The path against a direct call (one token, side by side in one run)\n");
     println!("| | one caller p50 us | p99 us | 16 callers requests/s | requests/s per core of entry and sidecar |");
     println!("|---|---|---|---|---|");
-    let fleet = Fleet::start(open_spec(1)?).await?;
-    let engine = fleet.slots[0].endpoint.addr("listen");
-    path_row("direct call", engine, &[], options.requests).await?;
+    let spec = open_spec(1)?;
+    let settings = serde_json::to_string(&spec.engine)?;
+    let engine = Process::start(&["engine", "--settings", &settings])?;
+    path_row("direct call", engine.addr("listen"), &[], options.requests).await?;
+    let fleet = Fleet::start(spec).await?;
     let pids = [fleet.entries[0].process.id(), fleet.slots[0].sidecar.id()];
     path_row("violetline", fleet.callers(0), &pids, options.requests).await?;
     fleet.close();
--- a/lab/src/rollout.rs
+++ b/lab/src/rollout.rs
@@ -1,18 +1,19 @@
 //! Measures how documents spread over many nodes: time, reads of the platform, bytes.
 
-use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix_rt::task::JoinHandle;
+use actix_rt::Arbiter;
 use bpaf::Bpaf;
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use violetline::bundle::hash_key;
 use violetline::clock::Clock;
-use violetline::document::DocumentKind;
 use violetline::gossip;
 use violetline::link;
 use violetline::members::{Instance, LifeState, Members, Role};
@@ -29,7 +30,9 @@
 const PATHS: [&str; 1] = [GOSSIP_PATH];
 const ZONES: usize = 12;
 const REGIONS: usize = 4;
-const LOOK: Duration = Duration::from_millis(2);
+/// Threads over which the nodes are spread.
+const THREADS: usize = 6;
+const LOOK: Duration = Duration::from_millis(5);
 /// Longest wait for a spread before the run is given up.
 const BOUND: Duration = Duration::from_secs(30);
 
@@ -51,11 +54,18 @@
     pub quiet: u64,
 }
 
-/// A node that only exchanges documents, as tasks of this process.
+/// A node that only exchanges documents, on one of a few threads.
 struct MiniNode {
-    node: Rc<Node>,
-    addr: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
+    instance: Instance,
+    view: Arc<View>,
+}
+
+/// What the measuring thread sees of a node.
+#[derive(Debug, Default)]
+struct View {
+    version: AtomicU64,
+    parcel_bytes: AtomicU64,
+    stop: AtomicBool,
 }
 
 struct Field {
@@ -63,6 +73,7 @@
     secret: String,
     public: String,
     nodes: Vec<MiniNode>,
+    threads: Vec<Arbiter>,
     revision: u64,
     teams: usize,
     caller: Caller,
@@ -110,13 +121,14 @@
             secret,
             public,
             nodes: Vec::new(),
+            threads: (0..THREADS).map(|_| Arbiter::new()).collect(),
             revision: 0,
             teams,
             caller: Caller::default(),
         };
         field.publish(1).await?;
         for at in 0..count {
-            let node = field.start_node(at).await?;
+            let node = field.start_node(at)?;
             field.nodes.push(node);
         }
         field.publish_members(0..count).await?;
@@ -125,8 +137,9 @@
         Ok(field)
     }
 
-    async fn start_node(&self, at: usize) -> anyhow::Result<MiniNode> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    fn start_node(&self, at: usize) -> anyhow::Result<MiniNode> {
+        let listener = StdListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let base = format!("http://{}", self.platform.addr("listen"));
         let settings = NodeSettings {
@@ -138,19 +151,24 @@
             bundle_url: format!("{base}/bundle"),
             members_url: format!("{base}/members"),
             trusted_keys: vec![self.public.clone()],
-            seeds: self.nodes.iter().take(2).map(|n| n.addr).collect(),
+            seeds: self.nodes.iter().take(2).map(|n| n.instance.addr).collect(),
         };
-        let reader: Rc<dyn Platform> = Rc::new(HttpPlatform::new(
-            &settings.bundle_url,
-            &settings.members_url,
-        ));
-        let node = Node::new(settings, Clock::system());
-        let tasks = vec![
-            actix_rt::spawn(accept(Rc::clone(&node), listener)),
-            actix_rt::spawn(endless(gossip::keep_partners(Rc::clone(&node)))),
-            actix_rt::spawn(endless(platform::keep_reading(Rc::clone(&node), reader))),
-        ];
-        Ok(MiniNode { node, addr, tasks })
+        let instance = Instance {
+            id: settings.id.clone(),
+            role: Role::Entry,
+            addr,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            state: LifeState::Live,
+            pool: String::new(),
+            ordinal: 0,
+        };
+        let view = Arc::new(View::default());
+        let shared = Arc::clone(&view);
+        self.threads[at % THREADS].spawn_fn(move || {
+            actix_rt::spawn(serve(settings, listener, shared));
+        });
+        Ok(MiniNode { instance, view })
     }
 
     fn bundle(&self, version: u64) -> Value {
@@ -182,16 +200,7 @@
 
     async fn publish_members(&mut self, live: std::ops::Range<usize>) -> anyhow::Result<()> {
         self.revision += 1;
-        let instances = self.nodes[live].iter().map(|n| Instance {
-            id: n.node.settings.id.clone(),
-            role: Role::Entry,
-            addr: n.addr,
-            zone: n.node.settings.zone.clone(),
-            region: n.node.settings.region.clone(),
-            state: LifeState::Live,
-            pool: String::new(),
-            ordinal: 0,
-        });
+        let instances = self.nodes[live].iter().map(|n| n.instance.clone());
         let members = Members::new(self.revision, instances.collect());
         let text = serde_json::to_string(&members)?;
         self.caller
@@ -203,8 +212,7 @@
     /// Waits until all nodes hold a version, and tells how long it took.
     async fn reached(&self, version: u64) -> anyhow::Result<Duration> {
         let began = Instant::now();
-        let behind =
-            |n: &MiniNode| n.node.replica.stamps().of(DocumentKind::Bundle).version < version;
+        let behind = |n: &MiniNode| n.view.version.load(Ordering::Relaxed) < version;
         while self.nodes.iter().any(behind) {
             anyhow::ensure!(began.elapsed() < BOUND, "version {version} did not spread");
             sleep(LOOK).await;
@@ -244,19 +252,10 @@
     }
 
     fn parcel_bytes(&self) -> u64 {
-        let of = |n: &MiniNode| {
-            let text = n.node.metrics.text();
-            let line = text
-                .lines()
-                .find(|l| l.starts_with("parcel_bytes_sent_total"))
-                .map(str::to_owned);
-            line.and_then(|l| {
-                l.split_whitespace()
-                    .last()
-                    .and_then(|v| v.parse::<f64>().ok())
-            })
-        };
-        self.nodes.iter().filter_map(of).sum::<f64>() as u64
+        self.nodes
+            .iter()
+            .map(|n| n.view.parcel_bytes.load(Ordering::Relaxed))
+            .sum()
     }
 
     /// Ends a twelfth of the nodes, starts as many anew at once, and waits for them.
@@ -268,10 +267,10 @@
         }
         self.publish_members(0..left).await?;
         sleep(Duration::from_secs(2)).await;
-        let version = self.nodes[0].node.replica.stamps().bundle.version;
+        let version = self.nodes[0].view.version.load(Ordering::Relaxed);
         let began = Instant::now();
         for at in 0..lost {
-            let node = self.start_node(10_000 + at).await?;
+            let node = self.start_node(10_000 + at)?;
             self.nodes.push(node);
         }
         let all = self.nodes.len();
@@ -284,17 +283,57 @@
         for node in self.nodes {
             node.close();
         }
+        for thread in self.threads {
+            thread.stop();
+        }
     }
 }
 
 impl MiniNode {
     fn close(self) {
-        for task in self.tasks {
-            task.abort();
+        self.view.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Runs a node's tasks and shows its state until it is told to stop.
+async fn serve(settings: NodeSettings, listener: StdListener, view: Arc<View>) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let reader: Rc<dyn Platform> = Rc::new(HttpPlatform::new(
+        &settings.bundle_url,
+        &settings.members_url,
+    ));
+    let node = Node::new(settings, Clock::system());
+    let tasks = [
+        actix_rt::spawn(accept(Rc::clone(&node), listener)),
+        actix_rt::spawn(endless(gossip::keep_partners(Rc::clone(&node)))),
+        actix_rt::spawn(endless(platform::keep_reading(Rc::clone(&node), reader))),
+    ];
+    while !view.stop.load(Ordering::Relaxed) {
+        let version = node.replica.stamps().bundle.version;
+        if view.version.swap(version, Ordering::Relaxed) != version {
+            view.parcel_bytes
+                .store(parcel_bytes(&node), Ordering::Relaxed);
         }
+        sleep(LOOK).await;
+    }
+    for task in tasks {
+        task.abort();
     }
 }
 
+fn parcel_bytes(node: &Node) -> u64 {
+    let text = node.metrics.text();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("parcel_bytes_sent_total"));
+    let value = line.and_then(|line| line.split_whitespace().last());
+    value
+        .and_then(|value| value.parse::<f64>().ok())
+        .unwrap_or_default() as u64
+}
+
 async fn endless(work: impl std::future::Future<Output = anyhow::Result<()>>) {
     let _ = work.await;
 }
--- a/lab/tests/at_most_once.rs
+++ b/lab/tests/at_most_once.rs
@@ -434,3 +434,35 @@
     assert_eq!(fleet.runs("other").await, 0);
     fleet.close();
 }
+
+#[actix_rt::test]
+async fn changed_places() {
+    let mut fleet = fleet(1, 3).await;
+    let key = loop {
+        let key = key();
+        if home_of(&fleet, &key) == position(&fleet, PLAIN_POOL, 2) {
+            break key;
+        }
+    };
+    let first = fleet
+        .caller
+        .call(fleet.callers(0), &call("moved", Some(&key)))
+        .await;
+    assert_eq!(first.end, End::Complete);
+    let fewer = fleet
+        .change_bundle(|bundle| bundle["pools"][1]["places"] = json!(2))
+        .await
+        .unwrap();
+    fleet.bundle_reached(fewer).await.unwrap();
+    let second = fleet
+        .caller
+        .call(fleet.callers(1), &call("moved", Some(&key)))
+        .await;
+    assert!(
+        second.is("outcome_unknown"),
+        "the key's new home can't know: {:?}",
+        second.end
+    );
+    assert_eq!(fleet.runs("moved").await, 1);
+    fleet.close();
+}
--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -180,3 +180,17 @@
     assert_eq!(fleet.runs("old").await, 0);
     fleet.close();
 }
+
+#[actix_rt::test]
+async fn stop_before_ready() {
+    let mut fleet = fleet(1, 1).await;
+    let mut settings = fleet.slots[0].settings.clone();
+    settings["node"]["bundle_url"] = json!("http://127.0.0.1:9/bundle");
+    settings["node"]["members_url"] = json!("http://127.0.0.1:9/members");
+    settings["node"]["seeds"] = json!([]);
+    let mut lonely = fleet.start_product("sidecar", &settings).unwrap();
+    sleep(Duration::from_millis(300)).await;
+    lonely.terminate();
+    assert!(lonely.ended(LONG).await, "it has nothing to finish");
+    fleet.close();
+}
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -177,6 +177,23 @@
     Some(Millis(secs * 1_000 + u64::from(nanos) / 1_000_000))
 }
 
+/// A change of a pool's places: some keys have another home since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rehoming {
+    /// Count of places before.
+    pub before: u32,
+    /// Wall time from which all processes use the new homes.
+    pub until: Millis,
+}
+
+impl Rehoming {
+    /// Whether a key may have run at another home before it came to `ordinal`.
+    pub fn may_have_run_elsewhere(&self, key: Uuid, ordinal: u32) -> bool {
+        let early = issued_at(key).is_none_or(|issued| issued < self.until);
+        early && home(key, self.before) != ordinal
+    }
+}
+
 /// The ordinal that is a key's home: the same in every process that holds the same bundle.
 pub fn home(key: Uuid, places: u32) -> u32 {
     let mut head = [0; 8];
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! What every process of the system has: clock, replica, gossip, metrics, audit trail, state.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 /// Time after which a fresh process no longer waits for peers.
 const PEER_GRACE: Millis = Millis(3_000);
 
+/// Time after which a fresh process no longer waits for a bundle that a peer told of.
+const CATCH_UP_GRACE: Millis = Millis(10_000);
 /// Time between two looks at whether a fresh process is ready.
 const READY_LOOK: Duration = Duration::from_millis(20);
 
@@ -53,6 +56,7 @@
     pub metrics: Rc<Metrics>,
     /// Trail of changes.
     pub audit: Rc<Audit>,
+    was_ready: Cell<bool>,
     life: watch::Sender<Life>,
 }
 
@@ -77,19 +81,28 @@
             exchange: Exchange::default(),
             metrics,
             audit,
+            was_ready: Cell::new(false),
             life: watch::Sender::new(Life::Serving),
         })
     }
 
-    /// Whether this process may decide on requests.
+    /// Whether this process may decide on requests; once it may, it always may, since offers are
+    /// agreed on at the door.
     ///
     /// A fresh process may have read an older bundle than the fleet runs; it first hears from
     /// peers and catches up with the newest that they told of.
     pub fn is_ready(&self) -> bool {
-        let heard = self.exchange.heard() >= PEERS_BEFORE_READY;
-        let waited = self.clock.now() >= PEER_GRACE;
-        let caught_up = self.replica.stamps().bundle >= self.exchange.newest().bundle;
-        self.replica.policy().is_some() && (heard || waited) && caught_up
+        let ready = self.was_ready.get() || self.has_caught_up();
+        self.was_ready.set(ready);
+        ready
+    }
+
+    fn has_caught_up(&self) -> bool {
+        let now = self.clock.now();
+        let heard = self.exchange.heard() >= PEERS_BEFORE_READY || now >= PEER_GRACE;
+        let newest = self.exchange.newest().bundle;
+        let caught_up = self.replica.stamps().bundle >= newest || now >= CATCH_UP_GRACE;
+        self.replica.policy().is_some() && heard && caught_up
     }
 
     /// Where the process is in its life.
@@ -112,14 +125,16 @@
     }
 }
 
-/// Waits until the process may decide, and returns the policy that is then in force.
-pub async fn first_policy(node: &Node) -> Rc<Policy> {
-    loop {
+/// Waits until the process may decide, and returns the policy that is then in force; `None` when
+/// a planned stop comes first.
+pub async fn first_policy(node: &Node) -> Option<Rc<Policy>> {
+    while node.life() == Life::Serving {
         match node.replica.policy() {
-            Some(policy) if node.is_ready() => return policy,
+            Some(policy) if node.is_ready() => return Some(policy),
             _ => sleep(READY_LOOK).await,
         }
     }
+    None
 }
 
 /// Prints the bound addresses as one JSON line, for whoever started the process.
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -14,7 +14,7 @@
 use crate::document::{Accepted, DocumentKind, Parcel, Shelf, Stamp, MAX_DOCUMENT_BYTES};
 use crate::members::Members;
 use crate::metrics::Metrics;
-use crate::seal::{SealError, Trust};
+use crate::seal::{Opened, SealError, Trust};
 
 /// Versions of the bundle whose acceptance is remembered.
 const HISTORY: usize = 32;
@@ -156,8 +156,11 @@
             SealError::Malformed => Refused::Malformed,
             SealError::NotGenuine => Refused::NotGenuine,
         });
-        let (sealed, stamp) =
-            opened.map_err(|why| self.refuse(DocumentKind::Bundle, why, source))?;
+        let Opened {
+            sealed,
+            stamp,
+            signer,
+        } = opened.map_err(|why| self.refuse(DocumentKind::Bundle, why, source))?;
         let verdict = self.bundle.borrow().compare(stamp);
         if verdict != Accepted::Newer {
             self.note_conflict(verdict, stamp, source);
@@ -166,12 +169,13 @@
         if *self.refused.borrow() == Some(stamp) {
             return Err(Refused::Invalid);
         }
+        let by = format!("key {signer} by {source}");
         let bundle = match Bundle::parse(sealed.payload.as_bytes()) {
             Ok(bundle) => bundle,
             Err(findings) => {
                 *self.refused.borrow_mut() = Some(stamp);
                 self.audit
-                    .record(Change::bundle_refused(stamp, source, findings.to_string()));
+                    .record(Change::bundle_refused(stamp, &by, findings.to_string()));
                 return Err(self.refuse(DocumentKind::Bundle, Refused::Invalid, source));
             }
         };
@@ -181,7 +185,7 @@
         *self.policy.borrow_mut() = Some(Rc::new(Policy::new(bundle)));
         self.remember(stamp);
         self.audit
-            .record(Change::bundle_accepted(from, stamp, source, note));
+            .record(Change::bundle_accepted(from, stamp, &by, note));
         self.changed.send_modify(|stamps| stamps.bundle = stamp);
         Ok(Accepted::Newer)
     }
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -5,6 +5,9 @@
 
 use crate::document::Stamp;
 
+/// Bytes of a public key that name its holder in the audit trail.
+const SIGNER_BYTES: usize = 4;
+
 /// A bundle's text with its signature, as the configuration service holds it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,6 +18,17 @@
     pub signature: String,
 }
 
+/// A genuine bundle.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Opened {
+    /// The envelope.
+    pub sealed: Sealed,
+    /// Stamp of its payload.
+    pub stamp: Stamp,
+    /// Head of the public key that signed it, in hex, for the audit trail.
+    pub signer: String,
+}
+
 /// Why a sealed bundle is not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SealError {
@@ -37,21 +51,27 @@
             .map(Self)
     }
 
-    /// Checks an envelope and returns it with the stamp of its content.
-    pub fn open(&self, envelope: &[u8]) -> Result<(Sealed, Stamp), SealError> {
+    /// Checks an envelope.
+    pub fn open(&self, envelope: &[u8]) -> Result<Opened, SealError> {
         let sealed: Sealed = serde_json::from_slice(envelope).map_err(|_| SealError::Malformed)?;
         let bytes = hex::decode(&sealed.signature).map_err(|_| SealError::Malformed)?;
         let signature = Signature::from_slice(&bytes).map_err(|_| SealError::Malformed)?;
+        let payload = sealed.payload.as_bytes();
         let genuine = self
             .0
             .iter()
-            .any(|key| key.verify(sealed.payload.as_bytes(), &signature).is_ok());
-        if !genuine {
+            .find(|key| key.verify(payload, &signature).is_ok());
+        let Some(key) = genuine else {
             return Err(SealError::NotGenuine);
-        }
+        };
+        let signer = hex::encode(&key.as_bytes()[..SIGNER_BYTES]);
         let version = version_of(&sealed.payload).ok_or(SealError::Malformed)?;
-        let stamp = Stamp::new(version, sealed.payload.as_bytes());
-        Ok((sealed, stamp))
+        let stamp = Stamp::new(version, payload);
+        Ok(Opened {
+            sealed,
+            stamp,
+            signer,
+        })
     }
 }
 
--- a/src/session.rs
+++ b/src/session.rs
@@ -150,6 +150,7 @@
     if offer.bundle != replica.stamps().bundle {
         return Err(Outcome::not_run(NotRunReason::StaleBundle, DISAGREED));
     }
+    sidecar.apply_documents();
     if sidecar.listing.get() == Listing::Superseded {
         return Err(Outcome::not_run(NotRunReason::Superseded, DISAGREED));
     }
@@ -191,6 +192,11 @@
 /// Holds the key of work that may run only once; an ending when it may not run now.
 fn hold_key(sidecar: &Sidecar, offer: &Offer) -> Option<Ending> {
     let key = held_key(offer)?;
+    if sidecar.may_have_run_elsewhere(key) {
+        return Some(Ending::Outcome(Outcome::Unknown(
+            UnknownReason::KeyForgotten,
+        )));
+    }
     let policy = sidecar.node.replica.policy()?;
     let skew = Millis(policy.bundle.limits.clock_skew_ms);
     let wall = sidecar.node.clock.wall();
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::sleep;
+use uuid::Uuid;
 
 use crate::admin::{self, Report};
 use crate::audit::{Change, What};
@@ -19,11 +20,12 @@
 use crate::gossip;
 use crate::health::Breaker;
 use crate::ids::GrantId;
-use crate::keys::KeyMemory;
+use crate::keys::{KeyMemory, Rehoming};
 use crate::link;
 use crate::members::{LifeState, Members, Role};
 use crate::node::{self, Life, Node};
 use crate::outcome::NotRunReason;
+use crate::replica::Stamps;
 use crate::schedule::{Action, Ask, ClassSpec, Scheduler, Shape, TicketKey};
 use crate::session;
 use crate::settings::SidecarSettings;
@@ -38,6 +40,9 @@
 const FLUSH: Duration = Duration::from_millis(300);
 /// Time between two trims of the key memory.
 const TRIM_EVERY: Duration = Duration::from_secs(5);
+/// Time after a change of a pool's places in which some process may still use the old homes:
+/// the 7 s in which a bundle is in force everywhere, and a margin.
+const REHOME_GRACE: Millis = Millis(10_000);
 /// Paths that a sidecar serves on links.
 const PATHS: [&str; 2] = [REQUEST_PATH, GOSSIP_PATH];
 
@@ -89,6 +94,9 @@
     sessions: RefCell<SecondaryMap<TicketKey, UnboundedSender<Turn>>>,
     breaker: RefCell<Breaker>,
     grants: Cell<u64>,
+    places: Cell<u32>,
+    rehoming: Cell<Option<Rehoming>>,
+    applied: Cell<Option<(Stamps, Life)>>,
     kind: PoolKind,
 }
 
@@ -118,6 +126,9 @@
             sessions: RefCell::default(),
             breaker: RefCell::default(),
             grants: Cell::new(0),
+            places: Cell::new(pool.map_or(0, |key| policy.pool_at(key).places)),
+            rehoming: Cell::new(None),
+            applied: Cell::new(None),
             kind,
         })
     }
@@ -183,6 +194,14 @@
         self.with(|scheduler| scheduler.load()).unwrap_or_default()
     }
 
+    /// Whether a key may have run at the home that it had under the bundle before.
+    pub fn may_have_run_elsewhere(&self, key: Uuid) -> bool {
+        let ordinal = self.settings.ordinal;
+        self.rehoming
+            .get()
+            .is_some_and(|change| change.may_have_run_elsewhere(key, ordinal))
+    }
+
     /// A grant's name, different from those of earlier lives.
     pub fn next_grant(&self) -> GrantId {
         self.grants.set(self.grants.get() + 1);
@@ -230,8 +249,15 @@
         self.dispatch();
     }
 
-    /// Takes over a changed bundle or instance list.
-    fn apply_documents(&self) {
+    /// Takes over a changed bundle, instance list or life, unless that was done already.
+    pub fn apply_documents(&self) {
+        let state = (self.node.replica.stamps(), self.node.life());
+        if self.applied.replace(Some(state)) == Some(state) {
+            return;
+        }
+        if let Some(places) = self.places_in_force() {
+            self.apply_places(places);
+        }
         if let Some(shape) = self
             .node
             .replica
@@ -251,6 +277,15 @@
         self.dispatch();
     }
 
+    /// Notes a change of the pool's places; other processes may still hold the bundle before.
+    fn apply_places(&self, places: u32) {
+        let before = self.places.replace(places);
+        if before != places {
+            let until = self.node.clock.wall() + REHOME_GRACE;
+            self.rehoming.set(Some(Rehoming { before, until }));
+        }
+    }
+
     fn apply_shape(&self, shape: Shape) {
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
@@ -260,6 +295,11 @@
         }
     }
 
+    fn places_in_force(&self) -> Option<u32> {
+        let policy = self.node.replica.policy()?;
+        self.pool(&policy).map(|pool| pool.places)
+    }
+
     fn shape(&self, policy: &Policy) -> Option<Shape> {
         let pool = self.pool(policy)?;
         let limits = &policy.bundle.limits;
@@ -361,7 +401,9 @@
     )?;
     let mut common = Supervisor::new("sidecar");
     node::spawn_common(&mut common, &node);
-    let policy = node::first_policy(&node).await;
+    let Some(policy) = node::first_policy(&node).await else {
+        return Ok(());
+    };
     let sidecar = Sidecar::new(Rc::clone(&node), settings, &policy);
     sidecar.apply_documents();
     shut_out_predecessor(&sidecar).await;
--- a/tests/bundle_checks.rs
+++ b/tests/bundle_checks.rs
@@ -134,7 +134,7 @@
     let trust = Trust::parse(&[public]).unwrap();
     let open = |sealed: &seal::Sealed| trust.open(&serde_json::to_vec(sealed).unwrap());
     let sealed = seal::sign(KERERU, &secret).unwrap();
-    assert_eq!(open(&sealed).unwrap().1.version, 1);
+    assert_eq!(open(&sealed).unwrap().stamp.version, 1);
     let forged = seal::sign(KERERU, &other).unwrap();
     assert_eq!(open(&forged).unwrap_err(), SealError::NotGenuine);
     let mut altered = sealed;
--- a/tests/key_memory.rs
+++ b/tests/key_memory.rs
@@ -2,7 +2,7 @@
 
 use uuid::{ContextV7, Timestamp, Uuid};
 use violetline::clock::Millis;
-use violetline::keys::{home, issued_at, KeyMemory, KeyVerdict};
+use violetline::keys::{home, issued_at, KeyMemory, KeyVerdict, Rehoming};
 use violetline::wire::Answer;
 
 const SKEW: Millis = Millis(100);
@@ -114,6 +114,34 @@
     );
 }
 
+#[test]
+fn changed_homes() {
+    let rehoming = Rehoming {
+        before: 3,
+        until: START,
+    };
+    let (mut moved, mut stayed) = (0, 0);
+    for _ in 0..300 {
+        let early = key_at(START.0 - 1);
+        let now_at = home(early, 4);
+        assert!(
+            !rehoming.may_have_run_elsewhere(key_at(START.0), now_at),
+            "issued after"
+        );
+        if home(early, 3) == now_at {
+            stayed += 1;
+            assert!(!rehoming.may_have_run_elsewhere(early, now_at));
+        } else {
+            moved += 1;
+            assert!(rehoming.may_have_run_elsewhere(early, now_at));
+        }
+    }
+    assert!(
+        stayed > moved,
+        "a fourth place takes over about a quarter: {moved} of 300"
+    );
+}
+
 #[test]
 fn any_history() {
     arbtest::arbtest(|u| {
