--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -22,6 +22,8 @@
 /// Time for processes to settle.
 const SETTLE: Duration = Duration::from_secs(2);
 const KIB: u64 = 1_024;
+/// Tokens of each answer where tokens come one at a time.
+const PACED_TOKENS: u64 = 400;
 
 /// What to measure.
 #[derive(Debug, Clone, Bpaf)]
@@ -30,9 +32,9 @@
     /// Binary of an earlier version of this crate, to compare the path with
     #[bpaf(argument("FILE"), optional)]
     pub previous: Option<PathBuf>,
-    /// Only the path against a direct call
-    #[bpaf(switch)]
-    pub path_only: bool,
+    /// Only this part: state, streams, work, paced, quiet or path
+    #[bpaf(argument("PART"), optional)]
+    pub only: Option<String>,
     /// Requests of each measured batch
     #[bpaf(argument("N"), fallback(3000))]
     pub requests: usize,
@@ -40,13 +42,25 @@
 
 /// Measures everything and prints tables.
 pub async fn run(options: CapacityOptions) -> anyhow::Result<ExitCode> {
-    if !options.path_only {
+    let wanted = |part: &str| options.only.as_deref().is_none_or(|only| only == part);
+    if wanted("state") {
         state_slopes().await?;
+    }
+    if wanted("streams") {
         stream_slopes().await?;
+    }
+    if wanted("work") {
         work_slopes(options.requests).await?;
+    }
+    if wanted("paced") {
+        paced_slopes().await?;
+    }
+    if wanted("quiet") {
         quiet_links(&options).await?;
     }
-    path(&options).await?;
+    if wanted("path") {
+        path(&options).await?;
+    }
     Ok(ExitCode::SUCCESS)
 }
 
@@ -214,6 +228,27 @@
     Ok(())
 }
 
+/// Processor time against tokens that come one at a time, as from a real engine.
+async fn paced_slopes() -> anyhow::Result<()> {
+    println!("\n### Processor time against single tokens (one every 5 ms in each stream)\n");
+    println!("| streams at a time | tokens in all | entry us a token | sidecar us a token |");
+    println!("|---|---|---|---|");
+    for callers in [20, 60, 120] {
+        let mut spec = open_spec(1)?;
+        spec.engine.token_us = 5_000;
+        let fleet = Fleet::start(spec).await?;
+        let pids = [fleet.entries[0].process.id(), fleet.slots[0].sidecar.id()];
+        let before = pids.map(usage::cpu);
+        closed_loop(fleet.callers(0), callers * 2, PACED_TOKENS, callers).await?;
+        let used = pids.map(usage::cpu);
+        let tokens = callers as u64 * 2 * PACED_TOKENS;
+        let each = |at: usize| (used[at] - before[at]).as_micros() as f64 / tokens as f64;
+        println!("| {callers} | {tokens} | {:.1} | {:.1} |", each(0), each(1));
+        fleet.close();
+    }
+    Ok(())
+}
+
 /// Loopback bytes of a deployment that has served requests and is quiet now.
 async fn quiet_links(options: &CapacityOptions) -> anyhow::Result<()> {
     println!("\n### Control bytes of a quiet deployment whose entries hold links\n");
--- a/lab/tests/own_answer.rs
+++ b/lab/tests/own_answer.rs
@@ -89,6 +89,41 @@
     }
 }
 
+#[actix_rt::test]
+async fn many_taken_up() {
+    let mut spec = spec(2, 1);
+    spec.bundle["pools"][0]["slots"] = json!(40);
+    spec.engine.slots = 80;
+    spec.engine.batch_us = 0;
+    let mut fleet = Fleet::start(spec).await.unwrap();
+    let streams: Vec<_> = (0..30)
+        .map(|n| spawn_chat(&fleet, 0, chat(&format!("m{n}"), "annotation", 1_500)))
+        .collect();
+    let mut running = [0; 2];
+    while running.iter().sum::<u64>() < 30 {
+        for (ordinal, count) in running.iter_mut().enumerate() {
+            let at = position(&fleet, MODEL_POOL, ordinal as u32);
+            let engine = fleet.slots[at].endpoint.addr("listen");
+            let stats = fleet.caller.get(engine, "/lab/stats").await.unwrap();
+            *count = stats["running"].as_u64().unwrap();
+        }
+    }
+    let busier = u32::from(running[1] > running[0]);
+    let at = position(&fleet, MODEL_POOL, busier);
+    fleet.slots[at].endpoint.kill();
+    for n in 0..60 {
+        fleet
+            .caller
+            .chat(fleet.callers(0), &chat(&format!("feed{n}"), "lookup", 1))
+            .await;
+    }
+    for (n, stream) in streams.into_iter().enumerate() {
+        let reply = stream.await.unwrap();
+        assert_eq!(reply.end, End::Complete, "stream {n} of {running:?}");
+    }
+    fleet.close();
+}
+
 #[actix_rt::test]
 async fn killed_entry() {
     let mut fleet = fleet(1, 1).await;
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -5,9 +5,14 @@
 //! after the tokens that were delivered. The seam is checked at the sidecar.
 
 use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::sleep;
 
 use crate::attempt::{self, Placed, Running};
 use crate::bundle::PoolKind;
+use crate::clock::Millis;
 use crate::entry::Entry;
 use crate::intake::Job;
 use crate::link::LinkError;
@@ -17,6 +22,11 @@
 /// Times that one stream is taken up again.
 const MAX_RESUMES: u32 = 3;
 
+/// Longest time that a broken stream waits for the rerun budget.
+const PATIENCE: Millis = Millis(5_000);
+/// Longest time between two looks at the rerun budget.
+const BUDGET_LOOK: Duration = Duration::from_millis(300);
+
 /// What comes next in an answer.
 #[derive(Debug)]
 pub enum Step {
@@ -73,7 +83,7 @@
                 Step::End(outcome) => outcome,
                 step => return step,
             };
-            if !self.may_resume(&outcome) || !self.resume().await {
+            if !self.may_resume(&outcome) || !self.is_allowed().await || !self.resume().await {
                 return Step::End(outcome);
             }
         }
@@ -122,7 +132,19 @@
             && pool.resumable
             && !self.job.once
             && self.resumes < MAX_RESUMES
-            && self.entry.reruns.borrow_mut().withdraw()
+    }
+
+    /// Waits for the rerun budget to allow it; when a zone goes, its streams come back in turn.
+    async fn is_allowed(&self) -> bool {
+        let clock = &self.entry.node.clock;
+        let until = clock.now() + PATIENCE;
+        while !self.entry.reruns.borrow_mut().withdraw() {
+            if clock.now() >= until {
+                return false;
+            }
+            sleep(rand::thread_rng().gen_range(Duration::ZERO..=BUDGET_LOOK)).await;
+        }
+        true
     }
 
     /// Places the rest of the stream at another endpoint; false when none takes it.
