Scheduler: tickets keep their class through any number of bundles

Found by reading: tickets of a class that one bundle dropped pointed to a wrong class after the next bundle, and finishing them panicked (changed_classes: subtract with overflow). Cause: old positions were looked up in the bundle's list, which lacks classes that are kept only because they have work. They are now looked up in the queues' own list. Ruled out: the retained queues themselves (their counts were right).

--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -96,6 +96,7 @@
     pub fn reshape(&mut self, now: Millis, shape: Shape) {
         self.count_time(now);
         let mut old = std::mem::take(&mut self.classes);
+        let names: Vec<String> = old.iter().map(|class| class.spec.name.clone()).collect();
         for spec in &shape.classes {
             let found = old.iter().position(|class| class.spec.name == spec.name);
             let mut class = found.map_or_else(|| ClassQueue::new(spec.clone()), |i| old.remove(i));
@@ -104,7 +105,7 @@
         }
         let busy = |class: &ClassQueue| class.has_work() || class.running > 0;
         self.classes.extend(old.into_iter().filter(busy));
-        self.rekey();
+        self.rekey(&names);
         self.slots_open = shape.slots;
         self.shape = shape;
         self.pump(now);
@@ -551,16 +552,13 @@
         self.classes.iter().map(ClassQueue::used_ms).sum()
     }
 
-    /// Points tickets to the new positions of their classes.
-    fn rekey(&mut self) {
-        let old: Vec<String> = self.shape.classes.iter().map(|c| c.name.clone()).collect();
-        let position = |name: &str| self.classes.iter().position(|c| c.spec.name == name);
+    /// Points tickets from the old positions of their classes to the new ones. Classes with work
+    /// are kept, so each is found.
+    fn rekey(&mut self, old: &[String]) {
         for ticket in self.tickets.values_mut() {
-            let name = old
-                .get(ticket.ask.class.0)
-                .map(String::as_str)
-                .unwrap_or_default();
-            if let Some(at) = position(name) {
+            let name = &old[ticket.ask.class.0];
+            let found = self.classes.iter().position(|c| c.spec.name == *name);
+            if let Some(at) = found {
                 ticket.ask.class = ClassKey(at);
             }
         }
--- a/tests/schedule_invariants.rs
+++ b/tests/schedule_invariants.rs
@@ -295,3 +295,45 @@
         "a tenth of the slot time is kept: {with_floors} starts"
     );
 }
+
+#[test]
+fn changed_classes() {
+    let mut scheduler = Scheduler::new(Order::Floors, shape());
+    let ask = |class| Ask {
+        request: RequestId(1),
+        class: ClassKey(class),
+        team: "a".into(),
+        weight: 1,
+        est_tokens: 10,
+        max_wait: Millis(60_000),
+        preemptible: true,
+    };
+    let running = scheduler.offer(Millis(0), ask(2));
+    assert!(scheduler.start(Millis(1), running));
+    let without_batch = Shape {
+        classes: vec![class("lookup", 0, 0)],
+        ..shape()
+    };
+    let renamed = Shape {
+        classes: vec![
+            class("new", 0, 0),
+            class("lookup", 1, 0),
+            class("other", 2, 0),
+        ],
+        ..shape()
+    };
+    scheduler.reshape(Millis(2), without_batch);
+    scheduler.reshape(Millis(3), renamed);
+    let later = scheduler.offer(Millis(4), ask(2));
+    assert!(scheduler.start(Millis(5), later));
+    assert_eq!(scheduler.load().running, 2);
+    for ticket in [running, later] {
+        scheduler.finish(Millis(6), ticket, 5);
+    }
+    assert!(scheduler.is_idle());
+    assert!(
+        scheduler.by_class().iter().all(|row| row.running == 0),
+        "{:?}",
+        scheduler.by_class()
+    );
+}
