An entry that can't ask the home does not say 'not run' of a key; answers leave before the stop

Found by reading. (1) A stopping or unready entry refused requests with a key as not_run before anybody had looked at the key, although an earlier attempt may have run; it now says outcome_unknown (stopping_entry_refuses repeats a key that ran). (2) An entry counted an answer as handed over while its last parts still waited for a slow caller, and could end before they left; the count is now held by the body until it has been written. No test brings (2) about: the parts that remain fit the kernel's buffers on loopback.

--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -104,6 +104,12 @@
 #[actix_rt::test]
 async fn stopping_entry_refuses() {
     let fleet = fleet(1, 1).await;
+    let key = violetline_lab::client::key();
+    let ran = fleet
+        .caller
+        .call(fleet.callers(0), &call("ran", Some(&key)))
+        .await;
+    assert_eq!(ran.end, End::Complete);
     let stream = spawn_chat(&fleet, 0, chat("long", "annotation", 1_500));
     runs_reach(&fleet, "long", 1).await;
     fleet.entries[0].process.terminate();
@@ -114,6 +120,11 @@
         .await;
     assert!(late.is("not_run"), "{:?}", late.end);
     assert_eq!(fleet.runs("late").await, 0);
+    let again = fleet
+        .caller
+        .call(fleet.callers(0), &call("ran", Some(&key)))
+        .await;
+    assert!(again.is("outcome_unknown"), "it did run: {:?}", again.end);
     assert_eq!(stream.await.unwrap().end, End::Complete);
     fleet.close();
 }
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -1,8 +1,11 @@
 //! Answers to callers: typed JSON errors, whole completions, events, plain answers.
 
-use actix_http::body::BoxBody;
+use std::convert::Infallible;
+
+use actix_http::body::{BoxBody, SizedStream};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use futures_util::stream;
 use serde::Serialize;
 use serde_json::json;
 
@@ -15,6 +18,9 @@
 /// Advice to ask again about an outcome that is not known yet.
 const ASK_AGAIN: Millis = Millis(1_000);
 
+/// Bytes of a whole answer that are handed to the connection at a time.
+const PART: usize = 16 << 10;
+
 /// The `error` object of every failure.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct ErrorBody {
@@ -97,7 +103,7 @@
 }
 
 /// A whole chat completion, as OpenAI's API has it.
-pub fn completion(job: &Job, text: &str, usage: &Usage) -> Response<BoxBody> {
+pub fn completion<G: 'static>(job: &Job, text: &str, usage: &Usage, guard: G) -> Response<BoxBody> {
     let total = usage.prompt_tokens + usage.completion_tokens;
     let body = json!({
         "id": job.request.to_string(),
@@ -114,22 +120,28 @@
             "total_tokens": total,
         },
     });
-    whole(
-        job.request,
-        200,
-        "application/json",
-        body.to_string().into(),
-    )
+    let whole = Answer {
+        status: 200,
+        content_type: "application/json".into(),
+        body: body.to_string().into_bytes(),
+    };
+    passed_on(job.request, whole, guard)
 }
 
-/// A whole answer of an endpoint, passed on.
-pub fn passed_on(request: RequestId, answer: Answer) -> Response<BoxBody> {
-    whole(
-        request,
-        answer.status,
-        &answer.content_type,
-        answer.body.into(),
-    )
+/// A whole answer of an endpoint, passed on; `guard` is dropped once all of it has been written.
+pub fn passed_on<G: 'static>(request: RequestId, answer: Answer, guard: G) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let body = Bytes::from(answer.body);
+    let len = body.len() as u64;
+    let parts = stream::unfold((body, guard), |(mut rest, guard)| async move {
+        let part = rest.split_to(rest.len().min(PART));
+        (!part.is_empty()).then_some((Ok::<_, Infallible>(part), (rest, guard)))
+    });
+    Response::build(status)
+        .insert_header(("content-type", answer.content_type))
+        .insert_header(("x-request-id", request.to_string()))
+        .body(SizedStream::new(len, Box::pin(parts)))
+        .map_into_boxed_body()
 }
 
 /// The event that ends a stream that did not complete.
@@ -160,15 +172,6 @@
         .map_into_boxed_body()
 }
 
-fn whole(request: RequestId, status: u16, content_type: &str, body: Bytes) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    Response::build(status)
-        .insert_header(("content-type", content_type))
-        .insert_header(("x-request-id", request.to_string()))
-        .body(body)
-        .map_into_boxed_body()
-}
-
 fn status(outcome: &Outcome) -> StatusCode {
     match outcome {
         Outcome::NotRun {
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -61,9 +61,9 @@
         Ok((answer, usage)) => {
             entry.settle(job, &Outcome::Completed(usage));
             if is_model && !has_head {
-                completion(job, &answer.body, usage)
+                completion(job, &answer.body, usage, counted)
             } else {
-                answer::passed_on(job.request, answer)
+                answer::passed_on(job.request, answer, counted)
             }
         }
         Err(outcome) => {
@@ -74,9 +74,9 @@
 }
 
 /// Answers with what an earlier run under the same key delivered.
-pub fn replay(job: &Job, earlier: Answer) -> Response<BoxBody> {
+pub fn replay(job: &Job, earlier: Answer, counted: Counted) -> Response<BoxBody> {
     if job.policy.pool_at(job.pool).kind == PoolKind::Plain || earlier.status != 200 {
-        return answer::passed_on(job.request, earlier);
+        return answer::passed_on(job.request, earlier, counted);
     }
     if job.stream {
         let parts = [Bytes::from(earlier.body), Bytes::from_static(sse::DONE)];
@@ -88,11 +88,11 @@
         completion_tokens: tokens,
         ..Usage::default()
     };
-    completion(job, &earlier.body, usage)
+    completion(job, &earlier.body, usage, counted)
 }
 
-fn completion(job: &Job, events: &[u8], usage: Usage) -> Response<BoxBody> {
-    answer::completion(job, &text_of(events).0, &usage)
+fn completion(job: &Job, events: &[u8], usage: Usage, counted: Counted) -> Response<BoxBody> {
+    answer::completion(job, &text_of(events).0, &usage, counted)
 }
 
 /// The text of a stream of events, and its count of tokens.
@@ -139,18 +139,15 @@
 fn deliver_events(entry: Rc<Entry>, flow: Flow, counted: Counted) -> Response<BoxBody> {
     let (tx, rx) = mpsc::channel(PARTS_AHEAD);
     let request = flow.job.request;
-    actix_rt::spawn(pump(entry, flow, tx, counted));
-    let body = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
+    actix_rt::spawn(pump(entry, flow, tx));
+    let body = stream::unfold((rx, counted), |(mut rx, counted)| async move {
+        Some((rx.recv().await?, (rx, counted)))
+    });
     answer::events(request, BodyStream::new(body))
 }
 
 /// Moves the parts of a stream to the caller until its end.
-async fn pump(
-    entry: Rc<Entry>,
-    mut flow: Flow,
-    tx: mpsc::Sender<Result<Bytes, Truncated>>,
-    _counted: Counted,
-) {
+async fn pump(entry: Rc<Entry>, mut flow: Flow, tx: mpsc::Sender<Result<Bytes, Truncated>>) {
     let outcome = loop {
         let step = tokio::select! {
             step = flow.next() => step,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Method, Request, Response};
 use rand::Rng;
 use serde_json::{json, Value};
@@ -22,13 +23,14 @@
 use crate::clock::{Clock, Millis};
 use crate::delivery;
 use crate::gossip;
+use crate::ids::RequestId;
 use crate::intake::{self, BadRequest, Job};
 use crate::limit::Limiter;
 use crate::link;
 use crate::links::Links;
 use crate::listener::{self, CallerSocket};
 use crate::node::{self, Life, Node};
-use crate::outcome::{NotRunReason, Outcome};
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::quota::{Claim, QuotaBook, Shares};
 use crate::route::{Place, Router};
 use crate::schedule::spread;
@@ -298,7 +300,7 @@
         Placed::Running(running) => delivery::deliver(entry, job, *running, counted).await,
         Placed::Replay(earlier) => {
             entry.settle(&job, &Outcome::AlreadyRan);
-            delivery::replay(&job, earlier)
+            delivery::replay(&job, earlier, counted)
         }
         Placed::Ended(outcome) => {
             entry.settle(&job, &outcome);
@@ -307,13 +309,22 @@
     }
 }
 
+/// The answer of an entry that takes no request now. Of a request with a key it can't say that
+/// it was not run, since an earlier attempt may have been.
+fn turn_away(reason: NotRunReason, headers: &HeaderMap) -> Response<BoxBody> {
+    let request = RequestId::random();
+    if intake::has_key(headers) {
+        return answer::refusal(request, &Outcome::Unknown(UnknownReason::HomeUnreachable));
+    }
+    answer::refusal(
+        request,
+        &Outcome::not_run(reason, spread(ELSEWHERE, request)),
+    )
+}
+
 /// Reads and checks a request; the error is the answer to it.
 async fn read(entry: &Entry, req: &mut Request) -> Result<Job, Response<BoxBody>> {
-    let refuse = |reason| {
-        let request = crate::ids::RequestId::random();
-        let outcome = Outcome::not_run(reason, spread(ELSEWHERE, request));
-        answer::refusal(request, &outcome)
-    };
+    let refuse = |reason| turn_away(reason, req.headers());
     let policy = entry
         .node
         .replica
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -95,6 +95,11 @@
     }
 }
 
+/// Whether the caller gave a key, so that an earlier attempt may have run.
+pub fn has_key(headers: &HeaderMap) -> bool {
+    headers.contains_key(KEY_HEADER)
+}
+
 /// Refuses paths and methods that no caller may use.
 pub fn method(req: &Request) -> Result<(), BadRequest> {
     let known = req.path() == CHAT_PATH || req.path().starts_with(POOLS_PREFIX);
