--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 use violetline::bundle::{hash_key, Bundle, Policy, Team};
 use violetline::clock::Millis;
-use violetline::document::{DocumentKind, Shelf, Stamp};
+use violetline::document::{DocumentKind, Stamp, Versions};
 use violetline::ids::{ClassKey, RequestId};
 use violetline::keys::{home, KeyMemory};
 use violetline::limit::Limiter;
@@ -216,14 +216,14 @@
     });
 }
 
-fn shelves(teams: usize) -> (Shelf, Shelf, usize) {
+fn holders(teams: usize) -> (Versions, Versions, usize) {
     let (old, new) = (
         bundle(teams, 1),
         bundle(teams, 2).replacen("1000000000.0", "2000000000.0", 1),
     );
-    let (mut sender, mut receiver) = (Shelf::default(), Shelf::default());
-    for shelf in [&mut sender, &mut receiver] {
-        shelf.put(Stamp::new(1, old.as_bytes()), old.as_bytes());
+    let (mut sender, mut receiver) = (Versions::default(), Versions::default());
+    for versions in [&mut sender, &mut receiver] {
+        versions.put(Stamp::new(1, old.as_bytes()), old.as_bytes());
     }
     sender.put(Stamp::new(2, new.as_bytes()), new.as_bytes());
     (sender, receiver, new.len())
@@ -231,23 +231,23 @@
 
 #[divan::bench(args = [50, 200, 800])]
 fn difference_by_teams(bencher: Bencher<'_, '_>, teams: usize) {
-    let (sender, receiver, whole) = shelves(teams);
-    let parcel = sender
-        .parcel(DocumentKind::Bundle, receiver.stamp())
+    let (sender, receiver, whole) = holders(teams);
+    let update = sender
+        .update(DocumentKind::Bundle, receiver.stamp())
         .unwrap();
     let alone = sender
-        .parcel(DocumentKind::Bundle, Stamp::default())
+        .update(DocumentKind::Bundle, Stamp::default())
         .unwrap();
     eprintln!(
-        "teams {teams}: bundle {whole} B, whole parcel {} B, difference {} B",
+        "teams {teams}: bundle {whole} B, whole update {} B, difference {} B",
         alone.data.len(),
-        parcel.data.len()
+        update.data.len()
     );
     bencher.bench_local(|| {
-        let parcel = sender
-            .parcel(DocumentKind::Bundle, receiver.stamp())
+        let update = sender
+            .update(DocumentKind::Bundle, receiver.stamp())
             .unwrap();
-        receiver.unpack(&parcel).unwrap().len()
+        receiver.unpack(&update).unwrap().len()
     });
 }
 
--- a/lab/src/rollout.rs
+++ b/lab/src/rollout.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Default)]
 struct View {
     version: AtomicU64,
-    parcel_bytes: AtomicU64,
+    update_bytes: AtomicU64,
     stop: AtomicBool,
 }
 
@@ -240,21 +240,21 @@
 
     /// Times of the changes in order of length, and bytes of bundle sent a node and change.
     async fn measure_changes(&self, changes: u64) -> anyhow::Result<(Vec<Duration>, f64)> {
-        let before = self.parcel_bytes();
+        let before = self.update_bytes();
         let mut times = Vec::new();
         for version in 2..2 + changes {
             self.publish(version).await?;
             times.push(self.reached(version).await?);
         }
         times.sort();
-        let sent = (self.parcel_bytes() - before) as f64;
+        let sent = (self.update_bytes() - before) as f64;
         Ok((times, sent / self.nodes.len() as f64 / changes as f64))
     }
 
-    fn parcel_bytes(&self) -> u64 {
+    fn update_bytes(&self) -> u64 {
         self.nodes
             .iter()
-            .map(|n| n.view.parcel_bytes.load(Ordering::Relaxed))
+            .map(|n| n.view.update_bytes.load(Ordering::Relaxed))
             .sum()
     }
 
@@ -313,8 +313,8 @@
     while !view.stop.load(Ordering::Relaxed) {
         let version = node.replica.stamps().bundle.version;
         if view.version.swap(version, Ordering::Relaxed) != version {
-            view.parcel_bytes
-                .store(parcel_bytes(&node), Ordering::Relaxed);
+            view.update_bytes
+                .store(update_bytes(&node), Ordering::Relaxed);
         }
         sleep(LOOK).await;
     }
@@ -323,11 +323,11 @@
     }
 }
 
-fn parcel_bytes(node: &Node) -> u64 {
+fn update_bytes(node: &Node) -> u64 {
     let text = node.metrics.text();
     let line = text
         .lines()
-        .find(|line| line.starts_with("parcel_bytes_sent_total"));
+        .find(|line| line.starts_with("update_bytes_sent_total"));
     let value = line.and_then(|line| line.split_whitespace().last());
     value
         .and_then(|value| value.parse::<f64>().ok())
--- a/lab/tests/bundle_rollout.rs
+++ b/lab/tests/bundle_rollout.rs
@@ -249,14 +249,14 @@
         .await
         .unwrap();
     assert_eq!(stats["refused"], 0, "under the service's rate: {stats}");
-    let parcels = fleet
+    let updates = fleet
         .caller
         .get(fleet.admins()[0], "/metrics")
         .await
         .unwrap();
     assert!(
-        parcels.as_str().unwrap().contains("bundle_version"),
-        "{parcels}"
+        updates.as_str().unwrap().contains("bundle_version"),
+        "{updates}"
     );
     fleet.close();
 }
--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -152,7 +152,7 @@
     };
     assert!(
         matches!(&told, Some(FromSidecar::End { outcome, .. }) if refused(outcome)),
-        "refused at the door: {told:?}"
+        "refused at admission: {told:?}"
     );
     let before = starts(&fleet, at).await;
     fleet.entries[1].process.thaw();
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -100,11 +100,13 @@
         Err(_) => Outcome::not_run(NotRunReason::DeadlinePassed, NO_ENDPOINT),
     };
     let spoken = search.home_spoke;
-    Err(Box::new(Placed::Ended(word_for_key(job, outcome, spoken))))
+    Err(Box::new(Placed::Ended(honest_for_key(
+        job, outcome, spoken,
+    ))))
 }
 
 /// A refusal without the home's word says nothing about earlier attempts under the key.
-fn word_for_key(job: &Job, outcome: Outcome, home_spoke: bool) -> Outcome {
+fn honest_for_key(job: &Job, outcome: Outcome, home_spoke: bool) -> Outcome {
     match outcome {
         Outcome::NotRun { .. } if is_keyed(job) && !home_spoke => {
             Outcome::Unknown(UnknownReason::HomeUnreachable)
@@ -172,7 +174,7 @@
 }
 
 /// Asks a key's home whether anything ran under the key, before this entry refuses it.
-pub async fn refuse_with_word(entry: &Rc<Entry>, job: &mut Job, refusal: Outcome) -> Outcome {
+pub async fn confirm_refusal(entry: &Rc<Entry>, job: &mut Job, refusal: Outcome) -> Outcome {
     let (Some(key), true) = (job.key, job.once) else {
         return refusal;
     };
--- a/src/document.rs
+++ b/src/document.rs
@@ -64,7 +64,7 @@
 
 /// A document on the wire: whole, or as a difference to one that the receiver holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Parcel {
+pub struct Update {
     /// Kind of document.
     pub kind: DocumentKind,
     /// The document that the difference applies to; `None` when sent whole.
@@ -77,11 +77,11 @@
 
 /// One kind of document in one process: the version in force and some earlier ones.
 #[derive(Debug, Default)]
-pub struct Shelf {
+pub struct Versions {
     held: VecDeque<(Stamp, Rc<[u8]>)>,
 }
 
-impl Shelf {
+impl Versions {
     /// Stamp of the document in force; the zero stamp when there is none.
     pub fn stamp(&self) -> Stamp {
         self.held
@@ -95,7 +95,7 @@
         self.held.front().map(|(_, content)| Rc::clone(content))
     }
 
-    /// What [`Shelf::put`] would answer.
+    /// What [`Versions::put`] would answer.
     pub fn compare(&self, stamp: Stamp) -> Accepted {
         let held = self.stamp();
         if stamp == held {
@@ -120,14 +120,14 @@
     }
 
     /// The document in force for a receiver that holds `have`; `None` when it needs nothing.
-    pub fn parcel(&self, kind: DocumentKind, have: Stamp) -> Option<Parcel> {
+    pub fn update(&self, kind: DocumentKind, have: Stamp) -> Option<Update> {
         let (stamp, content) = self.held.front()?;
         if have >= *stamp {
             return None;
         }
         let base = self.at(have);
         let data = compress(content, base.as_deref())?;
-        Some(Parcel {
+        Some(Update {
             kind,
             base: base.map(|_| have),
             stamp: *stamp,
@@ -135,13 +135,13 @@
         })
     }
 
-    /// The content of a parcel; `None` when its base is not held or its data are damaged.
-    pub fn unpack(&self, parcel: &Parcel) -> Option<Vec<u8>> {
-        let base = match parcel.base {
+    /// The content of a update; `None` when its base is not held or its data are damaged.
+    pub fn unpack(&self, update: &Update) -> Option<Vec<u8>> {
+        let base = match update.base {
             Some(stamp) => Some(self.at(stamp)?),
             None => None,
         };
-        decompress(&parcel.data, base.as_deref())
+        decompress(&update.data, base.as_deref())
     }
 
     fn at(&self, stamp: Stamp) -> Option<Rc<[u8]>> {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -243,7 +243,7 @@
     let mut supervisor = Supervisor::new("entry");
     node::spawn_common(&mut supervisor, &node);
     let cx = Rc::clone(&entry);
-    supervisor.child("housekeeping", move || keep_house(Rc::clone(&cx)));
+    supervisor.child("housekeeping", move || run_housekeeping(Rc::clone(&cx)));
     actix_rt::spawn(admin::serve(
         Rc::clone(&node),
         Rc::clone(&entry),
@@ -289,7 +289,7 @@
         .borrow_mut()
         .deposit(job.policy.bundle.limits.retry_percent);
     if let Err(refusal) = entry.admit(&mut job) {
-        let outcome = attempt::refuse_with_word(&entry, &mut job, refusal).await;
+        let outcome = attempt::confirm_refusal(&entry, &mut job, refusal).await;
         entry
             .node
             .metrics
@@ -311,7 +311,7 @@
 
 /// The answer of an entry that takes no request now. Of a request with a key it can't say that
 /// it was not run, since an earlier attempt may have been.
-fn turn_away(reason: NotRunReason, headers: &HeaderMap) -> Response<BoxBody> {
+fn reject(reason: NotRunReason, headers: &HeaderMap) -> Response<BoxBody> {
     let request = RequestId::random();
     if intake::has_key(headers) {
         return answer::refusal(request, &Outcome::Unknown(UnknownReason::HomeUnreachable));
@@ -324,7 +324,7 @@
 
 /// Reads and checks a request; the error is the answer to it.
 async fn read(entry: &Entry, req: &mut Request) -> Result<Job, Response<BoxBody>> {
-    let refuse = |reason| turn_away(reason, req.headers());
+    let refuse = |reason| reject(reason, req.headers());
     let policy = entry
         .node
         .replica
@@ -357,7 +357,7 @@
     answer::json(&json!({ "object": "list", "data": data }))
 }
 
-async fn keep_house(entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn run_housekeeping(entry: Rc<Entry>) -> anyhow::Result<()> {
     loop {
         sleep(HOUSEKEEPING).await;
         entry.links.close_idle();
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -121,19 +121,19 @@
             node.exchange.note(theirs);
             ask_for_newer(node, writer, theirs).await
         }
-        Gossip::Want { kind, have } => match node.replica.parcel(kind, have) {
-            Some(parcel) => {
-                node.metrics.parcel_sent(parcel.data.len());
-                writer.send(&Gossip::Document(parcel)).await
+        Gossip::Want { kind, have } => match node.replica.update(kind, have) {
+            Some(update) => {
+                node.metrics.update_sent(update.data.len());
+                writer.send(&Gossip::Document(update)).await
             }
             None => Ok(()),
         },
-        Gossip::Document(parcel) => {
-            node.exchange.clear(parcel.kind);
-            let is_delta = parcel.base.is_some();
-            if node.replica.offer_parcel(&parcel, peer).is_err() && is_delta {
+        Gossip::Document(update) => {
+            node.exchange.clear(update.kind);
+            let is_delta = update.base.is_some();
+            if node.replica.offer_update(&update, peer).is_err() && is_delta {
                 let want = Gossip::Want {
-                    kind: parcel.kind,
+                    kind: update.kind,
                     have: Stamp::default(),
                 };
                 return writer.send(&want).await;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,8 +26,8 @@
     documents_refused: Counter<u64>,
     bundles_older: Counter<u64>,
     bundle_conflicts: Counter<u64>,
-    parcels: Counter<u64>,
-    parcel_bytes: Counter<u64>,
+    updates: Counter<u64>,
+    update_bytes: Counter<u64>,
     platform_errors: Counter<u64>,
     tokens: Counter<u64>,
     wasted_tokens: Counter<u64>,
@@ -63,8 +63,8 @@
             documents_refused: counter("documents_refused"),
             bundles_older: counter("bundles_older"),
             bundle_conflicts: counter("bundle_conflicts"),
-            parcels: counter("parcels_sent"),
-            parcel_bytes: counter("parcel_bytes_sent"),
+            updates: counter("updates_sent"),
+            update_bytes: counter("update_bytes_sent"),
             platform_errors: counter("platform_errors"),
             tokens: counter("tokens"),
             wasted_tokens: counter("wasted_tokens"),
@@ -137,9 +137,9 @@
     }
 
     /// A document was sent to a peer.
-    pub fn parcel_sent(&self, bytes: usize) {
-        self.parcels.add(1, &[]);
-        self.parcel_bytes.add(bytes as u64, &[]);
+    pub fn update_sent(&self, bytes: usize) {
+        self.updates.add(1, &[]);
+        self.update_bytes.add(bytes as u64, &[]);
     }
 
     /// The platform could not be read.
--- a/src/node.rs
+++ b/src/node.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whether this process may decide on requests; once it may, it always may, since offers are
-    /// agreed on at the door.
+    /// agreed on at admission.
     ///
     /// A fresh process may have read an older bundle than the fleet runs; it first hears from
     /// peers and catches up with the newest that they told of.
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -11,7 +11,7 @@
 
 use crate::audit::{Audit, Change};
 use crate::bundle::{Bundle, Policy};
-use crate::document::{Accepted, DocumentKind, Parcel, Shelf, Stamp, MAX_DOCUMENT_BYTES};
+use crate::document::{Accepted, DocumentKind, Stamp, Update, Versions, MAX_DOCUMENT_BYTES};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::seal::{Opened, SealError, Trust};
@@ -55,8 +55,8 @@
 #[derive(Debug)]
 pub struct Replica {
     trust: Trust,
-    bundle: RefCell<Shelf>,
-    members: RefCell<Shelf>,
+    bundle: RefCell<Versions>,
+    members: RefCell<Versions>,
     policy: RefCell<Option<Rc<Policy>>>,
     list: RefCell<Rc<Members>>,
     history: RefCell<VecDeque<Stamp>>,
@@ -132,19 +132,19 @@
         }
     }
 
-    /// Offers a document that came as a parcel.
-    pub fn offer_parcel(&self, parcel: &Parcel, source: &str) -> Result<Accepted, Refused> {
-        let content = self.shelf(parcel.kind).borrow().unpack(parcel);
+    /// Offers a document that came as a update.
+    pub fn offer_update(&self, update: &Update, source: &str) -> Result<Accepted, Refused> {
+        let content = self.versions(update.kind).borrow().unpack(update);
         let content = content.ok_or(Refused::Malformed)?;
-        self.offer(parcel.kind, &content, source)
+        self.offer(update.kind, &content, source)
     }
 
     /// The document for a peer that holds `have`.
-    pub fn parcel(&self, kind: DocumentKind, have: Stamp) -> Option<Parcel> {
-        self.shelf(kind).borrow().parcel(kind, have)
+    pub fn update(&self, kind: DocumentKind, have: Stamp) -> Option<Update> {
+        self.versions(kind).borrow().update(kind, have)
     }
 
-    fn shelf(&self, kind: DocumentKind) -> &RefCell<Shelf> {
+    fn versions(&self, kind: DocumentKind) -> &RefCell<Versions> {
         match kind {
             DocumentKind::Bundle => &self.bundle,
             DocumentKind::Members => &self.members,
--- a/src/run.rs
+++ b/src/run.rs
@@ -153,7 +153,7 @@
                 Stop::Failed(reason) => return self.failed(reason).await,
                 Stop::Abandoned => return self.failed(FailReason::SlowCaller).await,
                 Stop::Paused => {
-                    if !self.sit_out().await {
+                    if !self.wait_for_resume().await {
                         return self.failed(FailReason::SlowCaller).await;
                     }
                     self.resumed = true;
@@ -269,7 +269,7 @@
     }
 
     /// Gives the slot up and waits for the next turn; false when the entry goes meanwhile.
-    async fn sit_out(&mut self) -> bool {
+    async fn wait_for_resume(&mut self) -> bool {
         self.sidecar.endpoint.cancel(self.job.offer.request).await;
         self.sidecar.paused(self.job.ticket);
         loop {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
-use crate::document::{DocumentKind, Parcel, Stamp, MAX_DOCUMENT_BYTES};
+use crate::document::{DocumentKind, Stamp, Update, MAX_DOCUMENT_BYTES};
 use crate::ids::{GrantId, RequestId};
 use crate::outcome::Outcome;
 
@@ -152,7 +152,7 @@
         members: Stamp,
     },
     /// A document that the receiver lacks.
-    Document(Parcel),
+    Document(Update),
     /// Asks for a document, as a difference to the one that the asker holds.
     Want {
         /// Kind of document.
