service_goes_back sees a process that went back for a moment

Cause: since reads are conditional and gossip pulls the newer bundle within milliseconds, a process that takes the older one is mended before the test looks. No assertion was dropped.

--- a/lab/tests/bundle_rollout.rs
+++ b/lab/tests/bundle_rollout.rs
@@ -23,6 +23,33 @@
     fleet.fault(&fleet.platform, faults).await.unwrap();
 }
 
+/// Waits until the service has answered that many more reads.
+async fn wait_for_reads(fleet: &Fleet, more: u64) {
+    let addr = fleet.platform.addr("listen");
+    let reads = || async {
+        let stats = fleet.caller.get(addr, "/lab/stats").await.unwrap();
+        stats["reads"].as_u64().unwrap()
+    };
+    let enough = reads().await + more;
+    while reads().await < enough {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A process that went back for a moment shows it in its trail, even if peers mended it.
+async fn assert_never_back(fleet: &Fleet, admin: std::net::SocketAddr) {
+    let audit = fleet.caller.get(admin, "/v1/audit").await.unwrap();
+    for change in audit.as_array().unwrap() {
+        if change["what"] == "bundle_accepted" {
+            let version = |field: &str| change[field]["version"].as_u64().unwrap();
+            assert!(
+                version("from") <= version("to"),
+                "{admin} went back: {change}"
+            );
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn change_everywhere() {
     let mut fleet = fleet(3, 2).await;
@@ -53,7 +80,7 @@
     let version = fleet.change_bundle(|_| {}).await.unwrap();
     fleet.bundle_reached(version).await.unwrap();
     platform(&fleet, json!({ "stale": true })).await;
-    sleep(Duration::from_millis(2_500)).await;
+    wait_for_reads(&fleet, 4 * fleet.admins().len() as u64).await;
     fleet.slots[0].sidecar.kill();
     fleet.restart_sidecar(0).unwrap();
     let admin = fleet.slots[0].sidecar.addr("admin");
@@ -65,6 +92,7 @@
     );
     for admin in fleet.admins() {
         assert_eq!(version_at(&fleet, admin).await.0, version);
+        assert_never_back(&fleet, admin).await;
     }
     fleet.close();
 }
