sidecar_stop sees a stream that broke off, even if it went on elsewhere

Cause: streams that break off are taken up at another endpoint now, so callers got complete answers all the same. The test now also asks that no entry resumed a stream; nothing else changed.

--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -44,6 +44,15 @@
             "nothing was run again"
         );
     }
+    for entry in &fleet.entries {
+        let page = fleet
+            .caller
+            .get(entry.process.addr("admin"), "/metrics")
+            .await
+            .unwrap();
+        let resumed = page.as_str().unwrap().contains("streams_resumed_total");
+        assert!(!resumed, "no stream broke off, to be taken up elsewhere");
+    }
     assert!(
         fleet.slots[at].sidecar.ended(LONG).await,
         "it ends once nothing is in flight"
