--- a/src/run.rs
+++ b/src/run.rs
@@ -162,23 +162,30 @@
         }
     }
 
-    /// Sends the call and checks the head of the answer.
-    async fn open(&mut self) -> Result<Reply, Ran> {
-        let first = !self.resumed;
+    /// Sends the call; the head of the answer, or how the run ended without one.
+    async fn send(&mut self) -> Result<Reply, Ran> {
         let bound = self.job.stall.duration();
         let called = timeout(bound, self.sidecar.endpoint.call(self.call())).await;
-        let reply = match called {
-            Ok(Ok(reply)) => reply,
+        match called {
+            Ok(Ok(reply)) => {
+                self.sent = true;
+                Ok(reply)
+            }
             Ok(Err(EndpointError::NotSent)) => {
                 self.sidecar.note_health(false);
-                return Err(self.not_sent());
+                Err(self.not_sent())
             }
             Ok(Err(EndpointError::Lost)) | Err(_) => {
                 self.sidecar.note_health(false);
-                return Err(self.lost().await);
+                Err(self.lost().await)
             }
-        };
-        self.sent = true;
+        }
+    }
+
+    /// Sends the call to an engine and checks the head of the answer.
+    async fn open(&mut self) -> Result<Reply, Ran> {
+        let first = !self.resumed;
+        let reply = self.send().await?;
         if reply.status >= 500 {
             self.sidecar.note_health(false);
             return Err(self.lost().await);
@@ -352,18 +359,9 @@
     }
 
     async fn plain(&mut self) -> Ran {
-        let bound = self.job.stall.duration();
-        let called = timeout(bound, self.sidecar.endpoint.call(self.call())).await;
-        let reply = match called {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(EndpointError::NotSent)) => {
-                self.sidecar.note_health(false);
-                return self.not_sent();
-            }
-            Ok(Err(EndpointError::Lost)) | Err(_) => {
-                self.sidecar.note_health(false);
-                return self.lost().await;
-            }
+        let reply = match self.send().await {
+            Ok(reply) => reply,
+            Err(ran) => return ran,
         };
         let Some(answer) = self.collect_whole(reply).await else {
             self.sidecar.note_health(false);
