Failure tests: one way to ask for a refusal's reason, one way to pause a batch run

The match on a refusal stood three times and the pausing of a batch request twice. The assertions are as strict: a refusal must come next, with the same reason as before.

--- a/lab/tests/at_most_once.rs
+++ b/lab/tests/at_most_once.rs
@@ -8,8 +8,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 use uuid::Uuid;
-use violetline::outcome::{NotRunReason, Outcome};
-use violetline::wire::FromSidecar;
+use violetline::outcome::NotRunReason;
 use violetline_lab::client::{key, End};
 
 /// What a caller was told must fit what the endpoint did.
@@ -39,20 +38,7 @@
     bare.start(grant, "frozen").await;
     sleep(Duration::from_millis(500)).await;
     slot.sidecar.thaw();
-    let end = bare.next().await;
-    let lapsed = |outcome: &Outcome| {
-        matches!(
-            outcome,
-            Outcome::NotRun {
-                reason: NotRunReason::GrantLapsed,
-                ..
-            }
-        )
-    };
-    assert!(
-        matches!(&end, Some(FromSidecar::End { outcome, .. }) if lapsed(outcome)),
-        "{end:?}"
-    );
+    assert_eq!(bare.refused().await, NotRunReason::GrantLapsed);
     assert_eq!(
         fleet.runs("frozen").await,
         0,
--- a/lab/tests/bundle_rollout.rs
+++ b/lab/tests/bundle_rollout.rs
@@ -8,8 +8,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 use violetline::document::Stamp;
-use violetline::outcome::{NotRunReason, Outcome};
-use violetline::wire::FromSidecar;
+use violetline::outcome::NotRunReason;
 use violetline_lab::client::End;
 use violetline_lab::fleet::Fleet;
 
@@ -244,20 +243,8 @@
         digest: 1,
     };
     for stamp in [old, ahead] {
-        let told = Bare::offer_under(stamp, slot, None).await.next().await;
-        let stale = |outcome: &Outcome| {
-            matches!(
-                outcome,
-                Outcome::NotRun {
-                    reason: NotRunReason::StaleBundle,
-                    ..
-                }
-            )
-        };
-        assert!(
-            matches!(&told, Some(FromSidecar::End { outcome, .. }) if stale(outcome)),
-            "{told:?}"
-        );
+        let mut bare = Bare::offer_under(stamp, slot, None).await;
+        assert_eq!(bare.refused().await, NotRunReason::StaleBundle);
     }
     let now = stamp_of(&fleet, slot).await;
     Bare::offer_under(now, slot, None).await.granted().await;
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use violetline::ids::{GrantId, RequestId};
 use violetline::keys::home;
 use violetline::link::{Link, Reader, Writer};
+use violetline::outcome::{NotRunReason, Outcome};
 use violetline::wire::{FromSidecar, Offer, Start, ToSidecar, REQUEST_PATH};
 use violetline_lab::client::{Call, Caller, Chat, Reply};
 use violetline_lab::fleet::{Fleet, FleetSpec, Slot};
@@ -159,6 +160,17 @@
         self.reader.next().await.ok().flatten()
     }
 
+    /// Why the next message says that nothing ran; fails on any other message.
+    pub async fn refused(&mut self) -> NotRunReason {
+        match self.next().await {
+            Some(FromSidecar::End {
+                outcome: Outcome::NotRun { reason, .. },
+                ..
+            }) => reason,
+            other => panic!("no refusal but {other:?}"),
+        }
+    }
+
     pub async fn granted(&mut self) -> GrantId {
         loop {
             match self.next().await {
--- a/lab/tests/own_answer.rs
+++ b/lab/tests/own_answer.rs
@@ -15,7 +15,7 @@
 use violetline::link;
 use violetline::outcome::{Outcome, Usage};
 use violetline::wire::{FromSidecar, Load, ToSidecar, GOSSIP_PATH, REQUEST_PATH};
-use violetline_lab::client::End;
+use violetline_lab::client::{End, Reply};
 use violetline_lab::fleet::Fleet;
 
 #[actix_rt::test]
@@ -151,13 +151,11 @@
     Fleet::start(spec).await.unwrap()
 }
 
-#[actix_rt::test]
-async fn seam_after_pause() {
-    let fleet = one_slot().await;
-    let at = position(&fleet, MODEL_POOL, 0);
-    let batch = spawn_chat(&fleet, 0, chat("batch", "batch", 800));
+/// Runs a batch request, has a lookup pause it, and returns the batch's answer.
+async fn pause_batch(fleet: &Fleet, at: usize) -> Reply {
+    let batch = spawn_chat(fleet, 0, chat("batch", "batch", 800));
     let engine = fleet.slots[at].endpoint.addr("listen");
-    until(&fleet, engine, "/lab/stats", |s| {
+    until(fleet, engine, "/lab/stats", |s| {
         s["generated"].as_u64() > Some(50)
     })
     .await;
@@ -166,7 +164,14 @@
         .chat(fleet.callers(1), &chat("lookup", "lookup", 5))
         .await;
     assert_eq!(lookup.end, End::Complete);
-    let batch = batch.await.unwrap();
+    batch.await.unwrap()
+}
+
+#[actix_rt::test]
+async fn seam_after_pause() {
+    let fleet = one_slot().await;
+    let at = position(&fleet, MODEL_POOL, 0);
+    let batch = pause_batch(&fleet, at).await;
     assert_eq!(batch.end, End::Complete, "every token once, in order");
     let state = fleet
         .caller
@@ -188,18 +193,7 @@
         .fault(&fleet.slots[at].endpoint, json!({ "skip_at_resume": 3 }))
         .await
         .unwrap();
-    let batch = spawn_chat(&fleet, 0, chat("batch", "batch", 800));
-    let engine = fleet.slots[at].endpoint.addr("listen");
-    until(&fleet, engine, "/lab/stats", |s| {
-        s["generated"].as_u64() > Some(50)
-    })
-    .await;
-    let lookup = fleet
-        .caller
-        .chat(fleet.callers(1), &chat("lookup", "lookup", 5))
-        .await;
-    assert_eq!(lookup.end, End::Complete);
-    let batch = batch.await.unwrap();
+    let batch = pause_batch(&fleet, at).await;
     let told = End::Refused("failed_after_start".into(), "bad_seam".into());
     assert_eq!(batch.end, told, "tokens that are missing are not hidden");
     fleet.close();
--- a/lab/tests/planned_stops.rs
+++ b/lab/tests/planned_stops.rs
@@ -8,8 +8,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 use violetline::members::LifeState;
-use violetline::outcome::{NotRunReason, Outcome};
-use violetline::wire::FromSidecar;
+use violetline::outcome::NotRunReason;
 use violetline_lab::client::End;
 use violetline_lab::fleet::Fleet;
 
@@ -149,19 +148,10 @@
     let admin = fleet.slots[at].sidecar.addr("admin");
     until(&fleet, admin, "/v1/state", |s| s["listing"] == "Leaving").await;
     let mut bare = Bare::offer(&fleet, &fleet.slots[at], None).await;
-    let told = bare.next().await;
-    let refused = |outcome: &Outcome| {
-        matches!(
-            outcome,
-            Outcome::NotRun {
-                reason: NotRunReason::Draining,
-                ..
-            }
-        )
-    };
-    assert!(
-        matches!(&told, Some(FromSidecar::End { outcome, .. }) if refused(outcome)),
-        "refused at admission: {told:?}"
+    assert_eq!(
+        bare.refused().await,
+        NotRunReason::Draining,
+        "refused at admission"
     );
     let before = starts(&fleet, at).await;
     fleet.entries[1].process.thaw();
