--- a/lab/src/rollout.rs
+++ b/lab/src/rollout.rs
@@ -18,9 +18,9 @@
 use violetline::link;
 use violetline::members::{Instance, LifeState, Members, Role};
 use violetline::node::Node;
-use violetline::platform::{self, HttpPlatform, Platform};
 use violetline::seal;
 use violetline::settings::NodeSettings;
+use violetline::source::{self, DocumentSource, HttpSource};
 use violetline::wire::GOSSIP_PATH;
 
 use crate::client::Caller;
@@ -300,15 +300,13 @@
     let Ok(listener) = TcpListener::from_std(listener) else {
         return;
     };
-    let reader: Rc<dyn Platform> = Rc::new(HttpPlatform::new(
-        &settings.bundle_url,
-        &settings.members_url,
-    ));
+    let reader: Rc<dyn DocumentSource> =
+        Rc::new(HttpSource::new(&settings.bundle_url, &settings.members_url));
     let node = Node::new(settings, Clock::system());
     let tasks = [
         actix_rt::spawn(accept(Rc::clone(&node), listener)),
         actix_rt::spawn(endless(gossip::keep_partners(Rc::clone(&node)))),
-        actix_rt::spawn(endless(platform::keep_reading(Rc::clone(&node), reader))),
+        actix_rt::spawn(endless(source::keep_reading(Rc::clone(&node), reader))),
     ];
     while !view.stop.load(Ordering::Relaxed) {
         let version = node.replica.stamps().bundle.version;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,16 +2,25 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use bpaf::Bpaf;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 
 use crate::bundle::Bundle;
+use crate::direct;
+use crate::direct::decision::DecisionLog;
+use crate::direct::settings::DirectSettings;
 use crate::entry;
 use crate::finding::Findings;
+use crate::platform::Platform;
 use crate::seal;
 use crate::settings::{self, EntrySettings, SidecarSettings};
 use crate::sidecar;
 
+/// Log lines that wait for a slow reader of standard output; a line has some hundred bytes.
+const BUFFERED_LINES: usize = 2_000;
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LogFormat {
@@ -53,6 +62,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Takes callers' requests and orders endpoints itself, on the users' platform
+    #[bpaf(command)]
+    Direct {
+        /// Settings file, JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Stands beside one endpoint and orders its work
     #[bpaf(command)]
     Sidecar {
@@ -122,12 +138,16 @@
 }
 
 fn dispatch(options: Options) -> anyhow::Result<()> {
-    start_log(options.log, options.level);
+    // A direct entry writes its log to standard output.
+    if !matches!(options.command, Command::Direct { .. }) {
+        start_log(options.log, options.level);
+    }
     match options.command {
         Command::Entry { settings } => {
             let settings = load::<EntrySettings>(&settings)?;
             actix_rt::System::new().block_on(entry::run(settings))
         }
+        Command::Direct { settings } => run_direct(&settings, options.level),
         Command::Sidecar { settings } => {
             let settings = load::<SidecarSettings>(&settings)?;
             actix_rt::System::new().block_on(sidecar::run(settings))
@@ -163,6 +183,29 @@
     };
 }
 
+/// Runs a direct entry; all its lines go to standard output through a writer that drops lines
+/// rather than block.
+fn run_direct(path: &Path, level: tracing::Level) -> anyhow::Result<()> {
+    let settings = load::<DirectSettings>(path)?;
+    let (lines, _guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .finish(std::io::stdout());
+    let dropped = lines.error_counter();
+    let subscriber = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(lines.clone())
+        .json()
+        .flatten_event(true);
+    if let Err(err) = subscriber.try_init() {
+        eprintln!("log lines are not written: {err}");
+    }
+    let count = Box::new(move || dropped.dropped_lines() as u64);
+    let log = |clock| DecisionLog::new(clock, Box::new(lines), count);
+    let run = direct::entry::run(settings, Some(path.into()), Rc::new(Platform), log);
+    actix_rt::System::new().block_on(run)
+}
+
 fn load<T: settings::Checked>(path: &Path) -> anyhow::Result<T> {
     settings::load(path).map_err(|findings| with_file(path, &findings))
 }
--- /dev/null
+++ b/src/direct/catalog.rs
@@ -0,0 +1,193 @@
+//! The catalog: routes, pools and teams of one configuration version, indexed for look-up.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::ids::TeamKey;
+
+/// Position of a route in the catalog's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RouteKey(pub usize);
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// At most one run; an unknown outcome must be told as such.
+    Once,
+    /// Another run is harmless.
+    Harmless,
+}
+
+/// What an answer looks like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    /// One body, delivered whole.
+    Whole,
+    /// A series of events, delivered as they arrive.
+    Events {
+        /// Whether another endpoint can go on after the last delivered event.
+        resumable: bool,
+    },
+}
+
+/// How requests under one host and path prefix are treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host as the caller names it, in lower case, without a port.
+    pub host: String,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: String,
+    /// Whether requests may run more than once.
+    pub repeat: Repeat,
+    /// What answers look like.
+    pub shape: Shape,
+    /// Longest time that a request is held.
+    pub timeout: Millis,
+    /// Time within which an answer (its first event) is in time.
+    pub target: Millis,
+    /// Urgency; 0 is the highest.
+    pub priority: u8,
+    /// Pools that take the requests, with their weights.
+    pub shares: Vec<Share>,
+    /// Most endpoints to which one request may be sent.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// A pool's part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// Name of the pool.
+    pub pool: String,
+    /// Weight among the route's shares.
+    pub weight: u32,
+}
+
+/// Endpoints of one kind.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pool {
+    /// Name.
+    pub name: String,
+    /// Connections that one endpoint accepts from all entries together.
+    pub max_connections: u32,
+    /// What a model engine of this pool can hold; `None` for plain services.
+    pub engine: Option<EngineShape>,
+}
+
+/// Size of a model engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineShape {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory_tokens: u64,
+}
+
+/// A team and what its requests inherit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Team {
+    /// Name, told to endpoints.
+    pub name: String,
+    /// Keys that its callers present.
+    pub keys: Vec<String>,
+    /// Urgency that goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what callers send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Time for the head of a request to arrive.
+    pub head_time: Millis,
+    /// Time that an idle connection is kept.
+    pub idle_time: Millis,
+}
+
+impl Default for CallerLimits {
+    /// Bounds while no configuration has been read: common defaults of HTTP servers.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            head_time: Millis(5_000),
+            idle_time: Millis(60_000),
+        }
+    }
+}
+
+/// One version of the configuration, read-only once built.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    /// Version; rises with every change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All pools.
+    pub pools: Vec<Pool>,
+    /// All teams; none means that no request needs a key.
+    pub teams: Vec<Team>,
+    /// Bounds for callers.
+    pub limits: CallerLimits,
+    by_host: HashMap<String, Vec<RouteKey>>,
+    by_key: HashMap<String, TeamKey>,
+}
+
+impl Catalog {
+    /// Builds the indices of one version.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        pools: Vec<Pool>,
+        teams: Vec<Team>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<RouteKey>> = HashMap::new();
+        for (i, route) in routes.iter().enumerate() {
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(RouteKey(i));
+        }
+        for keys in by_host.values_mut() {
+            keys.sort_by_key(|key| std::cmp::Reverse(routes[key.0].prefix.len()));
+        }
+        let keyed = teams.iter().enumerate();
+        let by_key = keyed
+            .flat_map(|(i, team)| team.keys.iter().map(move |key| (key.clone(), TeamKey(i))))
+            .collect();
+        Self {
+            version,
+            routes,
+            pools,
+            teams,
+            limits,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// The route of a host and path: the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let keys = self.by_host.get(host)?;
+        keys.iter()
+            .copied()
+            .find(|key| path.starts_with(&self.routes[key.0].prefix))
+    }
+
+    /// The team that holds a key.
+    pub fn team(&self, key: &str) -> Option<TeamKey> {
+        self.by_key.get(key).copied()
+    }
+
+    /// A pool by name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.name == name)
+    }
+}
--- /dev/null
+++ b/src/direct/choose.rs
@@ -0,0 +1,222 @@
+//! The choice of an endpoint: the least time until the first event, by estimate.
+//!
+//! The estimate adds the prompt tokens that go before, those of the request that the endpoint does
+//! not keep, its batch, its distance and its record. Where nothing is known of a prompt's shared
+//! parts, all entries prefer the same endpoint for them (rendezvous hashing), so that they meet
+//! there without a word between entries.
+
+use crate::clock::Millis;
+use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::health::{Grade, Record};
+use crate::direct::load::{Footprint, Load, Work, BANDS};
+use crate::direct::prefix::{Part, PrefixMap};
+
+/// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
+/// the record corrects the rest per endpoint. From the users' sheets, rounded down.
+const READ_TOKENS_PER_MS: f64 = 50.0;
+/// Added to the time by each request of the batch, in ms; each makes every step a little longer.
+const BATCH_MS: f64 = 0.8;
+/// Base of the estimate, in ms: a step and the way there.
+const BASE_MS: f64 = 8.0;
+/// Price of another availability zone, in ms: bytes between zones are paid for.
+const OTHER_ZONE_MS: f64 = 6.0;
+/// Part of less urgent work that still delays a more urgent request: what has begun goes on.
+const LESS_URGENT_PART: f64 = 0.35;
+/// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
+const EXPECTED_KEPT: f64 = 0.8;
+/// Memory in use above which an engine may have to preempt.
+const MEMORY_FULL: f64 = 0.88;
+/// Price of overfull memory, in ms.
+const MEMORY_MS: f64 = 400.0;
+/// Price of each request that waits at the endpoint by its own word, in ms.
+const WAITING_MS: f64 = 15.0;
+/// Price of an endpoint that has just started, in ms.
+const WARMING_MS: f64 = 60.0;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Band of urgency.
+    pub band: usize,
+    /// Parts of the prompt; empty for plain services.
+    pub parts: &'a [Part],
+    /// Tokens that the answer may have.
+    pub output_tokens: u64,
+    /// Availability zone of this entry.
+    pub zone: &'a str,
+    /// Tokens of memory of an engine of the pool; 0 for plain services.
+    pub memory_tokens: u64,
+}
+
+/// An endpoint with what is known of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its entry in the directory.
+    pub endpoint: &'a Endpoint,
+    /// Its load.
+    pub load: &'a Load,
+    /// Its record.
+    pub record: &'a Record,
+}
+
+/// The endpoint chosen and why.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Time until the first event, by estimate, in ms.
+    pub expected_ms: f64,
+    /// What the request will add there.
+    pub footprint: Footprint,
+    /// Grade of the endpoint's record.
+    pub grade: Grade,
+    /// Tokens that the endpoint is taken to keep.
+    pub cached: u64,
+}
+
+/// Chooses among `candidates`; `None` when there is none.
+pub fn choose<'a>(
+    demand: Demand<'a>,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    prefixes: &PrefixMap,
+    now: Millis,
+) -> Option<Choice> {
+    let all: Vec<Candidate<'a>> = candidates.collect();
+    let preferred = preferred(&demand, &all);
+    let mut best: Option<(Grade, f64, Choice)> = None;
+    for candidate in &all {
+        let choice = estimate(&demand, candidate, preferred, prefixes, now);
+        let rank = (usable_grade(choice.grade, candidate), choice.expected_ms);
+        let better = best
+            .as_ref()
+            .is_none_or(|(grade, ms, _)| rank.0 < *grade || (rank.0 == *grade && rank.1 < *ms));
+        if better {
+            best = Some((rank.0, rank.1, choice));
+        }
+    }
+    best.map(|(_, _, choice)| choice)
+}
+
+/// A trial that is free counts as good, so that it happens; others only when nothing is good.
+fn usable_grade(grade: Grade, candidate: &Candidate<'_>) -> Grade {
+    match grade {
+        Grade::Trial if candidate.load.own().running == 0 => Grade::Good,
+        other => other,
+    }
+}
+
+/// The endpoint at which all entries expect the shared parts of this prompt.
+fn preferred(demand: &Demand<'_>, all: &[Candidate<'_>]) -> Option<EndpointKey> {
+    let shared = demand.parts.len().checked_sub(2)?;
+    let part = demand.parts[shared].id;
+    let weight = |c: &&Candidate<'_>| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&part.to_be_bytes());
+        hasher.update(c.endpoint.listed.id.as_bytes());
+        let hash = hasher.finalize();
+        let mut head = [0; 8];
+        head.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_be_bytes(head)
+    };
+    let good = all.iter().filter(|c| !c.record.is_aside());
+    good.max_by_key(weight).map(|c| c.key)
+}
+
+fn estimate(
+    demand: &Demand<'_>,
+    candidate: &Candidate<'_>,
+    preferred: Option<EndpointKey>,
+    prefixes: &PrefixMap,
+    now: Millis,
+) -> Choice {
+    let total = candidate.load.total(now);
+    let prompt: u64 = demand.parts.iter().map(|part| part.tokens).sum();
+    let known = prefixes.cached(candidate.key, demand.parts, demand.memory_tokens);
+    let cached = known.max(expected_kept(demand, candidate, preferred));
+    let unread = prompt - cached;
+    let footprint = Footprint {
+        band: demand.band,
+        unread: unread as u32,
+        held: (prompt + demand.output_tokens) as u32,
+    };
+    let ms = work_ms(demand, candidate, total, unread, now) * candidate.record.slowness(now)
+        + distance_ms(demand, candidate);
+    Choice {
+        key: candidate.key,
+        expected_ms: ms,
+        footprint,
+        grade: candidate.record.grade(now),
+        cached,
+    }
+}
+
+fn expected_kept(
+    demand: &Demand<'_>,
+    candidate: &Candidate<'_>,
+    preferred: Option<EndpointKey>,
+) -> u64 {
+    if preferred != Some(candidate.key) {
+        return 0;
+    }
+    let shared = &demand.parts[..demand.parts.len() - 1];
+    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    (tokens as f64 * EXPECTED_KEPT) as u64
+}
+
+fn work_ms(
+    demand: &Demand<'_>,
+    candidate: &Candidate<'_>,
+    total: Work,
+    unread: u64,
+    now: Millis,
+) -> f64 {
+    let mut before = 0.0;
+    for band in 0..BANDS {
+        let part = if band <= demand.band {
+            1.0
+        } else {
+            LESS_URGENT_PART
+        };
+        before += f64::from(total.unread[band]) * part;
+    }
+    let slots = f64::from(candidate.endpoint.listed.slots.max(1));
+    let crowd = if demand.memory_tokens == 0 {
+        f64::from(total.running) / slots * WAITING_MS
+    } else {
+        f64::from(total.running) * BATCH_MS
+    };
+    let memory = memory_ms(demand, total);
+    let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
+    BASE_MS + (before + unread as f64) / READ_TOKENS_PER_MS + crowd + memory + waiting
+}
+
+fn memory_ms(demand: &Demand<'_>, total: Work) -> f64 {
+    if demand.memory_tokens == 0 {
+        return 0.0;
+    }
+    let own: u64 = demand.parts.iter().map(|part| part.tokens).sum();
+    let held = u64::from(total.held) + own + demand.output_tokens;
+    let used = held as f64 / demand.memory_tokens as f64;
+    if used > MEMORY_FULL {
+        MEMORY_MS * used
+    } else {
+        0.0
+    }
+}
+
+fn distance_ms(demand: &Demand<'_>, candidate: &Candidate<'_>) -> f64 {
+    let listed = &candidate.endpoint.listed;
+    let zone = if listed.zone == demand.zone {
+        0.0
+    } else {
+        OTHER_ZONE_MS
+    };
+    let warming = if listed.warming > Millis(0) {
+        WARMING_MS
+    } else {
+        0.0
+    };
+    zone + warming
+}
--- /dev/null
+++ b/src/direct/decision.rs
@@ -0,0 +1,325 @@
+//! The decision log: one structured line for each decision that touches a request or changes what
+//! the process believes.
+//!
+//! Lines are JSON on standard output. Their number a second is bounded by kind, and a writer that
+//! is held up drops lines instead of holding up a request; what was dropped is counted and told.
+
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::{Clock, Millis};
+use crate::direct::resolve::Denied;
+
+/// Lines a second about requests that went well. A full entry serves some hundred requests a
+/// second; a line takes about 10 microseconds.
+const SERVED_LINES: u32 = 120;
+/// Lines a second about requests that failed; kept apart, so that success can't push them out.
+const FAILED_LINES: u32 = 120;
+/// Lines a second about changes of belief.
+const BELIEF_LINES: u32 = 80;
+
+/// Why a request was refused without being sent anywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusedWhy {
+    /// Not allowed, or not known to be.
+    Denied(Denied),
+    /// No endpoint of the pool can be reached.
+    NoEndpoint,
+    /// The endpoint said that it did not run it, and no other may be asked.
+    EndpointRefused,
+    /// The time was over before it could be sent.
+    TimeOver,
+    /// This process stops.
+    Stopping,
+}
+
+/// How a request that was sent ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndedHow {
+    /// The whole answer was delivered.
+    Served,
+    /// The endpoint's own error was delivered.
+    EndpointError,
+    /// The outcome is not known.
+    Unknown,
+    /// The time was over.
+    TimeOver,
+    /// The stream broke off and could not be taken up.
+    Broken,
+    /// The caller left.
+    CallerGone,
+}
+
+impl EndedHow {
+    /// Short name, as a metric label.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::EndpointError => "endpoint_error",
+            Self::Unknown => "unknown",
+            Self::TimeOver => "time_over",
+            Self::Broken => "broken",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// One decision or change of belief, with the inputs that decided it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum Decision {
+    /// A request was given to an endpoint.
+    Placed {
+        /// Route.
+        route: String,
+        /// Endpoint.
+        endpoint: String,
+        /// Which attempt, from 1.
+        attempt: u32,
+        /// Time until the first event, by estimate, in ms.
+        expected_ms: u64,
+        /// Prompt tokens that the endpoint is taken to keep.
+        cached: u64,
+        /// Tokens that it must read.
+        unread: u32,
+        /// Requests there, of all entries as far as known.
+        running: u32,
+        /// Configuration that decided.
+        catalog: u64,
+        /// Age of its proof, in ms.
+        proof_age_ms: Option<u64>,
+        /// Time left, in ms.
+        left_ms: u64,
+    },
+    /// A request was refused without being sent, or not run anywhere.
+    Refused {
+        /// Why.
+        why: RefusedWhy,
+        /// Host and path that it named.
+        target: String,
+        /// Configuration that decided.
+        catalog: u64,
+        /// Age of its proof, in ms.
+        proof_age_ms: Option<u64>,
+        /// Time since it was read, in ms.
+        held_ms: u64,
+    },
+    /// An attempt ended without an answer for the caller.
+    AttemptFailed {
+        /// Endpoint.
+        endpoint: String,
+        /// Which attempt, from 1.
+        attempt: u32,
+        /// How.
+        failure: String,
+        /// Whether anything may have run.
+        may_have_run: bool,
+        /// Attempts that the route still allows.
+        attempts_left: u32,
+    },
+    /// A request that was sent ended.
+    Ended {
+        /// Route.
+        route: String,
+        /// Endpoint.
+        endpoint: String,
+        /// How.
+        how: EndedHow,
+        /// Status that the caller got; 0 when none.
+        status: u16,
+        /// Time until the first byte of the answer left, in ms.
+        first_ms: Option<u64>,
+        /// Time in all, in ms.
+        total_ms: u64,
+    },
+    /// A configuration came into force.
+    CatalogInForce {
+        /// Its version.
+        version: u64,
+        /// The one before; 0 for none.
+        before: u64,
+        /// Where it came from.
+        from: String,
+    },
+    /// An endpoint was listed, changed or left.
+    EndpointListed {
+        /// Endpoint.
+        endpoint: String,
+        /// What it is now.
+        standing: String,
+        /// Revision of the list.
+        revision: u64,
+    },
+    /// An endpoint was set aside or taken back.
+    EndpointHealth {
+        /// Endpoint.
+        endpoint: String,
+        /// Whether it is set aside.
+        aside: bool,
+        /// Why.
+        why: String,
+    },
+    /// The configuration store was lost or regained.
+    Store {
+        /// Whether it answers.
+        answers: bool,
+        /// What was seen.
+        why: String,
+    },
+    /// A peer was lost or regained.
+    Peer {
+        /// Its address.
+        peer: String,
+        /// Whether it is heard.
+        heard: bool,
+        /// Peers heard now.
+        peers: usize,
+    },
+    /// The process started, became ready or unready, reloads, stops or ends.
+    Process {
+        /// Which.
+        state: String,
+        /// Why, or with what.
+        note: String,
+    },
+    /// Lines that the bound on their number dropped in the last second.
+    Dropped {
+        /// About served requests.
+        served: u64,
+        /// About failed requests.
+        failed: u64,
+        /// About beliefs.
+        beliefs: u64,
+        /// Lines that a full pipe dropped since the start.
+        writer: u64,
+    },
+}
+
+/// What a line is about; each kind has its own bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Served,
+    Failed,
+    Belief,
+}
+
+impl Decision {
+    fn kind(&self) -> Kind {
+        match self {
+            Self::Placed { .. } => Kind::Served,
+            Self::Ended { how, .. } if *how == EndedHow::Served => Kind::Served,
+            Self::Refused { .. } | Self::AttemptFailed { .. } | Self::Ended { .. } => Kind::Failed,
+            _ => Kind::Belief,
+        }
+    }
+}
+
+/// One line of the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Wall time, in ms since the epoch.
+    pub at: Millis,
+    /// Time since the process started, in ms; it does not jump.
+    pub up: Millis,
+    /// The caller's id of the request, for lines about one.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub request: Option<String>,
+    /// What was decided.
+    #[serde(flatten)]
+    pub decision: Decision,
+}
+
+/// Where lines go; writing must not block.
+pub type LineWriter = Box<dyn Write>;
+/// How many lines the writer has dropped because its reader was too slow.
+pub type DropCount = Box<dyn Fn() -> u64>;
+
+/// Counts of one second.
+#[derive(Debug, Default)]
+struct Second {
+    written: [Cell<u32>; 3],
+    dropped: [Cell<u64>; 3],
+}
+
+/// The log of one process.
+pub struct DecisionLog {
+    clock: Clock,
+    writer: RefCell<LineWriter>,
+    writer_dropped: DropCount,
+    second: Second,
+}
+
+impl std::fmt::Debug for DecisionLog {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("DecisionLog").finish_non_exhaustive()
+    }
+}
+
+impl DecisionLog {
+    /// A log on a writer that must not block.
+    pub fn new(clock: Clock, writer: LineWriter, writer_dropped: DropCount) -> Self {
+        Self {
+            clock,
+            writer: RefCell::new(writer),
+            writer_dropped,
+            second: Second::default(),
+        }
+    }
+
+    /// Writes a line about a request.
+    pub fn request(&self, id: &[u8], decision: Decision) {
+        self.write(Some(String::from_utf8_lossy(id).into_owned()), decision);
+    }
+
+    /// Writes a line about the process or what it believes.
+    pub fn belief(&self, decision: Decision) {
+        self.write(None, decision);
+    }
+
+    /// Begins a new second; tells what the last one dropped.
+    pub fn next_second(&self) {
+        for written in &self.second.written {
+            written.set(0);
+        }
+        let [served, failed, beliefs] = self.second.dropped.each_ref().map(Cell::take);
+        if served + failed + beliefs > 0 {
+            self.belief(Decision::Dropped {
+                served,
+                failed,
+                beliefs,
+                writer: (self.writer_dropped)(),
+            });
+        }
+    }
+
+    fn write(&self, request: Option<String>, decision: Decision) {
+        let (place, most) = match decision.kind() {
+            Kind::Served => (0, SERVED_LINES),
+            Kind::Failed => (1, FAILED_LINES),
+            Kind::Belief => (2, BELIEF_LINES),
+        };
+        let written = &self.second.written[place];
+        if written.get() >= most {
+            let dropped = &self.second.dropped[place];
+            dropped.set(dropped.get() + 1);
+            return;
+        }
+        written.set(written.get() + 1);
+        let line = Line {
+            at: self.clock.wall(),
+            up: self.clock.now(),
+            request,
+            decision,
+        };
+        let Ok(mut text) = serde_json::to_vec(&line) else {
+            return;
+        };
+        text.push(b'\n');
+        // A failed write can't be logged; the writer counts what it drops.
+        let _ = self.writer.borrow_mut().write_all(&text);
+    }
+}
--- /dev/null
+++ b/src/direct/dialect.rs
@@ -0,0 +1,177 @@
+//! The edge towards the outside: what callers, endpoints and the configuration store put on the
+//! wire, decoded once into the types below. An implementation only translates.
+
+use std::fmt::Debug;
+
+use actix_http::header::HeaderValue;
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+
+use crate::clock::Millis;
+use crate::direct::catalog::Catalog;
+use crate::direct::directory::{Change, Listed, Revision};
+use crate::direct::load::Report;
+use crate::direct::prefix::Part;
+
+/// A caller's request, as far as decisions need it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The caller's id of this request; passed on byte for byte.
+    pub id: HeaderValue,
+    /// How long the caller waits, counted from when it sent the request.
+    pub patience: Option<Millis>,
+    /// The key that it presents.
+    pub key: Option<String>,
+    /// Host that it names, in lower case, without a port.
+    pub host: String,
+    /// Path without query.
+    pub path: String,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<Part>,
+    /// Tokens that the answer may have, by the caller's own guess where it gives one.
+    pub output_tokens: u64,
+    /// Number of the last event that the caller has, when it takes up a stream.
+    pub last_event: Option<u64>,
+}
+
+/// What an order to an endpoint adds to a caller's request.
+#[derive(Debug, Clone, Copy)]
+pub struct Order<'a> {
+    /// Identity of the endpoint that is meant.
+    pub endpoint: &'a str,
+    /// Time left for the work.
+    pub time_left: Millis,
+    /// Team for which it is done.
+    pub team: Option<&'a str>,
+    /// Urgency, 0 to 9.
+    pub priority: Option<u8>,
+    /// Event after which a stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether it answers the request at hand; others are late answers to earlier ones.
+    pub is_own: bool,
+    /// Whether the endpoint says that it did not run the request.
+    pub not_run: bool,
+    /// Whether another endpoint than the one meant has this address.
+    pub misdirected: bool,
+    /// Whether it carries the endpoint's seal, without which a success does not count.
+    pub sealed: bool,
+    /// Load that it tells.
+    pub report: Option<Report>,
+    /// Time that the endpoint keeps an idle connection.
+    pub idle_time: Option<Millis>,
+}
+
+/// Why a caller gets an answer of our own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Nothing ran and nothing will; come back after the given time.
+    NotRun(Millis),
+    /// It may have run, and its end is not known.
+    Unknown,
+    /// It was sent and the time was over before an answer came.
+    TimeOver,
+    /// No such route.
+    NoRoute,
+    /// No key, or one that nobody holds.
+    NoKey,
+    /// The request can't be read.
+    Malformed,
+    /// The head is longer than allowed.
+    HeadTooLong,
+    /// The body is longer than allowed.
+    BodyTooLong,
+    /// The request did not arrive in time.
+    TooSlow,
+}
+
+/// One page of the list of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Entries.
+    pub listed: Vec<Listed>,
+    /// Where the next page starts, when there is one.
+    pub next: Option<String>,
+    /// The store's revision when it answered.
+    pub current: Revision,
+}
+
+/// A document that was written or removed.
+#[derive(Debug, Clone)]
+pub enum Written {
+    /// A version of the configuration, with its text for peers.
+    Catalog(Box<Catalog>, Vec<u8>),
+    /// A change of the list of endpoints.
+    Endpoint(Change),
+}
+
+/// What a watch brought.
+#[derive(Debug, Clone)]
+pub enum Watched {
+    /// Changes up to a revision; none when the wait was over.
+    Changes(Vec<Written>, Revision),
+    /// The history since the asked revision is gone; everything must be read anew.
+    HistoryGone,
+}
+
+/// An answer of the store that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unusable {
+    /// Another status than the ones expected.
+    Status(u16),
+    /// A body that does not decode; where and why.
+    Body(String),
+}
+
+impl std::fmt::Display for Unusable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Status(status) => write!(f, "status {status}"),
+            Self::Body(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for Unusable {}
+
+/// One set of wire formats.
+pub trait Dialect: Debug {
+    /// Path under which the balancer asks whether this entry takes connections.
+    fn readiness_path(&self) -> &str;
+    /// Reads a caller's request.
+    fn ask(&self, head: &RequestHead) -> Result<Ask, Refusal>;
+    /// Writes the head of the request for an endpoint; the body stays as it is.
+    fn order(&self, head: &RequestHead, order: &Order<'_>) -> RequestHead;
+    /// Reads the head of an endpoint's answer to `id`.
+    fn verdict(&self, head: &ResponseHead, id: &HeaderValue) -> Verdict;
+    /// Writes the head for the caller from that of the endpoint.
+    fn answer(&self, head: &ResponseHead) -> ResponseHead;
+    /// Writes the head of an answer of our own.
+    fn refusal(&self, refusal: Refusal, id: Option<&HeaderValue>) -> ResponseHead;
+
+    /// Asks the store for the configuration in force.
+    fn catalog_query(&self) -> RequestHead;
+    /// Reads that answer; `None` while there is no configuration.
+    fn catalog(
+        &self,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<Option<(Box<Catalog>, Vec<u8>)>, Unusable>;
+    /// Reads the text of a configuration as a peer passed it on.
+    fn catalog_text(&self, text: &[u8]) -> Result<Box<Catalog>, Unusable>;
+    /// Asks for a page of the list of endpoints.
+    fn page_query(&self, from: Option<&str>) -> RequestHead;
+    /// Reads a page.
+    fn page(&self, status: StatusCode, body: &[u8]) -> Result<Page, Unusable>;
+    /// Asks for changes after a revision, and to wait for one.
+    fn watch_query(&self, since: Revision, wait: Millis) -> RequestHead;
+    /// Reads the changes.
+    fn watched(&self, status: StatusCode, body: &[u8]) -> Result<Watched, Unusable>;
+    /// Asks for the store's revision with an answer that is never stale.
+    fn revision_query(&self) -> RequestHead;
+    /// Reads the revision.
+    fn revision(&self, status: StatusCode, body: &[u8]) -> Result<Revision, Unusable>;
+}
--- /dev/null
+++ b/src/direct/gauge.rs
@@ -0,0 +1,118 @@
+//! Counters and latency histograms of a direct entry, by OpenTelemetry, as Prometheus text.
+//!
+//! Labels are names from the configuration and closed sets; none grows with requests or keys.
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the latency buckets, in ms: around the targets of today's classes.
+const LATENCY_MS: [f64; 12] = [
+    10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 500.0, 800.0, 1_200.0, 2_000.0, 4_000.0, 12_000.0,
+];
+
+/// The instruments of one process.
+#[derive(Debug)]
+pub struct Gauges {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    first_ms: Histogram<f64>,
+    store_calls: Counter<u64>,
+    connections: Counter<u64>,
+    state: Gauge<u64>,
+}
+
+impl Gauges {
+    /// Fresh instruments.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build();
+        let builder = SdkMeterProvider::builder();
+        let provider = match exporter {
+            Ok(exporter) => builder.with_reader(exporter).build(),
+            Err(err) => {
+                tracing::error!(%err, "metrics are not exported");
+                builder.build()
+            }
+        };
+        let meter = provider.meter("violetline");
+        Self {
+            requests: meter.u64_counter("direct_requests").build(),
+            attempts: meter.u64_counter("direct_attempts").build(),
+            first_ms: meter
+                .f64_histogram("direct_first_byte_ms")
+                .with_boundaries(LATENCY_MS.to_vec())
+                .build(),
+            store_calls: meter.u64_counter("direct_store_calls").build(),
+            connections: meter.u64_counter("direct_endpoint_connections").build(),
+            state: meter.u64_gauge("direct_state").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// A request of a pool ended.
+    pub fn request(&self, pool: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// A request was sent to an endpoint of a pool.
+    pub fn attempt(&self, pool: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.attempts.add(1, &labels);
+    }
+
+    /// The first byte of an answer left for the caller.
+    pub fn first_byte(&self, pool: &str, priority: u8, ms: f64) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.first_ms.record(ms, &labels);
+    }
+
+    /// The store was called.
+    pub fn store_call(&self, outcome: &'static str) {
+        self.store_calls
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A connection to an endpoint was opened.
+    pub fn connection(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Sets a gauge, such as the version in force or the number of peers.
+    pub fn set(&self, name: &'static str, value: u64) {
+        self.state.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    /// All instruments as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            tracing::warn!(%err, "metrics could not be written");
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+}
+
+impl Default for Gauges {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/direct/gossip.rs
@@ -0,0 +1,126 @@
+//! Datagrams between entries: telling in rounds, hearing, and fetching a newer configuration.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::clock::Millis;
+use crate::direct::entry::{Entry, Life};
+use crate::direct::load::Work;
+use crate::direct::peers::{self, Hello, MOST_BYTES, ROUND};
+use crate::direct::ready;
+use crate::direct::sync::StoreClient;
+
+/// Time for a peer to hand over its configuration.
+const FETCH_TIME: Duration = Duration::from_millis(800);
+/// Pause after an error of the socket.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Tells some peers each round.
+pub async fn tell(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
+    loop {
+        sleep(ROUND.duration()).await;
+        let now = entry.clock.now();
+        let round = entry.peers.borrow_mut().round(now);
+        for peer in round {
+            let hello = hello_for(&entry, peer, now);
+            let Some(bytes) = peers::encode(&hello) else {
+                tracing::warn!(work = hello.work.len(), "datagram too long, not sent");
+                continue;
+            };
+            // A peer that is down answers with an error; the next round tells it again.
+            if let Err(err) = socket.send_to(&bytes, peer).await {
+                tracing::debug!(%err, %peer, "datagram not sent");
+            }
+        }
+    }
+}
+
+/// Hears peers.
+pub async fn hear(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
+    let mut buf = vec![0; MOST_BYTES];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((length, from)) => match peers::decode(&buf[..length]) {
+                Some(hello) => heard(&entry, from, &hello),
+                None => tracing::debug!(%from, "datagram is not one of ours"),
+            },
+            Err(err) => {
+                tracing::debug!(%err, "datagram socket");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn hello_for(entry: &Entry, peer: SocketAddr, now: Millis) -> Hello {
+    let directory = entry.directory();
+    let accounts = entry.accounts.borrow();
+    let work = accounts
+        .iter()
+        .filter(|(_, account)| !account.load.own().is_idle())
+        .filter_map(|(key, account)| Some((directory.get(key)?.digest, account.load.own())))
+        .collect();
+    let mut book = entry.peers.borrow_mut();
+    Hello {
+        from: entry.id,
+        number: book.next_number(now),
+        echo: book.echo(peer),
+        version: entry.version(),
+        proof_age_ms: entry.freshness().age(now).map(|age| age.0),
+        leaving: entry.life() != Life::Serving,
+        others: book.others(peer, now),
+        work,
+    }
+}
+
+fn heard(entry: &Rc<Entry>, from: SocketAddr, hello: &Hello) {
+    let now = entry.clock.now();
+    let heard = entry.peers.borrow_mut().hear(from, hello, now);
+    if heard.is_new {
+        let peers = entry.peers.borrow().entries(now) - 1;
+        entry.log_peer(from, peers);
+    }
+    if let (Some(asked), Some(age)) = (heard.asked, hello.proof_age_ms) {
+        if hello.version <= entry.version() {
+            entry.prove_by_peer(asked, Millis(age));
+        }
+    }
+    if hello.version > entry.version() && entry.begin_fetch() {
+        actix_rt::spawn(fetch(Rc::clone(entry), from));
+    }
+    take_work(entry, hello, now);
+}
+
+fn take_work(entry: &Entry, hello: &Hello, now: Millis) {
+    let told: HashMap<u64, Work> = hello.work.iter().copied().collect();
+    let directory = entry.directory();
+    let mut accounts = entry.accounts.borrow_mut();
+    for (key, account) in accounts.iter_mut() {
+        let digest = directory.get(key).map(|endpoint| endpoint.digest);
+        let work = digest.and_then(|digest| told.get(&digest));
+        account
+            .load
+            .peer(hello.from, work.copied().unwrap_or_default(), now);
+    }
+}
+
+/// Takes a newer configuration from a peer; the store may not be reachable from here.
+async fn fetch(entry: Rc<Entry>, from: SocketAddr) {
+    let address = SocketAddr::new(from.ip(), entry.settings.borrow().admin.port());
+    let client = StoreClient::new(address);
+    let answer = client.call(ready::catalog_query(), FETCH_TIME).await;
+    match answer {
+        Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
+            Ok(catalog) => entry.take_catalog(*catalog, text.to_vec(), &from.to_string()),
+            Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
+        },
+        Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
+        Err(err) => tracing::debug!(%err, %from, "a peer's configuration could not be fetched"),
+    }
+    entry.end_fetch();
+}
--- /dev/null
+++ b/src/direct/load.rs
@@ -0,0 +1,133 @@
+//! The load of one endpoint: this entry's own requests there, exact and at once, and what peers
+//! and the endpoint itself told, which count less with age.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::direct::peers::PeerId;
+
+/// Bands of urgency in which tokens to read are counted: 0, 1, and all others.
+pub const BANDS: usize = 3;
+/// Age after which a peer's word on its own requests no longer counts; some heartbeats long.
+const PEER_WORD: Millis = Millis(1_500);
+/// Age after which the endpoint's own word on its load no longer counts.
+const REPORT_WORD: Millis = Millis(300);
+
+/// Band of a priority.
+pub fn band(priority: u8) -> usize {
+    usize::from(priority).min(BANDS - 1)
+}
+
+/// Work of one entry at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Work {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens still to be read, by band.
+    pub unread: [u32; BANDS],
+    /// Tokens of memory that the requests hold or will hold.
+    pub held: u32,
+}
+
+impl Work {
+    /// Nothing at all.
+    pub fn is_idle(&self) -> bool {
+        *self == Self::default()
+    }
+
+    fn plus(self, other: Self) -> Self {
+        let mut unread = self.unread;
+        for (sum, add) in unread.iter_mut().zip(other.unread) {
+            *sum = sum.saturating_add(add);
+        }
+        Self {
+            running: self.running.saturating_add(other.running),
+            unread,
+            held: self.held.saturating_add(other.held),
+        }
+    }
+}
+
+/// What one request adds to an endpoint's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Footprint {
+    /// Band of its urgency.
+    pub band: usize,
+    /// Prompt tokens to read.
+    pub unread: u32,
+    /// Tokens of memory.
+    pub held: u32,
+}
+
+/// What an endpoint told of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can work on.
+    pub slots: u32,
+}
+
+/// The load of one endpoint.
+#[derive(Debug, Default)]
+pub struct Load {
+    own: Work,
+    peers: HashMap<PeerId, (Millis, Work)>,
+    report: Option<(Millis, Report)>,
+}
+
+impl Load {
+    /// A request is sent there.
+    pub fn begin(&mut self, footprint: Footprint) {
+        self.own.running += 1;
+        self.own.unread[footprint.band] += footprint.unread;
+        self.own.held += footprint.held;
+    }
+
+    /// The prompt of a request has been read.
+    pub fn read(&mut self, footprint: Footprint) {
+        let unread = &mut self.own.unread[footprint.band];
+        *unread = unread.saturating_sub(footprint.unread);
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, footprint: Footprint) {
+        self.own.running = self.own.running.saturating_sub(1);
+        self.own.held = self.own.held.saturating_sub(footprint.held);
+    }
+
+    /// A peer told its own work there.
+    pub fn peer(&mut self, peer: PeerId, work: Work, now: Millis) {
+        if work.is_idle() {
+            self.peers.remove(&peer);
+        } else {
+            self.peers.insert(peer, (now, work));
+        }
+    }
+
+    /// The endpoint told its load.
+    pub fn reported(&mut self, report: Report, now: Millis) {
+        self.report = Some((now, report));
+    }
+
+    /// This entry's own work there.
+    pub fn own(&self) -> Work {
+        self.own
+    }
+
+    /// Work of all entries, as far as known.
+    pub fn total(&self, now: Millis) -> Work {
+        let fresh = self.peers.values().filter(|(at, _)| now - *at < PEER_WORD);
+        fresh.fold(self.own, |sum, (_, work)| sum.plus(*work))
+    }
+
+    /// Requests that wait at the endpoint by its own word, if that is fresh.
+    pub fn waiting(&self, now: Millis) -> u32 {
+        match self.report {
+            Some((at, report)) if now - at < REPORT_WORD => report.waiting,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/mod.rs
@@ -0,0 +1,32 @@
+//! Direct placement: an entry that orders endpoints itself, without a sidecar beside each.
+//!
+//! The way of a request: [`caller`] (accept, read) - [`resolve`] (route, team) - [`choose`]
+//! (endpoint) - [`channel`] (send, receive) - [`relay`] (answer) with [`handle`] joining them.
+//! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
+//! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
+//! [`sync`]. All decisions are state machines without I/O; [`entry`] owns sockets and clocks.
+//!
+//! The formats on the wire come from an implementation of [`dialect::Dialect`].
+
+pub mod budget;
+pub mod caller;
+pub mod catalog;
+pub mod channel;
+pub mod choose;
+pub mod decision;
+pub mod dialect;
+pub mod directory;
+pub mod entry;
+pub mod freshness;
+pub mod gauge;
+pub mod gossip;
+pub mod handle;
+pub mod health;
+pub mod load;
+pub mod peers;
+pub mod prefix;
+pub mod ready;
+pub mod relay;
+pub mod resolve;
+pub mod settings;
+pub mod sync;
--- /dev/null
+++ b/src/direct/peers.rs
@@ -0,0 +1,227 @@
+//! Other entries: found from a few seeds, heard by datagrams, and what they tell of themselves.
+//!
+//! Each datagram carries the sender's configuration version with the age of its proof, its own
+//! work at each endpoint, and some addresses. Everything in it is soft: it counts less with age
+//! and a lost datagram is replaced by the next. It also echoes the number of the receiver's last
+//! datagram, so that the receiver can date the proof on its own clock (see
+//! [`crate::direct::freshness`]).
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::direct::load::Work;
+
+/// Time between two rounds of datagrams.
+pub const ROUND: Millis = Millis(150);
+/// Peers told in one round: all in a small fleet, in turn in a large one, so that an entry's
+/// traffic does not grow with the fleet.
+const PER_ROUND: usize = 4;
+/// Silence after which a peer no longer counts as an entry.
+const SILENCE: Millis = Millis(4_000);
+/// Silence after which an address is forgotten unless it is a seed.
+const FORGET: Millis = Millis(20_000);
+/// Addresses passed on in one datagram.
+const TOLD: usize = 8;
+/// Own datagrams whose time of sending is remembered.
+const REMEMBERED: usize = 256;
+/// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
+pub const MOST_BYTES: usize = 8 << 10;
+
+/// One life of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PeerId(pub u64);
+
+/// What an entry tells its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender.
+    pub from: PeerId,
+    /// Number of this datagram; rises.
+    pub number: u64,
+    /// Number of the receiver's datagram that the sender heard last.
+    pub echo: Option<u64>,
+    /// Configuration version in force at the sender.
+    pub version: u64,
+    /// Age of its proof in ms; `None` when there is none.
+    pub proof_age_ms: Option<u64>,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// Addresses of some entries.
+    pub others: Vec<SocketAddr>,
+    /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
+    pub work: Vec<(u64, Work)>,
+}
+
+/// What follows from a datagram.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// The peer was silent or unknown before.
+    pub is_new: bool,
+    /// When this process sent the datagram that the peer echoes.
+    pub asked: Option<Millis>,
+}
+
+/// What is known of a peer.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    id: Option<PeerId>,
+    heard: Option<Millis>,
+    last_number: u64,
+    known_since: Millis,
+    is_seed: bool,
+    leaving: bool,
+}
+
+/// All peers of one entry.
+#[derive(Debug)]
+pub struct PeerBook {
+    own: SocketAddr,
+    peers: BTreeMap<SocketAddr, Peer>,
+    sent: VecDeque<(u64, Millis)>,
+    number: u64,
+    turn: usize,
+}
+
+impl PeerBook {
+    /// A book that holds the seeds.
+    ///
+    /// Numbers begin at a random one, so that an echo of an earlier life of this process is not
+    /// taken for one of this life.
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr], first_number: u32) -> Self {
+        let mut book = Self {
+            own,
+            peers: BTreeMap::new(),
+            sent: VecDeque::new(),
+            number: u64::from(first_number) << 24,
+            turn: 0,
+        };
+        book.set_seeds(seeds, Millis(0));
+        book
+    }
+
+    /// Takes the seeds of changed settings; earlier ones are kept like any other address.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr], now: Millis) {
+        for peer in self.peers.values_mut() {
+            peer.is_seed = false;
+        }
+        for seed in seeds {
+            let address = SocketAddr::new(seed.ip(), self.own.port());
+            self.meet(address, now);
+            if let Some(peer) = self.peers.get_mut(&address) {
+                peer.is_seed = true;
+            }
+        }
+    }
+
+    /// The peers to tell in this round.
+    pub fn round(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.peers.retain(|_, peer| {
+            let last = peer.heard.unwrap_or(peer.known_since);
+            peer.is_seed || now - last < FORGET
+        });
+        let all: Vec<SocketAddr> = self.peers.keys().copied().collect();
+        let count = all.len().min(PER_ROUND);
+        let start = self.turn;
+        self.turn = self.turn.wrapping_add(count);
+        (0..count).map(|i| all[(start + i) % all.len()]).collect()
+    }
+
+    /// Numbers the next datagram and remembers when it is sent.
+    pub fn next_number(&mut self, now: Millis) -> u64 {
+        self.number += 1;
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > REMEMBERED {
+            self.sent.pop_front();
+        }
+        self.number
+    }
+
+    /// Number of the last datagram heard from an address, for the echo.
+    pub fn echo(&self, address: SocketAddr) -> Option<u64> {
+        let peer = self.peers.get(&address)?;
+        peer.heard.map(|_| peer.last_number)
+    }
+
+    /// Some addresses to pass on, other than the receiver's own.
+    pub fn others(&self, receiver: SocketAddr, now: Millis) -> Vec<SocketAddr> {
+        let heard = self.peers.iter().filter(|(address, peer)| {
+            **address != receiver && peer.heard.is_some_and(|at| now - at < SILENCE)
+        });
+        let all: Vec<SocketAddr> = heard.map(|(address, _)| *address).collect();
+        let count = all.len().min(TOLD);
+        (0..count)
+            .map(|i| all[(self.turn + i) % all.len()])
+            .collect()
+    }
+
+    /// Takes a datagram.
+    pub fn hear(&mut self, from: SocketAddr, hello: &Hello, now: Millis) -> Heard {
+        for other in &hello.others {
+            self.meet(*other, now);
+        }
+        self.meet(from, now);
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return Heard::default();
+        };
+        let was_heard = peer.heard.is_some_and(|at| now - at < SILENCE);
+        let same_life = peer.id == Some(hello.from);
+        if same_life && hello.number < peer.last_number {
+            return Heard::default();
+        }
+        peer.id = Some(hello.from);
+        peer.heard = Some(now);
+        peer.last_number = hello.number;
+        peer.leaving = hello.leaving;
+        let asked = hello.echo.and_then(|number| self.sent_at(number));
+        Heard {
+            is_new: !(was_heard && same_life),
+            asked,
+        }
+    }
+
+    /// Entries that serve, this one included.
+    pub fn entries(&self, now: Millis) -> usize {
+        let heard = |peer: &&Peer| peer.heard.is_some_and(|at| now - at < SILENCE);
+        1 + self
+            .peers
+            .values()
+            .filter(heard)
+            .filter(|p| !p.leaving)
+            .count()
+    }
+
+    fn sent_at(&self, number: u64) -> Option<Millis> {
+        let found = self.sent.iter().find(|(n, _)| *n == number);
+        found.map(|(_, at)| *at)
+    }
+
+    fn meet(&mut self, address: SocketAddr, now: Millis) {
+        if address == self.own {
+            return;
+        }
+        self.peers.entry(address).or_insert(Peer {
+            id: None,
+            heard: None,
+            last_number: 0,
+            known_since: now,
+            is_seed: false,
+            leaving: false,
+        });
+    }
+}
+
+/// Writes a datagram.
+pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
+    let bytes = bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()?;
+    (bytes.len() <= MOST_BYTES).then_some(bytes)
+}
+
+/// Reads a datagram; `None` when it is not one of ours.
+pub fn decode(bytes: &[u8]) -> Option<Hello> {
+    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
+    let (hello, read) = bincode::serde::decode_from_slice(bytes, config).ok()?;
+    (read == bytes.len()).then_some(hello)
+}
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 listeners by actix-http: one service for callers and for administration.
 
+use std::borrow::Borrow;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{Shutdown, TcpStream as StdStream};
@@ -49,7 +50,7 @@
 }
 
 /// Accepts connections until the future is dropped and serves each with `handler`.
-pub async fn serve<H, Fut>(listener: TcpListener, handler: H) -> anyhow::Result<()>
+pub async fn serve<H, Fut>(listener: impl Borrow<TcpListener>, handler: H) -> anyhow::Result<()>
 where
     H: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
@@ -73,7 +74,7 @@
         .map_err(|()| anyhow::anyhow!("no service"))?;
     let service = Rc::new(service);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.borrow().accept().await else {
             tokio::time::sleep(LOOK_EVERY).await;
             continue;
         };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,8 +7,8 @@
 
 use crate::document::DocumentKind;
 use crate::outcome::Outcome;
-use crate::platform::ReadError;
 use crate::replica::Refused;
+use crate::source::ReadError;
 use crate::wire::WireError;
 
 /// The instruments of one process.
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,10 +14,10 @@
 use crate::gossip::{self, Exchange};
 use crate::ids::Incarnation;
 use crate::metrics::Metrics;
-use crate::platform::{self, HttpPlatform, Platform};
 use crate::replica::Replica;
 use crate::seal::Trust;
 use crate::settings::NodeSettings;
+use crate::source::{self, DocumentSource, HttpSource};
 use crate::supervisor::Supervisor;
 
 /// Peers to hear from before a fresh process trusts what it has read.
@@ -151,13 +151,13 @@
 /// Starts the tasks that every process has.
 pub fn spawn_common(supervisor: &mut Supervisor, node: &Rc<Node>) {
     let urls = &node.settings;
-    let platform: Rc<dyn Platform> =
-        Rc::new(HttpPlatform::new(&urls.bundle_url, &urls.members_url));
+    let platform: Rc<dyn DocumentSource> =
+        Rc::new(HttpSource::new(&urls.bundle_url, &urls.members_url));
     let cx = Rc::clone(node);
     supervisor.child("signals", move || watch_signals(Rc::clone(&cx)));
     let cx = Rc::clone(node);
     supervisor.child("platform", move || {
-        platform::keep_reading(Rc::clone(&cx), Rc::clone(&platform))
+        source::keep_reading(Rc::clone(&cx), Rc::clone(&platform))
     });
     let cx = Rc::clone(node);
     supervisor.child("gossip", move || gossip::keep_partners(Rc::clone(&cx)));
--- a/src/platform.rs
+++ b/src/source.rs
@@ -46,14 +46,14 @@
 }
 
 /// Where documents come from; the users' real service takes this place.
-pub trait Platform {
+pub trait DocumentSource {
     /// Reads a document as it stands there now.
     fn read(&self, kind: DocumentKind) -> LocalBoxFuture<'_, Result<Read, ReadError>>;
 }
 
 /// The platform over HTTP, with conditional reads (RFC 9110, 13.1.2) where it offers them.
 #[derive(Clone)]
-pub struct HttpPlatform {
+pub struct HttpSource {
     client: awc::Client,
     bundle: Source,
     members: Source,
@@ -66,15 +66,15 @@
     tag: RefCell<Option<String>>,
 }
 
-impl std::fmt::Debug for HttpPlatform {
+impl std::fmt::Debug for HttpSource {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("HttpPlatform")
+        f.debug_struct("HttpSource")
             .field("bundle", &self.bundle)
             .finish_non_exhaustive()
     }
 }
 
-impl HttpPlatform {
+impl HttpSource {
     /// A reader of the two addresses.
     pub fn new(bundle_url: &str, members_url: &str) -> Self {
         let client = awc::Client::builder()
@@ -112,7 +112,7 @@
     }
 }
 
-impl Platform for HttpPlatform {
+impl DocumentSource for HttpSource {
     fn read(&self, kind: DocumentKind) -> LocalBoxFuture<'_, Result<Read, ReadError>> {
         match kind {
             DocumentKind::Bundle => self.get(&self.bundle).boxed_local(),
@@ -125,7 +125,7 @@
 ///
 /// A fresh process hears from its peers first, so that a restarted zone does not fall upon the
 /// service; it reads at once when it knows of no peer.
-pub async fn keep_reading(node: Rc<Node>, platform: Rc<dyn Platform>) -> anyhow::Result<()> {
+pub async fn keep_reading(node: Rc<Node>, platform: Rc<dyn DocumentSource>) -> anyhow::Result<()> {
     if !node.settings.seeds.is_empty() {
         sleep(random_up_to(PEERS_FIRST)).await;
     }
@@ -157,7 +157,7 @@
 /// Reads one document and offers it to the replica; the bytes that it took.
 async fn read_one(
     node: &Node,
-    platform: &dyn Platform,
+    platform: &dyn DocumentSource,
     kind: DocumentKind,
 ) -> Result<usize, ReadError> {
     match platform.read(kind).await? {
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -76,6 +76,11 @@
         Some(self.buf.split_to(at + END.len()).freeze())
     }
 
+    /// What has arrived after the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
     /// Whether an event has grown beyond [`MAX_EVENT`].
     pub fn is_oversize(&self) -> bool {
         self.buf.len() > MAX_EVENT
