Long prompts and delicate streams avoid each other

Ruled out: processor time of the entries (1% of a core), refusals (none). Change: a request's estimate adds the reading time that it takes from delicate streams beside it, and a delicate stream adds the reading it must expect.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::direct::load::WHOLE;
 use crate::ids::TeamKey;
 
 /// Position of a route in the catalog's list.
@@ -27,6 +28,8 @@
     Events {
         /// Whether another endpoint can go on after the last delivered event.
         resumable: bool,
+        /// Longest pause between events at which an answer is in time; 0 where none is told.
+        pause: Millis,
     },
 }
 
@@ -57,6 +60,16 @@
     pub public: bool,
 }
 
+impl Route {
+    /// The pause that its streams allow; `None` where answers are whole or nothing is told.
+    pub fn pause(&self) -> Option<Millis> {
+        match self.shape {
+            Shape::Events { pause, .. } if pause > Millis(0) => Some(pause),
+            _ => None,
+        }
+    }
+}
+
 /// A pool's part of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Share {
@@ -186,6 +199,19 @@
         self.by_key.get(key).copied()
     }
 
+    /// How much a route's answers suffer from prompts read beside them, in hundredths: the square
+    /// of the tightest pause among the pool's streams by the route's own.
+    pub fn delicacy(&self, route: &Route, pool: &str) -> u32 {
+        let Some(own) = route.pause() else {
+            return 0;
+        };
+        let beside = |route: &&Route| route.shares.iter().any(|share| share.pool == pool);
+        let pauses = self.routes.iter().filter(beside).filter_map(Route::pause);
+        let tightest = pauses.min().unwrap_or(own);
+        let ratio = tightest.0 as f64 / own.0 as f64;
+        (ratio * ratio * f64::from(WHOLE)) as u32
+    }
+
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.name == name)
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::health::{Grade, Record};
-use crate::direct::load::{Footprint, Load, Work, BANDS};
+use crate::direct::load::{Footprint, Load, Work, BANDS, WHOLE};
 use crate::direct::prefix::{Part, PrefixMap};
 
 /// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
@@ -22,6 +22,12 @@
 const OTHER_ZONE_MS: f64 = 6.0;
 /// Part of less urgent work that still delays a more urgent request: what has begun goes on.
 const LESS_URGENT_PART: f64 = 0.35;
+/// Weight of the time that reading a prompt takes from each delicate stream beside it.
+const HARM: f64 = 0.25;
+/// Weight of the reading that a delicate stream must expect beside it.
+const EXPOSURE: f64 = 0.4;
+/// Price of a full batch, in ms; it grows with the square of the part in use.
+const FULL_BATCH_MS: f64 = 150.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
 /// Memory in use above which an engine may have to preempt.
@@ -46,6 +52,9 @@
     pub zone: &'a str,
     /// Tokens of memory of an engine of the pool; 0 for plain services.
     pub memory_tokens: u64,
+    /// How much the answer suffers when prompts are read beside it, in hundredths: 100 for the
+    /// stream with the tightest pauses.
+    pub delicate: u32,
 }
 
 /// An endpoint with what is known of it.
@@ -88,7 +97,10 @@
     let mut best: Option<(Grade, f64, Choice)> = None;
     for candidate in &all {
         let choice = estimate(&demand, candidate, preferred, prefixes, now);
-        let rank = (usable_grade(choice.grade, candidate), choice.expected_ms);
+        let rank = (
+            usable_grade(choice.grade, candidate, now),
+            choice.expected_ms,
+        );
         let better = best
             .as_ref()
             .is_none_or(|(grade, ms, _)| rank.0 < *grade || (rank.0 == *grade && rank.1 < *ms));
@@ -100,9 +112,9 @@
 }
 
 /// A trial that is free counts as good, so that it happens; others only when nothing is good.
-fn usable_grade(grade: Grade, candidate: &Candidate<'_>) -> Grade {
+fn usable_grade(grade: Grade, candidate: &Candidate<'_>, now: Millis) -> Grade {
     match grade {
-        Grade::Trial if candidate.load.own().running == 0 => Grade::Good,
+        Grade::Trial if candidate.load.own(now).running == 0 => Grade::Good,
         other => other,
     }
 }
@@ -140,6 +152,7 @@
         band: demand.band,
         unread: unread as u32,
         held: (prompt + demand.output_tokens) as u32,
+        delicate: demand.delicate,
     };
     let ms = work_ms(demand, candidate, total, unread, now) * candidate.record.slowness(now)
         + distance_ms(demand, candidate);
@@ -185,11 +198,24 @@
     let crowd = if demand.memory_tokens == 0 {
         f64::from(total.running) / slots * WAITING_MS
     } else {
-        f64::from(total.running) * BATCH_MS
+        let used = f64::from(total.running) / slots;
+        f64::from(total.running) * BATCH_MS + used * used * FULL_BATCH_MS
     };
     let memory = memory_ms(demand, total);
     let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
-    BASE_MS + (before + unread as f64) / READ_TOKENS_PER_MS + crowd + memory + waiting
+    let beside = beside_ms(demand, total, unread);
+    BASE_MS + (before + unread as f64) / READ_TOKENS_PER_MS + crowd + memory + waiting + beside
+}
+
+/// What reading beside streams costs: an engine reads prompts between the tokens of all others,
+/// so a long one stretches their pauses. Long prompts and delicate streams therefore avoid each
+/// other, which parts the engines between them as far as the load allows.
+fn beside_ms(demand: &Demand<'_>, total: Work, unread: u64) -> f64 {
+    let own = f64::from(demand.delicate) / f64::from(WHOLE);
+    let others = f64::from(total.delicate) / f64::from(WHOLE);
+    let harm = unread as f64 / READ_TOKENS_PER_MS * others * (1.0 - own) * HARM;
+    let exposure = f64::from(total.pressure) / READ_TOKENS_PER_MS * own * EXPOSURE;
+    harm + exposure
 }
 
 fn memory_ms(demand: &Demand<'_>, total: Work) -> f64 {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -379,7 +379,8 @@
 
     /// Adds a request to an endpoint's load until the guard is dropped.
     pub fn place(self: &Rc<Self>, key: EndpointKey, footprint: Footprint) -> Placed {
-        self.account(key, |account| account.load.begin(footprint));
+        let now = self.clock.now();
+        self.account(key, |account| account.load.begin(footprint, now));
         Placed {
             entry: Rc::clone(self),
             key,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -62,8 +62,9 @@
     let accounts = entry.accounts.borrow();
     let work = accounts
         .iter()
-        .filter(|(_, account)| !account.load.own().is_idle())
-        .filter_map(|(key, account)| Some((directory.get(key)?.digest, account.load.own())))
+        .map(|(key, account)| (key, account.load.own(now)))
+        .filter(|(_, work)| !work.is_idle())
+        .filter_map(|(key, work)| Some((directory.get(key)?.digest, work)))
         .collect();
     let mut book = entry.peers.borrow_mut();
     Hello {
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -178,7 +178,13 @@
 
     /// Whether another run after one of unknown outcome is harmless.
     fn may_repeat(&self) -> bool {
-        let resumable = matches!(self.route().shape, Shape::Events { resumable: true });
+        let resumable = matches!(
+            self.route().shape,
+            Shape::Events {
+                resumable: true,
+                ..
+            }
+        );
         let is_resumable_now =
             self.position.get().last_event.is_some() || !self.position.get().begun;
         match self.route().repeat {
@@ -302,6 +308,7 @@
             output_tokens: self.ask.output_tokens,
             zone: &settings.zone,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            delicate: self.catalog.delicacy(self.route(), &self.pool),
         };
         let candidates = directory
             .of_pool(&self.pool)
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -13,6 +13,9 @@
 /// Age after which the endpoint's own word on its load no longer counts.
 const REPORT_WORD: Millis = Millis(300);
 
+/// A whole delicate stream, in hundredths.
+pub const WHOLE: u32 = 100;
+
 /// Band of a priority.
 pub fn band(priority: u8) -> usize {
     usize::from(priority).min(BANDS - 1)
@@ -27,6 +30,12 @@
     pub unread: [u32; BANDS],
     /// Tokens of memory that the requests hold or will hold.
     pub held: u32,
+    /// Streams that suffer when prompts are read beside them, in hundredths: each counts by how
+    /// tight its pauses are.
+    pub delicate: u32,
+    /// Prompt tokens of coarse requests sent lately; half of them is forgotten after
+    /// [`PRESSURE_HALF_LIFE_MS`].
+    pub pressure: u32,
 }
 
 impl Work {
@@ -35,6 +44,11 @@
         *self == Self::default()
     }
 
+    /// Prompt tokens still to be read, of all bands.
+    pub fn all_unread(&self) -> u32 {
+        self.unread.iter().fold(0, |sum, n| sum.saturating_add(*n))
+    }
+
     fn plus(self, other: Self) -> Self {
         let mut unread = self.unread;
         for (sum, add) in unread.iter_mut().zip(other.unread) {
@@ -44,6 +58,8 @@
             running: self.running.saturating_add(other.running),
             unread,
             held: self.held.saturating_add(other.held),
+            delicate: self.delicate.saturating_add(other.delicate),
+            pressure: self.pressure.saturating_add(other.pressure),
         }
     }
 }
@@ -57,6 +73,8 @@
     pub unread: u32,
     /// Tokens of memory.
     pub held: u32,
+    /// How much the stream suffers when prompts are read beside it, in hundredths.
+    pub delicate: u32,
 }
 
 /// What an endpoint told of itself in an answer.
@@ -70,20 +88,29 @@
     pub slots: u32,
 }
 
+/// Time after which half of the pressure is forgotten, in ms: some lengths of an urgent stream.
+pub const PRESSURE_HALF_LIFE_MS: f64 = 2_000.0;
+
 /// The load of one endpoint.
 #[derive(Debug, Default)]
 pub struct Load {
     own: Work,
+    pressure: f64,
+    pressure_at: Millis,
     peers: HashMap<PeerId, (Millis, Work)>,
     report: Option<(Millis, Report)>,
 }
 
 impl Load {
     /// A request is sent there.
-    pub fn begin(&mut self, footprint: Footprint) {
+    pub fn begin(&mut self, footprint: Footprint, now: Millis) {
         self.own.running += 1;
         self.own.unread[footprint.band] += footprint.unread;
         self.own.held += footprint.held;
+        self.own.delicate += footprint.delicate;
+        let coarse = 1.0 - f64::from(footprint.delicate.min(WHOLE)) / f64::from(WHOLE);
+        self.pressure = self.pressure_now(now) + f64::from(footprint.unread) * coarse;
+        self.pressure_at = now;
     }
 
     /// The prompt of a request has been read.
@@ -96,6 +123,7 @@
     pub fn end(&mut self, footprint: Footprint) {
         self.own.running = self.own.running.saturating_sub(1);
         self.own.held = self.own.held.saturating_sub(footprint.held);
+        self.own.delicate = self.own.delicate.saturating_sub(footprint.delicate);
     }
 
     /// A peer told its own work there.
@@ -113,14 +141,22 @@
     }
 
     /// This entry's own work there.
-    pub fn own(&self) -> Work {
-        self.own
+    pub fn own(&self, now: Millis) -> Work {
+        Work {
+            pressure: self.pressure_now(now) as u32,
+            ..self.own
+        }
+    }
+
+    fn pressure_now(&self, now: Millis) -> f64 {
+        let age = (now - self.pressure_at).0 as f64;
+        self.pressure * 0.5_f64.powf(age / PRESSURE_HALF_LIFE_MS)
     }
 
     /// Work of all entries, as far as known.
     pub fn total(&self, now: Millis) -> Work {
         let fresh = self.peers.values().filter(|(at, _)| now - *at < PEER_WORD);
-        fresh.fold(self.own, |sum, (_, work)| sum.plus(*work))
+        fresh.fold(self.own(now), |sum, (_, work)| sum.plus(*work))
     }
 
     /// Requests that wait at the endpoint by its own word, if that is fresh.
