--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -28,6 +28,10 @@
 const EXPOSURE: f64 = 0.4;
 /// Price of a full batch, in ms; it grows with the square of the part in use.
 const FULL_BATCH_MS: f64 = 150.0;
+/// Part of the slots beyond which a request may have to wait for one.
+const BATCH_FULL: f64 = 0.85;
+/// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
+const OVERFULL_MS: f64 = 25.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
 /// Memory in use above which an engine may have to preempt.
@@ -199,7 +203,8 @@
         f64::from(total.running) / slots * WAITING_MS
     } else {
         let used = f64::from(total.running) / slots;
-        f64::from(total.running) * BATCH_MS + used * used * FULL_BATCH_MS
+        let over = (f64::from(total.running) - slots * BATCH_FULL).max(0.0);
+        f64::from(total.running) * BATCH_MS + used * used * FULL_BATCH_MS + over * OVERFULL_MS
     };
     let memory = memory_ms(demand, total);
     let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
