Shared parts stay where they are: reading them again costs three times its time

Cause: half of the load in bursts was shared parts read again on another engine; each move of a session costs 3,800 tokens of engine time for everybody behind it.

--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -32,6 +32,9 @@
 const BATCH_FULL: f64 = 0.85;
 /// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
 const OVERFULL_MS: f64 = 25.0;
+/// Weight of shared tokens that are read again beyond the time that this takes: it is work done
+/// twice, also for those who wait behind it.
+const READ_AGAIN: f64 = 2.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
 /// Memory in use above which an engine may have to preempt.
@@ -152,6 +155,8 @@
     let known = prefixes.cached(candidate.key, demand.parts, demand.memory_tokens);
     let cached = known.max(expected_kept(demand, candidate, preferred));
     let unread = prompt - cached;
+    let shared = prompt - demand.parts.last().map_or(0, |part| part.tokens);
+    let again = shared.saturating_sub(cached);
     let footprint = Footprint {
         band: demand.band,
         unread: unread as u32,
@@ -159,7 +164,8 @@
         delicate: demand.delicate,
     };
     let ms = work_ms(demand, candidate, total, unread, now) * candidate.record.slowness(now)
-        + distance_ms(demand, candidate);
+        + distance_ms(demand, candidate)
+        + again as f64 / READ_TOKENS_PER_MS * READ_AGAIN;
     Choice {
         key: candidate.key,
         expected_ms: ms,
