Peers tell where they placed shared parts

Cause: entries that moved a session away from its preferred engine did so without the others knowing, so two engines read it. Each datagram now carries the newest placements; the deepest known part stands for all before it.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -25,7 +25,7 @@
 use crate::direct::gossip;
 use crate::direct::health::{Fault, Record};
 use crate::direct::load::{Footprint, Load};
-use crate::direct::peers::{PeerBook, PeerId};
+use crate::direct::peers::{PeerBook, PeerId, RecentPlacements};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::ready;
 use crate::direct::settings::DirectSettings;
@@ -95,6 +95,8 @@
     pub peers: RefCell<PeerBook>,
     /// What endpoints keep of prompts.
     pub prefixes: RefCell<PrefixMap>,
+    /// Prompts placed lately, for peers.
+    pub placements: RefCell<RecentPlacements>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Wakes the watch to read everything anew.
@@ -130,6 +132,7 @@
             gauges: Gauges::new(),
             peers: RefCell::new(peers),
             prefixes: RefCell::default(),
+            placements: RefCell::default(),
             retries: RefCell::default(),
             list_again: Notify::new(),
             accounts: RefCell::default(),
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Millis;
+use crate::direct::directory::EndpointKey;
 use crate::direct::entry::{Entry, Life};
 use crate::direct::load::Work;
 use crate::direct::peers::{self, Hello, MOST_BYTES, ROUND};
@@ -76,6 +77,7 @@
         leaving: entry.life() != Life::Serving,
         others: book.others(peer, now),
         work,
+        placed: entry.placements.borrow().all(),
     }
 }
 
@@ -108,6 +110,15 @@
             .load
             .peer(hello.from, work.copied().unwrap_or_default(), now);
     }
+    drop(accounts);
+    let by_digest: HashMap<u64, EndpointKey> =
+        directory.iter().map(|(key, e)| (e.digest, key)).collect();
+    let mut prefixes = entry.prefixes.borrow_mut();
+    for placed in &hello.placed {
+        if let Some(key) = by_digest.get(&placed.endpoint) {
+            prefixes.note_peer(*key, placed.part);
+        }
+    }
 }
 
 /// Takes a newer configuration from a peer; the store may not be reachable from here.
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -20,6 +20,7 @@
 use crate::direct::entry::{Entry, Life, Placed};
 use crate::direct::health::Fault;
 use crate::direct::load;
+use crate::direct::peers::PlacedPrompt;
 use crate::direct::relay::{self, Broken, Position};
 use crate::direct::resolve::{resolve, Allowed, Denied, Knowledge};
 
@@ -359,10 +360,7 @@
             };
             self.entry.dialect.order(&self.incoming.head, &order)
         };
-        let unread = u64::from(choice.footprint.unread);
-        let mut prefixes = self.entry.prefixes.borrow_mut();
-        prefixes.note(key, &self.ask.parts, unread);
-        drop(prefixes);
+        self.note_placement(&choice);
         let placed = self.entry.place(key, choice.footprint);
         let is_own = |head: &ResponseHead| self.entry.dialect.verdict(head, &self.ask.id).is_own;
         let sending = channel.send(head, &self.incoming.body, is_own);
@@ -386,6 +384,21 @@
         self.answered(answerer, reply, choice, &placed, now).await
     }
 
+    /// Remembers where the parts of the prompt are now, also for peers.
+    fn note_placement(&self, choice: &Choice) {
+        let unread = u64::from(choice.footprint.unread);
+        let parts = &self.ask.parts;
+        let mut prefixes = self.entry.prefixes.borrow_mut();
+        prefixes.note(choice.key, parts, unread);
+        let shared = parts.len().checked_sub(2).map(|last| parts[last].id);
+        let directory = self.entry.directory();
+        let endpoint = directory.get(choice.key).map(|e| e.digest);
+        if let (Some(part), Some(endpoint)) = (shared, endpoint) {
+            let placed = PlacedPrompt { part, endpoint };
+            self.entry.placements.borrow_mut().add(placed);
+        }
+    }
+
     /// Waits for the head of the answer; a silent endpoint is left where that is harmless.
     async fn wait(
         &self,
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -53,6 +53,40 @@
     pub others: Vec<SocketAddr>,
     /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
     pub work: Vec<(u64, Work)>,
+    /// Prompts that the sender placed lately.
+    pub placed: Vec<PlacedPrompt>,
+}
+
+/// A prompt that was sent to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedPrompt {
+    /// Its last shared part.
+    pub part: u64,
+    /// Digest of the endpoint's identity.
+    pub endpoint: u64,
+}
+
+/// Placements that are told, the newest ones; told to each peer about twice in a small fleet.
+const MOST_PLACED: usize = 32;
+
+/// The newest placements, one a shared part.
+#[derive(Debug, Default)]
+pub struct RecentPlacements(VecDeque<PlacedPrompt>);
+
+impl RecentPlacements {
+    /// A prompt was sent to an endpoint.
+    pub fn add(&mut self, placed: PlacedPrompt) {
+        self.0.retain(|other| other.part != placed.part);
+        self.0.push_back(placed);
+        if self.0.len() > MOST_PLACED {
+            self.0.pop_front();
+        }
+    }
+
+    /// All of them, the oldest first.
+    pub fn all(&self) -> Vec<PlacedPrompt> {
+        self.0.iter().copied().collect()
+    }
 }
 
 /// What follows from a datagram.
--- a/src/direct/prefix.rs
+++ b/src/direct/prefix.rs
@@ -41,12 +41,15 @@
     pub fn cached(&self, endpoint: EndpointKey, parts: &[Part], memory_tokens: u64) -> u64 {
         let read = self.read.get(&endpoint).copied().unwrap_or(0);
         let most = (memory_tokens as f64 * CACHED_PART) as u64;
-        let kept = |part: &&Part| {
+        let kept = |part: &Part| {
             let uses = self.uses.get(&part.id);
             let at = uses.and_then(|uses| uses.iter().find(|u| u.endpoint == endpoint));
             at.is_some_and(|u| read - u.read_before < most)
         };
-        parts.iter().take_while(kept).map(|part| part.tokens).sum()
+        // A part is only kept together with all before it, so the deepest one tells.
+        let deepest = parts.iter().rposition(kept);
+        let count = deepest.map_or(0, |at| at + 1);
+        parts[..count].iter().map(|part| part.tokens).sum()
     }
 
     /// A prompt was sent to an endpoint, by this entry or a peer.
@@ -69,6 +72,15 @@
         }
     }
 
+    /// A peer sent a prompt whose last shared part is `part` to an endpoint.
+    pub fn note_peer(&mut self, endpoint: EndpointKey, part: u64) {
+        let part = Part {
+            id: part,
+            tokens: 0,
+        };
+        self.note(endpoint, &[part], 0);
+    }
+
     /// An endpoint left; what it kept is gone.
     pub fn forget(&mut self, endpoint: EndpointKey) {
         self.read.remove(&endpoint);
