--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -205,11 +205,15 @@
         let Some(own) = route.pause() else {
             return 0;
         };
+        let ratio = self.tightest_pause(pool).0 as f64 / own.0 as f64;
+        (ratio * ratio * f64::from(WHOLE)) as u32
+    }
+
+    /// The tightest pause among a pool's streams; 0 where there are none.
+    pub fn tightest_pause(&self, pool: &str) -> Millis {
         let beside = |route: &&Route| route.shares.iter().any(|share| share.pool == pool);
         let pauses = self.routes.iter().filter(beside).filter_map(Route::pause);
-        let tightest = pauses.min().unwrap_or(own);
-        let ratio = tightest.0 as f64 / own.0 as f64;
-        (ratio * ratio * f64::from(WHOLE)) as u32
+        pauses.min().unwrap_or_default()
     }
 
     /// A pool by name.
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -24,17 +24,21 @@
 const LESS_URGENT_PART: f64 = 0.35;
 /// Weight of the time that reading a prompt takes from each delicate stream beside it.
 const HARM: f64 = 0.25;
+/// Part of the tightest pause that reading beside a delicate stream may fill without harm.
+const PAUSE_PART: f64 = 0.5;
+/// Weight of the reading time beyond that, for each delicate stream: it comes late then.
+const HARM_BEYOND: f64 = 1.0;
 /// Weight of the reading that a delicate stream must expect beside it.
 const EXPOSURE: f64 = 0.4;
 /// Price of a full batch, in ms; it grows with the square of the part in use.
-const FULL_BATCH_MS: f64 = 150.0;
+const FULL_BATCH_MS: f64 = 400.0;
 /// Part of the slots beyond which a request may have to wait for one.
 const BATCH_FULL: f64 = 0.85;
 /// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
 const OVERFULL_MS: f64 = 25.0;
 /// Weight of shared tokens that are read again beyond the time that this takes: it is work done
 /// twice, also for those who wait behind it.
-const READ_AGAIN: f64 = 2.0;
+const READ_AGAIN: f64 = 4.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
 /// Memory in use above which an engine may have to preempt.
@@ -62,6 +66,8 @@
     /// How much the answer suffers when prompts are read beside it, in hundredths: 100 for the
     /// stream with the tightest pauses.
     pub delicate: u32,
+    /// Tightest pause among the pool's streams; 0 where there are none.
+    pub pause: Millis,
 }
 
 /// An endpoint with what is known of it.
@@ -224,7 +230,10 @@
 fn beside_ms(demand: &Demand<'_>, total: Work, unread: u64) -> f64 {
     let own = f64::from(demand.delicate) / f64::from(WHOLE);
     let others = f64::from(total.delicate) / f64::from(WHOLE);
-    let harm = unread as f64 / READ_TOKENS_PER_MS * others * (1.0 - own) * HARM;
+    let read = unread as f64 / READ_TOKENS_PER_MS;
+    let queued = f64::from(total.all_unread()) / READ_TOKENS_PER_MS;
+    let beyond = (queued + read - demand.pause.0 as f64 * PAUSE_PART).clamp(0.0, read);
+    let harm = others * (read * (1.0 - own) * HARM + beyond * HARM_BEYOND);
     let exposure = f64::from(total.pressure) / READ_TOKENS_PER_MS * own * EXPOSURE;
     harm + exposure
 }
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -310,6 +310,7 @@
             zone: &settings.zone,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             delicate: self.catalog.delicacy(self.route(), &self.pool),
+            pause: self.catalog.tightest_pause(&self.pool),
         };
         let candidates = directory
             .of_pool(&self.pool)
