--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -25,9 +25,9 @@
 /// Weight of the time that reading a prompt takes from each delicate stream beside it.
 const HARM: f64 = 0.25;
 /// Part of the tightest pause that reading beside a delicate stream may fill without harm.
-const PAUSE_PART: f64 = 0.5;
+const PAUSE_PART: f64 = 0.35;
 /// Weight of the reading time beyond that, for each delicate stream: it comes late then.
-const HARM_BEYOND: f64 = 1.0;
+const HARM_BEYOND: f64 = 2.0;
 /// Weight of the reading that a delicate stream must expect beside it.
 const EXPOSURE: f64 = 0.4;
 /// Price of a full batch, in ms; it grows with the square of the part in use.
