Changes of the store are gathered for 600 ms

Ruled out: the proofs of freshness, which are shared. A proof that finds the watch behind waits for it instead of asking again.

--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -30,8 +30,13 @@
 const PROVE_AT: Millis = Millis(1_300);
 /// Random addition to [`PROVE_AT`], so that one entry asks and the others hear of it.
 const PROVE_SPREAD_MS: u64 = 700;
-/// Time after which what the store has and the watch did not bring is read by listing.
-const WATCH_LAG: Duration = Duration::from_millis(250);
+/// Time after which what the store has and the watch did not bring is read by listing; longer
+/// than [`GATHER`].
+const WATCH_LAG: Duration = Duration::from_millis(800);
+/// Pause after a watch that brought changes: what is written meanwhile comes with the next one, so
+/// that a burst of changes costs few calls. A change is applied this much later at worst, a third of
+/// the shortest bound on it.
+const GATHER: Duration = Duration::from_millis(600);
 /// Pause after a failed call, and its random addition.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Longest body that is read from the store, in bytes.
@@ -136,8 +141,8 @@
             Ok(revision) => {
                 entry.store_answered();
                 if !entry.prove_up_to(asked, revision) {
-                    actix_rt::spawn(list_if_behind(Rc::clone(&entry), revision));
-                    pause().await;
+                    // The watch proves it when it brings the rest.
+                    list_if_behind(&entry, revision).await;
                 }
             }
             Err(err) => {
@@ -162,7 +167,7 @@
 }
 
 /// Has everything read anew when the watch does not bring what the store has.
-async fn list_if_behind(entry: Rc<Entry>, revision: Revision) {
+async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(WATCH_LAG).await;
     if entry.applied() < revision {
         entry.list_again.notify_one();
@@ -217,11 +222,15 @@
         match watched {
             Ok(Watched::Changes(changes, current)) => {
                 entry.store_answered();
+                let brought = !changes.is_empty();
                 for change in changes {
                     apply(entry, change);
                 }
                 since = since.max(current);
                 entry.applied_up_to(since);
+                if brought {
+                    sleep(GATHER).await;
+                }
             }
             Ok(Watched::HistoryGone) => return,
             Err(err) => {
