--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,62 @@
+//! What the tests of direct entries share.
+#![allow(dead_code)]
+
+use violetline::clock::Millis;
+use violetline::direct::catalog::{CallerLimits, Catalog, Repeat, Route, Shape, Share, Team};
+use violetline::direct::directory::Listed;
+
+/// A route of one pool with whole answers that may run once.
+pub fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Once,
+        shape: Shape::Whole,
+        timeout: Millis(1_000),
+        target: Millis(100),
+        priority: 2,
+        shares: vec![Share {
+            pool: "pool".into(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        public: false,
+    }
+}
+
+/// A route with streams of events.
+pub fn events_route(name: &str, prefix: &str, pause: Millis) -> Route {
+    Route {
+        shape: Shape::Events {
+            resumable: false,
+            pause,
+        },
+        ..route(name, prefix)
+    }
+}
+
+/// A catalog with one team that holds two keys.
+pub fn catalog(version: u64, routes: Vec<Route>) -> Catalog {
+    let team = Team {
+        name: "beam-ops".into(),
+        keys: vec!["key-1".into(), "key-2".into()],
+        priority: None,
+    };
+    let limits = CallerLimits::default();
+    Catalog::new(version, routes, Vec::new(), vec![team], limits)
+}
+
+/// An endpoint of the pool as listed at a revision.
+pub fn listed(id: &str, revision: u64) -> Listed {
+    Listed {
+        id: id.into(),
+        pool: "pool".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        zone: "hall-a".into(),
+        slots: 64,
+        draining: false,
+        warming: Millis(0),
+        revision,
+    }
+}
--- /dev/null
+++ b/tests/direct_budget.rs
@@ -0,0 +1,66 @@
+//! The retry budget that all entries keep without asking each other.
+
+use violetline::clock::Millis;
+use violetline::direct::budget::{Allowance, RetryWindow};
+
+const ALLOWANCE: Allowance = Allowance {
+    window: Millis(10_000),
+    ratio: 0.2,
+    extra: 52.0,
+};
+
+fn taken(window: &mut RetryWindow, now: Millis, entries: usize) -> usize {
+    (0..1_000)
+        .take_while(|_| window.take(now, ALLOWANCE, entries))
+        .count()
+}
+
+#[test]
+fn extra_is_shared() {
+    assert_eq!(taken(&mut RetryWindow::default(), Millis(0), 1), 36);
+    assert_eq!(taken(&mut RetryWindow::default(), Millis(0), 4), 9);
+}
+
+#[test]
+fn requests_add_their_part() {
+    let mut window = RetryWindow::default();
+    for i in 0..100 {
+        window.first(Millis(i), ALLOWANCE);
+    }
+    assert_eq!(taken(&mut window, Millis(100), 52), 14);
+}
+
+#[test]
+fn window_slides() {
+    let mut window = RetryWindow::default();
+    assert_eq!(taken(&mut window, Millis(0), 4), 9);
+    assert!(!window.take(Millis(10_000), ALLOWANCE, 4));
+    assert!(window.take(Millis(10_001), ALLOWANCE, 4));
+}
+
+/// However requests fall to entries, all of them together stay within the budget.
+#[test]
+fn sum_bounded() {
+    arbtest::arbtest(|u| {
+        let entries = u.int_in_range(1..=8usize)?;
+        let mut windows: Vec<RetryWindow> = (0..entries).map(|_| RetryWindow::default()).collect();
+        let mut firsts = Vec::new();
+        let mut repeats = Vec::new();
+        let mut now = 0;
+        while !u.is_empty() {
+            now += u.int_in_range(0..=200u64)?;
+            let window = &mut windows[u.choose_index(entries)?];
+            if u.ratio(1, 3)? {
+                window.first(Millis(now), ALLOWANCE);
+                firsts.push(now);
+            } else if window.take(Millis(now), ALLOWANCE, entries) {
+                repeats.push(now);
+            }
+            let within = |at: &&u64| now - **at < ALLOWANCE.window.0;
+            let sent = repeats.iter().filter(within).count() as f64;
+            let asked = firsts.iter().filter(|at| now - **at <= ALLOWANCE.window.0).count() as f64;
+            assert!(sent <= ALLOWANCE.ratio * asked + ALLOWANCE.extra);
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/direct_choice.rs
@@ -0,0 +1,230 @@
+//! The choice of an endpoint by estimated time.
+
+mod common;
+
+use common::listed;
+use violetline::clock::Millis;
+use violetline::direct::choose::{choose, Candidate, Choice, Demand};
+use violetline::direct::directory::{Change, Directory, EndpointKey, Listed};
+use violetline::direct::health::{Fault, Grade, Record};
+use violetline::direct::load::{Footprint, Load, Report};
+use violetline::direct::prefix::{Part, PrefixMap};
+
+const NOW: Millis = Millis(10_000);
+const MEMORY: u64 = 290_000;
+
+/// Endpoints a, b, c with their loads and records.
+struct Pool {
+    directory: Directory,
+    loads: Vec<Load>,
+    records: Vec<Record>,
+    prefixes: PrefixMap,
+}
+
+impl Pool {
+    fn new() -> Self {
+        let mut directory = Directory::default();
+        for id in ["a", "b", "c"] {
+            directory.apply(Change::Put(listed(id, 1)), Millis(0));
+        }
+        Self {
+            directory,
+            loads: (0..3).map(|_| Load::default()).collect(),
+            records: vec![Record::default(); 3],
+            prefixes: PrefixMap::default(),
+        }
+    }
+
+    fn key(&self, i: usize) -> EndpointKey {
+        self.directory.key(["a", "b", "c"][i]).unwrap()
+    }
+
+    fn choose(&self, demand: Demand<'_>) -> Choice {
+        let candidates = (0..3).map(|i| Candidate {
+            key: self.key(i),
+            endpoint: self.directory.get(self.key(i)).unwrap(),
+            load: &self.loads[i],
+            record: &self.records[i],
+        });
+        choose(demand, candidates, &self.prefixes, NOW).unwrap()
+    }
+}
+
+fn demand(parts: &[Part]) -> Demand<'_> {
+    Demand {
+        band: 2,
+        parts,
+        output_tokens: 100,
+        zone: "hall-a",
+        memory_tokens: MEMORY,
+        delicate: 6,
+        pause: Millis(250),
+    }
+}
+
+fn part(id: u64, tokens: u64) -> Part {
+    Part { id, tokens }
+}
+
+fn prompt() -> [Part; 3] {
+    [part(1, 2_500), part(2, 3_800), part(3, 2_900)]
+}
+
+fn footprint(unread: u32, delicate: u32) -> Footprint {
+    Footprint {
+        band: 2,
+        unread,
+        held: unread + 100,
+        delicate,
+    }
+}
+
+#[test]
+fn stays_at_cache() {
+    let mut pool = Pool::new();
+    let parts = prompt();
+    let other = [parts[0], parts[1], part(9, 500)];
+    for i in 0..3 {
+        let key = pool.key(i);
+        pool.prefixes.forget(key);
+        pool.prefixes.note(key, &other, 6_800);
+        let choice = pool.choose(demand(&parts));
+        assert_eq!(choice.key, key);
+        assert_eq!(choice.cached, 6_300);
+        assert_eq!(choice.footprint.unread, 2_900);
+        pool.prefixes.forget(key);
+    }
+}
+
+#[test]
+fn leaves_full_cache() {
+    let mut pool = Pool::new();
+    let parts = prompt();
+    let key = pool.key(1);
+    pool.prefixes.note(key, &parts, 9_200);
+    for _ in 0..12 {
+        pool.loads[1].begin(footprint(9_000, 6), NOW);
+    }
+    assert_ne!(pool.choose(demand(&parts)).key, key);
+}
+
+#[test]
+fn entries_agree_unseen() {
+    let first = Pool::new().choose(demand(&prompt()));
+    let second = Pool::new().choose(demand(&prompt()));
+    assert_eq!(first.key, second.key);
+    assert!(first.cached > 0);
+}
+
+#[test]
+fn long_prompts_avoid_delicate() {
+    let mut pool = Pool::new();
+    let parts = [part(1, 9_000)];
+    for _ in 0..5 {
+        pool.loads[0].begin(footprint(0, 100), NOW);
+        pool.loads[1].begin(footprint(0, 100), NOW);
+    }
+    assert_eq!(pool.choose(demand(&parts)).key, pool.key(2));
+}
+
+#[test]
+fn delicate_avoid_long_prompts() {
+    let mut pool = Pool::new();
+    let parts = [part(1, 500)];
+    for i in [0, 2] {
+        // Read by now, but more of the kind must be expected there.
+        pool.loads[i].begin(footprint(9_000, 0), NOW);
+        pool.loads[i].read(footprint(9_000, 0));
+    }
+    for _ in 0..10 {
+        pool.loads[1].begin(footprint(0, 100), NOW);
+    }
+    let urgent = Demand {
+        band: 0,
+        delicate: 100,
+        ..demand(&parts)
+    };
+    assert_eq!(pool.choose(urgent).key, pool.key(1));
+}
+
+#[test]
+fn slots_bound_crowding() {
+    let mut pool = Pool::new();
+    let parts = [part(1, 500)];
+    for i in [0, 2] {
+        pool.loads[i].begin(footprint(9_000, 0), NOW);
+    }
+    for _ in 0..70 {
+        pool.loads[1].begin(footprint(0, 100), NOW);
+    }
+    let urgent = Demand {
+        band: 0,
+        delicate: 100,
+        ..demand(&parts)
+    };
+    assert_ne!(pool.choose(urgent).key, pool.key(1));
+}
+
+#[test]
+fn failing_avoided() {
+    let mut pool = Pool::new();
+    for i in [0, 1] {
+        pool.records[i].failed(NOW, Fault::Contact);
+    }
+    let choice = pool.choose(demand(&[part(1, 500)]));
+    assert_eq!((choice.key, choice.grade), (pool.key(2), Grade::Good));
+}
+
+#[test]
+fn all_failing_used() {
+    let mut pool = Pool::new();
+    for record in &mut pool.records {
+        record.failed(NOW, Fault::Contact);
+    }
+    assert_eq!(pool.choose(demand(&[])).grade, Grade::Poor);
+}
+
+#[test]
+fn own_zone_first() {
+    let mut pool = Pool::new();
+    for id in ["a", "b"] {
+        let far = Listed {
+            zone: "hall-b".into(),
+            ..listed(id, 2)
+        };
+        pool.directory.apply(Change::Put(far), NOW);
+    }
+    let plain = Demand {
+        memory_tokens: 0,
+        delicate: 0,
+        ..demand(&[])
+    };
+    assert_eq!(pool.choose(plain).key, pool.key(2));
+}
+
+#[test]
+fn waiting_told_by_endpoint() {
+    let mut pool = Pool::new();
+    let report = Report {
+        running: 6,
+        waiting: 10,
+        slots: 6,
+    };
+    pool.loads[0].reported(report, NOW);
+    pool.loads[1].reported(report, NOW);
+    assert_eq!(pool.choose(demand(&[])).key, pool.key(2));
+}
+
+#[test]
+fn memory_bounds_prompts() {
+    let mut pool = Pool::new();
+    let parts = prompt();
+    let key = pool.key(0);
+    pool.prefixes.note(key, &parts, 9_200);
+    let held = Footprint {
+        held: 280_000,
+        ..footprint(0, 0)
+    };
+    pool.loads[0].begin(held, NOW);
+    assert_ne!(pool.choose(demand(&parts)).key, key);
+}
--- /dev/null
+++ b/tests/direct_directory.rs
@@ -0,0 +1,116 @@
+//! The list of endpoints through its changes and outages.
+
+mod common;
+
+use common::listed;
+use violetline::clock::Millis;
+use violetline::direct::directory::{Change, Directory, Listed, Standing, LAPSE_GRACE};
+
+fn removed(id: &str, revision: u64) -> Change {
+    Change::Removed {
+        id: id.into(),
+        revision,
+    }
+}
+
+fn standing(directory: &Directory, id: &str) -> Option<Standing> {
+    let key = directory.key(id)?;
+    directory.get(key).map(|endpoint| endpoint.standing)
+}
+
+fn with_one() -> Directory {
+    let mut directory = Directory::default();
+    directory.list_answers(Millis(0));
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    directory
+}
+
+#[test]
+fn gone_at_once() {
+    let mut directory = with_one();
+    assert!(directory.apply(removed("a", 2), Millis(9_000)).is_some());
+    assert_eq!(standing(&directory, "a"), None);
+}
+
+#[test]
+fn draining_takes_nothing() {
+    let mut directory = with_one();
+    let draining = Listed {
+        draining: true,
+        ..listed("a", 2)
+    };
+    directory.apply(Change::Put(draining), Millis(10));
+    let key = directory.key("a").unwrap();
+    assert!(!directory.takes_work(key));
+    assert_eq!(directory.of_pool("pool").count(), 0);
+}
+
+#[test]
+fn lapse_bridged() {
+    let mut directory = with_one();
+    directory.list_away();
+    assert!(directory.apply(removed("a", 2), Millis(100)).is_none());
+    let key = directory.key("a").unwrap();
+    assert!(directory.takes_work(key));
+    // The grace runs from the return, however long the list was away.
+    assert!(directory.expire(Millis(60_000)).is_empty());
+    directory.list_answers(Millis(60_000));
+    assert!(directory.expire(Millis(60_000) + LAPSE_GRACE - Millis(1)).is_empty());
+    directory.apply(Change::Put(listed("a", 3)), Millis(61_000));
+    assert!(directory.expire(Millis(70_000)).is_empty());
+    assert_eq!(standing(&directory, "a"), Some(Standing::Ready));
+}
+
+#[test]
+fn lapse_ends() {
+    let mut directory = with_one();
+    directory.list_away();
+    directory.list_answers(Millis(5_000));
+    assert!(directory.apply(removed("a", 2), Millis(5_100)).is_none());
+    assert_eq!(directory.expire(Millis(5_000) + LAPSE_GRACE).len(), 1);
+    assert_eq!(standing(&directory, "a"), None);
+}
+
+#[test]
+fn draining_never_lapses() {
+    let mut directory = with_one();
+    let draining = Listed {
+        draining: true,
+        ..listed("a", 2)
+    };
+    directory.apply(Change::Put(draining), Millis(10));
+    directory.list_away();
+    assert!(directory.apply(removed("a", 3), Millis(20)).is_some());
+}
+
+#[test]
+fn old_entry_ignored() {
+    let mut directory = with_one();
+    let draining = Listed {
+        draining: true,
+        ..listed("a", 5)
+    };
+    directory.apply(Change::Put(draining), Millis(10));
+    directory.apply(Change::Put(listed("a", 4)), Millis(20));
+    assert_eq!(standing(&directory, "a"), Some(Standing::Draining));
+    assert!(directory.apply(removed("a", 3), Millis(30)).is_none());
+}
+
+#[test]
+fn relisting_finds_missing() {
+    let mut directory = with_one();
+    directory.apply(Change::Put(listed("b", 2)), Millis(0));
+    let gone = directory.replace(vec![listed("b", 2)], 3, Millis(9_000));
+    assert_eq!(gone.len(), 1);
+    assert_eq!(standing(&directory, "a"), None);
+    assert_eq!(standing(&directory, "b"), Some(Standing::Ready));
+}
+
+/// Pages are no snapshot: an entry that was written after the listing began is not missing.
+#[test]
+fn newer_than_listing() {
+    let mut directory = with_one();
+    directory.apply(Change::Put(listed("b", 7)), Millis(0));
+    assert!(directory.replace(vec![listed("a", 1)], 6, Millis(9_000)).is_empty());
+    assert_eq!(standing(&directory, "b"), Some(Standing::Ready));
+}
--- /dev/null
+++ b/tests/direct_peers.rs
@@ -0,0 +1,189 @@
+//! Entries find and hear each other from a few seeds.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use violetline::clock::Millis;
+use violetline::direct::peers::{self, Hello, PeerBook, PeerId, MOST_BYTES, ROUND};
+
+fn address(i: u8) -> SocketAddr {
+    ([10, 0, 0, i], 7_000).into()
+}
+
+fn hello(from: u64, number: u64, echo: Option<u64>) -> Hello {
+    Hello {
+        from: PeerId(from),
+        number,
+        echo,
+        version: 1,
+        proof_age_ms: None,
+        leaving: false,
+        others: Vec::new(),
+        work: Vec::new(),
+        placed: Vec::new(),
+    }
+}
+
+/// A network of books in which datagrams arrive at once, except to and from those that are down.
+struct Network {
+    books: BTreeMap<SocketAddr, PeerBook>,
+    down: Vec<SocketAddr>,
+    now: Millis,
+}
+
+impl Network {
+    fn new(count: u8, seeds: &[SocketAddr]) -> Self {
+        let book = |i| (address(i), PeerBook::new(address(i), seeds, u32::from(i)));
+        Self {
+            books: (1..=count).map(book).collect(),
+            down: Vec::new(),
+            now: Millis(0),
+        }
+    }
+
+    fn rounds(&mut self, count: u32) -> usize {
+        let mut sent = 0;
+        for _ in 0..count {
+            self.now = self.now + ROUND;
+            let mut up: Vec<SocketAddr> = self.books.keys().copied().collect();
+            up.retain(|a| !self.down.contains(a));
+            for from in up {
+                sent += self.tell(from);
+            }
+        }
+        sent
+    }
+
+    fn tell(&mut self, from: SocketAddr) -> usize {
+        let now = self.now;
+        let Some(book) = self.books.get_mut(&from) else {
+            return 0;
+        };
+        let round = book.round(now);
+        let mut messages = Vec::new();
+        for peer in &round {
+            let mut message = hello(1, book.next_number(now), book.echo(*peer));
+            message.from = PeerId(u64::from(from.port()));
+            message.others = book.others(*peer, now);
+            messages.push((*peer, message));
+        }
+        for (peer, message) in messages {
+            if self.down.contains(&peer) {
+                continue;
+            }
+            if let Some(book) = self.books.get_mut(&peer) {
+                book.hear(from, &message, now);
+            }
+        }
+        round.len()
+    }
+
+    fn entries(&self, i: u8) -> usize {
+        self.books[&address(i)].entries(self.now)
+    }
+}
+
+#[test]
+fn found_from_seeds() {
+    let mut network = Network::new(30, &[address(1), address(2), address(3)]);
+    network.rounds(30);
+    assert!((1..=30).all(|i| network.entries(i) == 30));
+}
+
+#[test]
+fn stale_seeds() {
+    let mut network = Network::new(6, &[address(1), address(90), address(91)]);
+    network.rounds(20);
+    assert!((1..=6).all(|i| network.entries(i) == 6));
+}
+
+#[test]
+fn seed_is_down() {
+    let mut network = Network::new(6, &[address(1), address(2)]);
+    network.down.push(address(1));
+    network.rounds(20);
+    assert!((2..=6).all(|i| network.entries(i) == 5));
+    network.down.clear();
+    network.rounds(20);
+    assert!((1..=6).all(|i| network.entries(i) == 6));
+}
+
+#[test]
+fn silent_peer() {
+    let mut network = Network::new(4, &[address(1)]);
+    network.rounds(10);
+    network.down.push(address(3));
+    network.rounds(40);
+    assert!([1, 2, 4].iter().all(|i| network.entries(*i) == 3));
+}
+
+/// An entry's traffic does not grow with the fleet.
+#[test]
+fn traffic_bounded() {
+    let mut small = Network::new(5, &[address(1)]);
+    let mut large = Network::new(60, &[address(1)]);
+    small.rounds(40);
+    large.rounds(40);
+    assert_eq!(small.rounds(10), 5 * 4 * 10);
+    assert_eq!(large.rounds(10), 60 * 4 * 10);
+}
+
+#[test]
+fn echo_dates_question() {
+    let mut book = PeerBook::new(address(1), &[address(2)], 7);
+    let number = book.next_number(Millis(500));
+    let heard = book.hear(address(2), &hello(2, 1, Some(number)), Millis(900));
+    assert_eq!(heard.asked, Some(Millis(500)));
+    assert!(heard.is_new);
+    let heard = book.hear(address(2), &hello(2, 2, Some(number + 5)), Millis(950));
+    assert_eq!(heard.asked, None);
+    assert!(!heard.is_new);
+}
+
+/// An echo of a number from an earlier life of this process dates nothing.
+#[test]
+fn earlier_life_echo() {
+    let mut earlier = PeerBook::new(address(1), &[], 7);
+    let number = earlier.next_number(Millis(500));
+    let mut book = PeerBook::new(address(1), &[], 8);
+    book.next_number(Millis(10));
+    let heard = book.hear(address(2), &hello(2, 1, Some(number)), Millis(20));
+    assert_eq!(heard.asked, None);
+}
+
+#[test]
+fn restarted_peer() {
+    let mut book = PeerBook::new(address(1), &[], 1);
+    assert!(book.hear(address(2), &hello(2, 9, None), Millis(10)).is_new);
+    assert!(book.hear(address(2), &hello(3, 1, None), Millis(20)).is_new);
+    assert_eq!(book.echo(address(2)), Some(1));
+}
+
+/// A datagram that was overtaken changes nothing.
+#[test]
+fn overtaken_datagram() {
+    let mut book = PeerBook::new(address(1), &[], 1);
+    book.hear(address(2), &hello(2, 9, None), Millis(10));
+    book.hear(address(2), &hello(2, 8, None), Millis(20));
+    assert_eq!(book.echo(address(2)), Some(9));
+}
+
+#[test]
+fn foreign_datagrams() {
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        if let Some(hello) = peers::decode(&bytes) {
+            assert!(peers::encode(&hello).is_some_and(|again| again.len() <= MOST_BYTES));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn datagram_round_trip() {
+    let mut sent = hello(1, 2, Some(3));
+    sent.others = vec![address(4)];
+    let bytes = peers::encode(&sent).unwrap();
+    assert_eq!(peers::decode(&bytes), Some(sent));
+    assert_eq!(peers::decode(&bytes[1..]), None);
+}
--- /dev/null
+++ b/tests/direct_resolve.rs
@@ -0,0 +1,88 @@
+//! What a request is allowed, and when a denial may be told.
+
+mod common;
+
+use actix_http::header::HeaderValue;
+use common::{catalog, route};
+use violetline::clock::Millis;
+use violetline::direct::catalog::{Catalog, Route};
+use violetline::direct::dialect::Ask;
+use violetline::direct::freshness::Freshness;
+use violetline::direct::resolve::{resolve, Allowed, Denied, Knowledge};
+
+const BOUND: Millis = Millis(4_750);
+
+fn ask(path: &str, key: Option<&str>) -> Ask {
+    Ask {
+        id: HeaderValue::from_static("1"),
+        patience: None,
+        key: key.map(Into::into),
+        host: "host.example".into(),
+        path: path.into(),
+        parts: Vec::new(),
+        output_tokens: 0,
+        last_event: None,
+    }
+}
+
+fn routes() -> Catalog {
+    let public = Route {
+        public: true,
+        ..route("public", "/p/")
+    };
+    catalog(3, vec![route("keyed", "/k/"), public])
+}
+
+fn decide(proven: Option<u64>, now: u64, ask: &Ask) -> Result<Allowed, Denied> {
+    let catalog = routes();
+    let mut freshness = Freshness::default();
+    if let Some(at) = proven {
+        freshness.prove(Millis(at));
+    }
+    let knowledge = Knowledge {
+        catalog: Some(&catalog),
+        freshness: &freshness,
+        key_proof_age: Some(BOUND),
+    };
+    resolve(knowledge, ask, Millis(now))
+}
+
+#[test]
+fn key_allows() {
+    let allowed = decide(Some(0), 4_749, &ask("/k/x", Some("key-1"))).unwrap();
+    assert!(allowed.team.is_some());
+}
+
+#[test]
+fn stale_key_refused() {
+    let asked = ask("/k/x", Some("key-1"));
+    assert_eq!(decide(Some(0), 4_750, &asked), Err(Denied::StaleCatalog));
+    assert_eq!(decide(None, 10, &asked), Err(Denied::StaleCatalog));
+}
+
+#[test]
+fn public_goes_on() {
+    assert!(decide(Some(0), 60_000, &ask("/p/x", None)).is_ok());
+}
+
+#[test]
+fn denial_needs_proof() {
+    let unknown = ask("/k/x", Some("nobody"));
+    let nowhere = ask("/none/", Some("key-1"));
+    assert_eq!(decide(Some(0), 10, &unknown), Err(Denied::NoKey));
+    assert_eq!(decide(Some(0), 10, &nowhere), Err(Denied::NoRoute));
+    assert_eq!(decide(Some(0), 9_000, &unknown), Err(Denied::StaleCatalog));
+    assert_eq!(decide(Some(0), 9_000, &nowhere), Err(Denied::StaleCatalog));
+    assert_eq!(decide(Some(0), 10, &ask("/k/x", None)), Err(Denied::NoKey));
+}
+
+#[test]
+fn before_first_catalog() {
+    let knowledge = Knowledge {
+        catalog: None,
+        freshness: &Freshness::default(),
+        key_proof_age: None,
+    };
+    let denied = resolve(knowledge, &ask("/k/x", None), Millis(0));
+    assert_eq!(denied, Err(Denied::NoCatalog));
+}
