--- a/src/cli.rs
+++ b/src/cli.rs
@@ -88,6 +88,19 @@
         /// Settings of a sidecar to validate
         #[bpaf(argument("FILE"), many)]
         sidecar: Vec<PathBuf>,
+        /// Settings of a direct entry to validate
+        #[bpaf(argument("FILE"), many)]
+        direct: Vec<PathBuf>,
+    },
+    /// Tells from log files what happened to a request, and what the process knew meanwhile
+    #[bpaf(command)]
+    Explain {
+        /// The caller's id of the request
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs of direct entries, one a process
+        #[bpaf(positional("LOG"), some("name a log file"))]
+        logs: Vec<PathBuf>,
     },
     /// Prints a fresh pair of keys for signing bundles, as JSON
     #[bpaf(command)]
@@ -156,7 +169,9 @@
             bundle,
             entry,
             sidecar,
-        } => check(&bundle, &entry, &sidecar),
+            direct,
+        } => check(&bundle, &entry, &sidecar, &direct),
+        Command::Explain { id, logs } => explain(&id, &logs),
         Command::Keygen => {
             let (secret, public) = seal::key_pair();
             println!(
@@ -219,7 +234,31 @@
     anyhow::anyhow!(lines.join("\n"))
 }
 
-fn check(bundles: &[PathBuf], entries: &[PathBuf], sidecars: &[PathBuf]) -> anyhow::Result<()> {
+fn explain(id: &str, logs: &[PathBuf]) -> anyhow::Result<()> {
+    let mut found = false;
+    for path in logs {
+        let log = std::fs::read_to_string(path)
+            .map_err(|err| anyhow::anyhow!("{}: {err}", path.display()))?;
+        let Some(explanation) = direct::explain::explain(&log, id) else {
+            continue;
+        };
+        found = true;
+        println!("{}", path.display());
+        print!("{}", explanation.text);
+        if explanation.unreadable > 0 {
+            println!("{} lines are no decisions", explanation.unreadable);
+        }
+    }
+    anyhow::ensure!(found, "no log holds the request {id}");
+    Ok(())
+}
+
+fn check(
+    bundles: &[PathBuf],
+    entries: &[PathBuf],
+    sidecars: &[PathBuf],
+    directs: &[PathBuf],
+) -> anyhow::Result<()> {
     let mut faults = Vec::new();
     for path in bundles {
         faults.extend(read_bundle(path).err());
@@ -230,10 +269,13 @@
     for path in sidecars {
         faults.extend(load::<SidecarSettings>(path).err());
     }
-    let files = bundles.len() + entries.len() + sidecars.len();
+    for path in directs {
+        faults.extend(load::<DirectSettings>(path).err());
+    }
+    let files = bundles.len() + entries.len() + sidecars.len() + directs.len();
     anyhow::ensure!(
         files > 0,
-        "nothing to check: name a file with --bundle, --entry or --sidecar"
+        "nothing to check: name a file with --bundle, --entry, --sidecar or --direct"
     );
     if faults.is_empty() {
         println!("{files} checked, nothing found");
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod entry;
+pub mod explain;
 pub mod freshness;
 pub mod gauge;
 pub mod gossip;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -24,7 +24,7 @@
 /// Silence after which an address is forgotten unless it is a seed.
 const FORGET: Millis = Millis(20_000);
 /// Addresses passed on in one datagram.
-const TOLD: usize = 8;
+const TOLD: usize = 16;
 /// Own datagrams whose time of sending is remembered.
 const REMEMBERED: usize = 256;
 /// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
--- /dev/null
+++ b/tests/decision_log.rs
@@ -0,0 +1,139 @@
+//! The decision log: its bound, its lines, and the way back from an id to a cause.
+
+use std::cell::RefCell;
+use std::io::{self, Write};
+use std::rc::Rc;
+
+use violetline::clock::{Clock, Millis};
+use violetline::direct::decision::{Decision, DecisionLog, EndedHow, RefusedWhy};
+use violetline::direct::explain::explain;
+use violetline::direct::resolve::Denied;
+
+#[derive(Clone, Default)]
+struct Memory(Rc<RefCell<Vec<u8>>>);
+
+impl Write for Memory {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.borrow_mut().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Memory {
+    fn text(&self) -> String {
+        String::from_utf8(self.0.borrow().clone()).unwrap()
+    }
+}
+
+fn log() -> (Clock, Memory, DecisionLog) {
+    let clock = Clock::manual(Millis(1_000));
+    let memory = Memory::default();
+    let log = DecisionLog::new(clock.clone(), Box::new(memory.clone()), Box::new(|| 3));
+    (clock, memory, log)
+}
+
+fn placed(endpoint: &str) -> Decision {
+    Decision::Placed {
+        route: "r-1".into(),
+        endpoint: endpoint.into(),
+        attempt: 1,
+        expected_ms: 40,
+        cached: 6_300,
+        unread: 2_890,
+        running: 4,
+        catalog: 7,
+        proof_age_ms: Some(900),
+        left_ms: 3_990,
+    }
+}
+
+fn ended(endpoint: &str, how: EndedHow) -> Decision {
+    Decision::Ended {
+        route: "r-1".into(),
+        endpoint: endpoint.into(),
+        how,
+        status: if how == EndedHow::Served { 200 } else { 502 },
+        first_ms: None,
+        total_ms: 12,
+    }
+}
+
+#[test]
+fn lines_bounded() {
+    let (_, memory, log) = log();
+    for _ in 0..1_000 {
+        log.request(b"1", placed("i-1"));
+    }
+    log.request(b"2", ended("i-1", EndedHow::Unknown));
+    let text = memory.text();
+    assert_eq!(text.lines().count(), 121);
+    assert!(text.lines().last().unwrap().contains("\"unknown\""));
+    log.next_second();
+    let told = memory.text();
+    let last = told.lines().last().unwrap();
+    assert!(
+        last.contains("\"served\":880") && last.contains("\"writer\":3"),
+        "{last}"
+    );
+    log.request(b"3", placed("i-1"));
+    assert!(memory
+        .text()
+        .lines()
+        .last()
+        .unwrap()
+        .contains("\"request\":\"3\""));
+}
+
+#[test]
+fn cause_of_unknown() {
+    let (clock, memory, log) = log();
+    let listed = |endpoint: &str| Decision::EndpointListed {
+        endpoint: endpoint.into(),
+        standing: "removed".into(),
+        revision: 9,
+    };
+    log.request(b"other", placed("i-2"));
+    log.request(b"9c41", placed("i-1"));
+    clock.advance(Millis(5));
+    log.belief(listed("i-2"));
+    log.belief(listed("i-1"));
+    clock.advance(Millis(7));
+    let failed = Decision::AttemptFailed {
+        endpoint: "i-1".into(),
+        attempt: 1,
+        failure: "connection lost".into(),
+        may_have_run: true,
+        attempts_left: 0,
+    };
+    log.request(b"9c41", failed);
+    log.request(b"9c41", ended("i-1", EndedHow::Unknown));
+    let noise = format!("not a line\n  12.5 front-1 {}", memory.text());
+    let explanation = explain(&noise, "9c41").unwrap();
+    assert_eq!(explanation.unreadable, 1);
+    insta::assert_snapshot!(explanation.text);
+    assert_eq!(explain(&noise, "9c42"), None);
+}
+
+#[test]
+fn cause_of_refusal() {
+    let (clock, memory, log) = log();
+    let store = |answers| Decision::Store {
+        answers,
+        why: "no answer in time".into(),
+    };
+    log.belief(store(false));
+    clock.advance(Millis(4_500));
+    let refused = Decision::Refused {
+        why: RefusedWhy::Denied(Denied::StaleCatalog),
+        target: "ficu95.example/lohu930/2f".into(),
+        catalog: 7,
+        proof_age_ms: Some(4_800),
+        held_ms: 0,
+    };
+    log.request(b"9c41", refused);
+    insta::assert_snapshot!(explain(&memory.text(), "9c41").unwrap().text);
+}
