--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod report;
 pub mod rollout;
 pub mod scenario;
+#[path = "../../platform/standin.rs"]
+pub mod standin;
 pub mod usage;
 pub mod web;
--- a/lab/src/proofs.rs
+++ b/lab/src/proofs.rs
@@ -17,6 +17,17 @@
     /// Only proofs whose test has this name
     #[bpaf(argument("TEST"), optional)]
     pub only: Option<String>,
+    /// Only proofs whose suite's name begins so
+    #[bpaf(argument("SUITE"), optional)]
+    pub suites: Option<String>,
+}
+
+impl ProofOptions {
+    fn includes(&self, proof: &Proof) -> bool {
+        let test = self.only.as_ref().is_none_or(|only| *only == proof.test);
+        let begins = |suites: &String| proof.suite.starts_with(suites.as_str());
+        test && self.suites.as_ref().is_none_or(begins)
+    }
 }
 
 /// One mechanism.
@@ -49,11 +60,7 @@
     let mut all = true;
     println!("| promise | mechanism taken out | test | seen |\n|---|---|---|---|");
     for proof in &proofs {
-        if options
-            .only
-            .as_ref()
-            .is_some_and(|only| *only != proof.test)
-        {
+        if !options.includes(proof) {
             continue;
         }
         let seen = prove(&scratch, proof)?;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -18,7 +18,7 @@
 use crate::direct::catalog::Catalog;
 use crate::direct::channel::Channel;
 use crate::direct::decision::{Decision, DecisionLog};
-use crate::direct::dialect::Dialect;
+use crate::direct::dialect::{Dialect, Published};
 use crate::direct::directory::{Change, Directory, EndpointKey, Listed, Revision, Standing};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::Gauges;
@@ -30,6 +30,7 @@
 use crate::direct::ready;
 use crate::direct::settings::DirectSettings;
 use crate::direct::sync::{self, CallError};
+use crate::node;
 use crate::settings;
 use crate::supervisor::Supervisor;
 
@@ -207,7 +208,8 @@
     ///
     /// A proof stays good: what was the newest at some time had no successor then, and so had no
     /// later version.
-    pub fn take_catalog(&self, catalog: Catalog, text: Vec<u8>, from: &str) {
+    pub fn take_catalog(&self, published: Published, from: &str) {
+        let Published { catalog, text } = published;
         let before = self.version();
         if catalog.version <= before {
             return;
@@ -217,7 +219,7 @@
             before,
             from: from.into(),
         });
-        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        *self.catalog.borrow_mut() = Some(Rc::from(catalog));
         *self.catalog_text.borrow_mut() = Rc::new(text);
     }
 
@@ -543,6 +545,12 @@
     let readiness = TcpListener::bind(settings.readiness).await?;
     let admin = TcpListener::bind(settings.admin).await?;
     let link = tokio::net::UdpSocket::bind(settings.link).await?;
+    let listeners = [
+        ("callers", &callers),
+        ("readiness", &readiness),
+        ("admin", &admin),
+    ];
+    node::announce("direct", &listeners)?;
     let entry = Entry::new(settings, dialect, clock, log);
     let note = format!("callers at {}", callers.local_addr()?);
     entry.log_process("started", &note);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -128,7 +128,7 @@
     let answer = client.call(ready::catalog_query(), FETCH_TIME).await;
     match answer {
         Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
-            Ok(catalog) => entry.take_catalog(*catalog, text.to_vec(), &from.to_string()),
+            Ok(published) => entry.take_catalog(published, &from.to_string()),
             Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
         },
         Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use actix_http::ResponseHead;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
@@ -196,14 +196,7 @@
     }
 
     async fn run(&mut self, answerer: &mut Answerer) -> bool {
-        let now = self.entry.clock.now();
-        let allowance = self.entry.settings.borrow().bounds.retries();
-        let mut retries = self.entry.retries.borrow_mut();
-        retries
-            .entry(self.pool.clone())
-            .or_default()
-            .first(now, allowance);
-        drop(retries);
+        self.count_first();
         let mut unreachable = 0;
         loop {
             match self.attempt(answerer).await {
@@ -242,6 +235,15 @@
         }
     }
 
+    /// Counts the request in the pool's retry budget.
+    fn count_first(&self) {
+        let now = self.entry.clock.now();
+        let allowance = self.entry.settings.borrow().bounds.retries();
+        let mut retries = self.entry.retries.borrow_mut();
+        let window = retries.entry(self.pool.clone()).or_default();
+        window.first(now, allowance);
+    }
+
     /// Whether the request may be sent to another endpoint, after one had it.
     fn may_go_on(&self) -> bool {
         let now = self.entry.clock.now();
@@ -546,7 +548,10 @@
         let status = reply.head.status;
         let head = self.entry.dialect.answer(&reply.head);
         self.keep(key, reply, verdict);
-        let how = if status.is_server_error() {
+        let how = if status == StatusCode::GATEWAY_TIMEOUT {
+            // The request's own time was over, which says nothing about the endpoint.
+            EndedHow::EndpointError
+        } else if status.is_server_error() {
             self.entry
                 .endpoint_failed(key, Fault::Answer, "the endpoint's own error");
             EndedHow::EndpointError
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -198,8 +198,8 @@
         .map_err(CallError::Unusable)?;
     let begun = begun.unwrap_or_default();
     entry.store_answered();
-    if let Some((catalog, text)) = catalog {
-        entry.take_catalog(*catalog, text, "store");
+    if let Some(published) = catalog {
+        entry.take_catalog(published, "store");
     }
     entry.take_listing(listed, begun);
     entry.prove_up_to(asked, begun);
@@ -244,7 +244,7 @@
 
 fn apply(entry: &Rc<Entry>, change: Written) {
     match change {
-        Written::Catalog(catalog, text) => entry.take_catalog(*catalog, text, "store"),
+        Written::Catalog(published) => entry.take_catalog(published, "store"),
         Written::Endpoint(change) => entry.take_change(change),
     }
 }
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -194,9 +194,10 @@
 
 #[test]
 fn configuration_read() {
-    let catalog = Platform
-        .catalog_text(config().to_string().as_bytes())
-        .unwrap();
+    let text = config().to_string();
+    let published = Platform.catalog_text(text.as_bytes()).unwrap();
+    assert_eq!(published.text, text.as_bytes());
+    let catalog = published.catalog;
     assert_eq!(catalog.version, 7);
     let [split, resumable, plain] = &catalog.routes[..] else {
         panic!("three routes");
@@ -276,7 +277,7 @@
     let Watched::Changes(changes, 12) = watched else {
         panic!("changes up to 12");
     };
-    assert!(matches!(&changes[0], Written::Catalog(catalog, _) if catalog.version == 7));
+    assert!(matches!(&changes[0], Written::Catalog(p) if p.catalog.version == 7));
     let gone = Change::Removed {
         id: "i-1".into(),
         revision: 12,
