--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,6 +23,9 @@
 pub mod report;
 pub mod rollout;
 pub mod scenario;
+#[path = "../../platform/site.rs"]
+pub mod site;
+pub mod soak;
 #[path = "../../platform/standin.rs"]
 pub mod standin;
 pub mod usage;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -12,7 +12,10 @@
 use violetline_lab::proofs::{proof_options, ProofOptions};
 use violetline_lab::rollout::{rollout_options, RolloutOptions};
 use violetline_lab::scenario::{scenario_options, ScenarioOptions};
-use violetline_lab::{capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario};
+use violetline_lab::soak::{soak_options, SoakOptions};
+use violetline_lab::{
+    capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario, soak,
+};
 
 /// Stand-ins, load tool and experiments for violetline
 #[derive(Debug, Clone, Bpaf)]
@@ -27,6 +30,9 @@
     /// Runs seeded failures under load and counts broken promises
     #[bpaf(command)]
     Chaos(#[bpaf(external(chaos_options))] ChaosOptions),
+    /// Runs direct entries under random faults and checks what callers and engines see
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak_options))] SoakOptions),
     /// Measures slopes of processes and the path against a direct call
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
@@ -82,6 +88,7 @@
         Command::Demo(options) => system().block_on(demo::run(options)),
         Command::Scenarios(options) => system().block_on(scenario::run(options)),
         Command::Chaos(options) => system().block_on(chaos::run(options)),
+        Command::Soak(options) => system().block_on(soak::run(options)),
         Command::Capacity(options) => system().block_on(capacity::run(options)),
         Command::Rollout(options) => system().block_on(rollout::run(options)),
         Command::Proofs(options) => proofs::run(&options),
--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -1,14 +1,11 @@
 //! Whole requests through direct entries as processes, against engines and a store that misbehave.
 
-#[path = "common/site.rs"]
-mod site;
-
 use std::time::Duration;
 
-use site::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use violetline_lab::site::*;
 use violetline_lab::standin::Mood;
 
 #[actix_rt::test]
@@ -245,20 +242,20 @@
     let mut busy = TcpStream::connect(site.entries[0].addr("callers"))
         .await
         .unwrap();
-    busy.write_all(&request("/once/slow", "r1", "k1"))
+    busy.write_all(&request("/once/long", "r1", "k1"))
         .await
         .unwrap();
     wait_for("the engine works", || async { site.runs() == 1 }).await;
     site.entries[0].terminate();
     wait_for("it is not ready", || async { !site.is_ready(0).await }).await;
-    let answer = read_answer(&mut busy).await;
-    assert_eq!((answer.status, answer.body.as_str()), (200, "answer of r1"));
-    assert_eq!(answer.header("connection"), Some("close"));
     // A kept connection is still served while the balancer notices.
     idle.write_all(&request("/once/ok", "r2", "k1"))
         .await
         .unwrap();
     assert_eq!(read_answer(&mut idle).await.status, 200);
+    let answer = read_answer(&mut busy).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "answer of r1"));
+    assert_eq!(answer.header("connection"), Some("close"));
     assert!(site.entries[0].ended(LONG).await);
 }
 
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -14,7 +14,7 @@
 
 /// Lines a second about requests that went well. A full entry serves some hundred requests a
 /// second; a line takes about 10 microseconds.
-const SERVED_LINES: u32 = 120;
+const SERVED_LINES: u32 = 300;
 /// Lines a second about requests that failed; kept apart, so that success can't push them out.
 const FAILED_LINES: u32 = 120;
 /// Lines a second about changes of belief.
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -70,13 +70,13 @@
     }
     log.request(b"2", ended("i-1", EndedHow::Unknown));
     let text = memory.text();
-    assert_eq!(text.lines().count(), 121);
+    assert_eq!(text.lines().count(), 301);
     assert!(text.lines().last().unwrap().contains("\"unknown\""));
     log.next_second();
     let told = memory.text();
     let last = told.lines().last().unwrap();
     assert!(
-        last.contains("\"served\":880") && last.contains("\"writer\":3"),
+        last.contains("\"served\":700") && last.contains("\"writer\":3"),
         "{last}"
     );
     log.request(b"3", placed("i-1"));
