--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -156,6 +156,7 @@
         sleep(Duration::from_millis(rng.gen_range(50..400))).await;
     }
     soak.lift();
+    soak.wait_restarts().await;
     soak.check_recovery().await;
     soak.ended.set(true);
     for caller in callers {
@@ -299,6 +300,13 @@
         }
     }
 
+    /// Waits until no entry is being ended or started.
+    async fn wait_restarts(&self) {
+        while self.slots.iter().any(|slot| slot.busy.get()) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Every entry serves a request within [`RECOVERY`].
     async fn check_recovery(&self) {
         let until = Instant::now() + RECOVERY;
