What is known of a prompt's place goes before what is expected

Cause: a session that had been moved was known at one endpoint and expected at another; the choice went back and forth and both read it. Test known_before_expected fails without the change.

--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -106,7 +106,11 @@
     now: Millis,
 ) -> Option<Choice> {
     let all: Vec<Candidate<'a>> = candidates.collect();
-    let preferred = preferred(&demand, &all);
+    let shared = shared_tokens(&demand);
+    let keeps = |c: &Candidate<'_>| prefixes.cached(c.key, demand.parts, demand.memory_tokens);
+    // An expectation only stands in for knowledge; beside it, the prompt would be read twice.
+    let is_known = shared > 0 && all.iter().any(|c| keeps(c) >= shared);
+    let preferred = preferred(&demand, &all).filter(|_| !is_known);
     let mut best: Option<(Grade, f64, Choice)> = None;
     for candidate in &all {
         let choice = estimate(&demand, candidate, preferred, prefixes, now);
@@ -161,8 +165,7 @@
     let known = prefixes.cached(candidate.key, demand.parts, demand.memory_tokens);
     let cached = known.max(expected_kept(demand, candidate, preferred));
     let unread = prompt - cached;
-    let shared = prompt - demand.parts.last().map_or(0, |part| part.tokens);
-    let again = shared.saturating_sub(cached);
+    let again = shared_tokens(demand).saturating_sub(cached);
     let footprint = Footprint {
         band: demand.band,
         unread: unread as u32,
@@ -189,9 +192,13 @@
     if preferred != Some(candidate.key) {
         return 0;
     }
-    let shared = &demand.parts[..demand.parts.len() - 1];
-    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
-    (tokens as f64 * EXPECTED_KEPT) as u64
+    (shared_tokens(demand) as f64 * EXPECTED_KEPT) as u64
+}
+
+/// Tokens of all parts but the last, which belongs to the request itself.
+fn shared_tokens(demand: &Demand<'_>) -> u64 {
+    let count = demand.parts.len().saturating_sub(1);
+    demand.parts[..count].iter().map(|part| part.tokens).sum()
 }
 
 fn work_ms(
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -116,6 +116,18 @@
     assert!(first.cached > 0);
 }
 
+/// Where a prompt is known to be kept, the place that all expect without knowledge does not count.
+#[test]
+fn known_before_expected() {
+    let mut pool = Pool::new();
+    let parts = prompt();
+    let expected = pool.choose(demand(&parts)).key;
+    let other = (0..3).find(|i| pool.key(*i) != expected).unwrap();
+    pool.prefixes.note(pool.key(other), &parts, 9_200);
+    pool.loads[other].begin(footprint(9_000, 6), NOW);
+    assert_eq!(pool.choose(demand(&parts)).key, pool.key(other));
+}
+
 #[test]
 fn long_prompts_avoid_delicate() {
     let mut pool = Pool::new();
