--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -43,8 +43,9 @@
 const EXPECTED_KEPT: f64 = 0.8;
 /// Memory in use above which an engine may have to preempt.
 const MEMORY_FULL: f64 = 0.88;
-/// Price of overfull memory, in ms.
-const MEMORY_MS: f64 = 400.0;
+/// Price of overfull memory, in ms: some request is preempted and read anew, which costs more than
+/// reading the shared parts of this one elsewhere.
+const MEMORY_MS: f64 = 1_200.0;
 /// Price of each request that waits at the endpoint by its own word, in ms.
 const WAITING_MS: f64 = 15.0;
 /// Price of an endpoint that has just started, in ms.
