--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -319,6 +319,11 @@
         }
     }
 
+    /// Whether the last call to the store failed.
+    pub fn store_is_away(&self) -> bool {
+        self.store_answers.get() == Some(false)
+    }
+
     /// A peer has applied everything up to a revision.
     ///
     /// A watch whose answer was lost waits in silence while peers' proofs keep the configuration
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -37,6 +37,9 @@
 /// that a burst of changes costs few calls. A change is applied this much later at worst, a third of
 /// the shortest bound on it.
 const GATHER: Duration = Duration::from_millis(600);
+/// Pause between two questions while the store is away: its return is noticed in time to wait for
+/// lapsed endpoints, and an entry that is turned away for long makes few calls.
+const AWAY_PAUSE: Duration = Duration::from_millis(350);
 /// Pause after a failed call, and its random addition.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Longest body that is read from the store, in bytes.
@@ -147,25 +150,37 @@
             }
             Err(err) => {
                 entry.store_failed(&err);
-                pause().await;
+                sleep(AWAY_PAUSE).await;
             }
         }
     }
 }
 
 async fn wait_until_due(entry: &Entry) {
-    let spread = rand::thread_rng().gen_range(0..PROVE_SPREAD_MS);
-    let due = PROVE_AT + Millis(spread);
+    let spread = Millis(rand::thread_rng().gen_range(0..PROVE_SPREAD_MS));
     loop {
-        match entry.proof_age() {
-            Some(age) if age < due => sleep((due - age).duration()).await,
-            Some(_) => return,
-            // Nothing is proven before the first listing, which is a proof itself.
-            None => pause().await,
+        match until_question(entry, spread) {
+            Millis(0) => return,
+            wait => sleep(wait.duration()).await,
         }
     }
 }
 
+/// Time until the store should be asked for a proof; 0 for now.
+///
+/// While the store is away it is asked on, whatever peers prove: its return has to be noticed, since
+/// lapsed endpoints are only waited for from then on.
+pub fn until_question(entry: &Entry, spread: Millis) -> Millis {
+    if entry.store_is_away() {
+        return Millis(0);
+    }
+    match entry.proof_age() {
+        Some(age) => (PROVE_AT + spread) - age,
+        // Nothing is proven before the first listing, which is a proof itself.
+        None => Millis(RETRY_PAUSE_MS),
+    }
+}
+
 /// Has everything read anew when the watch does not bring what the store has.
 async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(WATCH_LAG).await;
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -8,7 +8,7 @@
 use violetline::direct::decision::DecisionLog;
 use violetline::direct::entry::Entry;
 use violetline::direct::settings::{Bounds, DirectSettings};
-use violetline::direct::sync::CallError;
+use violetline::direct::sync::{until_question, CallError};
 use violetline::platform::Platform;
 
 fn entry() -> (Clock, Rc<Entry>) {
@@ -71,3 +71,16 @@
     entry.peer_applied(12);
     assert!(!asks_again(&entry));
 }
+
+/// Peers' proofs spare questions to the store, but not while it is away: its return must be noticed.
+#[test]
+fn away_is_asked_on() {
+    let (_, entry) = entry();
+    entry.store_answered();
+    entry.prove_by_peer(Millis(1_000), Millis(0));
+    assert_eq!(until_question(&entry, Millis(0)), Millis(1_300));
+    entry.store_failed(&CallError::Silent);
+    assert_eq!(until_question(&entry, Millis(0)), Millis(0));
+    entry.store_answered();
+    assert_eq!(until_question(&entry, Millis(700)), Millis(2_000));
+}
