Request path: job, progress and refusals each in a module

src/direct/handle.rs becomes handle (allow or refuse), job/ (attempts, sending, answers, end, log lines), progress (the line at the end) and refuse. Long functions are split; a priority that was always known is no longer optional, and the two makers of the last log line are one. Behaviour is unchanged; the proof of a lost connection takes out the same line, now in job/send.rs.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -18,9 +18,11 @@
 use crate::clock::Millis;
 use crate::direct::catalog::CallerLimits;
 use crate::direct::channel::service_config;
+use crate::direct::decision::EndedHow;
 use crate::direct::dialect::Refusal;
 use crate::direct::entry::{Entry, Life};
-use crate::direct::handle::{self, Progress};
+use crate::direct::handle::handle;
+use crate::direct::progress::Progress;
 
 /// Room for one read, in bytes.
 const READ_ROOM: usize = 4 << 10;
@@ -109,9 +111,9 @@
     let _in_flight = entry.count_in_flight();
     let progress = RefCell::new(Progress::default());
     tokio::select! {
-        kept = handle::handle(entry, incoming, answerer, &progress) => kept,
+        kept = handle(entry, incoming, answerer, &progress) => kept,
         () = intake.caller_left() => {
-            handle::caller_left(entry, incoming, &progress.borrow());
+            progress.borrow().log_ended(entry, incoming, EndedHow::CallerGone, 0);
             false
         }
     }
--- /dev/null
+++ b/src/direct/job/answer.rs
@@ -0,0 +1,242 @@
+//! An endpoint's answer: judged by its head, relayed to the caller, accounted to the endpoint.
+
+use actix_http::StatusCode;
+use tokio::time::timeout;
+
+use super::{Attempt, Job};
+use crate::clock::Millis;
+use crate::direct::caller::Answerer;
+use crate::direct::catalog::Shape;
+use crate::direct::channel::Reply;
+use crate::direct::choose::Choice;
+use crate::direct::decision::EndedHow;
+use crate::direct::dialect::Verdict;
+use crate::direct::directory::EndpointKey;
+use crate::direct::entry::{Life, Placed};
+use crate::direct::health::Fault;
+use crate::direct::relay::{self, Broken};
+
+/// An answer whose head has arrived, with the attempt that it belongs to.
+#[derive(Debug)]
+pub(super) struct Answered<'a> {
+    /// The answer.
+    pub(super) reply: Reply,
+    /// The endpoint, with what was estimated for it.
+    pub(super) choice: Choice,
+    /// Keeps the request in the endpoint's load.
+    pub(super) placed: &'a Placed,
+    /// When the request was sent.
+    pub(super) sent_at: Millis,
+}
+
+impl Job<'_> {
+    /// Judges an answer by its head and relays it if it is one for the caller.
+    pub(super) async fn answered(
+        &mut self,
+        answerer: &mut Answerer,
+        answered: Answered<'_>,
+    ) -> Attempt {
+        let key = answered.choice.key;
+        let now = self.entry.clock.now();
+        let verdict = self
+            .entry
+            .dialect
+            .verdict(&answered.reply.head, &self.ask.id);
+        self.heard(key, &verdict, now);
+        if verdict.misdirected {
+            return self.misdirected(key);
+        }
+        if verdict.not_run {
+            return self.not_run(key, answered.reply, &verdict).await;
+        }
+        let status = answered.reply.head.status;
+        if let Some(why) = self.fault(status, &verdict) {
+            return self.failed(key, Fault::Answer, why);
+        }
+        let relaying = async {
+            if !status.is_success() || self.route().shape == Shape::Whole {
+                self.relay_whole(answerer, answered, &verdict).await
+            } else {
+                self.relay_events(answerer, answered, &verdict).await
+            }
+        };
+        timeout(self.rest(now).duration(), relaying)
+            .await
+            .unwrap_or(Attempt::TimeOver)
+    }
+
+    /// Takes note of what the endpoint tells of itself.
+    fn heard(&self, key: EndpointKey, verdict: &Verdict, now: Millis) {
+        self.entry.account(key, |account| {
+            account.heard = now;
+            if let Some(report) = verdict.report {
+                account.load.reported(report, now);
+            }
+        });
+    }
+
+    /// Another endpoint has this address now, and did not run the request.
+    fn misdirected(&mut self, key: EndpointKey) -> Attempt {
+        let why = "another endpoint has its address";
+        self.attempts -= 1;
+        self.sent = self.attempts > 0;
+        self.entry.endpoint_failed(key, Fault::Contact, why);
+        self.log_failed(key, why, false);
+        Attempt::NotRun(key)
+    }
+
+    /// Why an answer does not count; `None` when it is one for the caller.
+    fn fault(&self, status: StatusCode, verdict: &Verdict) -> Option<&'static str> {
+        if status.is_success() {
+            return (!verdict.sealed).then_some("success without the endpoint's seal");
+        }
+        if self.may_repeat() && status.is_server_error() && self.has_attempts() {
+            return Some("the endpoint's own error");
+        }
+        (!verdict.sealed).then_some("an error without the endpoint's seal")
+    }
+
+    /// The endpoint says that it did not run the request.
+    async fn not_run(&self, key: EndpointKey, mut reply: Reply, verdict: &Verdict) -> Attempt {
+        let status = reply.head.status;
+        // The body is of no interest, but the connection can be kept once it has been read.
+        if relay::whole(&mut reply).await.is_ok() {
+            self.keep(key, reply, verdict);
+        }
+        if !self.is_busy(key) {
+            let why = "refuses although it has room";
+            self.entry.endpoint_failed(key, Fault::Answer, why);
+        }
+        self.log_failed(key, &format!("not run, status {}", status.as_u16()), false);
+        self.entry.gauges.attempt(&self.pool, "not_run");
+        Attempt::NotRun(key)
+    }
+
+    /// Whether a refusal is due to load: most slots are taken, or requests wait there.
+    fn is_busy(&self, key: EndpointKey) -> bool {
+        let now = self.entry.clock.now();
+        let directory = self.entry.directory();
+        let slots = directory.get(key).map_or(1, |e| e.listed.slots.max(1));
+        let mut busy = false;
+        self.entry.account(key, |account| {
+            let running = account.load.total(now).running;
+            busy = running * 2 >= slots || account.load.waiting(now) > 0;
+        });
+        busy
+    }
+
+    /// The endpoint failed the request, which may have run.
+    pub(super) fn failed(&self, key: EndpointKey, fault: Fault, why: &str) -> Attempt {
+        self.entry.endpoint_failed(key, fault, why);
+        self.log_failed(key, why, true);
+        self.entry.gauges.attempt(&self.pool, "lost");
+        Attempt::Lost(key)
+    }
+
+    /// Relays a body once it is whole.
+    async fn relay_whole(
+        &self,
+        answerer: &mut Answerer,
+        answered: Answered<'_>,
+        verdict: &Verdict,
+    ) -> Attempt {
+        let Answered {
+            mut reply,
+            choice,
+            placed,
+            sent_at,
+        } = answered;
+        let key = choice.key;
+        let Ok(body) = relay::whole(&mut reply).await else {
+            return self.failed(key, Fault::Answer, "the answer broke off");
+        };
+        self.began(&choice, placed, sent_at);
+        let status = reply.head.status;
+        let head = self.entry.dialect.answer(&reply.head);
+        self.keep(key, reply, verdict);
+        let how = self.account_whole(key, status);
+        if answerer.whole(head, body, self.is_closing()).await.is_err() {
+            return Attempt::CallerGone;
+        }
+        self.log_ended(how, status.as_u16());
+        Attempt::Over(answerer.is_kept())
+    }
+
+    /// Accounts a whole answer to its endpoint.
+    fn account_whole(&self, key: EndpointKey, status: StatusCode) -> EndedHow {
+        if status == StatusCode::GATEWAY_TIMEOUT {
+            // The request's own time was over, which says nothing about the endpoint.
+            return EndedHow::EndpointError;
+        }
+        if status.is_server_error() {
+            let why = "the endpoint's own error";
+            self.entry.endpoint_failed(key, Fault::Answer, why);
+            return EndedHow::EndpointError;
+        }
+        self.entry.endpoint_served(key);
+        EndedHow::Served
+    }
+
+    /// Relays events as they arrive.
+    async fn relay_events(
+        &self,
+        answerer: &mut Answerer,
+        answered: Answered<'_>,
+        verdict: &Verdict,
+    ) -> Attempt {
+        let Answered {
+            mut reply,
+            choice,
+            placed,
+            sent_at,
+        } = answered;
+        let key = choice.key;
+        let status = reply.head.status.as_u16();
+        let head = self.entry.dialect.answer(&reply.head);
+        let close = self.is_closing();
+        let begin = || {
+            self.began(&choice, placed, sent_at);
+            head.clone()
+        };
+        match relay::events(&mut reply, answerer, &self.position, begin, close).await {
+            Ok(()) => {
+                self.keep(key, reply, verdict);
+                self.entry.endpoint_served(key);
+                self.log_ended(EndedHow::Served, status);
+                Attempt::Over(answerer.is_kept())
+            }
+            Err(Broken::Caller) => Attempt::CallerGone,
+            Err(Broken::Endpoint) => self.failed(key, Fault::Answer, "the stream broke off"),
+        }
+    }
+
+    /// The answer's first byte is about to leave.
+    fn began(&self, choice: &Choice, placed: &Placed, sent_at: Millis) {
+        let now = self.entry.clock.now();
+        placed.read();
+        self.entry.account(choice.key, |account| {
+            account.heard = now;
+            account.record.began(now, now - sent_at, choice.expected_ms);
+        });
+        let mut progress = self.progress.borrow_mut();
+        if progress.first.is_none() {
+            progress.first = Some(now);
+            let ms = (now - self.incoming.at).0 as f64;
+            self.entry
+                .gauges
+                .first_byte(&self.pool, self.priority(), ms);
+        }
+    }
+
+    /// Keeps the connection for another request, if the answer left it usable.
+    fn keep(&self, key: EndpointKey, reply: Reply, verdict: &Verdict) {
+        if let Some(mut channel) = reply.into_channel() {
+            channel.idle_time = verdict.idle_time;
+            self.entry.keep_channel(key, channel);
+        }
+    }
+
+    fn is_closing(&self) -> bool {
+        self.entry.life() != Life::Serving
+    }
+}
--- /dev/null
+++ b/src/direct/job/log.rs
@@ -0,0 +1,51 @@
+//! The lines of a request in the decision log.
+
+use super::Job;
+use crate::clock::Millis;
+use crate::direct::choose::Choice;
+use crate::direct::decision::{Decision, EndedHow};
+use crate::direct::directory::EndpointKey;
+
+impl Job<'_> {
+    /// Logs that the request is about to be sent to `endpoint`.
+    pub(super) fn log_placed(&self, choice: &Choice, endpoint: &str, now: Millis) {
+        self.progress.borrow_mut().endpoint = endpoint.into();
+        let mut running = 0;
+        self.entry.account(choice.key, |account| {
+            running = account.load.total(now).running;
+        });
+        let placed = Decision::Placed {
+            route: self.route().name.clone(),
+            endpoint: endpoint.into(),
+            attempt: self.attempts,
+            expected_ms: choice.expected_ms as u64,
+            cached: choice.cached,
+            unread: choice.footprint.unread,
+            running,
+            catalog: self.catalog.version,
+            proof_age_ms: self.entry.proof_age().map(|age| age.0),
+            left_ms: (self.end - now).0,
+        };
+        self.entry.log.request(self.ask.id.as_bytes(), placed);
+    }
+
+    /// Logs that an attempt failed.
+    pub(super) fn log_failed(&self, key: EndpointKey, failure: &str, may_have_run: bool) {
+        let directory = self.entry.directory();
+        let endpoint = directory.get(key).map(|e| e.listed.id.clone());
+        let failed = Decision::AttemptFailed {
+            endpoint: endpoint.unwrap_or_else(|| self.progress.borrow().endpoint.clone()),
+            attempt: self.attempts,
+            failure: failure.into(),
+            may_have_run,
+            attempts_left: self.route().max_attempts.saturating_sub(self.attempts),
+        };
+        self.entry.log.request(self.ask.id.as_bytes(), failed);
+    }
+
+    /// Logs and counts the end of the request.
+    pub(super) fn log_ended(&self, how: EndedHow, status: u16) {
+        let progress = self.progress.borrow();
+        progress.log_ended(self.entry, self.incoming, how, status);
+    }
+}
--- /dev/null
+++ b/src/direct/job/mod.rs
@@ -0,0 +1,232 @@
+//! A request that may run, with its attempts: which endpoints it is sent to and when it is over.
+
+mod answer;
+mod end;
+mod log;
+mod send;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use rand::Rng;
+
+use crate::clock::Millis;
+use crate::direct::caller::{Answerer, Incoming};
+use crate::direct::catalog::{Catalog, Repeat, Route, Shape};
+use crate::direct::decision::{EndedHow, RefusedWhy};
+use crate::direct::dialect::Ask;
+use crate::direct::directory::EndpointKey;
+use crate::direct::entry::Entry;
+use crate::direct::progress::Progress;
+use crate::direct::refuse;
+use crate::direct::relay::Position;
+use crate::direct::resolve::{Allowed, Denied};
+
+/// Time beyond a request's own in which the endpoint's last word is still waited for.
+const OVERTIME: Millis = Millis(60);
+/// Endpoints that may turn out unreachable before a request is given up; nothing was sent to them.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// How an attempt ended.
+#[derive(Debug)]
+enum Attempt {
+    /// The answer was delivered, or as much of it as there will be; whether the connection is kept.
+    Over(bool),
+    /// Nothing was sent to this endpoint.
+    NotSent(EndpointKey),
+    /// The endpoint did not run it.
+    NotRun(EndpointKey),
+    /// It may have run.
+    Lost(EndpointKey),
+    /// There is no endpoint to try.
+    NoEndpoint,
+    /// It is no longer allowed.
+    Denied(Denied),
+    /// The time was over.
+    TimeOver,
+    /// The caller can't be written to.
+    CallerGone,
+}
+
+/// One request with everything that its attempts share.
+#[derive(Debug)]
+pub struct Job<'a> {
+    entry: &'a Rc<Entry>,
+    incoming: &'a Incoming,
+    ask: &'a Ask,
+    progress: &'a RefCell<Progress>,
+    /// The configuration that the request runs under.
+    catalog: Rc<Catalog>,
+    /// Its route and team there.
+    allowed: Allowed,
+    /// Name of the pool whose endpoints it is sent to.
+    pool: String,
+    /// When its time is over.
+    end: Millis,
+    /// Endpoints that it is not sent to again.
+    tried: Vec<EndpointKey>,
+    /// Attempts that count: sent, or about to be.
+    attempts: u32,
+    /// Whether an endpoint may have any of it.
+    sent: bool,
+    /// How far its answer has got; kept also when an attempt is dropped at the time limit.
+    position: Cell<Position>,
+}
+
+impl<'a> Job<'a> {
+    /// A request that has not been sent yet, in one of its route's pools.
+    pub fn new(
+        entry: &'a Rc<Entry>,
+        incoming: &'a Incoming,
+        ask: &'a Ask,
+        progress: &'a RefCell<Progress>,
+        catalog: Rc<Catalog>,
+        allowed: Allowed,
+    ) -> Self {
+        let route = &catalog.routes[allowed.route.0];
+        let pool = pick_pool(route);
+        let patience = ask.patience.unwrap_or(route.timeout);
+        let end = incoming.at + patience.min(route.timeout);
+        let mut noted = progress.borrow_mut();
+        noted.route.clone_from(&route.name);
+        noted.pool.clone_from(&pool);
+        drop(noted);
+        Self {
+            entry,
+            incoming,
+            ask,
+            progress,
+            allowed,
+            pool,
+            end,
+            tried: Vec::new(),
+            attempts: 0,
+            sent: false,
+            position: Cell::new(Position {
+                last_event: ask.last_event,
+                ..Position::default()
+            }),
+            catalog,
+        }
+    }
+
+    fn route(&self) -> &Route {
+        &self.catalog.routes[self.allowed.route.0]
+    }
+
+    /// Its urgency: the team's, otherwise the route's.
+    fn priority(&self) -> u8 {
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let priority = team.and_then(|team| team.priority);
+        priority.unwrap_or(self.route().priority)
+    }
+
+    /// Time that is left for the endpoint's last word, somewhat beyond the request's own.
+    fn rest(&self, now: Millis) -> Millis {
+        (self.end + OVERTIME) - now
+    }
+
+    fn has_attempts(&self) -> bool {
+        self.attempts < self.route().max_attempts
+    }
+
+    /// Whether another run after one of unknown outcome is harmless.
+    fn may_repeat(&self) -> bool {
+        let position = self.position.get();
+        match self.route().repeat {
+            Repeat::Once => false,
+            Repeat::Harmless if !position.begun => true,
+            Repeat::Harmless => self.is_resumable() && position.last_event.is_some(),
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        matches!(
+            self.route().shape,
+            Shape::Events {
+                resumable: true,
+                ..
+            }
+        )
+    }
+
+    /// Runs it to its end; false when the connection is to be closed.
+    pub async fn run(&mut self, answerer: &mut Answerer) -> bool {
+        self.count_first();
+        let mut unreachable = 0;
+        loop {
+            match self.attempt(answerer).await {
+                Attempt::Over(kept) => return kept,
+                Attempt::CallerGone => {
+                    self.log_ended(EndedHow::CallerGone, 0);
+                    return false;
+                }
+                Attempt::NotSent(key) => {
+                    self.tried.push(key);
+                    unreachable += 1;
+                    if unreachable >= MOST_UNREACHABLE {
+                        return self.give_up(answerer, RefusedWhy::NoEndpoint).await;
+                    }
+                }
+                Attempt::NotRun(key) => {
+                    self.tried.push(key);
+                    if !self.may_go_on() {
+                        return self.give_up(answerer, RefusedWhy::EndpointRefused).await;
+                    }
+                }
+                Attempt::Lost(key) => {
+                    self.tried.push(key);
+                    if !(self.may_repeat() && self.may_go_on()) {
+                        return self.lost(answerer).await;
+                    }
+                }
+                Attempt::NoEndpoint if self.sent => return self.lost(answerer).await,
+                Attempt::NoEndpoint => return self.give_up(answerer, RefusedWhy::NoEndpoint).await,
+                Attempt::Denied(denied) if !self.sent => {
+                    return refuse::deny(self.entry, answerer, self.ask, self.incoming, denied)
+                        .await
+                }
+                Attempt::Denied(_) => return self.lost(answerer).await,
+                Attempt::TimeOver => return self.time_over(answerer).await,
+            }
+        }
+    }
+
+    /// Counts the request in the pool's retry budget.
+    fn count_first(&self) {
+        let now = self.entry.clock.now();
+        let allowance = self.entry.settings.borrow().bounds.retries();
+        let mut retries = self.entry.retries.borrow_mut();
+        let window = retries.entry(self.pool.clone()).or_default();
+        window.first(now, allowance);
+    }
+
+    /// Whether the request may be sent to another endpoint, after one had it.
+    fn may_go_on(&self) -> bool {
+        let now = self.entry.clock.now();
+        if !self.has_attempts() || now >= self.end {
+            return false;
+        }
+        let allowance = self.entry.settings.borrow().bounds.retries();
+        let entries = self.entry.peers.borrow().entries(now);
+        let mut retries = self.entry.retries.borrow_mut();
+        let window = retries.entry(self.pool.clone()).or_default();
+        window.take(now, allowance, entries)
+    }
+}
+
+/// Picks one of a route's pools by weight.
+fn pick_pool(route: &Route) -> String {
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let mut at = rand::thread_rng().gen_range(0..total.max(1));
+    for share in &route.shares {
+        if at < share.weight {
+            return share.pool.clone();
+        }
+        at -= share.weight;
+    }
+    route
+        .shares
+        .first()
+        .map_or_else(String::new, |s| s.pool.clone())
+}
--- /dev/null
+++ b/src/direct/job/send.rs
@@ -0,0 +1,215 @@
+//! One attempt: an endpoint is chosen, the request sent there and the head of its answer awaited.
+
+use std::future::Future;
+use std::pin::pin;
+
+use actix_http::{RequestHead, ResponseHead};
+use tokio::time::{sleep, timeout};
+
+use super::answer::Answered;
+use super::{Attempt, Job};
+use crate::clock::Millis;
+use crate::direct::caller::Answerer;
+use crate::direct::catalog::Share;
+use crate::direct::channel::{Channel, Failure, Reply};
+use crate::direct::choose::{self, Candidate, Choice, Demand};
+use crate::direct::dialect::Order;
+use crate::direct::directory::EndpointKey;
+use crate::direct::health::Fault;
+use crate::direct::load;
+use crate::direct::peers::PlacedPrompt;
+use crate::direct::resolve::{Allowed, Denied};
+
+/// Silence of an endpoint, in targets of the route, after which it is taken for unreachable.
+const SILENT_TARGETS: u64 = 3;
+/// Least such silence.
+const SILENT_LEAST: Millis = Millis(300);
+
+impl Job<'_> {
+    /// Sends the request to one more endpoint and relays its answer.
+    pub(super) async fn attempt(&mut self, answerer: &mut Answerer) -> Attempt {
+        let Some(choice) = self.choose() else {
+            return Attempt::NoEndpoint;
+        };
+        let key = choice.key;
+        let Some(channel) = self.open(key).await else {
+            self.entry
+                .endpoint_failed(key, Fault::Contact, "no connection");
+            return Attempt::NotSent(key);
+        };
+        // Nothing is awaited between here and the first byte that leaves.
+        let now = self.entry.clock.now();
+        if now >= self.end {
+            return Attempt::TimeOver;
+        }
+        if !self.entry.directory().takes_work(key) {
+            return Attempt::NotSent(key);
+        }
+        match self.entry.allow(self.ask) {
+            Ok(allowed) if self.renew(allowed) => {}
+            Ok(_) => return Attempt::Denied(Denied::StaleCatalog),
+            Err(denied) => return Attempt::Denied(denied),
+        }
+        self.attempts += 1;
+        self.send(answerer, channel, choice, now).await
+    }
+
+    /// Takes over the configuration in force now; false where that treats the request otherwise
+    /// than the one that it began under.
+    fn renew(&mut self, allowed: Allowed) -> bool {
+        let Some(catalog) = self.entry.catalog() else {
+            return false;
+        };
+        let sends_here = |share: &Share| share.pool == self.pool;
+        let route = &catalog.routes[allowed.route.0];
+        let same = route.shares.iter().any(sends_here) && route.shape == self.route().shape;
+        if same {
+            self.catalog = catalog;
+            self.allowed = allowed;
+        }
+        same
+    }
+
+    fn choose(&self) -> Option<Choice> {
+        let now = self.entry.clock.now();
+        let directory = self.entry.directory();
+        let accounts = self.entry.accounts();
+        let settings = self.entry.settings.borrow();
+        let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
+        let demand = Demand {
+            band: load::band(self.priority()),
+            parts: &self.ask.parts,
+            output_tokens: self.ask.output_tokens,
+            zone: &settings.zone,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            delicate: self.catalog.delicacy(self.route(), &self.pool),
+            pause: self.catalog.tightest_pause(&self.pool),
+        };
+        let candidates = directory
+            .of_pool(&self.pool)
+            .filter(|(key, _)| !self.tried.contains(key))
+            .filter_map(|(key, endpoint)| {
+                let account = accounts.get(key)?;
+                Some(Candidate {
+                    key,
+                    endpoint,
+                    load: &account.load,
+                    record: &account.record,
+                })
+            });
+        choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
+    }
+
+    /// A connection to an endpoint: a kept one that is quiet, or a new one.
+    async fn open(&self, key: EndpointKey) -> Option<Channel> {
+        if let Some(channel) = self.entry.idle_channel(key) {
+            return Some(channel);
+        }
+        let address = self.entry.directory().get(key)?.listed.address;
+        self.entry.gauges.connection();
+        Channel::connect(address).await.ok()
+    }
+
+    /// Sends the request; whatever is awaited comes after its first byte.
+    async fn send(
+        &mut self,
+        answerer: &mut Answerer,
+        channel: Channel,
+        choice: Choice,
+        now: Millis,
+    ) -> Attempt {
+        let key = choice.key;
+        let Some(head) = self.order(&choice, now) else {
+            return Attempt::NotSent(key);
+        };
+        self.note_placement(&choice);
+        let placed = self.entry.place(key, choice.footprint);
+        let is_own = |head: &ResponseHead| self.entry.dialect.verdict(head, &self.ask.id).is_own;
+        let sending = channel.send(head, &self.incoming.body, is_own);
+        let reply = match self.wait(sending, key, now).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(Failure::Connect | Failure::NotSent)) => {
+                self.attempts -= 1;
+                self.log_failed(key, "connection failed before sending", false);
+                return Attempt::NotSent(key);
+            }
+            Ok(Err(Failure::Lost)) => {
+                self.sent = true;
+                return self.failed(key, Fault::Answer, "connection lost");
+            }
+            Err(ended) => {
+                self.sent = true;
+                return ended;
+            }
+        };
+        self.sent = true;
+        let answered = Answered {
+            reply,
+            choice,
+            placed: &placed,
+            sent_at: now,
+        };
+        self.answered(answerer, answered).await
+    }
+
+    /// The head that the endpoint gets; `None` when it has left the list.
+    fn order(&self, choice: &Choice, now: Millis) -> Option<RequestHead> {
+        let directory = self.entry.directory();
+        let endpoint = directory.get(choice.key)?;
+        self.log_placed(choice, &endpoint.listed.id, now);
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let order = Order {
+            endpoint: &endpoint.listed.id,
+            time_left: self.end - now,
+            team: team.map(|team| team.name.as_str()),
+            priority: Some(self.priority()),
+            last_event: self.position.get().last_event,
+        };
+        Some(self.entry.dialect.order(&self.incoming.head, &order))
+    }
+
+    /// Remembers where the parts of the prompt are now, also for peers.
+    fn note_placement(&self, choice: &Choice) {
+        let unread = u64::from(choice.footprint.unread);
+        let parts = &self.ask.parts;
+        let mut prefixes = self.entry.prefixes.borrow_mut();
+        prefixes.note(choice.key, parts, unread);
+        let shared = parts.len().checked_sub(2).map(|last| parts[last].id);
+        let directory = self.entry.directory();
+        let endpoint = directory.get(choice.key).map(|e| e.digest);
+        if let (Some(part), Some(endpoint)) = (shared, endpoint) {
+            let placed = PlacedPrompt { part, endpoint };
+            self.entry.placements.borrow_mut().add(placed);
+        }
+    }
+
+    /// Waits for the head of the answer; a silent endpoint is left where that is harmless.
+    async fn wait(
+        &self,
+        sending: impl Future<Output = Result<Reply, Failure>>,
+        key: EndpointKey,
+        sent_at: Millis,
+    ) -> Result<Result<Reply, Failure>, Attempt> {
+        let mut sending = pin!(sending);
+        let silent = Millis(self.route().target.0 * SILENT_TARGETS).max(SILENT_LEAST);
+        let left = self.rest(sent_at);
+        tokio::select! {
+            reply = &mut sending => return Ok(reply),
+            () = sleep(silent.min(left).duration()) => {}
+        }
+        let mut heard = Millis(0);
+        self.entry.account(key, |account| heard = account.heard);
+        if heard <= sent_at && silent < left {
+            self.entry.endpoint_failed(key, Fault::Contact, "silent");
+
+            if self.may_repeat() && self.has_attempts() {
+                self.log_failed(key, "silent", true);
+                return Err(Attempt::Lost(key));
+            }
+        }
+        let rest = self.rest(self.entry.clock.now());
+        timeout(rest.duration(), sending)
+            .await
+            .map_err(|_| Attempt::TimeOver)
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,7 +1,8 @@
 //! Direct placement: an entry that orders endpoints itself, without a sidecar beside each.
 //!
-//! The way of a request: [`caller`] (accept, read) - [`resolve`] (route, team) - [`choose`]
-//! (endpoint) - [`channel`] (send, receive) - [`relay`] (answer) with [`handle`] joining them.
+//! The way of a request: [`caller`] (accept, read) - [`handle`] (allow or refuse) - [`job`]
+//! (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`progress`] (the line at its end).
+//! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
 //! [`sync`]. All decisions are state machines without I/O; [`entry`] is the state that
@@ -24,11 +25,14 @@
 pub mod gossip;
 pub mod handle;
 pub mod health;
+pub mod job;
 pub mod load;
 pub mod peers;
 pub mod prefix;
 pub mod process;
+pub mod progress;
 pub mod ready;
+pub mod refuse;
 pub mod relay;
 pub mod resolve;
 pub mod settings;
--- /dev/null
+++ b/src/direct/progress.rs
@@ -0,0 +1,38 @@
+//! What is known of a request in flight, for the line at its end, also when its caller leaves.
+
+use crate::clock::Millis;
+use crate::direct::caller::Incoming;
+use crate::direct::decision::{Decision, EndedHow};
+use crate::direct::entry::Entry;
+
+/// What is known of a request in flight; empty where it has not got that far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Its id, as the log holds it.
+    pub id: Vec<u8>,
+    /// Name of its route.
+    pub route: String,
+    /// Name of the pool that it is sent to.
+    pub pool: String,
+    /// Id of the endpoint that it was last sent to.
+    pub endpoint: String,
+    /// When the first byte of its answer left.
+    pub first: Option<Millis>,
+}
+
+impl Progress {
+    /// Logs and counts the end of the request; `status` is 0 where the caller got no whole answer.
+    pub fn log_ended(&self, entry: &Entry, incoming: &Incoming, how: EndedHow, status: u16) {
+        let now = entry.clock.now();
+        let ended = Decision::Ended {
+            route: self.route.clone(),
+            endpoint: self.endpoint.clone(),
+            how,
+            status,
+            first_ms: self.first.map(|at| (at - incoming.at).0),
+            total_ms: (now - incoming.at).0,
+        };
+        entry.log.request(&self.id, ended);
+        entry.gauges.request(&self.pool, how.label());
+    }
+}
--- /dev/null
+++ b/src/direct/refuse.rs
@@ -0,0 +1,55 @@
+//! Answers of the entry itself, to requests that no endpoint answers.
+
+use bytes::Bytes;
+
+use crate::clock::Millis;
+use crate::direct::caller::{Answerer, Incoming};
+use crate::direct::decision::{Decision, RefusedWhy};
+use crate::direct::dialect::{Ask, Refusal};
+use crate::direct::entry::{Entry, Life};
+use crate::direct::resolve::Denied;
+
+/// Advice while this entry can't decide; another entry can.
+pub const COME_BACK_ELSEWHERE: Millis = Millis(60);
+
+/// Refuses a request that may not run.
+pub async fn deny(
+    entry: &Entry,
+    answerer: &mut Answerer,
+    ask: &Ask,
+    incoming: &Incoming,
+    denied: Denied,
+) -> bool {
+    log(entry, ask, incoming, RefusedWhy::Denied(denied));
+    let refusal = match denied {
+        Denied::NoRoute => Refusal::NoRoute,
+        Denied::NoKey => Refusal::NoKey,
+        Denied::NoCatalog | Denied::StaleCatalog => Refusal::NotRun(COME_BACK_ELSEWHERE),
+    };
+    write(entry, answerer, refusal, Some(ask)).await
+}
+
+/// Writes a refusal; false when the connection is to be closed.
+pub async fn write(
+    entry: &Entry,
+    answerer: &mut Answerer,
+    refusal: Refusal,
+    ask: Option<&Ask>,
+) -> bool {
+    let head = entry.dialect.refusal(refusal, ask.map(|ask| &ask.id));
+    let close = entry.life() != Life::Serving;
+    let written = answerer.whole(head, Bytes::new(), close).await;
+    written.is_ok() && answerer.is_kept()
+}
+
+/// Logs a refusal.
+pub fn log(entry: &Entry, ask: &Ask, incoming: &Incoming, why: RefusedWhy) {
+    let refused = Decision::Refused {
+        why,
+        target: format!("{}{}", ask.host, ask.path),
+        catalog: entry.version(),
+        proof_age_ms: entry.proof_age().map(|age| age.0),
+        held_ms: (entry.clock.now() - incoming.at).0,
+    };
+    entry.log.request(ask.id.as_bytes(), refused);
+}
