Soak: callers, faults and checks each in a module

lab/src/soak.rs becomes lab/src/soak/; a slot is a running entry and a place a relayed engine, and the platform's words stay in platform/. Faults, draws of the random numbers and checks are unchanged.

--- /dev/null
+++ b/lab/src/soak/callers.rs
@@ -0,0 +1,90 @@
+//! The callers of the soak.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::{Issue, Soak, KEYS, PATIENCE};
+use crate::site::{self, Answer};
+
+/// Paths of the requests; the first part names the route, the last one the engine's behaviour.
+const PATHS: [&str; 11] = [
+    "/once/ok",
+    "/once/ok",
+    "/once/slow",
+    "/once/reset",
+    "/once/unframed",
+    "/once/twice",
+    "/safe/ok",
+    "/safe/reset",
+    "/stream/events",
+    "/resume/events",
+    "/resume/cut",
+];
+/// Wait of a caller that leaves early, which one of [`LEAVES`] does: before most answers are whole.
+const SHORT_PATIENCE: Duration = Duration::from_millis(40);
+/// One of so many requests is left early.
+const LEAVES: u32 = 12;
+
+/// One caller: requests one after the other, on a connection that is kept until it ends.
+pub(super) async fn call_on(soak: Rc<Soak>, caller: usize, mut rng: SmallRng) {
+    let mut kept: Option<TcpStream> = None;
+    let mut number = 0;
+    while !soak.ended.get() {
+        number += 1;
+        let id = format!("c{caller}-{number}");
+        let path = PATHS[rng.gen_range(0..PATHS.len())];
+        let key = KEYS[rng.gen_range(0..KEYS.len())];
+        let entry = &soak.entries[rng.gen_range(0..soak.entries.len())];
+        let stream = match kept.take() {
+            Some(stream) => Some(stream),
+            None => TcpStream::connect(entry.callers.get()).await.ok(),
+        };
+        let Some(mut stream) = stream else {
+            sleep(Duration::from_millis(30)).await;
+            continue;
+        };
+        soak.note_sent(&id, path, key);
+        let request = site::request(path, &id, key);
+        let Some(answer) = exchange(&mut stream, &request, &mut rng).await else {
+            continue;
+        };
+        let closes = answer.header("connection") == Some("close");
+        if !answer.is_cut && !closes && rng.gen_ratio(3, 4) {
+            kept = Some(stream);
+        }
+        soak.note_answer(&id, answer);
+        sleep(Duration::from_millis(rng.gen_range(0..40))).await;
+    }
+}
+
+/// Sends a request and reads its answer; `None` when the caller left or couldn't send.
+async fn exchange(stream: &mut TcpStream, request: &[u8], rng: &mut SmallRng) -> Option<Answer> {
+    stream.write_all(request).await.ok()?;
+    let leaves = rng.gen_ratio(1, LEAVES);
+    let patience = if leaves { SHORT_PATIENCE } else { PATIENCE };
+    timeout(patience, site::read_answer(stream)).await.ok()
+}
+
+impl Soak {
+    fn note_sent(&self, id: &str, path: &'static str, key: &'static str) {
+        let issue = Issue {
+            path,
+            key,
+            sent: Instant::now(),
+            answer: None,
+        };
+        self.issues.borrow_mut().insert(id.to_owned(), issue);
+    }
+
+    fn note_answer(&self, id: &str, answer: Answer) {
+        if let Some(issue) = self.issues.borrow_mut().get_mut(id) {
+            issue.answer = Some(answer);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/soak/check.rs
@@ -0,0 +1,79 @@
+//! What is checked after a seed: each request against what the engines saw of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{Issue, Report, Soak};
+use crate::site::{self, Answer};
+use crate::standin::EVENTS;
+
+impl Soak {
+    /// Checks all requests.
+    pub(super) fn report(&self) -> Report {
+        let runs = self.runs();
+        let mut report = Report {
+            findings: self.findings.take(),
+            ..Report::default()
+        };
+        for (id, issue) in self.issues.borrow().iter() {
+            report.requests += 1;
+            let status = issue.answer.as_ref().map_or(0, |answer| answer.status);
+            *report.statuses.entry(status).or_default() += 1;
+            let count = runs.get(id).copied().unwrap_or(0);
+            let removed = self.removed.borrow().get(issue.key).copied();
+            let broken = check(id, issue, count, removed);
+            report
+                .findings
+                .extend(broken.map(|why| format!("{id} {}: {why}", issue.path)));
+        }
+        report
+    }
+
+    /// How often engines worked on each request, by its id.
+    fn runs(&self) -> HashMap<String, usize> {
+        let mut runs: HashMap<String, usize> = HashMap::new();
+        let gone = self.gone.borrow();
+        for relayed in self.engines.borrow().iter().chain(gone.iter()) {
+            for arrival in relayed.engine.arrivals().iter().filter(|a| a.ran) {
+                *runs.entry(arrival.id().to_owned()).or_default() += 1;
+            }
+        }
+        runs
+    }
+}
+
+/// Whether the promises were kept for one request; else why not.
+fn check(id: &str, issue: &Issue, runs: usize, removed: Option<Instant>) -> Option<String> {
+    let repeatable = issue.path.starts_with("/safe") || issue.path.starts_with("/resume");
+    if !repeatable && runs > 1 {
+        return Some(format!("ran {runs} times"));
+    }
+    let bound = Duration::from_millis(site::KEY_REMOVAL_MS);
+    if runs > 0 && removed.is_some_and(|at| issue.sent > at + bound) {
+        return Some(format!("ran with {} after it was removed", issue.key));
+    }
+    let answer = issue.answer.as_ref()?;
+    match answer.status {
+        503 if !repeatable && runs > 0 => Some("told as not run, but ran".into()),
+        200 if issue.path.ends_with("events") || issue.path.ends_with("cut") => {
+            check_events(answer)
+        }
+        200 if answer.is_cut && !issue.path.ends_with("unframed") => None,
+        200 if answer.body != format!("answer of {id}") => Some(format!("got {:?}", answer.body)),
+        200 if !answer.is_sealed() => Some("a success without a seal".into()),
+        _ => None,
+    }
+}
+
+/// Events come in order without a gap, and an answer without a cut has all of them.
+fn check_events(answer: &Answer) -> Option<String> {
+    let numbers = site::event_numbers(&answer.body);
+    let in_order = numbers.iter().copied().eq(1..=numbers.len() as u64);
+    let whole = numbers.len() as u64 == EVENTS;
+    if !in_order || (!answer.is_cut && !whole) {
+        return Some(format!("events {numbers:?}, cut: {}", answer.is_cut));
+    }
+    None
+}
--- /dev/null
+++ b/lab/src/soak/faults.rs
@@ -0,0 +1,180 @@
+//! The faults of the soak: what happens to entries, engines, the store and the ways between them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use serde_json::{json, Value};
+use tokio::time::{sleep, Instant};
+
+use super::{RunningEntry, Soak, KEYS};
+use crate::relay::Relay;
+use crate::site;
+use crate::standin::Mood;
+
+/// Time for an entry to end after SIGTERM: its grace time and a little.
+const STOP_TIME: Duration = Duration::from_secs(9);
+
+impl Soak {
+    /// Brings one fault about.
+    pub(super) async fn fault(&self, rng: &mut SmallRng) -> anyhow::Result<()> {
+        let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
+        let time = Duration::from_millis(rng.gen_range(100..3_000));
+        let engine = rng.gen_range(0..self.engines.borrow().len());
+        match rng.gen_range(0..14) {
+            0 => restart(entry, End::Kill, time),
+            1 => restart(entry, End::Terminate, time),
+            2 => freeze(entry, time),
+            3 => hang_up(&entry, rng)?,
+            4 => self.store_mood(Mood::Busy, time),
+            5 => self.store_mood(Mood::Silent, time),
+            6 => self.site.borrow().store.forget(),
+            7 => entry.to_store.cut(),
+            8 => one_way(entry.to_store.clone(), time),
+            9 => self.engines.borrow()[engine].relay.cut(),
+            10 => one_way(self.engines.borrow()[engine].relay.clone(), time),
+            11 => refuse(self.engines.borrow()[engine].relay.clone(), time),
+            12 => self.replace_engine(engine).await?,
+            _ => self.change_keys(rng),
+        }
+        Ok(())
+    }
+
+    /// Makes the store refuse calls or keep silent for a time.
+    fn store_mood(&self, mood: Mood, time: Duration) {
+        let store = Rc::clone(&self.site.borrow().store);
+        store.set_mood(mood);
+        actix_rt::spawn(async move {
+            sleep(time).await;
+            store.set_mood(Mood::Up);
+        });
+    }
+
+    /// An engine drains and leaves; another one comes.
+    async fn replace_engine(&self, engine: usize) -> anyhow::Result<()> {
+        self.add_engine().await?;
+        let old = self.engines.borrow_mut().remove(engine);
+        let store = Rc::clone(&self.site.borrow().store);
+        store.list_at(&old.engine, old.relay.addr, "s1", "draining");
+        let engine = Rc::clone(&old.engine);
+        self.gone.borrow_mut().push(old);
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(1_500)).await;
+            store.unlist(&engine);
+        });
+        Ok(())
+    }
+
+    /// Takes a key away, or gives it back.
+    fn change_keys(&self, rng: &mut SmallRng) {
+        let key = KEYS[rng.gen_range(1..KEYS.len())];
+        let mut removed = self.removed.borrow_mut();
+        if removed.remove(key).is_none() {
+            removed.insert(key, Instant::now());
+        }
+        let kept: Vec<&str> = KEYS
+            .into_iter()
+            .filter(|k| !removed.contains_key(k))
+            .collect();
+        self.site.borrow_mut().configure(&kept);
+    }
+
+    /// Ends all faults that last.
+    pub(super) fn lift(&self) {
+        self.site.borrow().store.set_mood(Mood::Up);
+        for entry in &self.entries {
+            entry.to_store.swallow_answers(false);
+            entry.to_store.cut();
+            entry.process.borrow().thaw();
+        }
+        for engine in self.engines.borrow().iter() {
+            engine.relay.swallow_answers(false);
+            engine.relay.refuse(false);
+        }
+    }
+
+    /// Waits until no entry is being ended or started.
+    pub(super) async fn wait_restarts(&self) {
+        while self.entries.iter().any(|entry| entry.restarting.get()) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// How a process is ended.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Kill,
+    Terminate,
+}
+
+/// Ends an entry and starts it again after a pause.
+fn restart(entry: Rc<RunningEntry>, end: End, pause: Duration) {
+    if entry.restarting.replace(true) {
+        return;
+    }
+    actix_rt::spawn(async move {
+        let until = Instant::now() + STOP_TIME;
+        match end {
+            End::Kill => entry.process.borrow_mut().kill(),
+            End::Terminate => entry.process.borrow().terminate(),
+        }
+        while entry.process.borrow_mut().is_running() && Instant::now() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+        entry.process.borrow_mut().kill();
+        sleep(pause / 3).await;
+        let process = site::start_entry(&entry.settings);
+        entry.callers.set(process.addr("callers"));
+        entry.process.replace(process).kill();
+        entry.restarting.set(false);
+    });
+}
+
+/// Stops a process for a time without ending it.
+fn freeze(entry: Rc<RunningEntry>, time: Duration) {
+    if entry.restarting.get() {
+        return;
+    }
+    entry.process.borrow().freeze();
+    actix_rt::spawn(async move {
+        sleep(time).await;
+        entry.process.borrow().thaw();
+    });
+}
+
+/// Changes the settings file and sends SIGHUP.
+fn hang_up(entry: &RunningEntry, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(&entry.settings)?;
+    let mut settings: Value = serde_json::from_str(&text)?;
+    settings["bounds"]["retry_extra"] = json!(rng.gen_range(5..50));
+    std::fs::write(&entry.settings, settings.to_string())?;
+    if !entry.restarting.get() {
+        let id = entry.process.borrow().id();
+        kill(Pid::from_raw(id as i32), Signal::SIGHUP)?;
+    }
+    Ok(())
+}
+
+/// Lets requests through for a time, but no answers.
+fn one_way(relay: Relay, time: Duration) {
+    relay.swallow_answers(true);
+    actix_rt::spawn(async move {
+        sleep(time).await;
+        relay.swallow_answers(false);
+        relay.cut();
+    });
+}
+
+/// Refuses connections for a time.
+fn refuse(relay: Relay, time: Duration) {
+    relay.refuse(true);
+    relay.cut();
+    actix_rt::spawn(async move {
+        sleep(time).await;
+        relay.refuse(false);
+    });
+}
--- /dev/null
+++ b/lab/src/soak/mod.rs
@@ -0,0 +1,253 @@
+//! A randomized soak of direct entries: real processes under faults from outside, checked by what
+//! callers and engines see.
+//!
+//! A seed decides the faults and the requests; timing is the machine's own, so a seed that failed may
+//! have to be played several times. Faults overlap. At the end all faults are lifted and every entry
+//! must serve again.
+
+mod callers;
+mod check;
+mod faults;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use tokio::time::{sleep, timeout, Instant};
+
+use crate::process::Process;
+use crate::relay::Relay;
+use crate::site::{self, Answer, Site};
+use crate::standin::Engine;
+
+/// Keys that are given and taken away.
+const KEYS: [&str; 3] = ["k1", "k2", "k3"];
+/// Callers at a time.
+const CALLERS: usize = 10;
+/// Longest time that a caller waits: somewhat more than the request itself allows.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Time for all entries to serve after the faults are lifted.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Options of the soak.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(soak_options))]
+pub struct SoakOptions {
+    /// First seed
+    #[bpaf(argument("N"), fallback(1))]
+    pub first: u64,
+    /// Seeds to run, one after the other
+    #[bpaf(argument("N"), fallback(1))]
+    pub seeds: u64,
+    /// Seconds under faults, for each seed
+    #[bpaf(argument("S"), fallback(8))]
+    pub seconds: u64,
+    /// Entries
+    #[bpaf(argument("N"), fallback(3))]
+    pub entries: u8,
+    /// Engines
+    #[bpaf(argument("N"), fallback(4))]
+    pub engines: usize,
+}
+
+/// Runs the seeds; code 1 when a promise broke.
+pub async fn run(options: SoakOptions) -> anyhow::Result<ExitCode> {
+    let mut broken = 0;
+    for seed in options.first..options.first + options.seeds {
+        let report = play(seed, &options).await?;
+        println!(
+            "seed {seed}: {} requests, {:?}",
+            report.requests, report.statuses
+        );
+        for finding in &report.findings {
+            println!("  BROKEN: {finding}");
+        }
+        broken += usize::from(!report.findings.is_empty());
+    }
+    println!("{broken} of {} seeds broke a promise", options.seeds);
+    Ok(if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// What a seed brought.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Requests sent.
+    pub requests: usize,
+    /// Answers by status; 0 for none.
+    pub statuses: BTreeMap<u16, usize>,
+    /// Broken promises.
+    pub findings: Vec<String>,
+}
+
+/// A request as its caller knows it.
+#[derive(Debug, Clone)]
+struct Issue {
+    path: &'static str,
+    key: &'static str,
+    sent: Instant,
+    /// `None` while there is none, and for good where the caller left.
+    answer: Option<Answer>,
+}
+
+/// An entry, its way to the store, and its life.
+struct RunningEntry {
+    process: RefCell<Process>,
+    to_store: Relay,
+    settings: PathBuf,
+    callers: Cell<SocketAddr>,
+    /// Whether the process is being ended and started again.
+    restarting: Cell<bool>,
+}
+
+/// One engine behind its relay.
+struct RelayedEngine {
+    engine: Rc<Engine>,
+    relay: Relay,
+}
+
+/// One seed that is being played.
+struct Soak {
+    site: RefCell<Site>,
+    entries: Vec<Rc<RunningEntry>>,
+    engines: RefCell<Vec<RelayedEngine>>,
+    /// Engines that left the list.
+    gone: RefCell<Vec<RelayedEngine>>,
+    /// Requests by id.
+    issues: RefCell<HashMap<String, Issue>>,
+    /// Keys that were taken away, with the time of it.
+    removed: RefCell<HashMap<&'static str, Instant>>,
+    /// Broken promises that no single request shows.
+    findings: RefCell<Vec<String>>,
+    /// Whether callers are to stop.
+    ended: Cell<bool>,
+    engines_made: Cell<usize>,
+}
+
+/// Plays one seed.
+pub async fn play(seed: u64, options: &SoakOptions) -> anyhow::Result<Report> {
+    let soak = Rc::new(Soak::start(options).await?);
+    let mut callers = Vec::new();
+    for i in 0..CALLERS {
+        let rng = SmallRng::seed_from_u64(seed * 1_000 + i as u64);
+        let calling = callers::call_on(Rc::clone(&soak), i, rng);
+        callers.push(actix_rt::spawn(calling));
+    }
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let until = Instant::now() + Duration::from_secs(options.seconds);
+    while Instant::now() < until {
+        soak.fault(&mut rng).await?;
+        sleep(Duration::from_millis(rng.gen_range(50..400))).await;
+    }
+    soak.lift();
+    soak.wait_restarts().await;
+    soak.check_recovery().await;
+    soak.ended.set(true);
+    for caller in callers {
+        caller.await?;
+    }
+    Ok(soak.report())
+}
+
+impl Soak {
+    /// Starts all processes, which serve before any fault comes.
+    async fn start(options: &SoakOptions) -> anyhow::Result<Self> {
+        let ips: Vec<String> = (2..2 + options.entries)
+            .map(|i| format!("127.0.0.{i}"))
+            .collect();
+        let names: Vec<&str> = ips.iter().map(String::as_str).collect();
+        let (link, admin) = (site::common_port(&names), site::common_port(&names));
+        let mut site = Site::start(0).await;
+        site.configure(&KEYS);
+        let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
+        let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
+        let mut entries = Vec::new();
+        for (i, ip) in names.iter().enumerate() {
+            let settings = site.settings(ip, link, admin, &seeds);
+            let path = site.settings_path(i);
+            let entry = RunningEntry::start(site.store_address, settings, path).await?;
+            entries.push(Rc::new(entry));
+        }
+        let soak = Self {
+            site: RefCell::new(site),
+            entries,
+            engines: RefCell::default(),
+            gone: RefCell::default(),
+            issues: RefCell::default(),
+            removed: RefCell::default(),
+            findings: RefCell::default(),
+            ended: Cell::new(false),
+            engines_made: Cell::new(0),
+        };
+        for _ in 0..options.engines {
+            soak.add_engine().await?;
+        }
+        soak.check_recovery().await;
+        Ok(soak)
+    }
+
+    /// Starts an engine behind a relay and lists it.
+    async fn add_engine(&self) -> anyhow::Result<()> {
+        let number = self.engines_made.get();
+        self.engines_made.set(number + 1);
+        let engine = Engine::start(&format!("i-{number}")).await?;
+        let relay = Relay::start(engine.address).await?;
+        self.site
+            .borrow()
+            .store
+            .list_at(&engine, relay.addr, "s1", "ready");
+        let added = RelayedEngine { engine, relay };
+        self.engines.borrow_mut().push(added);
+        Ok(())
+    }
+
+    /// Every entry serves a request within [`RECOVERY`].
+    async fn check_recovery(&self) {
+        let until = Instant::now() + RECOVERY;
+        for (i, entry) in self.entries.iter().enumerate() {
+            loop {
+                let id = format!("check-{i}-{}", rand::random::<u32>());
+                let request = site::request("/safe/ok", &id, "k1");
+                let answer = timeout(PATIENCE, site::exchange(entry.callers.get(), &request)).await;
+                if answer.is_ok_and(|answer| answer.status == 200) {
+                    break;
+                }
+                if Instant::now() > until {
+                    let finding = format!("entry {i} does not serve after the faults");
+                    self.findings.borrow_mut().push(finding);
+                    break;
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+impl RunningEntry {
+    /// Starts an entry that reaches the store through a relay.
+    async fn start(store: SocketAddr, mut settings: Value, path: PathBuf) -> anyhow::Result<Self> {
+        let to_store = Relay::start(store).await?;
+        settings["store"] = json!(to_store.addr.to_string());
+        std::fs::write(&path, settings.to_string())?;
+        let process = site::start_entry(&path);
+        let callers = Cell::new(process.addr("callers"));
+        Ok(Self {
+            process: RefCell::new(process),
+            to_store,
+            settings: path,
+            callers,
+            restarting: Cell::new(false),
+        })
+    }
+}
