--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -217,6 +217,18 @@
         }
     }
 
+    /// The whole body; [`Failure::Lost`] when it is longer than `most` bytes or ends early.
+    pub async fn whole(&mut self, most: usize) -> Result<Bytes, Failure> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.chunk().await? {
+            if body.len() + chunk.len() > most {
+                return Err(Failure::Lost);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+
     /// The connection, for another request; `None` when it can't be used again.
     pub fn into_channel(self) -> Option<Channel> {
         match self.body {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -30,16 +30,9 @@
     Caller,
 }
 
-/// Reads a whole body.
+/// Reads a whole body; [`Failure::Lost`] when it is longer than [`MOST_WHOLE`] or breaks off.
 pub async fn whole(reply: &mut Reply) -> Result<Bytes, Failure> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = reply.chunk().await? {
-        if body.len() + chunk.len() > MOST_WHOLE {
-            return Err(Failure::Lost);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+    reply.whole(MOST_WHOLE).await
 }
 
 /// Cuts an answer into whole events and drops those that the caller has already.
@@ -91,7 +84,8 @@
     }
 }
 
-/// Relays events until the answer ends; `first` is called when the first one has arrived.
+/// Relays events until the answer ends; `begin` makes the head when the first one has
+/// arrived, and `close` tells the caller that the connection ends with the answer.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use actix_http::{RequestHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 
@@ -98,16 +98,10 @@
             None => Channel::connect(self.address).await?,
         };
         let mut reply = channel.send(head, &Bytes::new(), |_| true).await?;
-        let mut body = BytesMut::new();
-        while let Some(chunk) = reply.chunk().await? {
-            if body.len() + chunk.len() > MOST_BODY {
-                return Err(Failure::Lost);
-            }
-            body.extend_from_slice(&chunk);
-        }
+        let body = reply.whole(MOST_BODY).await?;
         let status = reply.head.status;
         *self.kept.borrow_mut() = reply.into_channel();
-        Ok((status, body.freeze()))
+        Ok((status, body))
     }
 }
 
