--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -13,7 +13,7 @@
 use super::{RunningEntry, Soak, KEYS};
 use crate::relay::Relay;
 use crate::site;
-use crate::standin::Mood;
+use crate::standin::Condition;
 
 /// Time for an entry to end after SIGTERM: its grace time and a little.
 const STOP_TIME: Duration = Duration::from_secs(9);
@@ -29,8 +29,8 @@
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
             3 => hang_up(&entry, rng)?,
-            4 => self.store_mood(Mood::Busy, time),
-            5 => self.store_mood(Mood::Silent, time),
+            4 => self.store_condition(Condition::Busy, time),
+            5 => self.store_condition(Condition::Silent, time),
             6 => self.site.borrow().store.forget(),
             7 => entry.to_store.cut(),
             8 => one_way(entry.to_store.clone(), time),
@@ -44,12 +44,12 @@
     }
 
     /// Makes the store refuse calls or keep silent for a time.
-    fn store_mood(&self, mood: Mood, time: Duration) {
+    fn store_condition(&self, condition: Condition, time: Duration) {
         let store = Rc::clone(&self.site.borrow().store);
-        store.set_mood(mood);
+        store.set_condition(condition);
         actix_rt::spawn(async move {
             sleep(time).await;
-            store.set_mood(Mood::Up);
+            store.set_condition(Condition::Up);
         });
     }
 
@@ -84,7 +84,7 @@
 
     /// Ends all faults that last.
     pub(super) fn lift(&self) {
-        self.site.borrow().store.set_mood(Mood::Up);
+        self.site.borrow().store.set_condition(Condition::Up);
         for entry in &self.entries {
             entry.to_store.swallow_answers(false);
             entry.to_store.cut();
--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use violetline_lab::site::*;
-use violetline_lab::standin::Mood;
+use violetline_lab::standin::Condition;
 
 #[actix_rt::test]
 async fn whole_answer() {
@@ -157,7 +157,7 @@
 #[actix_rt::test]
 async fn store_silent() {
     let site = Site::with_entry(1).await;
-    site.store.set_mood(Mood::Silent);
+    site.store.set_condition(Condition::Silent);
     sleep(Duration::from_millis(KEY_REMOVAL_MS)).await;
     let before = site.runs();
     let answer = site.ask("/once/ok", "r1").await;
@@ -165,7 +165,7 @@
     assert!(answer.header("retry-after").is_some());
     assert_eq!(site.runs(), before);
     assert!(!site.is_ready(0).await);
-    site.store.set_mood(Mood::Up);
+    site.store.set_condition(Condition::Up);
     site.wait_ready(0).await;
     assert_eq!(site.ask("/once/ok", "r2").await.status, 200);
 }
