Callers' connections: accepting, reading and writing each in a module

src/direct/caller.rs keeps accepting and serving; intake reads requests, answerer writes answers and owns the codec that both sides share. The two ways of relaying no longer take an answer apart in the same lines. Behaviour is unchanged.

--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -3,10 +3,11 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use crate::direct::caller::{Answerer, Incoming};
+use crate::direct::answerer::Answerer;
 use crate::direct::decision::RefusedWhy;
 use crate::direct::dialect::Refusal;
 use crate::direct::entry::{Entry, Life};
+use crate::direct::intake::Incoming;
 use crate::direct::job::Job;
 use crate::direct::progress::Progress;
 use crate::direct::refuse::{self, COME_BACK_ELSEWHERE};
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -5,7 +5,7 @@
 
 use super::{Attempt, Job};
 use crate::clock::Millis;
-use crate::direct::caller::Answerer;
+use crate::direct::answerer::Answerer;
 use crate::direct::catalog::Shape;
 use crate::direct::channel::Reply;
 use crate::direct::choose::Choice;
@@ -137,23 +137,17 @@
     async fn relay_whole(
         &self,
         answerer: &mut Answerer,
-        answered: Answered<'_>,
+        mut answered: Answered<'_>,
         verdict: &Verdict,
     ) -> Attempt {
-        let Answered {
-            mut reply,
-            choice,
-            placed,
-            sent_at,
-        } = answered;
-        let key = choice.key;
-        let Ok(body) = relay::whole(&mut reply).await else {
+        let key = answered.choice.key;
+        let Ok(body) = relay::whole(&mut answered.reply).await else {
             return self.failed(key, Fault::Answer, "the answer broke off");
         };
-        self.began(&choice, placed, sent_at);
-        let status = reply.head.status;
-        let head = self.entry.dialect.answer(&reply.head);
-        self.keep(key, reply, verdict);
+        self.began(&answered.choice, answered.placed, answered.sent_at);
+        let status = answered.reply.head.status;
+        let head = self.entry.dialect.answer(&answered.reply.head);
+        self.keep(key, answered.reply, verdict);
         let how = self.account_whole(key, status);
         if answerer.whole(head, body, self.is_closing()).await.is_err() {
             return Attempt::CallerGone;
@@ -181,26 +175,21 @@
     async fn relay_events(
         &self,
         answerer: &mut Answerer,
-        answered: Answered<'_>,
+        mut answered: Answered<'_>,
         verdict: &Verdict,
     ) -> Attempt {
-        let Answered {
-            mut reply,
-            choice,
-            placed,
-            sent_at,
-        } = answered;
-        let key = choice.key;
-        let status = reply.head.status.as_u16();
-        let head = self.entry.dialect.answer(&reply.head);
+        let key = answered.choice.key;
+        let status = answered.reply.head.status.as_u16();
+        let head = self.entry.dialect.answer(&answered.reply.head);
         let close = self.is_closing();
         let begin = || {
-            self.began(&choice, placed, sent_at);
+            self.began(&answered.choice, answered.placed, answered.sent_at);
             head.clone()
         };
-        match relay::events(&mut reply, answerer, &self.position, begin, close).await {
+        let reply = &mut answered.reply;
+        match relay::events(reply, answerer, &self.position, begin, close).await {
             Ok(()) => {
-                self.keep(key, reply, verdict);
+                self.keep(key, answered.reply, verdict);
                 self.entry.endpoint_served(key);
                 self.log_ended(EndedHow::Served, status);
                 Attempt::Over(answerer.is_kept())
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -4,7 +4,7 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::caller::Answerer;
+use crate::direct::answerer::Answerer;
 use crate::direct::decision::{EndedHow, RefusedWhy};
 use crate::direct::dialect::Refusal;
 use crate::direct::refuse;
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -11,12 +11,13 @@
 use rand::Rng;
 
 use crate::clock::Millis;
-use crate::direct::caller::{Answerer, Incoming};
+use crate::direct::answerer::Answerer;
 use crate::direct::catalog::{Catalog, Repeat, Route, Shape};
 use crate::direct::decision::{EndedHow, RefusedWhy};
 use crate::direct::dialect::Ask;
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::Entry;
+use crate::direct::intake::Incoming;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
 use crate::direct::relay::Position;
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -9,7 +9,7 @@
 use super::answer::Answered;
 use super::{Attempt, Job};
 use crate::clock::Millis;
-use crate::direct::caller::Answerer;
+use crate::direct::answerer::Answerer;
 use crate::direct::catalog::Share;
 use crate::direct::channel::{Channel, Failure, Reply};
 use crate::direct::choose::{self, Candidate, Choice, Demand};
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,7 +1,8 @@
 //! Direct placement: an entry that orders endpoints itself, without a sidecar beside each.
 //!
-//! The way of a request: [`caller`] (accept, read) - [`handle`] (allow or refuse) - [`job`]
-//! (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`progress`] (the line at its end).
+//! The way of a request: [`caller`] (accept) - [`intake`] (read) - [`handle`] (allow or refuse) -
+//! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
+//! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
@@ -10,6 +11,7 @@
 //!
 //! The formats on the wire come from an implementation of [`dialect::Dialect`].
 
+pub mod answerer;
 pub mod budget;
 pub mod caller;
 pub mod catalog;
@@ -25,6 +27,7 @@
 pub mod gossip;
 pub mod handle;
 pub mod health;
+pub mod intake;
 pub mod job;
 pub mod load;
 pub mod peers;
--- a/src/direct/progress.rs
+++ b/src/direct/progress.rs
@@ -1,9 +1,9 @@
 //! What is known of a request in flight, for the line at its end, also when its caller leaves.
 
 use crate::clock::Millis;
-use crate::direct::caller::Incoming;
 use crate::direct::decision::{Decision, EndedHow};
 use crate::direct::entry::Entry;
+use crate::direct::intake::Incoming;
 
 /// What is known of a request in flight; empty where it has not got that far.
 #[derive(Debug, Default)]
--- a/src/direct/refuse.rs
+++ b/src/direct/refuse.rs
@@ -3,10 +3,11 @@
 use bytes::Bytes;
 
 use crate::clock::Millis;
-use crate::direct::caller::{Answerer, Incoming};
+use crate::direct::answerer::Answerer;
 use crate::direct::decision::{Decision, RefusedWhy};
 use crate::direct::dialect::{Ask, Refusal};
 use crate::direct::entry::{Entry, Life};
+use crate::direct::intake::Incoming;
 use crate::direct::resolve::Denied;
 
 /// Advice while this entry can't decide; another entry can.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::direct::caller::Answerer;
+use crate::direct::answerer::Answerer;
 use crate::direct::channel::{Failure, Reply};
 use crate::sse::Splitter;
 
