--- a/src/cli.rs
+++ b/src/cli.rs
@@ -234,6 +234,7 @@
     anyhow::anyhow!(lines.join("\n"))
 }
 
+/// Prints what the logs tell of a request; fails when none holds it.
 fn explain(id: &str, logs: &[PathBuf]) -> anyhow::Result<()> {
     let mut found = false;
     for path in logs {
--- a/src/direct/budget.rs
+++ b/src/direct/budget.rs
@@ -23,7 +23,9 @@
 /// One entry's count of requests and repeats of one pool.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
+    /// When requests were read, the oldest first.
     firsts: VecDeque<Millis>,
+    /// When repeats were sent, the oldest first.
     repeats: VecDeque<Millis>,
 }
 
@@ -52,6 +54,7 @@
         self.repeats.len()
     }
 
+    /// Forgets what is older than the window.
     fn expire(&mut self, now: Millis, allowance: Allowance) {
         let from = now - allowance.window;
         for queue in [&mut self.firsts, &mut self.repeats] {
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -148,7 +148,9 @@
     pub teams: Vec<Team>,
     /// Bounds for callers.
     pub limits: CallerLimits,
+    /// Routes of each host, the longest prefix first.
     by_host: HashMap<String, Vec<RouteKey>>,
+    /// The team that holds each key.
     by_key: HashMap<String, TeamKey>,
 }
 
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -154,6 +154,7 @@
     good.max_by_key(weight).map(|c| c.key)
 }
 
+/// The estimate for one endpoint, and what the request would add there.
 fn estimate(
     demand: &Demand<'_>,
     candidate: &Candidate<'_>,
@@ -185,6 +186,7 @@
     }
 }
 
+/// Tokens that an endpoint is expected to keep unseen: only the preferred one keeps any.
 fn expected_kept(
     demand: &Demand<'_>,
     candidate: &Candidate<'_>,
@@ -202,6 +204,8 @@
     demand.parts[..count].iter().map(|part| part.tokens).sum()
 }
 
+/// Time until the first event if the endpoint were as fast as estimated, in ms: reading what goes
+/// before and the request itself, the batch, the memory, what waits, and the harm to streams.
 fn work_ms(
     demand: &Demand<'_>,
     candidate: &Candidate<'_>,
@@ -246,6 +250,7 @@
     harm + exposure
 }
 
+/// Price of overfull memory, in ms; none for plain services.
 fn memory_ms(demand: &Demand<'_>, total: Work) -> f64 {
     if demand.memory_tokens == 0 {
         return 0.0;
@@ -260,6 +265,7 @@
     }
 }
 
+/// Price of another availability zone and of a fresh start, in ms.
 fn distance_ms(demand: &Demand<'_>, candidate: &Candidate<'_>) -> f64 {
     let listed = &candidate.endpoint.listed;
     let zone = if listed.zone == demand.zone {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -241,7 +241,9 @@
 /// Counts of one second.
 #[derive(Debug, Default)]
 struct Second {
+    /// Lines written, by [`Kind`].
     written: [Cell<u32>; 3],
+    /// Lines that the bound dropped, by [`Kind`].
     dropped: [Cell<u64>; 3],
 }
 
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -94,7 +94,9 @@
 pub struct Directory {
     arena: SlotMap<EndpointKey, Endpoint>,
     by_id: HashMap<String, EndpointKey>,
+    /// Whether the list can't be read now.
     away: bool,
+    /// When it could be read again after it was away last.
     returned: Option<Millis>,
 }
 
@@ -202,6 +204,7 @@
         self.by_id.get(id).copied()
     }
 
+    /// Takes an entry unless a newer one of the same endpoint is known.
     fn put(&mut self, listed: Listed) {
         let standing = if listed.draining {
             Standing::Draining
@@ -227,6 +230,8 @@
         }
     }
 
+    /// An entry disappeared: the endpoint has left, or its entry lapsed while the list was away.
+    /// Returns the key of an endpoint that left for good.
     fn removed(&mut self, id: &str, revision: Revision, now: Millis) -> Option<EndpointKey> {
         let key = *self.by_id.get(id)?;
         let endpoint = self.arena.get_mut(key)?;
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -179,7 +179,7 @@
         resolve(knowledge, ask, self.clock.now())
     }
 
-    /// Removes endpoints whose standing has lapsed and idle connections that are too old.
+    /// Removes endpoints whose grace after a lapse is over and idle connections that are too old.
     pub fn expire(&self) {
         let now = self.clock.now();
         let gone = self.directory.borrow_mut().expire(now);
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -50,11 +50,13 @@
     Some(Explanation { text, unreadable })
 }
 
+/// Reads a line from its first brace on.
 fn read(text: &str) -> Option<Line> {
     let from = text.find('{')?;
     serde_json::from_str(&text[from..]).ok()
 }
 
+/// The endpoint that a line about a request names.
 fn endpoint(line: &Line) -> Option<&str> {
     match &line.decision {
         Decision::Placed { endpoint, .. }
@@ -64,6 +66,7 @@
     }
 }
 
+/// Whether a change of belief may be a cause for a request at these endpoints.
 fn bears_on(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
         Decision::EndpointListed { endpoint, .. } | Decision::EndpointHealth { endpoint, .. } => {
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -9,6 +9,7 @@
 /// When the configuration in force was last known to be the newest.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
+    /// When the question of the newest proof was sent.
     proven: Option<Millis>,
 }
 
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -58,6 +58,7 @@
     }
 }
 
+/// What this entry tells one peer now.
 fn hello_for(entry: &Entry, peer: SocketAddr, now: Millis) -> Hello {
     let directory = entry.directory();
     let accounts = entry.accounts();
@@ -81,6 +82,7 @@
     }
 }
 
+/// Takes a datagram: the peer, its proof, its version and its work.
 fn heard(entry: &Rc<Entry>, from: SocketAddr, hello: &Hello) {
     let now = entry.clock.now();
     let heard = entry.peers.borrow_mut().hear(from, hello, now);
@@ -99,6 +101,7 @@
     take_work(entry, hello, now);
 }
 
+/// Takes a peer's work at each endpoint; none where it tells none.
 fn take_work(entry: &Entry, hello: &Hello, now: Millis) {
     let told: HashMap<u32, Work> = hello.work.iter().copied().collect();
     let directory = entry.directory();
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -46,10 +46,15 @@
 /// The record of one endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Record {
+    /// Mean share of failures, 0 to 1.
     failing: f64,
+    /// Failures since the last success.
     in_a_row: u32,
+    /// When it is due for a trial; `None` while it is not set aside.
     aside_until: Option<Millis>,
+    /// Time for which it is set aside; doubles with every failed trial.
     aside: Millis,
+    /// Mean of seen by expected time as it was at `slowness_at`.
     slowness: f64,
     slowness_at: Millis,
 }
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -49,6 +49,7 @@
         self.unread.iter().fold(0, |sum, n| sum.saturating_add(*n))
     }
 
+    /// The sum of both; at its largest where that does not fit.
     fn plus(self, other: Self) -> Self {
         let mut unread = self.unread;
         for (sum, add) in unread.iter_mut().zip(other.unread) {
@@ -94,10 +95,14 @@
 /// The load of one endpoint.
 #[derive(Debug, Default)]
 pub struct Load {
+    /// This entry's own work, but for its pressure.
     own: Work,
+    /// [`Work::pressure`] of this entry as it was at `pressure_at`.
     pressure: f64,
     pressure_at: Millis,
+    /// What peers told, and when.
     peers: HashMap<PeerId, (Millis, Work)>,
+    /// What the endpoint told last, and when.
     report: Option<(Millis, Report)>,
 }
 
@@ -148,6 +153,7 @@
         }
     }
 
+    /// The pressure of this entry's requests, as far as it is not forgotten.
     fn pressure_now(&self, now: Millis) -> f64 {
         let age = (now - self.pressure_at).0 as f64;
         self.pressure * 0.5_f64.powf(age / PRESSURE_HALF_LIFE_MS)
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -103,8 +103,11 @@
 /// What is known of a peer.
 #[derive(Debug, Clone, Copy)]
 struct Peer {
+    /// Its life; `None` before it was heard.
     id: Option<PeerId>,
+    /// When it was heard last.
     heard: Option<Millis>,
+    /// Number of its last datagram.
     last_number: u64,
     known_since: Millis,
     is_seed: bool,
@@ -115,10 +118,15 @@
 #[derive(Debug)]
 pub struct PeerBook {
     own: SocketAddr,
+    /// By address, so that rounds go through them in a steady order.
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Numbers of own datagrams and when they were sent, the newest last.
     sent: VecDeque<(u64, Millis)>,
+    /// Number of the last own datagram.
     number: u64,
+    /// Position of the next round among the peers.
     turn: usize,
+    /// Position of the next address to pass on.
     told: usize,
 }
 
@@ -233,11 +241,13 @@
             .count()
     }
 
+    /// When an own datagram was sent; `None` when that was too long ago or in another life.
     fn sent_at(&self, number: u64) -> Option<Millis> {
         let found = self.sent.iter().find(|(n, _)| *n == number);
         found.map(|(_, at)| *at)
     }
 
+    /// Adds an address if it is new and another's.
     fn meet(&mut self, address: SocketAddr, now: Millis) {
         if address == self.own {
             return;
--- a/src/direct/prefix.rs
+++ b/src/direct/prefix.rs
@@ -26,13 +26,16 @@
 #[derive(Debug, Clone, Copy)]
 struct Use {
     endpoint: EndpointKey,
+    /// Tokens that the endpoint had read in all at that use.
     read_before: u64,
 }
 
 /// The estimate for all endpoints.
 #[derive(Debug, Default)]
 pub struct PrefixMap {
+    /// The last use of each part at each endpoint, by the part's id.
     uses: HashMap<u64, Vec<Use>>,
+    /// Tokens that each endpoint has read in all.
     read: HashMap<EndpointKey, u64>,
 }
 
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -39,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     splitter: Splitter,
+    /// Number of the last event that the caller had before.
     after: Option<u64>,
     last: Option<u64>,
 }
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -28,7 +28,7 @@
 const CALL_TIME: Duration = Duration::from_millis(900);
 /// Age of the newest proof, own or a peer's, at which an entry asks for another.
 const PROVE_AT: Millis = Millis(1_300);
-/// Random addition to [`PROVE_AT`], so that one entry asks and the others hear of it.
+/// Random addition to [`PROVE_AT`], in ms, so that one entry asks and the others hear of it.
 const PROVE_SPREAD_MS: u64 = 700;
 /// Time after which what the store has and the watch did not bring is read by listing; longer
 /// than [`GATHER`].
@@ -37,7 +37,7 @@
 /// that a burst of changes costs few calls. A change is applied this much later at worst, a third of
 /// the shortest bound on it.
 const GATHER: Duration = Duration::from_millis(600);
-/// Pause after a failed call, and its random addition.
+/// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Longest body that is read from the store, in bytes.
 const MOST_BODY: usize = 16 << 20;
@@ -67,6 +67,7 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    /// The connection, while no call is under way on it.
     kept: RefCell<Option<Channel>>,
 }
 
@@ -147,6 +148,7 @@
     }
 }
 
+/// Waits until the newest proof is so old that another is due.
 async fn wait_until_due(entry: &Entry) {
     let spread = rand::thread_rng().gen_range(0..PROVE_SPREAD_MS);
     let due = PROVE_AT + Millis(spread);
@@ -236,6 +238,7 @@
     }
 }
 
+/// Applies one change that the watch brought.
 fn apply(entry: &Rc<Entry>, change: Written) {
     match change {
         Written::Catalog(published) => entry.take_catalog(published, "store"),
@@ -243,6 +246,7 @@
     }
 }
 
+/// Makes one call and counts it.
 async fn call(
     entry: &Entry,
     client: &StoreClient,
@@ -257,6 +261,7 @@
     answer
 }
 
+/// Waits after a failed call: [`RETRY_PAUSE_MS`] to twice as long.
 async fn pause() {
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
     sleep(Duration::from_millis(ms)).await;
