--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -162,11 +162,6 @@
         }
     }
 
-    /// A waiting watch ended; that alone does not mean that the store is away.
-    pub fn watch_ended(&self, err: &CallError) {
-        tracing::debug!(%err, "watch ended, reading everything anew");
-    }
-
     /// Whether the configuration allows a request now.
     pub fn allow(&self, ask: &Ask) -> Result<Allowed, Denied> {
         let catalog = self.catalog();
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -79,12 +79,20 @@
     link: UdpSocket,
 ) -> Supervisor {
     let mut supervisor = Supervisor::new("direct entry");
-    let [callers, readiness, admin] = listeners.map(Rc::new);
-    let link = Rc::new(link);
     let cx = Rc::clone(entry);
     supervisor.child("signals", move || {
         watch_signals(Rc::clone(&cx), path.clone())
     });
+    spawn_learning(&mut supervisor, entry, link);
+    spawn_listeners(&mut supervisor, entry, listeners);
+    let cx = Rc::clone(entry);
+    supervisor.child("housekeeping", move || keep_house(Rc::clone(&cx)));
+    supervisor
+}
+
+/// Starts the tasks that learn from the store and from peers.
+fn spawn_learning(supervisor: &mut Supervisor, entry: &Rc<Entry>, link: UdpSocket) {
+    let link = Rc::new(link);
     let cx = Rc::clone(entry);
     supervisor.child("follow", move || sync::follow(Rc::clone(&cx)));
     let cx = Rc::clone(entry);
@@ -97,6 +105,11 @@
     supervisor.child("hear", move || {
         gossip::hear(Rc::clone(&cx), Rc::clone(&link))
     });
+}
+
+/// Starts the tasks that answer the balancer, operators and callers.
+fn spawn_listeners(supervisor: &mut Supervisor, entry: &Rc<Entry>, listeners: [TcpListener; 3]) {
+    let [callers, readiness, admin] = listeners.map(Rc::new);
     let cx = Rc::clone(entry);
     supervisor.child("readiness", move || {
         ready::answer_readiness(Rc::clone(&cx), Rc::clone(&readiness))
@@ -109,9 +122,6 @@
     supervisor.child("callers", move || {
         caller::accept(Rc::clone(&cx), Rc::clone(&callers))
     });
-    let cx = Rc::clone(entry);
-    supervisor.child("housekeeping", move || keep_house(Rc::clone(&cx)));
-    supervisor
 }
 
 /// Drops what has expired in every round, and once a second writes counts and gauges.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -230,7 +230,8 @@
             }
             Ok(Watched::HistoryGone) => return,
             Err(err) => {
-                entry.watch_ended(&err);
+                // This alone does not mean that the store is away.
+                tracing::debug!(%err, "watch ended, reading everything anew");
                 pause().await;
                 return;
             }
