--- a/lab/src/proofs.rs
+++ b/lab/src/proofs.rs
@@ -23,6 +23,7 @@
 }
 
 impl ProofOptions {
+    /// Whether a proof is one of those asked for.
     fn includes(&self, proof: &Proof) -> bool {
         let test = self.only.as_ref().is_none_or(|only| *only == proof.test);
         let begins = |suites: &String| proof.suite.starts_with(suites.as_str());
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -49,6 +49,7 @@
 #[derive(Debug)]
 pub struct Channel {
     stream: TcpStream,
+    /// What has arrived and is not decoded yet.
     inbuf: BytesMut,
     /// When it was last used.
     pub idle_since: Millis,
@@ -91,7 +92,7 @@
 }
 
 impl Channel {
-    /// Connects; fails within [`CONNECT_TIME`].
+    /// Connects; [`Failure::Connect`] when that fails or takes too long.
     pub async fn connect(address: SocketAddr) -> Result<Self, Failure> {
         let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address));
         let stream = match connecting.await {
@@ -241,6 +242,7 @@
         }
     }
 
+    /// The framed body has ended; the next answer has a head again.
     fn end_frame(&mut self) {
         let body = std::mem::replace(&mut self.body, Body::Closed);
         if let Body::Framed(codec) = body {
@@ -248,6 +250,7 @@
         }
     }
 
+    /// A piece of a body that ends with the connection.
     async fn unframed_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         if self.channel.inbuf.is_empty() {
             self.channel.inbuf.reserve(READ_ROOM);
@@ -260,6 +263,7 @@
         Ok(Some(self.channel.inbuf.split().freeze()))
     }
 
+    /// Reads more of a body that has not ended.
     async fn read_more(&mut self) -> Result<(), Failure> {
         self.channel.inbuf.reserve(READ_ROOM);
         match self.channel.stream.read_buf(&mut self.channel.inbuf).await {
@@ -289,6 +293,7 @@
     !(bodiless || has_length || is_chunked)
 }
 
+/// The bytes of a request.
 fn encode(codec: &mut ClientCodec, head: RequestHead, body: &Bytes) -> io::Result<BytesMut> {
     let size = match body.len() {
         0 => BodySize::None,
@@ -302,6 +307,7 @@
     Ok(out)
 }
 
+/// Makes the system send at once and notice a dead peer.
 fn set_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -30,7 +30,7 @@
     Caller,
 }
 
-/// Reads a whole body; [`Failure::Lost`] when it is longer than [`MOST_WHOLE`] or breaks off.
+/// Reads a whole body; [`Failure::Lost`] when it is too long or breaks off.
 pub async fn whole(reply: &mut Reply) -> Result<Bytes, Failure> {
     reply.whole(MOST_WHOLE).await
 }
--- a/tests/direct_budget.rs
+++ b/tests/direct_budget.rs
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn requests_add_their_part() {
+fn requests_add_repeats() {
     let mut window = RetryWindow::default();
     for i in 0..100 {
         window.first(Millis(i), ALLOWANCE);
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -129,7 +129,7 @@
 }
 
 #[test]
-fn long_prompts_avoid_delicate() {
+fn long_avoids_delicate() {
     let mut pool = Pool::new();
     let parts = [part(1, 9_000)];
     for _ in 0..5 {
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn delicate_avoid_long_prompts() {
+fn delicate_avoids_long() {
     let mut pool = Pool::new();
     let parts = [part(1, 500)];
     for i in [0, 2] {
@@ -215,7 +215,7 @@
 }
 
 #[test]
-fn waiting_told_by_endpoint() {
+fn endpoint_reports_waiting() {
     let mut pool = Pool::new();
     let report = Report {
         running: 6,
--- a/tests/direct_health.rs
+++ b/tests/direct_health.rs
@@ -4,7 +4,7 @@
 use violetline::direct::health::{Fault, Grade, Record};
 
 #[test]
-fn three_in_a_row() {
+fn three_failures() {
     let mut record = Record::default();
     assert!(!record.failed(Millis(0), Fault::Answer));
     assert!(!record.failed(Millis(0), Fault::Answer));
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn rest_of_complete_answer() {
+fn unfinished_last_event() {
     let mut reader = EventReader::new(None);
     assert_eq!(&reader.push(b"data: x")[..], b"");
     assert_eq!(&reader.rest()[..], b"data: x");
