--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::direct::caller::Answerer;
+use crate::direct::answerer::Answerer;
 use crate::direct::channel::{Failure, Reply};
 use crate::sse::Splitter;
 
@@ -30,22 +30,16 @@
     Caller,
 }
 
-/// Reads a whole body.
+/// Reads a whole body; [`Failure::Lost`] when it is too long or breaks off.
 pub async fn whole(reply: &mut Reply) -> Result<Bytes, Failure> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = reply.chunk().await? {
-        if body.len() + chunk.len() > MOST_WHOLE {
-            return Err(Failure::Lost);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+    reply.whole(MOST_WHOLE).await
 }
 
 /// Cuts an answer into whole events and drops those that the caller has already.
 #[derive(Debug, Default)]
 pub struct EventReader {
     splitter: Splitter,
+    /// Number of the last event that the caller had before.
     after: Option<u64>,
     last: Option<u64>,
 }
@@ -91,7 +85,8 @@
     }
 }
 
-/// Relays events until the answer ends; `first` is called when the first one has arrived.
+/// Relays events until the answer ends; `begin` makes the head when the first one has
+/// arrived, and `close` tells the caller that the connection ends with the answer.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use actix_http::{RequestHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 
@@ -28,7 +28,7 @@
 const CALL_TIME: Duration = Duration::from_millis(900);
 /// Age of the newest proof, own or a peer's, at which an entry asks for another.
 const PROVE_AT: Millis = Millis(1_300);
-/// Random addition to [`PROVE_AT`], so that one entry asks and the others hear of it.
+/// Random addition to [`PROVE_AT`], in ms, so that one entry asks and the others hear of it.
 const PROVE_SPREAD_MS: u64 = 700;
 /// Time after which what the store has and the watch did not bring is read by listing; longer
 /// than [`GATHER`].
@@ -40,7 +40,7 @@
 /// Pause between two questions while the store is away: its return is noticed in time to wait for
 /// lapsed endpoints, and an entry that is turned away for long makes few calls.
 const AWAY_PAUSE: Duration = Duration::from_millis(350);
-/// Pause after a failed call, and its random addition.
+/// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Longest body that is read from the store, in bytes.
 const MOST_BODY: usize = 16 << 20;
@@ -70,6 +70,7 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    /// The connection, while no call is under way on it.
     kept: RefCell<Option<Channel>>,
 }
 
@@ -101,16 +102,10 @@
             None => Channel::connect(self.address).await?,
         };
         let mut reply = channel.send(head, &Bytes::new(), |_| true).await?;
-        let mut body = BytesMut::new();
-        while let Some(chunk) = reply.chunk().await? {
-            if body.len() + chunk.len() > MOST_BODY {
-                return Err(Failure::Lost);
-            }
-            body.extend_from_slice(&chunk);
-        }
+        let body = reply.whole(MOST_BODY).await?;
         let status = reply.head.status;
         *self.kept.borrow_mut() = reply.into_channel();
-        Ok((status, body.freeze()))
+        Ok((status, body))
     }
 }
 
@@ -156,6 +151,7 @@
     }
 }
 
+/// Waits until the newest proof is so old that another is due.
 async fn wait_until_due(entry: &Entry) {
     let spread = Millis(rand::thread_rng().gen_range(0..PROVE_SPREAD_MS));
     loop {
@@ -250,7 +246,8 @@
             }
             Ok(Watched::HistoryGone) => return,
             Err(err) => {
-                entry.watch_ended(&err);
+                // This alone does not mean that the store is away.
+                tracing::debug!(%err, "watch ended, reading everything anew");
                 pause().await;
                 return;
             }
@@ -258,6 +255,7 @@
     }
 }
 
+/// Applies one change that the watch brought.
 fn apply(entry: &Rc<Entry>, change: Written) {
     match change {
         Written::Catalog(published) => entry.take_catalog(published, "store"),
@@ -265,6 +263,7 @@
     }
 }
 
+/// Makes one call and counts it.
 async fn call(
     entry: &Entry,
     client: &StoreClient,
@@ -279,6 +278,7 @@
     answer
 }
 
+/// Waits after a failed call: [`RETRY_PAUSE_MS`] to twice as long.
 async fn pause() {
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
     sleep(Duration::from_millis(ms)).await;
