--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -31,6 +31,17 @@
     );
 }
 
+#[actix_rt::test]
+async fn empty_body() {
+    let site = Site::with_entry(1).await;
+    let request = "POST /once/ok HTTP/1.1\r\nhost: h.example\r\nx-request-id: r1\r\n\
+        authorization: Bearer k1\r\ncontent-length: 0\r\n\r\n";
+    let answer = exchange(site.entries[0].addr("callers"), request.as_bytes()).await;
+    assert_eq!(answer.status, 200);
+    let arrival = &site.engines[0].arrivals()[0];
+    assert_eq!(arrival.header("content-length"), Some("0"));
+}
+
 #[actix_rt::test]
 async fn not_run_elsewhere() {
     let site = Site::with_entry(2).await;
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -10,7 +10,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -295,8 +295,10 @@
 
 /// The bytes of a request.
 fn encode(codec: &mut ClientCodec, head: RequestHead, body: &Bytes) -> io::Result<BytesMut> {
+    // A method that usually has a body tells the length of an empty one, too (RFC 9110, 8.6).
+    let may_have_body = matches!(head.method, Method::POST | Method::PUT | Method::PATCH);
     let size = match body.len() {
-        0 => BodySize::None,
+        0 if !may_have_body => BodySize::None,
         length => BodySize::Sized(length as u64),
     };
     let mut out = BytesMut::with_capacity(HEAD_ROOM + body.len());
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -170,8 +170,8 @@
     let again = shared_tokens(demand).saturating_sub(cached);
     let footprint = Footprint {
         band: demand.band,
-        unread: unread as u32,
-        held: (prompt + demand.output_tokens) as u32,
+        unread: u32::try_from(unread).unwrap_or(u32::MAX),
+        held: u32::try_from(prompt + demand.output_tokens).unwrap_or(u32::MAX),
         delicate: demand.delicate,
     };
     let ms = work_ms(demand, candidate, total, unread, now) * candidate.record.slowness(now)
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -110,8 +110,9 @@
     /// A request is sent there.
     pub fn begin(&mut self, footprint: Footprint, now: Millis) {
         self.own.running += 1;
-        self.own.unread[footprint.band] += footprint.unread;
-        self.own.held += footprint.held;
+        let unread = &mut self.own.unread[footprint.band];
+        *unread = unread.saturating_add(footprint.unread);
+        self.own.held = self.own.held.saturating_add(footprint.held);
         self.own.delicate += footprint.delicate;
         let coarse = 1.0 - f64::from(footprint.delicate.min(WHOLE)) / f64::from(WHOLE);
         self.pressure = self.pressure_now(now) + f64::from(footprint.unread) * coarse;
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -240,3 +240,16 @@
     pool.loads[0].begin(held, NOW);
     assert_ne!(pool.choose(demand(&parts)).key, key);
 }
+
+/// Prompts beyond any engine's memory are estimated and counted like others.
+#[test]
+fn huge_prompts() {
+    let mut pool = Pool::new();
+    let parts: Vec<Part> = (0..2_000).map(|id| part(id, 1 << 24)).collect();
+    for _ in 0..3 {
+        let choice = pool.choose(demand(&parts));
+        assert_eq!(choice.footprint.unread, u32::MAX);
+        pool.loads[0].begin(choice.footprint, NOW);
+    }
+    assert_eq!(pool.loads[0].total(NOW).running, 3);
+}
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -72,6 +72,24 @@
     assert_eq!(no_parts.parts[0].tokens, 70);
 }
 
+/// Counts that a caller makes up stay small enough to be added up.
+#[test]
+fn made_up_counts() {
+    let most = u64::MAX.to_string();
+    let prefix = format!("1:{most},2:{most}");
+    let usage = format!("{most},{most}");
+    let headers = [
+        ("x-request-id", "1"),
+        ("x-prompt-prefix", &prefix),
+        ("x-token-usage", &usage),
+    ];
+    let asked = ask(&headers).unwrap();
+    assert!(asked.parts.iter().all(|part| part.tokens <= 1 << 24));
+    assert!(asked.output_tokens <= 1 << 24);
+    let whole = ask(&[headers[0], headers[2]]).unwrap();
+    assert!(whole.parts[0].tokens <= 1 << 24);
+}
+
 #[test]
 fn order_written() {
     let mut headers = STREAM.to_vec();
