The end of a stream tells its longest pause

Whether a stream came late is decided by its first event and its longest pause; the log told only the first. Now 'ended' has pause_ms.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -133,6 +133,9 @@
         status: u16,
         /// Time until the first byte of the answer left, in ms.
         first_ms: Option<u64>,
+        /// Longest time between two pieces of the answer, in ms; `None` where it left in one.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        pause_ms: Option<u64>,
         /// Time in all, in ms.
         total_ms: u64,
     },
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -186,8 +186,12 @@
             self.began(&answered.choice, answered.placed, answered.sent_at);
             head.clone()
         };
+        let left = || {
+            let now = self.entry.clock.now();
+            self.progress.borrow_mut().piece_left(now);
+        };
         let reply = &mut answered.reply;
-        match relay::events(reply, answerer, &self.position, begin, close).await {
+        match relay::events(reply, answerer, &self.position, begin, left, close).await {
             Ok(()) => {
                 self.keep(key, answered.reply, verdict);
                 self.entry.endpoint_served(key);
--- a/src/direct/progress.rs
+++ b/src/direct/progress.rs
@@ -18,9 +18,20 @@
     pub endpoint: String,
     /// When the first byte of its answer left.
     pub first: Option<Millis>,
+    /// When the last piece of its answer left.
+    last: Option<Millis>,
+    /// Longest time between two pieces.
+    longest_pause: Option<Millis>,
 }
 
 impl Progress {
+    /// A piece of the answer has left.
+    pub fn piece_left(&mut self, now: Millis) {
+        if let Some(last) = self.last.replace(now) {
+            self.longest_pause = self.longest_pause.max(Some(now - last));
+        }
+    }
+
     /// Logs and counts the end of the request; `status` is 0 where the caller got no whole answer.
     pub fn log_ended(&self, entry: &Entry, incoming: &Incoming, how: EndedHow, status: u16) {
         let now = entry.clock.now();
@@ -30,6 +41,7 @@
             how,
             status,
             first_ms: self.first.map(|at| (at - incoming.at).0),
+            pause_ms: self.longest_pause.map(|pause| pause.0),
             total_ms: (now - incoming.at).0,
         };
         entry.log.request(&self.id, ended);
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -86,12 +86,14 @@
 }
 
 /// Relays events until the answer ends; `begin` makes the head when the first one has
-/// arrived, and `close` tells the caller that the connection ends with the answer.
+/// arrived, `left` is told of each piece that has left, and `close` tells the caller that the
+/// connection ends with the answer.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
     position: &Cell<Position>,
     mut begin: impl FnMut() -> actix_http::ResponseHead,
+    mut left: impl FnMut(),
     close: bool,
 ) -> Result<(), Broken> {
     let mut at = position.get();
@@ -113,6 +115,7 @@
                 answerer.begin(begin(), piece, close).await
             };
             written.map_err(|_| Broken::Caller)?;
+            left();
             at.begun = true;
             at.last_event = reader.last().or(at.last_event);
             position.set(at);
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -58,6 +58,7 @@
         how,
         status: if how == EndedHow::Served { 200 } else { 502 },
         first_ms: None,
+        pause_ms: None,
         total_ms: 12,
     }
 }
