--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -144,6 +144,91 @@
     assert_eq!(resumed[0].header("last-event-id"), Some("2"));
 }
 
+/// A request for a stream whose answer is long beside its prompt.
+fn long_answer(path: &str, id: &str) -> Vec<u8> {
+    let text = String::from_utf8(request(path, id, "k1")).unwrap();
+    let told = "x-token-usage: 100,400\r\ncontent-length";
+    text.replace("content-length", told).into_bytes()
+}
+
+/// The run of a long answer is copied, and goes on from its copy when its engine dies.
+#[actix_rt::test]
+async fn stream_taken_over() {
+    let site = Site::with_entry(3).await;
+    let callers = site.entries[0].addr("callers");
+    let answer = exchange(callers, &long_answer("/stream/die", "r1")).await;
+    assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5]);
+    assert!(!answer.is_cut);
+    let arrivals = site.engines.iter().flat_map(|engine| engine.arrivals());
+    let mut arrivals: Vec<_> = arrivals.collect();
+    assert_eq!(arrivals.len(), 2);
+    arrivals.sort_by_key(|arrival| arrival.header("kv-from").is_some());
+    let [first, second] = &arrivals[..] else {
+        unreachable!()
+    };
+    let copy = first.header("x-kv-backup").unwrap();
+    assert_eq!(second.header("kv-from"), Some(&*format!("{copy}/r1")));
+    assert_eq!(second.header("last-event-id"), Some("2"));
+}
+
+/// An engine that breaks a stream off and lives may still run it: it goes on nowhere else.
+#[actix_rt::test]
+async fn broken_but_alive() {
+    let site = Site::with_entry(3).await;
+    let callers = site.entries[0].addr("callers");
+    let answer = exchange(callers, &long_answer("/stream/cut", "r1")).await;
+    assert_eq!(event_numbers(&answer.body), [1, 2]);
+    assert!(answer.is_cut);
+    assert_eq!(site.runs(), 1);
+}
+
+/// A short answer is not worth a copy of its prompt's memory.
+#[actix_rt::test]
+async fn short_not_copied() {
+    let site = Site::with_entry(2).await;
+    let callers = site.entries[0].addr("callers");
+    let text = String::from_utf8(request("/stream/events", "r1", "k1")).unwrap();
+    let told = "x-token-usage: 9000,50\r\nx-kv-backup: 127.0.0.1:1\r\ncontent-length";
+    let bytes = text.replace("content-length", told).into_bytes();
+    assert_eq!(exchange(callers, &bytes).await.status, 200);
+    let arrivals = site.engines.iter().flat_map(|engine| engine.arrivals());
+    assert!(arrivals
+        .into_iter()
+        .all(|a| a.header("x-kv-backup").is_none()));
+}
+
+/// An entry that follows another one hears of changes without calls of its own.
+#[actix_rt::test]
+async fn changes_from_peer() {
+    let ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"];
+    let (link, admin) = (common_port(&ips), common_port(&ips));
+    let mut site = Site::start(2).await;
+    for ip in ips {
+        let settings = site.settings(ip, link, admin, &["127.0.0.2:1"]);
+        site.add_entry(&settings).await;
+    }
+    let one_follows = || async {
+        let mut following = 0;
+        for entry in 0..3 {
+            following += u32::from(site.state(entry).await["watches"] == false);
+        }
+        following == 1
+    };
+    // A watch that waits ends with the next change.
+    site.store.list(&site.engines[1], "s1", "draining");
+    wait_for("two of three watch", one_follows).await;
+    site.store.unlist(&site.engines[1]);
+    for entry in 0..3 {
+        wait_for("the change arrives", || async {
+            site.state(entry).await["endpoints"]
+                .as_array()
+                .map(Vec::len)
+                == Some(1)
+        })
+        .await;
+    }
+}
+
 #[actix_rt::test]
 async fn denied_requests() {
     let site = Site::with_entry(1).await;
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -21,7 +21,7 @@
 
 /// Time for a connection to come up. Within a region it takes milliseconds; a dropped opening
 /// packet is sent again only after a second, so waiting longer gains nothing.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Time after which data without acknowledgement ends a connection: some round trips and two
 /// retransmissions, shorter than any caller's patience.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(3_000);
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -5,10 +5,14 @@
 //! parts, all entries prefer the same endpoint for them (rendezvous hashing), so that they meet
 //! there without a word between entries.
 
+use std::f64::consts::LN_2;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use crate::clock::Millis;
 use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::health::{Grade, Record};
-use crate::direct::load::{Footprint, Load, Work, BANDS, WHOLE};
+use crate::direct::lanes::Lanes;
+use crate::direct::load::{Footprint, Load, Work, BANDS, PRESSURE_HALF_LIFE_MS, WHOLE};
 use crate::direct::prefix::{Part, PrefixMap};
 
 /// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
@@ -41,11 +45,22 @@
 const READ_AGAIN: f64 = 4.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
+/// Part of the memory that running requests and kept parts have together; a margin for what is not
+/// known yet.
+const KEPT_PART: f64 = 0.9;
 /// Memory in use above which an engine may have to preempt.
 const MEMORY_FULL: f64 = 0.88;
 /// Price of overfull memory, in ms: some request is preempted and read anew, which costs more than
 /// reading the shared parts of this one elsewhere.
 const MEMORY_MS: f64 = 1_200.0;
+/// Price of an endpoint that is kept for the other kind of load, in ms.
+const OTHER_LANE_MS: f64 = 300.0;
+/// Most of the random addition to a price, in ms, besides [`SPREAD_READ`].
+const SPREAD_MS: f64 = 20.0;
+/// Most of the random addition to a price by the time that reading takes.
+const SPREAD_READ: f64 = 1.0;
+/// Time for which others' choices stay unseen from which on the addition is whole, in ms.
+const BLIND_MS: f64 = 300.0;
 /// Price of each request that waits at the endpoint by its own word, in ms.
 const WAITING_MS: f64 = 15.0;
 /// Price of an endpoint that has just started, in ms.
@@ -69,6 +84,10 @@
     pub delicate: u32,
     /// Tightest pause among the pool's streams; 0 where there are none.
     pub pause: Millis,
+    /// How long other entries' choices stay unseen here; 0 where there are none.
+    pub blind: Millis,
+    /// A random number, so that entries that know the same don't all choose the same endpoint.
+    pub draw: u64,
 }
 
 /// An endpoint with what is known of it.
@@ -84,6 +103,19 @@
     pub record: &'a Record,
 }
 
+/// An endpoint with what is known of it for one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen<'a> {
+    /// The endpoint.
+    pub candidate: Candidate<'a>,
+    /// Its load from all entries, as far as known.
+    pub total: Work,
+    /// Tokens at the head of the prompt that it is known to keep.
+    pub known: u64,
+    /// Whether it is kept for delicate streams.
+    pub is_kept: bool,
+}
+
 /// The endpoint chosen and why.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Choice {
@@ -106,19 +138,17 @@
     prefixes: &PrefixMap,
     now: Millis,
 ) -> Option<Choice> {
-    let all: Vec<Candidate<'a>> = candidates.collect();
+    let mut all: Vec<Seen<'a>> = candidates.map(|c| see(&demand, c, prefixes, now)).collect();
+    keep_for_streams(&demand, &mut all);
     let shared = shared_tokens(&demand);
-    let keeps = |c: &Candidate<'_>| prefixes.cached(c.key, demand.parts, demand.memory_tokens);
     // An expectation only stands in for knowledge; beside it, the prompt would be read twice.
-    let is_known = shared > 0 && all.iter().any(|c| keeps(c) >= shared);
+    let is_known = shared > 0 && all.iter().any(|seen| seen.known >= shared);
     let preferred = preferred(&demand, &all).filter(|_| !is_known);
     let mut best: Option<(Grade, f64, Choice)> = None;
-    for candidate in &all {
-        let choice = estimate(&demand, candidate, preferred, prefixes, now);
-        let rank = (
-            usable_grade(choice.grade, candidate, now),
-            choice.expected_ms,
-        );
+    for seen in &all {
+        let choice = estimate(&demand, seen, preferred, now);
+        let price = choice.expected_ms + lane_ms(&demand, seen) + spread_ms(&demand, seen, &choice);
+        let rank = (usable_grade(choice.grade, &seen.candidate, now), price);
         let better = best
             .as_ref()
             .is_none_or(|(grade, ms, _)| rank.0 < *grade || (rank.0 == *grade && rank.1 < *ms));
@@ -129,6 +159,55 @@
     best.map(|(_, _, choice)| choice)
 }
 
+/// What is known of an endpoint for one request.
+fn see<'a>(
+    demand: &Demand<'_>,
+    candidate: Candidate<'a>,
+    prefixes: &PrefixMap,
+    now: Millis,
+) -> Seen<'a> {
+    let total = candidate.load.total(now);
+    let kept_since = kept_since(demand, total, now);
+    Seen {
+        known: prefixes.cached(candidate.key, demand.parts, kept_since),
+        candidate,
+        total,
+        is_kept: false,
+    }
+}
+
+/// Marks the endpoints that are kept for delicate streams; none where no stream is.
+fn keep_for_streams(demand: &Demand<'_>, all: &mut [Seen<'_>]) {
+    if demand.pause == Millis(0) {
+        return;
+    }
+    let lanes = Lanes::part(all, READ_TOKENS_PER_MS);
+    for seen in all {
+        seen.is_kept = lanes.is_delicate(seen.candidate.key);
+    }
+}
+
+/// Price of an endpoint that is kept for the other kind of load, in ms.
+fn lane_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
+    if demand.pause == Millis(0) {
+        return 0.0;
+    }
+    let own = f64::from(demand.delicate.min(WHOLE)) / f64::from(WHOLE);
+    let unfit = if seen.is_kept { 1.0 - own } else { own };
+    unfit * OTHER_LANE_MS
+}
+
+/// A random addition in ms that parts entries which choose at the same time and don't see each
+/// other's choices yet.
+fn spread_ms(demand: &Demand<'_>, seen: &Seen<'_>, choice: &Choice) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (demand.draw, seen.candidate.endpoint.digest).hash(&mut hasher);
+    let part = hasher.finish() as f64 / u64::MAX as f64;
+    let read = f64::from(choice.footprint.unread) / READ_TOKENS_PER_MS;
+    let unseen = (demand.blind.0 as f64 / BLIND_MS).min(1.0);
+    part * unseen * (SPREAD_MS + read * SPREAD_READ)
+}
+
 /// A trial that is free counts as good, so that it happens; others only when nothing is good.
 fn usable_grade(grade: Grade, candidate: &Candidate<'_>, now: Millis) -> Grade {
     match grade {
@@ -138,34 +217,34 @@
 }
 
 /// The endpoint at which all entries expect the shared parts of this prompt.
-fn preferred(demand: &Demand<'_>, all: &[Candidate<'_>]) -> Option<EndpointKey> {
+fn preferred(demand: &Demand<'_>, all: &[Seen<'_>]) -> Option<EndpointKey> {
     let shared = demand.parts.len().checked_sub(2)?;
     let part = demand.parts[shared].id;
-    let weight = |c: &&Candidate<'_>| {
+    let weight = |seen: &&Seen<'_>| {
         let mut hasher = blake3::Hasher::new();
         hasher.update(&part.to_be_bytes());
-        hasher.update(c.endpoint.listed.id.as_bytes());
+        hasher.update(seen.candidate.endpoint.listed.id.as_bytes());
         let hash = hasher.finalize();
         let mut head = [0; 8];
         head.copy_from_slice(&hash.as_bytes()[..8]);
         u64::from_be_bytes(head)
     };
-    let good = all.iter().filter(|c| !c.record.is_aside());
-    good.max_by_key(weight).map(|c| c.key)
+    let is_delicate = demand.delicate * 2 >= WHOLE;
+    let good = all.iter().filter(|seen| !seen.candidate.record.is_aside());
+    let own_lane = good.filter(|seen| seen.is_kept == is_delicate);
+    own_lane.max_by_key(weight).map(|seen| seen.candidate.key)
 }
 
 /// The estimate for one endpoint, and what the request would add there.
 fn estimate(
     demand: &Demand<'_>,
-    candidate: &Candidate<'_>,
+    seen: &Seen<'_>,
     preferred: Option<EndpointKey>,
-    prefixes: &PrefixMap,
     now: Millis,
 ) -> Choice {
-    let total = candidate.load.total(now);
+    let candidate = &seen.candidate;
     let prompt: u64 = demand.parts.iter().map(|part| part.tokens).sum();
-    let known = prefixes.cached(candidate.key, demand.parts, demand.memory_tokens);
-    let cached = known.max(expected_kept(demand, candidate, preferred));
+    let cached = seen.known.max(expected_kept(demand, candidate, preferred));
     let unread = prompt - cached;
     let again = shared_tokens(demand).saturating_sub(cached);
     let footprint = Footprint {
@@ -174,7 +253,7 @@
         held: u32::try_from(prompt + demand.output_tokens).unwrap_or(u32::MAX),
         delicate: demand.delicate,
     };
-    let ms = work_ms(demand, candidate, total, unread, now) * candidate.record.slowness(now)
+    let ms = work_ms(demand, seen, unread, now) * candidate.record.slowness(now)
         + distance_ms(demand, candidate)
         + again as f64 / READ_TOKENS_PER_MS * READ_AGAIN;
     Choice {
@@ -186,6 +265,15 @@
     }
 }
 
+/// The time since which an endpoint keeps unused parts: what runs leaves the rest of its memory to
+/// them, and prompts that are read push the oldest out.
+fn kept_since(demand: &Demand<'_>, total: Work, now: Millis) -> Millis {
+    let free = demand.memory_tokens as f64 * KEPT_PART - f64::from(total.held);
+    let read_per_ms = f64::from(total.pressure) * LN_2 / PRESSURE_HALF_LIFE_MS;
+    let kept_ms = free.max(0.0) / read_per_ms.max(f64::EPSILON);
+    now - Millis(kept_ms as u64)
+}
+
 /// Tokens that an endpoint is expected to keep unseen: only the preferred one keeps any.
 fn expected_kept(
     demand: &Demand<'_>,
@@ -206,13 +294,8 @@
 
 /// Time until the first event if the endpoint were as fast as estimated, in ms: reading what goes
 /// before and the request itself, the batch, the memory, what waits, and the harm to streams.
-fn work_ms(
-    demand: &Demand<'_>,
-    candidate: &Candidate<'_>,
-    total: Work,
-    unread: u64,
-    now: Millis,
-) -> f64 {
+fn work_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64, now: Millis) -> f64 {
+    let (candidate, total) = (&seen.candidate, seen.total);
     let mut before = 0.0;
     for band in 0..BANDS {
         let part = if band <= demand.band {
@@ -232,22 +315,26 @@
     };
     let memory = memory_ms(demand, total);
     let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
-    let beside = beside_ms(demand, total, unread);
+    let beside = beside_ms(demand, seen, unread);
     BASE_MS + (before + unread as f64) / READ_TOKENS_PER_MS + crowd + memory + waiting + beside
 }
 
 /// What reading beside streams costs: an engine reads prompts between the tokens of all others,
 /// so a long one stretches their pauses. Long prompts and delicate streams therefore avoid each
 /// other, which parts the engines between them as far as the load allows.
-fn beside_ms(demand: &Demand<'_>, total: Work, unread: u64) -> f64 {
+fn beside_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64) -> f64 {
+    let total = seen.total;
     let own = f64::from(demand.delicate) / f64::from(WHOLE);
     let others = f64::from(total.delicate) / f64::from(WHOLE);
     let read = unread as f64 / READ_TOKENS_PER_MS;
     let queued = f64::from(total.all_unread()) / READ_TOKENS_PER_MS;
     let beyond = (queued + read - demand.pause.0 as f64 * PAUSE_PART).clamp(0.0, read);
     let harm = others * (read * (1.0 - own) * HARM + beyond * HARM_BEYOND);
-    let exposure = f64::from(total.pressure) / READ_TOKENS_PER_MS * own * EXPOSURE;
-    harm + exposure
+    if seen.is_kept {
+        // Long prompts leave it as streams come.
+        return harm;
+    }
+    harm + f64::from(total.pressure) / READ_TOKENS_PER_MS * own * EXPOSURE
 }
 
 /// Price of overfull memory, in ms; none for plain services.
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -2,6 +2,7 @@
 //! wire, decoded once into the types below. An implementation only translates.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 
 use actix_http::header::HeaderValue;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
@@ -46,6 +47,10 @@
     pub priority: Option<u8>,
     /// Event after which a stream goes on.
     pub last_event: Option<u64>,
+    /// Another endpoint that is to keep a copy of the run's memory.
+    pub copy_to: Option<SocketAddr>,
+    /// The address under which the endpoint has kept a copy of this run; the run goes on from it.
+    pub copy_of: Option<SocketAddr>,
 }
 
 /// What the head of an endpoint's answer says.
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -3,9 +3,12 @@
 use std::cell::Ref;
 use std::rc::Rc;
 
+use bytes::Bytes;
+
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
+use crate::direct::changes::PassedOn;
 use crate::direct::decision::Decision;
 use crate::direct::dialect::{Ask, Published};
 use crate::direct::directory::{Change, Directory, Listed, Revision, Standing};
@@ -159,6 +162,29 @@
         }
     }
 
+    /// Whether this entry hears of changes from the store itself.
+    pub fn is_watching(&self) -> bool {
+        self.watching.get() && self.store_answers.get() == Some(true)
+    }
+
+    /// The store is watched from now on, or no longer.
+    pub fn set_watching(&self, watching: bool) {
+        if self.watching.replace(watching) != watching {
+            let state = if watching { "watches" } else { "follows" };
+            self.log_process(state, "the store, as the order of the entries asks");
+        }
+    }
+
+    /// Keeps what a watch brought for peers.
+    pub fn keep_changes(&self, after: Revision, up_to: Revision, text: Bytes) {
+        self.changes.borrow_mut().keep(after, up_to, text);
+    }
+
+    /// Changes after a revision, for a peer; `None` when they are not all kept here.
+    pub fn changes_since(&self, revision: Revision) -> Option<PassedOn> {
+        self.changes.borrow().since(revision)
+    }
+
     /// Whether the last call to the store failed.
     pub fn store_is_away(&self) -> bool {
         self.store_answers.get() == Some(false)
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -14,6 +14,7 @@
 use crate::clock::{Clock, Millis};
 use crate::direct::budget::RetryWindow;
 use crate::direct::catalog::Catalog;
+use crate::direct::changes::ChangeLog;
 use crate::direct::decision::{Decision, DecisionLog};
 use crate::direct::dialect::Dialect;
 use crate::direct::directory::{Directory, Revision};
@@ -78,6 +79,12 @@
     /// Whether the store answered the last call; `None` before the first one.
     store_answers: Cell<Option<bool>>,
     in_flight: Cell<u64>,
+    /// Whether the store is watched, and answered last.
+    watching: Cell<bool>,
+    /// Changes that the watch brought, for peers.
+    changes: RefCell<ChangeLog>,
+    /// Whether changes are being fetched from a peer.
+    catching_up: Cell<bool>,
     /// Whether a newer configuration is being fetched from a peer.
     fetching: Cell<bool>,
     life: watch::Sender<Life>,
@@ -115,6 +122,9 @@
             listed: Cell::default(),
             store_answers: Cell::default(),
             in_flight: Cell::default(),
+            watching: Cell::default(),
+            changes: RefCell::default(),
+            catching_up: Cell::default(),
             fetching: Cell::default(),
             life: watch::Sender::new(Life::Serving),
             settings: RefCell::new(settings),
@@ -159,6 +169,16 @@
         self.fetching.set(false);
     }
 
+    /// Whether changes may be fetched from a peer: one fetch at a time.
+    pub fn begin_catch_up(&self) -> bool {
+        !self.catching_up.replace(true)
+    }
+
+    /// That fetch ended.
+    pub fn end_catch_up(&self) {
+        self.catching_up.set(false);
+    }
+
     /// A peer is heard that was not before.
     pub fn log_peer(&self, peer: SocketAddr, peers: usize) {
         self.log.belief(Decision::Peer {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -9,12 +9,13 @@
 use tokio::time::sleep;
 
 use crate::clock::Millis;
+use crate::direct::changes;
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::{Entry, Life};
 use crate::direct::load::Work;
 use crate::direct::peers::{self, Hello, MOST_BYTES, ROUND};
 use crate::direct::ready;
-use crate::direct::sync::StoreClient;
+use crate::direct::sync::{self, StoreClient};
 
 /// Time for a peer to hand over its configuration.
 const FETCH_TIME: Duration = Duration::from_millis(800);
@@ -77,6 +78,7 @@
         proof_age_ms: entry.freshness().age(now).map(|age| age.0),
         revision: entry.applied(),
         leaving: entry.life() != Life::Serving,
+        watches: entry.is_watching(),
         others: book.others(peer, now),
         work,
         placed: entry.placements.borrow().all(),
@@ -99,6 +101,9 @@
     if hello.version > entry.version() && entry.begin_fetch() {
         actix_rt::spawn(fetch(Rc::clone(entry), from));
     }
+    if hello.watches && hello.revision > entry.applied() && entry.begin_catch_up() {
+        actix_rt::spawn(catch_up(Rc::clone(entry), from));
+    }
     entry.peer_applied(hello.revision);
     take_work(entry, hello, now);
 }
@@ -121,7 +126,7 @@
     let mut prefixes = entry.prefixes.borrow_mut();
     for placed in &hello.placed {
         if let Some(key) = by_digest.get(&placed.endpoint) {
-            prefixes.note_peer(*key, placed.part);
+            prefixes.note(*key, std::iter::once(placed.part), now);
         }
     }
 }
@@ -141,3 +146,21 @@
     }
     entry.end_fetch();
 }
+
+/// Takes the changes that a peer's watch brought and this entry has not applied.
+async fn catch_up(entry: Rc<Entry>, from: SocketAddr) {
+    let address = SocketAddr::new(from.ip(), entry.settings.borrow().admin.port());
+    let client = StoreClient::new(address);
+    let query = ready::changes_query(entry.applied());
+    match client.call(query, FETCH_TIME).await {
+        Ok((status, body)) if status.is_success() => {
+            let passed = changes::decode(&body).unwrap_or_default();
+            if let Err(err) = sync::apply_passed(&entry, &passed) {
+                tracing::warn!(%err, %from, "a peer's changes can't be read");
+            }
+        }
+        Ok((status, _)) => tracing::debug!(%status, %from, "a peer does not keep the changes"),
+        Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
+    }
+    entry.end_catch_up();
+}
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -1,6 +1,7 @@
 //! A request that may run, with its attempts: which endpoints it is sent to and when it is over.
 
 mod answer;
+mod copy;
 mod end;
 mod log;
 mod send;
@@ -70,6 +71,10 @@
     attempts: u32,
     /// Whether an endpoint may have any of it.
     sent: bool,
+    /// Endpoint that keeps a copy of the run's memory.
+    copy: Option<EndpointKey>,
+    /// Whether the run is to go on from that copy.
+    takes_over: bool,
     /// How far its answer has got; kept also when an attempt is dropped at the time limit.
     position: Cell<Position>,
 }
@@ -103,6 +108,8 @@
             tried: Vec::new(),
             attempts: 0,
             sent: false,
+            copy: None,
+            takes_over: false,
             position: Cell::new(Position {
                 last_event: ask.last_event,
                 ..Position::default()
@@ -177,6 +184,9 @@
                 }
                 Attempt::Lost(key) => {
                     self.tried.push(key);
+                    if self.may_take_over(key).await {
+                        continue;
+                    }
                     if !(self.may_repeat() && self.may_go_on()) {
                         return self.lost(answerer).await;
                     }
@@ -205,9 +215,11 @@
     /// Whether the request may be sent to another endpoint, after one had it.
     fn may_go_on(&self) -> bool {
         let now = self.entry.clock.now();
-        if !self.has_attempts() || now >= self.end {
-            return false;
-        }
+        self.has_attempts() && now < self.end && self.take_retry(now)
+    }
+
+    /// Whether the retry budget of all entries allows one more; counts it.
+    fn take_retry(&self, now: Millis) -> bool {
         let allowance = self.entry.settings.borrow().bounds.retries();
         let entries = self.entry.peers.borrow().entries(now);
         let mut retries = self.entry.retries.borrow_mut();
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -28,7 +28,7 @@
 impl Job<'_> {
     /// Sends the request to one more endpoint and relays its answer.
     pub(super) async fn attempt(&mut self, answerer: &mut Answerer) -> Attempt {
-        let Some(choice) = self.choose() else {
+        let Some(choice) = self.next_choice() else {
             return Attempt::NoEndpoint;
         };
         let key = choice.key;
@@ -70,7 +70,18 @@
         same
     }
 
-    fn choose(&self) -> Option<Choice> {
+    /// The endpoint of the next attempt: the one with a copy of the run, or the best.
+    fn next_choice(&mut self) -> Option<Choice> {
+        if self.takes_over {
+            return self.choose(|key| Some(key) == self.copy);
+        }
+        let choice = self.choose(|key| !self.tried.contains(&key))?;
+        self.pick_copy(&choice);
+        Some(choice)
+    }
+
+    /// The best of the endpoints that `is_candidate`.
+    pub(super) fn choose(&self, is_candidate: impl Fn(EndpointKey) -> bool) -> Option<Choice> {
         let now = self.entry.clock.now();
         let directory = self.entry.directory();
         let accounts = self.entry.accounts();
@@ -84,10 +95,12 @@
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             delicate: self.catalog.delicacy(self.route(), &self.pool),
             pause: self.catalog.tightest_pause(&self.pool),
+            blind: self.entry.peers.borrow().blind(now),
+            draw: rand::random(),
         };
         let candidates = directory
             .of_pool(&self.pool)
-            .filter(|(key, _)| !self.tried.contains(key))
+            .filter(|(key, _)| is_candidate(*key))
             .filter_map(|(key, endpoint)| {
                 let account = accounts.get(key)?;
                 Some(Candidate {
@@ -157,6 +170,8 @@
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key)?;
         self.log_placed(choice, &endpoint.listed.id, now);
+        let copy = self.copy.and_then(|key| directory.get(key));
+        let copy = copy.map(|e| e.listed.address);
         let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
         let order = Order {
             endpoint: &endpoint.listed.id,
@@ -164,16 +179,18 @@
             team: team.map(|team| team.name.as_str()),
             priority: Some(self.priority()),
             last_event: self.position.get().last_event,
+            copy_to: copy.filter(|_| !self.takes_over),
+            copy_of: copy.filter(|_| self.takes_over),
         };
         Some(self.entry.dialect.order(&self.incoming.head, &order))
     }
 
     /// Remembers where the parts of the prompt are now, also for peers.
     fn note_placement(&self, choice: &Choice) {
-        let unread = u64::from(choice.footprint.unread);
+        let now = self.entry.clock.now();
         let parts = &self.ask.parts;
         let mut prefixes = self.entry.prefixes.borrow_mut();
-        prefixes.note(choice.key, parts, unread);
+        prefixes.note(choice.key, parts.iter().map(|part| part.id), now);
         let shared = parts.len().checked_sub(2).map(|last| parts[last].id);
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key).map(|e| e.digest);
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -22,6 +22,13 @@
 pub const PER_ROUND: usize = 7;
 /// Silence after which a peer no longer counts as an entry.
 const SILENCE: Millis = Millis(4_000);
+/// Entries that watch the store for all.
+const WATCHERS: usize = 2;
+/// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
+/// in a small fleet, and with what a watcher gathers well within the bounds on changes.
+const WATCHER_SILENCE: Millis = Millis(450);
+/// Rounds through all peers in which a watcher must be heard.
+const WATCHER_CYCLES: u64 = 2;
 /// Silence after which an address is forgotten unless it is a seed.
 const FORGET: Millis = Millis(20_000);
 /// Addresses passed on in one datagram.
@@ -52,6 +59,8 @@
     pub revision: u64,
     /// Whether the sender is stopping.
     pub leaving: bool,
+    /// Whether it watches the store, which answers it, and so hears of changes first.
+    pub watches: bool,
     /// Addresses of some entries.
     pub others: Vec<SocketAddr>,
     /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
@@ -114,6 +123,7 @@
     known_since: Millis,
     is_seed: bool,
     leaving: bool,
+    watches: bool,
 }
 
 /// All peers of one entry.
@@ -225,6 +235,7 @@
         peer.heard = Some(now);
         peer.last_number = hello.number;
         peer.leaving = hello.leaving;
+        peer.watches = hello.watches;
         let asked = hello.echo.and_then(|number| self.sent_at(number));
         Heard {
             is_new: !(was_heard && same_life),
@@ -232,6 +243,27 @@
         }
     }
 
+    /// Whether this entry is to watch the store: too few of those that come before it in an order
+    /// that all entries compute alike are known to do so.
+    pub fn is_watcher(&self, now: Millis) -> bool {
+        let own = watch_rank(self.own);
+        let silence = WATCHER_SILENCE + Millis(self.cycle().0 * WATCHER_CYCLES);
+        let watches = |peer: &Peer| {
+            let heard = peer.heard.is_some_and(|at| now - at < silence);
+            heard && peer.watches && !peer.leaving
+        };
+        let before = self
+            .peers
+            .iter()
+            .filter(|(address, peer)| watches(peer) && watch_rank(**address) < own);
+        before.take(WATCHERS).count() < WATCHERS
+    }
+
+    /// Time in which every peer is told once.
+    fn cycle(&self) -> Millis {
+        Millis(ROUND.0 * self.peers.len().div_ceil(PER_ROUND) as u64)
+    }
+
     /// Entries that serve, this one included.
     pub fn entries(&self, now: Millis) -> usize {
         let heard = |peer: &&Peer| peer.heard.is_some_and(|at| now - at < SILENCE);
@@ -243,6 +275,13 @@
             .count()
     }
 
+    /// Mean time for which what another entry does stays unseen here; 0 without peers.
+    pub fn blind(&self, now: Millis) -> Millis {
+        let peers = (self.entries(now) - 1) as u64;
+        let rounds = peers.div_ceil(PER_ROUND as u64);
+        Millis(ROUND.0 * rounds / 2)
+    }
+
     /// When an own datagram was sent; `None` when that was too long ago or in another life.
     fn sent_at(&self, number: u64) -> Option<Millis> {
         let found = self.sent.iter().find(|(n, _)| *n == number);
@@ -261,10 +300,20 @@
             known_since: now,
             is_seed: false,
             leaving: false,
+            watches: false,
         });
     }
 }
 
+/// Place of an entry in the order of those that watch: at random, so that watchers are not all in
+/// the zone whose addresses come first.
+fn watch_rank(address: SocketAddr) -> (u64, SocketAddr) {
+    let hash = blake3::hash(address.to_string().as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    (u64::from_be_bytes(head), address)
+}
+
 /// Writes a datagram.
 pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
     let bytes = bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()?;
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -7,6 +7,8 @@
 use actix_http::{Method, Request, RequestHead, Response, StatusCode};
 use tokio::net::TcpListener;
 
+use crate::direct::changes;
+use crate::direct::directory::Revision;
 use crate::direct::entry::Entry;
 use crate::listener;
 
@@ -14,6 +16,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path of the configuration's text, for peers.
 const CATALOG_PATH: &str = "/v1/catalog";
+/// Path of the changes after a revision, for peers; the revision follows.
+const CHANGES_PATH: &str = "/v1/changes/";
 /// Path of the state that operators read.
 const STATE_PATH: &str = "/v1/state";
 
@@ -44,11 +48,24 @@
     match path {
         METRICS_PATH => text(entry.gauges.text().into_bytes()),
         CATALOG_PATH if entry.version() > 0 => text(entry.catalog_text().to_vec()),
+        _ if path.starts_with(CHANGES_PATH) => changes_since(entry, &path[CHANGES_PATH.len()..]),
         STATE_PATH => text(state(entry).to_string().into_bytes()),
-        _ => Response::new(StatusCode::NOT_FOUND).set_body(BoxBody::new(())),
+        _ => not_found(),
     }
 }
 
+fn changes_since(entry: &Entry, revision: &str) -> Response<BoxBody> {
+    let passed = revision.parse().ok().and_then(|r| entry.changes_since(r));
+    match passed.as_ref().and_then(changes::encode) {
+        Some(bytes) => text(bytes),
+        None => not_found(),
+    }
+}
+
+fn not_found() -> Response<BoxBody> {
+    Response::new(StatusCode::NOT_FOUND).set_body(BoxBody::new(()))
+}
+
 fn state(entry: &Entry) -> serde_json::Value {
     let now = entry.clock.now();
     let directory = entry.directory();
@@ -65,6 +82,7 @@
         .collect();
     serde_json::json!({
         "catalog": entry.version(),
+        "watches": entry.is_watching(),
         "proof_age_ms": entry.proof_age().map(|age| age.0),
         "ready": entry.is_ready(),
         "entries": entry.peers.borrow().entries(now),
@@ -81,6 +99,11 @@
     get(CATALOG_PATH)
 }
 
+/// Asks a peer for the changes after a revision.
+pub fn changes_query(revision: Revision) -> RequestHead {
+    get(&format!("{CHANGES_PATH}{revision}"))
+}
+
 /// The head of a GET request without further headers.
 pub fn get(path: &str) -> RequestHead {
     let mut head = RequestHead::default();
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -1,5 +1,8 @@
 //! Reading the configuration store: one watch for changes, and small reads that prove freshness.
 //!
+//! A few entries watch for all; the others take from them what their watches brought, and watch
+//! themselves as soon as these fall silent.
+//!
 //! A watch tells of changes at once but its silence proves nothing. Every one to two seconds some
 //! entry asks for the store's revision; if everything up to it has been applied here, the
 //! configuration was the newest when the question was sent. Peers share these proofs.
@@ -15,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Millis;
+use crate::direct::changes::PassedOn;
 use crate::direct::channel::{Channel, Failure};
 use crate::direct::dialect::{Unusable, Watched, Written};
 use crate::direct::directory::Revision;
@@ -22,12 +26,19 @@
 
 /// Longest wait of one watch; far below the store's own bound, so that a cut is noticed.
 const WATCH_WAIT: Millis = Millis(20_000);
+/// Wait of a watch for changes that the store is known to have.
+const ONE_LOOK: Millis = Millis(200);
+/// Time between two looks at whether this entry is to watch the store itself.
+const ROLE_LOOK: Duration = Duration::from_millis(100);
 /// Time for a watch's answer beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(2_000);
 /// Time for any other call. The store answers in milliseconds, at its slowest in some hundred.
 const CALL_TIME: Duration = Duration::from_millis(900);
 /// Age of the newest proof, own or a peer's, at which an entry asks for another.
 const PROVE_AT: Millis = Millis(1_300);
+/// The same at an entry that follows others, since those that watch ask for all; at most half of
+/// the age up to which keyed requests may run.
+const FOLLOWER_PROVES_AT: Millis = Millis(2_200);
 /// Random addition to [`PROVE_AT`], in ms, so that one entry asks and the others hear of it.
 const PROVE_SPREAD_MS: u64 = 700;
 /// Time after which what the store has and the watch did not bring is read by listing; longer
@@ -114,7 +125,7 @@
     let client = StoreClient::new(entry.settings.borrow().store);
     loop {
         match read_all(&entry, &client).await {
-            Ok(since) => watch(&entry, &client, since).await,
+            Ok(()) => keep_up(&entry, &client).await,
             Err(err) => {
                 entry.store_failed(&err);
                 pause().await;
@@ -171,12 +182,23 @@
         return Millis(0);
     }
     match entry.proof_age() {
-        Some(age) => (PROVE_AT + spread) - age,
+        Some(age) => (prove_at(entry) + spread) - age,
         // Nothing is proven before the first listing, which is a proof itself.
         None => Millis(RETRY_PAUSE_MS),
     }
 }
 
+/// Age of the newest proof at which an entry asks for another.
+fn prove_at(entry: &Entry) -> Millis {
+    if entry.is_watching() {
+        return PROVE_AT;
+    }
+    let bound = entry.settings.borrow().bounds.key_proof_age();
+    bound.map_or(FOLLOWER_PROVES_AT, |bound| {
+        Millis(bound.0 / 2).min(FOLLOWER_PROVES_AT)
+    })
+}
+
 /// Has everything read anew when the watch does not bring what the store has.
 async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(WATCH_LAG).await;
@@ -185,8 +207,8 @@
     }
 }
 
-/// Reads the configuration and the whole list; returns the revision to watch from.
-async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<Revision, CallError> {
+/// Reads the configuration and the whole list.
+async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
     let dialect = &entry.dialect;
     let mut listed = Vec::new();
     let mut from = None;
@@ -214,47 +236,102 @@
     }
     entry.take_listing(listed, begun);
     entry.prove_up_to(asked, begun);
-    Ok(begun)
+    Ok(())
 }
 
-/// Watches until something goes wrong; the caller then reads everything anew.
-async fn watch(entry: &Rc<Entry>, client: &StoreClient, mut since: Revision) {
+/// Keeps up until something goes wrong; the caller then reads everything anew.
+async fn keep_up(entry: &Rc<Entry>, client: &StoreClient) {
     loop {
-        let head = entry.dialect.watch_query(since, WATCH_WAIT);
-        let time = WATCH_WAIT.duration() + WATCH_SLACK;
-        let answer = tokio::select! {
-            answer = call(entry, client, head, time) => answer,
-            () = entry.list_again.notified() => return,
-            () = entry.watch_again.notified() => continue,
-        };
-        let watched = answer.and_then(|(status, body)| {
-            let read = entry.dialect.watched(status, &body);
-            read.map_err(CallError::Unusable)
-        });
-        match watched {
-            Ok(Watched::Changes(changes, current)) => {
-                entry.store_answered();
-                let brought = !changes.is_empty();
-                for change in changes {
-                    apply(entry, change);
-                }
-                since = since.max(current);
-                entry.applied_up_to(since);
-                if brought {
-                    sleep(GATHER).await;
-                }
+        let is_watcher = entry.peers.borrow().is_watcher(entry.clock.now());
+        entry.set_watching(is_watcher);
+        let goes_on = if is_watcher {
+            watch(entry, client, WATCH_WAIT).await
+        } else {
+            let woken = tokio::select! {
+                () = sleep(ROLE_LOOK) => Woken::Look,
+                () = entry.watch_again.notified() => Woken::Watch,
+                () = entry.list_again.notified() => Woken::List,
+            };
+            match woken {
+                Woken::Look => true,
+                // The peers that watch don't tell what the store has.
+                Woken::Watch => watch(entry, client, ONE_LOOK).await,
+                Woken::List => false,
             }
-            Ok(Watched::HistoryGone) => return,
-            Err(err) => {
-                // This alone does not mean that the store is away.
-                tracing::debug!(%err, "watch ended, reading everything anew");
-                pause().await;
-                return;
+        };
+        if !goes_on {
+            entry.set_watching(false);
+            return;
+        }
+    }
+}
+
+/// Why an entry that follows its peers was woken.
+enum Woken {
+    /// Its role may have changed.
+    Look,
+    /// The store has changes that peers did not bring.
+    Watch,
+    /// Everything is to be read anew.
+    List,
+}
+
+/// Watches once, for some time; false when everything is to be read anew.
+async fn watch(entry: &Rc<Entry>, client: &StoreClient, wait: Millis) -> bool {
+    let after = entry.applied();
+    let head = entry.dialect.watch_query(after, wait);
+    let time = wait.duration() + WATCH_SLACK;
+    let answer = tokio::select! {
+        answer = call(entry, client, head, time) => answer,
+        () = entry.list_again.notified() => return false,
+        () = entry.watch_again.notified() => return true,
+    };
+    let watched = answer.and_then(|(status, body)| {
+        let read = entry.dialect.watched(status, &body);
+        let read = read.map(|watched| (watched, body));
+        read.map_err(CallError::Unusable)
+    });
+    match watched {
+        Ok((Watched::Changes(changes, current), text)) => {
+            entry.store_answered();
+            if changes.is_empty() {
+                entry.applied_up_to(current);
+                return true;
             }
+            entry.keep_changes(after, current.max(after), text);
+            apply_all(entry, changes, current);
+            sleep(GATHER).await;
+            true
+        }
+        Ok((Watched::HistoryGone, _)) => false,
+        Err(err) => {
+            // This alone does not mean that the store is away.
+            tracing::debug!(%err, "watch ended, reading everything anew");
+            pause().await;
+            false
         }
     }
 }
 
+/// Applies what a peer passed on.
+pub fn apply_passed(entry: &Rc<Entry>, passed: &PassedOn) -> Result<(), Unusable> {
+    for text in &passed.texts {
+        match entry.dialect.watched(StatusCode::OK, text)? {
+            Watched::Changes(changes, current) => apply_all(entry, changes, current),
+            Watched::HistoryGone => {}
+        }
+    }
+    Ok(())
+}
+
+/// Applies all changes up to a revision.
+fn apply_all(entry: &Rc<Entry>, changes: Vec<Written>, current: Revision) {
+    for change in changes {
+        apply(entry, change);
+    }
+    entry.applied_up_to(current);
+}
+
 /// Applies one change that the watch brought.
 fn apply(entry: &Rc<Entry>, change: Written) {
     match change {
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -59,6 +59,8 @@
         memory_tokens: MEMORY,
         delicate: 6,
         pause: Millis(250),
+        blind: Millis(0),
+        draw: 0,
     }
 }
 
@@ -70,6 +72,10 @@
     [part(1, 2_500), part(2, 3_800), part(3, 2_900)]
 }
 
+fn ids(parts: &[Part]) -> impl Iterator<Item = u64> + '_ {
+    parts.iter().map(|part| part.id)
+}
+
 fn footprint(unread: u32, delicate: u32) -> Footprint {
     Footprint {
         band: 2,
@@ -87,7 +93,7 @@
     for i in 0..3 {
         let key = pool.key(i);
         pool.prefixes.forget(key);
-        pool.prefixes.note(key, &other, 6_800);
+        pool.prefixes.note(key, ids(&other), NOW);
         let choice = pool.choose(demand(&parts));
         assert_eq!(choice.key, key);
         assert_eq!(choice.cached, 6_300);
@@ -101,7 +107,7 @@
     let mut pool = Pool::new();
     let parts = prompt();
     let key = pool.key(1);
-    pool.prefixes.note(key, &parts, 9_200);
+    pool.prefixes.note(key, ids(&parts), NOW);
     for _ in 0..12 {
         pool.loads[1].begin(footprint(9_000, 6), NOW);
     }
@@ -123,7 +129,8 @@
     let parts = prompt();
     let expected = pool.choose(demand(&parts)).key;
     let other = (0..3).find(|i| pool.key(*i) != expected).unwrap();
-    pool.prefixes.note(pool.key(other), &parts, 9_200);
+    let key = pool.key(other);
+    pool.prefixes.note(key, ids(&parts), NOW);
     pool.loads[other].begin(footprint(9_000, 6), NOW);
     assert_eq!(pool.choose(demand(&parts)).key, pool.key(other));
 }
@@ -139,24 +146,34 @@
     assert_eq!(pool.choose(demand(&parts)).key, pool.key(2));
 }
 
+/// Delicate streams and long prompts that come by turns never meet while there is room apart.
 #[test]
-fn delicate_avoids_long() {
+fn delicate_and_long_part() {
     let mut pool = Pool::new();
-    let parts = [part(1, 500)];
-    for i in [0, 2] {
-        // Read by now, but more of the kind must be expected there.
-        pool.loads[i].begin(footprint(9_000, 0), NOW);
-        pool.loads[i].read(footprint(9_000, 0));
-    }
-    for _ in 0..10 {
-        pool.loads[1].begin(footprint(0, 100), NOW);
-    }
+    let long = [part(1, 9_000)];
+    let short = [part(2, 500)];
     let urgent = Demand {
         band: 0,
         delicate: 100,
-        ..demand(&parts)
+        ..demand(&short)
+    };
+    let place = |pool: &mut Pool, demand: Demand<'_>, read: bool| {
+        let choice = pool.choose(demand);
+        let i = (0..3).find(|i| pool.key(*i) == choice.key).unwrap();
+        pool.loads[i].begin(choice.footprint, NOW);
+        if read {
+            pool.loads[i].read(choice.footprint);
+        }
+        i
     };
-    assert_eq!(pool.choose(urgent).key, pool.key(1));
+    let mut streams = [0; 3];
+    let mut prompts = [0; 3];
+    for _ in 0..12 {
+        streams[place(&mut pool, urgent, true)] += 1;
+        prompts[place(&mut pool, demand(&long), true)] += 1;
+    }
+    let both = (0..3).filter(|i| streams[*i] > 0 && prompts[*i] > 0);
+    assert_eq!(both.count(), 0, "streams {streams:?}, prompts {prompts:?}");
 }
 
 #[test]
@@ -232,7 +249,7 @@
     let mut pool = Pool::new();
     let parts = prompt();
     let key = pool.key(0);
-    pool.prefixes.note(key, &parts, 9_200);
+    pool.prefixes.note(key, ids(&parts), NOW);
     let held = Footprint {
         held: 280_000,
         ..footprint(0, 0)
--- /dev/null
+++ b/tests/direct_lanes.rs
@@ -0,0 +1,208 @@
+//! Which endpoints are kept for delicate streams.
+
+mod common;
+
+use common::listed;
+use violetline::clock::Millis;
+use violetline::direct::choose::{choose, Candidate, Demand, Seen};
+use violetline::direct::directory::{Change, Directory, EndpointKey, Listed};
+use violetline::direct::health::{Fault, Record};
+use violetline::direct::lanes::Lanes;
+use violetline::direct::load::{Footprint, Load};
+use violetline::direct::prefix::{Part, PrefixMap};
+
+const NOW: Millis = Millis(10_000);
+/// Prompt tokens that an endpoint reads in a millisecond.
+const READS: f64 = 50.0;
+
+/// Endpoints of 64 slots.
+struct Pool {
+    directory: Directory,
+    keys: Vec<EndpointKey>,
+    loads: Vec<Load>,
+    records: Vec<Record>,
+}
+
+impl Pool {
+    fn new(count: usize) -> Self {
+        let mut directory = Directory::default();
+        for i in 0..count {
+            let endpoint = Listed {
+                slots: 64,
+                ..listed(&format!("e{i}"), 1)
+            };
+            directory.apply(Change::Put(endpoint), Millis(0));
+        }
+        let key = |i| directory.key(&format!("e{i}")).unwrap();
+        Self {
+            keys: (0..count).map(key).collect(),
+            directory,
+            loads: (0..count).map(|_| Load::default()).collect(),
+            records: vec![Record::default(); count],
+        }
+    }
+
+    fn candidates(&self) -> Vec<Candidate<'_>> {
+        let candidate = |i: usize| Candidate {
+            key: self.keys[i],
+            endpoint: self.directory.get(self.keys[i]).unwrap(),
+            load: &self.loads[i],
+            record: &self.records[i],
+        };
+        (0..self.keys.len()).map(candidate).collect()
+    }
+
+    /// Positions of the endpoints that are kept for delicate streams.
+    fn kept(&self) -> Vec<usize> {
+        let all: Vec<Seen<'_>> = self.candidates().into_iter().map(see).collect();
+        let lanes = Lanes::part(&all, READS);
+        let is_kept = |i: &usize| lanes.is_delicate(self.keys[*i]);
+        (0..self.keys.len()).filter(is_kept).collect()
+    }
+
+    fn begin(&mut self, i: usize, footprint: Footprint) {
+        self.loads[i].begin(footprint, NOW);
+        self.loads[i].read(footprint);
+    }
+
+    fn position(&self, key: EndpointKey) -> usize {
+        self.keys.iter().position(|k| *k == key).unwrap()
+    }
+}
+
+fn see(candidate: Candidate<'_>) -> Seen<'_> {
+    Seen {
+        total: candidate.load.total(NOW),
+        known: 0,
+        is_kept: false,
+        candidate,
+    }
+}
+
+fn stream() -> Footprint {
+    Footprint {
+        band: 0,
+        unread: 500,
+        held: 800,
+        delicate: 100,
+    }
+}
+
+fn long_prompt() -> Footprint {
+    Footprint {
+        band: 2,
+        unread: 9_000,
+        held: 9_100,
+        delicate: 0,
+    }
+}
+
+#[test]
+fn follows_load() {
+    let mut pool = Pool::new(12);
+    assert_eq!(pool.kept().len(), 1, "room for the first stream");
+    for i in 0..12 {
+        pool.begin(i, long_prompt());
+    }
+    assert_eq!(pool.kept().len(), 1);
+    for i in 0..60 {
+        pool.begin(i % 3, stream());
+    }
+    let some = pool.kept().len();
+    assert!((4..=9).contains(&some), "{some} of 12");
+    for i in 0..600 {
+        pool.begin(i % 12, stream());
+    }
+    assert!(pool.kept().len() > some);
+    assert!(pool.kept().len() < 12, "long prompts keep a place");
+}
+
+/// More load adds endpoints to those kept and takes none away, so entries disagree on few.
+#[test]
+fn grows_in_order() {
+    let mut pool = Pool::new(12);
+    for i in 0..12 {
+        pool.begin(i, long_prompt());
+    }
+    let mut before = pool.kept();
+    for _ in 0..20 {
+        for _ in 0..10 {
+            pool.begin(0, stream());
+        }
+        let now = pool.kept();
+        assert!(before.iter().all(|i| now.contains(i)));
+        before = now;
+    }
+}
+
+#[test]
+fn failing_not_kept() {
+    let mut pool = Pool::new(4);
+    for _ in 0..2 {
+        let kept = pool.kept();
+        assert_eq!(kept.len(), 1);
+        pool.records[kept[0]].failed(NOW, Fault::Contact);
+        assert_ne!(pool.kept(), kept);
+    }
+    assert!(Pool::new(1).kept().is_empty());
+}
+
+/// A burst of streams takes endpoints over from long prompts before it fills any to its slots.
+#[test]
+fn burst_spreads() {
+    let mut pool = Pool::new(12);
+    for i in 3..12 {
+        for _ in 0..5 {
+            pool.begin(i, long_prompt());
+        }
+    }
+    let prefixes = PrefixMap::default();
+    let parts = [Part { id: 1, tokens: 500 }];
+    for draw in 0..200 {
+        let demand = Demand {
+            band: 0,
+            parts: &parts,
+            output_tokens: 300,
+            zone: "hall-a",
+            memory_tokens: 290_000,
+            delicate: 100,
+            pause: Millis(250),
+            blind: Millis(300),
+            draw,
+        };
+        let choice = choose(demand, pool.candidates().into_iter(), &prefixes, NOW).unwrap();
+        let i = pool.position(choice.key);
+        pool.begin(i, stream());
+    }
+    let running = pool.loads.iter().map(|load| load.total(NOW).delicate / 100);
+    let most = running.max().unwrap();
+    assert!(most <= 40, "{most} streams at one endpoint");
+}
+
+/// Entries that know the same and choose at the same moment choose different endpoints.
+#[test]
+fn unseen_choices_part() {
+    let pool = Pool::new(12);
+    let prefixes = PrefixMap::default();
+    let parts = [Part {
+        id: 1,
+        tokens: 9_000,
+    }];
+    let mut chosen = [0; 12];
+    for draw in 0..60 {
+        let demand = Demand {
+            band: 2,
+            parts: &parts,
+            output_tokens: 50,
+            zone: "hall-a",
+            memory_tokens: 290_000,
+            delicate: 6,
+            pause: Millis(250),
+            blind: Millis(300),
+            draw,
+        };
+        let choice = choose(demand, pool.candidates().into_iter(), &prefixes, NOW).unwrap();
+        chosen[pool.position(choice.key)] += 1;
+    }
+    assert!(chosen.iter().all(|n| *n <= 20), "{chosen:?}");
+}
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -22,6 +22,7 @@
         proof_age_ms: None,
         revision: 0,
         leaving: false,
+        watches: false,
         others: Vec::new(),
         work: Vec::new(),
         placed: Vec::new(),
@@ -68,6 +69,7 @@
         for peer in &round {
             let mut message = hello(1, book.next_number(now), book.echo(*peer));
             message.from = PeerId(u64::from(from.port()));
+            message.watches = book.is_watcher(now);
             message.others = book.others(*peer, now);
             messages.push((*peer, message));
         }
@@ -82,6 +84,13 @@
         round.len()
     }
 
+    /// Those that are up and watch the store.
+    fn watchers(&self) -> Vec<SocketAddr> {
+        let up = self.books.iter().filter(|(a, _)| !self.down.contains(a));
+        let watch = up.filter(|(_, book)| book.is_watcher(self.now));
+        watch.map(|(address, _)| *address).collect()
+    }
+
     fn entries(&self, i: u8) -> usize {
         self.books[&address(i)].entries(self.now)
     }
@@ -121,6 +130,26 @@
     assert!([1, 2, 4].iter().all(|i| network.entries(*i) == 3));
 }
 
+/// Two entries watch the store for all, and two others as soon as these are gone.
+#[test]
+fn few_watch() {
+    for count in [3, 30] {
+        let mut network = Network::new(count, &[address(1), address(2)]);
+        assert_eq!(network.watchers().len(), usize::from(count));
+        network.rounds(40);
+        let first = network.watchers();
+        assert_eq!(first.len(), 2);
+        network.down.clone_from(&first);
+        network.rounds(13);
+        assert!(!network.watchers().is_empty(), "within two seconds");
+        network.rounds(40);
+        assert_eq!(network.watchers().len(), 2.min(usize::from(count) - 2));
+        network.down.clear();
+        network.rounds(40);
+        assert_eq!(network.watchers(), first);
+    }
+}
+
 /// An entry's traffic does not grow with the fleet.
 #[test]
 fn traffic_bounded() {
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -77,10 +77,15 @@
 fn away_is_asked_on() {
     let (_, entry) = entry();
     entry.store_answered();
+    entry.set_watching(true);
     entry.prove_by_peer(Millis(1_000), Millis(0));
     assert_eq!(until_question(&entry, Millis(0)), Millis(1_300));
     entry.store_failed(&CallError::Silent);
     assert_eq!(until_question(&entry, Millis(0)), Millis(0));
     entry.store_answered();
     assert_eq!(until_question(&entry, Millis(700)), Millis(2_000));
+    entry.set_watching(false);
+    assert_eq!(until_question(&entry, Millis(700)), Millis(2_900));
+    entry.store_failed(&CallError::Silent);
+    assert_eq!(until_question(&entry, Millis(700)), Millis(0));
 }
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -103,6 +103,8 @@
         team: Some("hule930"),
         priority: Some(1),
         last_event: Some(7),
+        copy_to: Some(([10, 0, 0, 7], 8_000).into()),
+        copy_of: Some(([10, 0, 0, 8], 8_000).into()),
     };
     let out = Platform.order(&request(&headers), &order);
     let text = |name: &str| {
@@ -119,6 +121,8 @@
     assert_eq!(text("x-request-deadline"), "3990");
     assert_eq!(text("x-request-priority"), "1");
     assert_eq!(text("last-event-id"), "7");
+    assert_eq!(text("x-kv-backup"), "10.0.0.7:8000");
+    assert_eq!(text("kv-from"), "10.0.0.8:8000/9c41d07be2a35f68");
     assert_eq!(text("x-request-id"), "9c41d07be2a35f68");
     assert_eq!(text("x-prompt-prefix"), STREAM[4].1);
     for withheld in ["authorization", "connection", "x-private"] {
@@ -135,9 +139,18 @@
         team: None,
         priority: None,
         last_event: None,
+        copy_to: None,
+        copy_of: None,
     };
-    let out = Platform.order(&request(&[("x-tenant", "forged")]), &order);
-    assert!(out.headers.get("x-tenant").is_none());
+    let forged = [
+        ("x-tenant", "forged"),
+        ("kv-from", "a/b"),
+        ("x-kv-backup", "a"),
+    ];
+    let out = Platform.order(&request(&forged), &order);
+    for (name, _) in forged {
+        assert!(out.headers.get(name).is_none(), "{name}");
+    }
     assert_eq!(out.headers.get("x-request-deadline").unwrap(), "1");
 }
 
