An entry that no peer brings up to date asks the store; cut-off watchers don't count

Cause: a watcher that had just begun did not keep the changes that they lacked, so their question got no answer; and the alarm for an entry that is behind a peer was put off by every datagram of another entry that was as far behind.

Changed: a peer that does not keep the changes sends the entry to the store; the alarm waits for the revision that is missing. others_behind_too failed first. Also, a watcher that the store does not answer could count as one until its next proof failed: its proof's age is told, and from 1.5 s on it does not count (cut_off_watchers fails without it); watchers prove every 0.6 s, for all.

Besides: shared parts that are read again are priced 8 times their time (4 before), and a silent endpoint is asked after two pauses whether it is there.

--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -171,6 +171,16 @@
     assert_eq!(second.header("last-event-id"), Some("2"));
 }
 
+/// An engine that falls silent without a word is asked for, and the run goes on from its copy.
+#[actix_rt::test]
+async fn silent_taken_over() {
+    let site = Site::with_entry(3).await;
+    let callers = site.entries[0].addr("callers");
+    let answer = exchange(callers, &long_answer("/stream/dark", "r1")).await;
+    assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5]);
+    assert!(!answer.is_cut);
+}
+
 /// An engine that breaks a stream off and lives may still run it: it goes on nowhere else.
 #[actix_rt::test]
 async fn broken_but_alive() {
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -42,7 +42,7 @@
 const OVERFULL_MS: f64 = 25.0;
 /// Weight of shared tokens that are read again beyond the time that this takes: it is work done
 /// twice, also for those who wait behind it.
-const READ_AGAIN: f64 = 4.0;
+const READ_AGAIN: f64 = 8.0;
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
 const EXPECTED_KEPT: f64 = 0.8;
 /// Part of the memory that running requests and kept parts have together; a margin for what is not
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -196,17 +196,13 @@
     /// fresh, so the list of endpoints would grow old unnoticed.
     pub fn peer_applied(&self, revision: Revision) {
         let now = self.clock.now();
-        if revision <= self.applied.get() {
-            self.behind_since.set(None);
-            return;
-        }
-        match self.behind_since.get() {
-            None => self.behind_since.set(Some(now)),
-            Some(since) if now - since >= BEHIND => {
-                self.behind_since.set(None);
-                self.watch_again.notify_one();
-            }
-            Some(_) => {}
+        let applied = self.applied.get();
+        let behind = self.behind.get().filter(|(_, missing)| applied < *missing);
+        let behind = behind.or_else(|| (revision > applied).then_some((now, revision)));
+        self.behind.set(behind);
+        if behind.is_some_and(|(since, _)| now - since >= BEHIND) {
+            self.behind.set(None);
+            self.watch_again.notify_one();
         }
     }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -62,8 +62,8 @@
     pub list_again: Notify,
     /// Has the watch asked again on a new connection: the one that waits may have lost its answer.
     pub watch_again: Notify,
-    /// Since when a peer has applied changes that this entry has not.
-    behind_since: Cell<Option<Millis>>,
+    /// Since when a peer has applied changes that this entry has not, and up to which revision.
+    behind: Cell<Option<(Millis, Revision)>>,
     accounts: RefCell<Accounts>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
@@ -111,7 +111,7 @@
             retries: RefCell::default(),
             list_again: Notify::new(),
             watch_again: Notify::new(),
-            behind_since: Cell::default(),
+            behind: Cell::default(),
             accounts: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -159,7 +159,10 @@
                 tracing::warn!(%err, %from, "a peer's changes can't be read");
             }
         }
-        Ok((status, _)) => tracing::debug!(%status, %from, "a peer does not keep the changes"),
+        Ok((status, _)) => {
+            tracing::debug!(%status, %from, "a peer does not keep the changes, asking the store");
+            entry.watch_again.notify_one();
+        }
         Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
     }
     entry.end_catch_up();
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -14,7 +14,7 @@
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::{Life, Placed};
 use crate::direct::health::Fault;
-use crate::direct::relay::{self, Broken};
+use crate::direct::relay::{self, Broken, Onward};
 
 /// An answer whose head has arrived, with the attempt that it belongs to.
 #[derive(Debug)]
@@ -181,7 +181,10 @@
         let key = answered.choice.key;
         let status = answered.reply.head.status.as_u16();
         let head = self.entry.dialect.answer(&answered.reply.head);
-        let close = self.is_closing();
+        let onward = Onward {
+            position: &self.position,
+            close: self.is_closing(),
+        };
         let begin = || {
             self.began(&answered.choice, answered.placed, answered.sent_at);
             head.clone()
@@ -190,8 +193,9 @@
             let now = self.entry.clock.now();
             self.progress.borrow_mut().piece_left(now);
         };
+        let next = async |reply: &mut Reply| self.next_piece(key, reply).await;
         let reply = &mut answered.reply;
-        match relay::events(reply, answerer, &self.position, begin, left, close).await {
+        match relay::events(reply, answerer, onward, next, begin, left).await {
             Ok(()) => {
                 self.keep(key, answered.reply, verdict);
                 self.entry.endpoint_served(key);
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -2,9 +2,13 @@
 //! lost. What goes on is the same run: nothing is made twice, so work that may run only once may
 //! be taken over as well.
 
+use bytes::Bytes;
+use tokio::time::sleep;
+
 use super::Job;
+use crate::clock::Millis;
 use crate::direct::catalog::Shape;
-use crate::direct::channel::{Channel, Failure};
+use crate::direct::channel::{Channel, Failure, Reply};
 use crate::direct::choose::Choice;
 use crate::direct::directory::EndpointKey;
 
@@ -12,6 +16,10 @@
 /// answer's length is the time for which the run can be lost, the memory is what has to be moved.
 const COPY_RATIO: u64 = 8;
 
+/// Silence, in pauses that the route allows, after which an endpoint is asked whether it is there.
+/// At half a pause, engines that were only busy lost their streams (journal, kil-ledger-grown).
+const SILENT_PAUSES: u64 = 2;
+
 impl Job<'_> {
     /// Picks the endpoint that keeps a copy of the run that `choice` begins, where that is worth it.
     pub(super) fn pick_copy(&mut self, choice: &Choice) {
@@ -45,6 +53,28 @@
         self.takes_over
     }
 
+    /// The next piece of a stream. Where the run has a copy, an endpoint that falls silent is asked
+    /// whether it is still there: without power it would say nothing, and the stream could go on.
+    pub(super) async fn next_piece(
+        &self,
+        key: EndpointKey,
+        reply: &mut Reply,
+    ) -> Result<Option<Bytes>, Failure> {
+        let silence = self.route().pause().filter(|_| self.copy.is_some());
+        let Some(pause) = silence else {
+            return reply.chunk().await;
+        };
+        let silence = Millis(pause.0 * SILENT_PAUSES);
+        tokio::select! {
+            piece = reply.chunk() => return piece,
+            () = sleep(silence.duration()) => {}
+        }
+        tokio::select! {
+            piece = reply.chunk() => piece,
+            true = self.is_gone(key) => Err(Failure::Lost),
+        }
+    }
+
     /// Whether nothing listens any more where an endpoint was.
     async fn is_gone(&self, key: EndpointKey) -> bool {
         let address = self.entry.directory().get(key).map(|e| e.listed.address);
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -27,6 +27,8 @@
 /// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
 /// in a small fleet, and with what a watcher gathers well within the bounds on changes.
 const WATCHER_SILENCE: Millis = Millis(450);
+/// Age of its proof from which on a watcher is taken for cut off from the store.
+const WATCHER_PROOF: Millis = Millis(1_500);
 /// Rounds through all peers in which a watcher must be heard.
 const WATCHER_CYCLES: u64 = 2;
 /// Silence after which an address is forgotten unless it is a seed.
@@ -235,7 +237,8 @@
         peer.heard = Some(now);
         peer.last_number = hello.number;
         peer.leaving = hello.leaving;
-        peer.watches = hello.watches;
+        let proof = hello.proof_age_ms.map(Millis);
+        peer.watches = hello.watches && proof.is_some_and(|age| age < WATCHER_PROOF);
         let asked = hello.echo.and_then(|number| self.sent_at(number));
         Heard {
             is_new: !(was_heard && same_life),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -85,21 +85,30 @@
     }
 }
 
-/// Relays events until the answer ends; `begin` makes the head when the first one has
-/// arrived, `left` is told of each piece that has left, and `close` tells the caller that the
-/// connection ends with the answer.
+/// Where relaying begins, and what the caller is told of its connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Onward<'a> {
+    /// How far the stream has got; kept up to date.
+    pub position: &'a Cell<Position>,
+    /// Whether the connection ends with the answer.
+    pub close: bool,
+}
+
+/// Relays events until the answer ends; `next` reads a piece of it, `begin` makes the head when
+/// the first one has arrived, and `left` is told of each piece that has left.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
-    position: &Cell<Position>,
+    onward: Onward<'_>,
+    next: impl AsyncFn(&mut Reply) -> Result<Option<Bytes>, Failure>,
     mut begin: impl FnMut() -> actix_http::ResponseHead,
     mut left: impl FnMut(),
-    close: bool,
 ) -> Result<(), Broken> {
+    let Onward { position, close } = onward;
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
     loop {
-        let chunk = reply.chunk().await.map_err(|_| Broken::Endpoint)?;
+        let chunk = next(reply).await.map_err(|_| Broken::Endpoint)?;
         let is_last = chunk.is_none();
         let piece = match chunk {
             Some(chunk) => reader.push(&chunk),
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -34,8 +34,9 @@
 const WATCH_SLACK: Duration = Duration::from_millis(2_000);
 /// Time for any other call. The store answers in milliseconds, at its slowest in some hundred.
 const CALL_TIME: Duration = Duration::from_millis(900);
-/// Age of the newest proof, own or a peer's, at which an entry asks for another.
-const PROVE_AT: Millis = Millis(1_300);
+/// Age of the newest proof, own or a peer's, at which an entry that watches asks for another: below
+/// the age at which peers take it for cut off from the store ([`crate::direct::peers`]).
+const PROVE_AT: Millis = Millis(600);
 /// The same at an entry that follows others, since those that watch ask for all; at most half of
 /// the age up to which keyed requests may run.
 const FOLLOWER_PROVES_AT: Millis = Millis(2_200);
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -33,6 +33,8 @@
 struct Network {
     books: BTreeMap<SocketAddr, PeerBook>,
     down: Vec<SocketAddr>,
+    /// Those that the store does not answer, so that their proof is old.
+    cut_off: Vec<SocketAddr>,
     now: Millis,
 }
 
@@ -42,6 +44,7 @@
         Self {
             books: (1..=count).map(book).collect(),
             down: Vec::new(),
+            cut_off: Vec::new(),
             now: Millis(0),
         }
     }
@@ -70,6 +73,11 @@
             let mut message = hello(1, book.next_number(now), book.echo(*peer));
             message.from = PeerId(u64::from(from.port()));
             message.watches = book.is_watcher(now);
+            message.proof_age_ms = Some(if self.cut_off.contains(&from) {
+                1_500
+            } else {
+                300
+            });
             message.others = book.others(*peer, now);
             messages.push((*peer, message));
         }
@@ -150,6 +158,17 @@
     }
 }
 
+/// Watchers whose proof grows old are cut off from the store: others watch as well.
+#[test]
+fn cut_off_watchers() {
+    let mut network = Network::new(6, &[address(1), address(2)]);
+    network.rounds(40);
+    network.cut_off = network.watchers();
+    network.rounds(3);
+    let sound = |a: &&SocketAddr| !network.cut_off.contains(a);
+    assert_eq!(network.watchers().iter().filter(sound).count(), 2);
+}
+
 /// An entry's traffic does not grow with the fleet.
 #[test]
 fn traffic_bounded() {
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -60,6 +60,19 @@
     assert!(asks_again(&entry));
 }
 
+/// A peer that is as far behind says nothing about the one that is ahead.
+#[test]
+fn others_behind_too() {
+    let (clock, entry) = entry();
+    entry.applied_up_to(10);
+    entry.peer_applied(11);
+    clock.advance(Millis(400));
+    entry.peer_applied(10);
+    clock.advance(Millis(250));
+    entry.peer_applied(11);
+    assert!(asks_again(&entry));
+}
+
 #[test]
 fn watch_catches_up() {
     let (clock, entry) = entry();
@@ -79,11 +92,11 @@
     entry.store_answered();
     entry.set_watching(true);
     entry.prove_by_peer(Millis(1_000), Millis(0));
-    assert_eq!(until_question(&entry, Millis(0)), Millis(1_300));
+    assert_eq!(until_question(&entry, Millis(0)), Millis(600));
     entry.store_failed(&CallError::Silent);
     assert_eq!(until_question(&entry, Millis(0)), Millis(0));
     entry.store_answered();
-    assert_eq!(until_question(&entry, Millis(700)), Millis(2_000));
+    assert_eq!(until_question(&entry, Millis(700)), Millis(1_300));
     entry.set_watching(false);
     assert_eq!(until_question(&entry, Millis(700)), Millis(2_900));
     entry.store_failed(&CallError::Silent);
