A stream goes on from its copy only once nothing listens where it ran

An endpoint that was no longer listed was taken for gone without a question, so a stream that it had broken off went on elsewhere while it might still run there. unlisted_but_alive failed first. The address is now kept with the request.

--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -192,6 +192,24 @@
     assert_eq!(site.runs(), 1);
 }
 
+/// An engine that left the list may serve on: its streams go on elsewhere only once it is gone.
+#[actix_rt::test]
+async fn unlisted_but_alive() {
+    let site = Site::with_entry(3).await;
+    let callers = site.entries[0].addr("callers");
+    let stream =
+        actix_rt::spawn(
+            async move { exchange(callers, &long_answer("/stream/late-cut", "r1")).await },
+        );
+    wait_for("the stream runs", || async { site.runs() == 1 }).await;
+    let engine = site.engines.iter().find(|engine| engine.runs() == 1);
+    site.store.unlist(engine.unwrap());
+    let answer = stream.await.unwrap();
+    assert_eq!(event_numbers(&answer.body), [1, 2]);
+    assert!(answer.is_cut);
+    assert_eq!(site.runs(), 1);
+}
+
 /// A short answer is not worth a copy of its prompt's memory.
 #[actix_rt::test]
 async fn short_not_copied() {
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -193,7 +193,7 @@
             let now = self.entry.clock.now();
             self.progress.borrow_mut().piece_left(now);
         };
-        let next = async |reply: &mut Reply| self.next_piece(key, reply).await;
+        let next = async |reply: &mut Reply| self.next_piece(reply).await;
         let reply = &mut answered.reply;
         match relay::events(reply, answerer, onward, next, begin, left).await {
             Ok(()) => {
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -10,7 +10,6 @@
 use crate::direct::catalog::Shape;
 use crate::direct::channel::{Channel, Failure, Reply};
 use crate::direct::choose::Choice;
-use crate::direct::directory::EndpointKey;
 
 /// Tokens of a run's memory for each token of its answer up to which a copy is worth its way: the
 /// answer's length is the time for which the run can be lost, the memory is what has to be moved.
@@ -37,7 +36,7 @@
 
     /// Whether the run goes on from its copy, after the endpoint that made it was lost: it must be
     /// gone, since the run goes on in one place only. Counts against the retry budget.
-    pub(super) async fn may_take_over(&mut self, lost: EndpointKey) -> bool {
+    pub(super) async fn may_take_over(&mut self) -> bool {
         let Some(copy) = self.copy else {
             return false;
         };
@@ -45,7 +44,7 @@
         if !has_events || self.takes_over || !self.entry.directory().takes_work(copy) {
             return false;
         }
-        if !self.is_gone(lost).await {
+        if !self.is_gone().await {
             return false;
         }
         let now = self.entry.clock.now();
@@ -55,11 +54,7 @@
 
     /// The next piece of a stream. Where the run has a copy, an endpoint that falls silent is asked
     /// whether it is still there: without power it would say nothing, and the stream could go on.
-    pub(super) async fn next_piece(
-        &self,
-        key: EndpointKey,
-        reply: &mut Reply,
-    ) -> Result<Option<Bytes>, Failure> {
+    pub(super) async fn next_piece(&self, reply: &mut Reply) -> Result<Option<Bytes>, Failure> {
         let silence = self.route().pause().filter(|_| self.copy.is_some());
         let Some(pause) = silence else {
             return reply.chunk().await;
@@ -71,15 +66,15 @@
         }
         tokio::select! {
             piece = reply.chunk() => piece,
-            true = self.is_gone(key) => Err(Failure::Lost),
+            true = self.is_gone() => Err(Failure::Lost),
         }
     }
 
-    /// Whether nothing listens any more where an endpoint was.
-    async fn is_gone(&self, key: EndpointKey) -> bool {
-        let address = self.entry.directory().get(key).map(|e| e.listed.address);
-        let Some(address) = address else {
-            return true;
+    /// Whether nothing listens any more where the request was sent last. The endpoint may have left
+    /// the list and serve on.
+    async fn is_gone(&self) -> bool {
+        let Some(address) = self.sent_to else {
+            return false;
         };
         matches!(Channel::connect(address).await, Err(Failure::Connect))
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -7,6 +7,7 @@
 mod send;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::Rng;
@@ -71,6 +72,8 @@
     attempts: u32,
     /// Whether an endpoint may have any of it.
     sent: bool,
+    /// Where it was sent last.
+    sent_to: Option<SocketAddr>,
     /// Endpoint that keeps a copy of the run's memory.
     copy: Option<EndpointKey>,
     /// Whether the run is to go on from that copy.
@@ -108,6 +111,7 @@
             tried: Vec::new(),
             attempts: 0,
             sent: false,
+            sent_to: None,
             copy: None,
             takes_over: false,
             position: Cell::new(Position {
@@ -184,7 +188,7 @@
                 }
                 Attempt::Lost(key) => {
                     self.tried.push(key);
-                    if self.may_take_over(key).await {
+                    if self.may_take_over().await {
                         continue;
                     }
                     if !(self.may_repeat() && self.may_go_on()) {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -51,6 +51,7 @@
             Err(denied) => return Attempt::Denied(denied),
         }
         self.attempts += 1;
+        self.sent_to = self.entry.directory().get(key).map(|e| e.listed.address);
         self.send(answerer, channel, choice, now).await
     }
 
