--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -94,6 +94,12 @@
         proof_age_ms: Option<u64>,
         /// Time left, in ms.
         left_ms: u64,
+        /// Endpoint that keeps a copy of the run's memory.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        copy: Option<String>,
+        /// Whether the run goes on from its copy, after the endpoint that made it was lost.
+        #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+        takes_over: bool,
     },
     /// A request was refused without being sent, or not run anywhere.
     Refused {
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -34,6 +34,13 @@
         };
     }
 
+    /// Identity of the endpoint that keeps a copy of the run, for the log.
+    pub(super) fn copy_id(&self) -> Option<String> {
+        let directory = self.entry.directory();
+        let copy = directory.get(self.copy?)?;
+        Some(copy.listed.id.clone())
+    }
+
     /// Whether the run goes on from its copy, after the endpoint that made it was lost: it must be
     /// gone, since the run goes on in one place only. Counts against the retry budget.
     pub(super) async fn may_take_over(&mut self) -> bool {
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -25,6 +25,8 @@
             catalog: self.catalog.version,
             proof_age_ms: self.entry.proof_age().map(|age| age.0),
             left_ms: (self.end - now).0,
+            copy: self.copy_id(),
+            takes_over: self.takes_over,
         };
         self.entry.log.request(self.ask.id.as_bytes(), placed);
     }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -48,6 +48,8 @@
         catalog: 7,
         proof_age_ms: Some(900),
         left_ms: 3_990,
+        copy: None,
+        takes_over: false,
     }
 }
 
