--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -15,6 +15,10 @@
 const MOST_KEPT: usize = 24;
 /// Bytes that are kept; a configuration of 1,400 routes takes 400 KB.
 const MOST_BYTES: usize = 1 << 20;
+/// Bytes that are read from a peer at most, once decompressed.
+const MOST_PLAIN: usize = 2 * MOST_BYTES;
+/// Level of compression: the fastest.
+const LEVEL: i32 = 1;
 
 /// One answer of a watch.
 #[derive(Debug, Clone)]
@@ -72,14 +76,16 @@
     }
 }
 
-/// Writes changes for another entry; `None` when they can't be written.
+/// Writes changes for another entry, compressed; `None` when they can't be written.
 pub fn encode(passed: &PassedOn) -> Option<Vec<u8>> {
-    bincode::serde::encode_to_vec(passed, bincode::config::standard()).ok()
+    let plain = bincode::serde::encode_to_vec(passed, bincode::config::standard()).ok()?;
+    zstd::bulk::compress(&plain, LEVEL).ok()
 }
 
 /// Reads what another entry passed on; `None` when it is not of this kind or too long.
 pub fn decode(bytes: &[u8]) -> Option<PassedOn> {
-    let config = bincode::config::standard().with_limit::<{ 2 * MOST_BYTES }>();
-    let (passed, read) = bincode::serde::decode_from_slice(bytes, config).ok()?;
-    (read == bytes.len()).then_some(passed)
+    let plain = zstd::bulk::decompress(bytes, MOST_PLAIN).ok()?;
+    let config = bincode::config::standard().with_limit::<MOST_PLAIN>();
+    let (passed, read) = bincode::serde::decode_from_slice(&plain, config).ok()?;
+    (read == plain.len()).then_some(passed)
 }
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -22,8 +22,11 @@
 pub const PER_ROUND: usize = 7;
 /// Silence after which a peer no longer counts as an entry.
 const SILENCE: Millis = Millis(4_000);
-/// Entries that watch the store for all.
+/// Least number of entries that watch the store for all.
 const WATCHERS: usize = 2;
+/// Entries for each that watches, in a large fleet: what a watcher passes on stays within the
+/// traffic that an instance may spend on control.
+const ENTRIES_A_WATCHER: usize = 16;
 /// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
 /// in a small fleet, and with what a watcher gathers well within the bounds on changes.
 const WATCHER_SILENCE: Millis = Millis(450);
@@ -259,7 +262,13 @@
             .peers
             .iter()
             .filter(|(address, peer)| watches(peer) && watch_rank(**address) < own);
-        before.take(WATCHERS).count() < WATCHERS
+        before.count() < self.watchers()
+    }
+
+    /// Number of entries that watch the store.
+    fn watchers(&self) -> usize {
+        let entries = self.peers.len() + 1;
+        entries.div_ceil(ENTRIES_A_WATCHER).max(WATCHERS)
     }
 
     /// Time in which every peer is told once.
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -158,6 +158,14 @@
     }
 }
 
+/// In a large fleet more entries watch, so that none passes changes on to too many.
+#[test]
+fn watchers_grow() {
+    let mut network = Network::new(96, &[address(1), address(2)]);
+    network.rounds(120);
+    assert_eq!(network.watchers().len(), 6);
+}
+
 /// Watchers whose proof grows old are cut off from the store: others watch as well.
 #[test]
 fn cut_off_watchers() {
