--- a/src/direct/lanes.rs
+++ b/src/direct/lanes.rs
@@ -9,7 +9,7 @@
 
 use crate::direct::choose::{Candidate, Seen};
 use crate::direct::directory::EndpointKey;
-use crate::direct::load::{PRESSURE_HALF_LIFE_MS, WHOLE};
+use crate::direct::load;
 
 /// Part of an endpoint's slots that delicate streams are meant to fill: a step takes twice as long
 /// in a full batch as in a third of one.
@@ -51,18 +51,16 @@
 
 /// The share of delicate streams in what the pool needs, 0 to 1.
 fn share(all: &[Seen<'_>], read_per_ms: f64) -> f64 {
-    let mut streams = 0.0;
+    let mut writing = 0.0;
     let mut reading = 0.0;
     for seen in all {
         let work = &seen.total;
         let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
-        streams += f64::from(work.delicate) / f64::from(WHOLE) / (slots * STREAMS_PART);
-        // What is forgotten in a millisecond is what arrived in one, where the load is steady.
-        let arrived = f64::from(work.pressure) * std::f64::consts::LN_2 / PRESSURE_HALF_LIFE_MS;
-        reading += arrived / (read_per_ms * READING_PART);
+        writing += load::streams(work.delicate) / (slots * STREAMS_PART);
+        reading += work.read_per_ms() / (read_per_ms * READING_PART);
     }
-    if streams + reading > 0.0 {
-        streams / (streams + reading)
+    if writing + reading > 0.0 {
+        writing / (writing + reading)
     } else {
         0.0
     }
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -2,6 +2,7 @@
 //! and the endpoint itself told, which count less with age.
 
 use std::collections::HashMap;
+use std::f64::consts::LN_2;
 
 use crate::clock::Millis;
 use crate::direct::peers::PeerId;
@@ -16,6 +17,11 @@
 /// A whole delicate stream, in hundredths.
 pub const WHOLE: u32 = 100;
 
+/// Delicate streams from hundredths.
+pub fn streams(hundredths: u32) -> f64 {
+    f64::from(hundredths) / f64::from(WHOLE)
+}
+
 /// Band of a priority.
 pub fn band(priority: u8) -> usize {
     usize::from(priority).min(BANDS - 1)
@@ -49,6 +55,12 @@
         self.unread.iter().fold(0, |sum, n| sum.saturating_add(*n))
     }
 
+    /// Prompt tokens of coarse requests that are read in a millisecond: where the load is steady, as
+    /// many as are forgotten in one.
+    pub fn read_per_ms(&self) -> f64 {
+        f64::from(self.pressure) * LN_2 / PRESSURE_HALF_LIFE_MS
+    }
+
     /// The sum of both; at its largest where that does not fit.
     fn plus(self, other: Self) -> Self {
         let mut unread = self.unread;
@@ -90,7 +102,7 @@
 }
 
 /// Time after which half of the pressure is forgotten, in ms: some lengths of an urgent stream.
-pub const PRESSURE_HALF_LIFE_MS: f64 = 2_000.0;
+const PRESSURE_HALF_LIFE_MS: f64 = 2_000.0;
 
 /// The load of one endpoint.
 #[derive(Debug, Default)]
@@ -114,7 +126,7 @@
         *unread = unread.saturating_add(footprint.unread);
         self.own.held = self.own.held.saturating_add(footprint.held);
         self.own.delicate += footprint.delicate;
-        let coarse = 1.0 - f64::from(footprint.delicate.min(WHOLE)) / f64::from(WHOLE);
+        let coarse = 1.0 - streams(footprint.delicate.min(WHOLE));
         self.pressure = self.pressure_now(now) + f64::from(footprint.unread) * coarse;
         self.pressure_at = now;
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -34,6 +34,7 @@
 pub mod load;
 pub mod peers;
 pub mod prefix;
+pub mod price;
 pub mod process;
 pub mod progress;
 pub mod ready;
--- /dev/null
+++ b/src/direct/price.rs
@@ -0,0 +1,176 @@
+//! The terms of an endpoint's price for a request, in ms: what it adds to the time until the first
+//! event, and what it costs the requests beside it.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::clock::Millis;
+use crate::direct::choose::{Candidate, Demand, Seen};
+use crate::direct::load::{streams, Work, BANDS, WHOLE};
+
+/// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
+/// the record corrects the rest per endpoint. From the users' sheets, rounded down.
+pub const READ_TOKENS_PER_MS: f64 = 50.0;
+/// Added to the time by each request of the batch, in ms; each makes every step a little longer.
+const BATCH_MS: f64 = 0.8;
+/// Base of the estimate, in ms: a step and the way there.
+const BASE_MS: f64 = 8.0;
+/// Price of another availability zone, in ms: bytes between zones are paid for.
+const OTHER_ZONE_MS: f64 = 6.0;
+/// Part of less urgent work that still delays a more urgent request: what has begun goes on.
+const LESS_URGENT_PART: f64 = 0.35;
+/// Weight of the time that reading a prompt takes from each delicate stream beside it.
+const HARM: f64 = 0.25;
+/// Part of the tightest pause that reading beside a delicate stream may fill without harm.
+const PAUSE_PART: f64 = 0.35;
+/// Weight of the reading time beyond that, for each delicate stream: it comes late then.
+const HARM_BEYOND: f64 = 2.0;
+/// Weight of the reading that a delicate stream must expect beside it.
+const EXPOSURE: f64 = 0.4;
+/// Price of a full batch, in ms; it grows with the square of the part in use.
+const FULL_BATCH_MS: f64 = 400.0;
+/// Part of the slots beyond which a request may have to wait for one.
+const BATCH_FULL: f64 = 0.85;
+/// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
+const OVERFULL_MS: f64 = 25.0;
+/// Weight of shared tokens that are read again beyond the time that this takes: it is work done
+/// twice, also for those who wait behind it.
+const READ_AGAIN: f64 = 8.0;
+/// Memory in use above which an engine may have to preempt.
+const MEMORY_FULL: f64 = 0.88;
+/// Price of overfull memory, in ms: some request is preempted and read anew, which costs more than
+/// reading the shared parts of this one elsewhere.
+const MEMORY_MS: f64 = 1_200.0;
+/// Price of an endpoint that is kept for the other kind of load, in ms.
+const OTHER_LANE_MS: f64 = 300.0;
+/// Most of the random addition to a price, in ms, besides [`SPREAD_READ`].
+const SPREAD_MS: f64 = 20.0;
+/// Most of the random addition to a price by the time that reading takes.
+const SPREAD_READ: f64 = 1.0;
+/// Time for which others' choices stay unseen from which on the addition is whole, in ms.
+const BLIND_MS: f64 = 300.0;
+/// Price of each request that waits at the endpoint by its own word, in ms.
+const WAITING_MS: f64 = 15.0;
+/// Price of an endpoint that has just started, in ms.
+const WARMING_MS: f64 = 60.0;
+
+/// Time until the first event, by estimate, at an endpoint that keeps `cached` tokens of the prompt.
+pub fn expected_ms(demand: &Demand<'_>, seen: &Seen<'_>, cached: u64, now: Millis) -> f64 {
+    let candidate = &seen.candidate;
+    let unread = demand.prompt_tokens() - cached;
+    let again = demand.shared_tokens().saturating_sub(cached);
+    work_ms(demand, seen, unread, now) * candidate.record.slowness(now)
+        + distance_ms(demand, candidate)
+        + read_ms(again as f64) * READ_AGAIN
+}
+
+/// Price of an endpoint that is kept for the other kind of load.
+pub fn lane_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
+    if demand.pause == Millis(0) {
+        return 0.0;
+    }
+    let own = streams(demand.delicate.min(WHOLE));
+    let unfit = if seen.is_kept { 1.0 - own } else { own };
+    unfit * OTHER_LANE_MS
+}
+
+/// A random addition that parts entries which choose at the same time and don't see each other's
+/// choices yet; `unread` is what the endpoint would read.
+pub fn spread_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u32) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (demand.draw, seen.candidate.endpoint.digest).hash(&mut hasher);
+    let part = hasher.finish() as f64 / u64::MAX as f64;
+    let read = read_ms(f64::from(unread));
+    let unseen = (demand.blind.0 as f64 / BLIND_MS).min(1.0);
+    part * unseen * (SPREAD_MS + read * SPREAD_READ)
+}
+
+/// Time that an engine takes to read prompt tokens.
+fn read_ms(tokens: f64) -> f64 {
+    tokens / READ_TOKENS_PER_MS
+}
+
+/// Time until the first event if the endpoint were as fast as estimated: reading what goes before
+/// and the request itself, the batch, the memory, what waits, and the harm to streams.
+fn work_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64, now: Millis) -> f64 {
+    let (candidate, total) = (&seen.candidate, seen.total);
+    let read = read_ms(tokens_before(demand, total) + unread as f64);
+    let batch = batch_ms(demand, seen);
+    let memory = memory_ms(demand, total);
+    let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
+    let beside = beside_ms(demand, seen, unread);
+    BASE_MS + read + batch + memory + waiting + beside
+}
+
+/// Prompt tokens that are read before the request's own; less urgent ones count in part.
+fn tokens_before(demand: &Demand<'_>, total: Work) -> f64 {
+    let mut before = 0.0;
+    for band in 0..BANDS {
+        let part = if band <= demand.band {
+            1.0
+        } else {
+            LESS_URGENT_PART
+        };
+        before += f64::from(total.unread[band]) * part;
+    }
+    before
+}
+
+/// Price of the requests that run there; at a plain service each takes its part of the time.
+fn batch_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
+    let running = f64::from(seen.total.running);
+    let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
+    let used = running / slots;
+    if demand.memory_tokens == 0 {
+        return used * WAITING_MS;
+    }
+    let over = (running - slots * BATCH_FULL).max(0.0);
+    running * BATCH_MS + used * used * FULL_BATCH_MS + over * OVERFULL_MS
+}
+
+/// What reading beside streams costs: an engine reads prompts between the tokens of all others,
+/// so a long one stretches their pauses. Long prompts and delicate streams therefore avoid each
+/// other, which parts the engines between them as far as the load allows.
+fn beside_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64) -> f64 {
+    let total = seen.total;
+    let own = streams(demand.delicate);
+    let others = streams(total.delicate);
+    let read = read_ms(unread as f64);
+    let queued = read_ms(f64::from(total.all_unread()));
+    let beyond = (queued + read - demand.pause.0 as f64 * PAUSE_PART).clamp(0.0, read);
+    let harm = others * (read * (1.0 - own) * HARM + beyond * HARM_BEYOND);
+    if seen.is_kept {
+        // Long prompts leave it as streams come.
+        return harm;
+    }
+    harm + read_ms(f64::from(total.pressure)) * own * EXPOSURE
+}
+
+/// Price of overfull memory; none for plain services.
+fn memory_ms(demand: &Demand<'_>, total: Work) -> f64 {
+    if demand.memory_tokens == 0 {
+        return 0.0;
+    }
+    let held = u64::from(total.held) + demand.prompt_tokens() + demand.output_tokens;
+    let used = held as f64 / demand.memory_tokens as f64;
+    if used > MEMORY_FULL {
+        MEMORY_MS * used
+    } else {
+        0.0
+    }
+}
+
+/// Price of another availability zone and of a fresh start.
+fn distance_ms(demand: &Demand<'_>, candidate: &Candidate<'_>) -> f64 {
+    let listed = &candidate.endpoint.listed;
+    let zone = if listed.zone == demand.zone {
+        0.0
+    } else {
+        OTHER_ZONE_MS
+    };
+    let warming = if listed.warming > Millis(0) {
+        WARMING_MS
+    } else {
+        0.0
+    };
+    zone + warming
+}
