--- /dev/null
+++ b/src/direct/sync/follow.rs
@@ -0,0 +1,74 @@
+//! Keeping up with the store: by watching it, or by leaving that to peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::listing::read_all;
+use super::watch::{watch, ONE_LOOK, WATCH_WAIT};
+use super::{pause, StoreClient};
+use crate::direct::entry::Entry;
+
+/// Time between two looks at whether this entry is to watch the store itself.
+const ROLE_LOOK: Duration = Duration::from_millis(100);
+
+/// Keeps the configuration and the list of endpoints up to date.
+pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
+    let client = StoreClient::new(entry.settings.borrow().store);
+    loop {
+        match read_all(&entry, &client).await {
+            Ok(()) => keep_up(&entry, &client).await,
+            Err(err) => {
+                entry.store_failed(&err);
+                pause().await;
+            }
+        }
+    }
+}
+
+/// Keeps up until something goes wrong; the caller then reads everything anew.
+async fn keep_up(entry: &Rc<Entry>, client: &StoreClient) {
+    loop {
+        let is_watcher = entry.peers.borrow().is_watcher(entry.clock.now());
+        entry.set_watching(is_watcher);
+        let goes_on = if is_watcher {
+            watch(entry, client, WATCH_WAIT).await
+        } else {
+            follow_peers(entry, client).await
+        };
+        if !goes_on {
+            entry.set_watching(false);
+            return;
+        }
+    }
+}
+
+/// Leaves changes to the peers that watch, for a while; false when everything is to be read anew.
+async fn follow_peers(entry: &Rc<Entry>, client: &StoreClient) -> bool {
+    match woken(entry).await {
+        Woken::Look => true,
+        // The peers that watch don't tell what the store has.
+        Woken::Watch => watch(entry, client, ONE_LOOK).await,
+        Woken::List => false,
+    }
+}
+
+/// Why an entry that follows its peers was woken.
+enum Woken {
+    /// Its role may have changed.
+    Look,
+    /// The store has changes that peers did not bring.
+    Watch,
+    /// Everything is to be read anew.
+    List,
+}
+
+/// Waits until this entry is woken, or its role is to be looked at.
+async fn woken(entry: &Entry) -> Woken {
+    tokio::select! {
+        () = sleep(ROLE_LOOK) => Woken::Look,
+        () = entry.watch_again.notified() => Woken::Watch,
+        () = entry.list_again.notified() => Woken::List,
+    }
+}
--- /dev/null
+++ b/src/direct/sync/listing.rs
@@ -0,0 +1,52 @@
+//! Reading everything: the list of endpoints and the configuration.
+
+use std::rc::Rc;
+
+use super::{call, CallError, StoreClient, CALL_TIME};
+use crate::direct::dialect::Published;
+use crate::direct::directory::{Listed, Revision};
+use crate::direct::entry::Entry;
+
+/// Reads the list and the configuration, and takes both.
+pub(super) async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
+    let asked = entry.clock.now();
+    let (listed, begun) = read_list(entry, client).await?;
+    let catalog = read_catalog(entry, client).await?;
+    entry.store_answered();
+    if let Some(published) = catalog {
+        entry.take_catalog(published, "store");
+    }
+    entry.take_listing(listed, begun);
+    entry.prove_up_to(asked, begun);
+    Ok(())
+}
+
+/// Reads the list of endpoints, page by page, with the store's revision at the first one.
+async fn read_list(
+    entry: &Entry,
+    client: &StoreClient,
+) -> Result<(Vec<Listed>, Revision), CallError> {
+    let mut listed = Vec::new();
+    let mut from = None;
+    let mut first = None;
+    loop {
+        let query = entry.dialect.page_query(from.as_deref());
+        let (status, body) = call(entry, client, query, CALL_TIME).await?;
+        let page = entry.dialect.page(status, &body);
+        let page = page.map_err(CallError::Unusable)?;
+        let begun = *first.get_or_insert(page.current);
+        listed.extend(page.listed);
+        from = page.next;
+        if from.is_none() {
+            return Ok((listed, begun));
+        }
+    }
+}
+
+/// Reads the configuration; `None` where the store has none.
+async fn read_catalog(entry: &Entry, client: &StoreClient) -> Result<Option<Published>, CallError> {
+    let query = entry.dialect.catalog_query();
+    let (status, body) = call(entry, client, query, CALL_TIME).await?;
+    let catalog = entry.dialect.catalog(status, &body);
+    catalog.map_err(CallError::Unusable)
+}
--- /dev/null
+++ b/src/direct/sync/mod.rs
@@ -0,0 +1,51 @@
+//! Reading the configuration store: one watch for changes, and small reads that prove freshness.
+//!
+//! A few entries watch for all; the others take from them what their watches brought, and watch
+//! themselves as soon as these fall silent.
+//!
+//! A watch tells of changes at once but its silence proves nothing, so freshness is proven apart.
+
+mod client;
+mod follow;
+mod listing;
+mod prove;
+mod watch;
+
+use std::time::Duration;
+
+use actix_http::{RequestHead, StatusCode};
+use bytes::Bytes;
+use rand::Rng;
+use tokio::time::sleep;
+
+pub use self::client::{CallError, StoreClient};
+pub use self::follow::follow;
+pub use self::prove::{prove, until_question};
+pub use self::watch::apply_passed;
+use crate::direct::entry::Entry;
+
+/// Time for any other call. The store answers in milliseconds, at its slowest in some hundred.
+const CALL_TIME: Duration = Duration::from_millis(900);
+/// Pause after a failed call, and the most of its random addition, in ms.
+const RETRY_PAUSE_MS: u64 = 150;
+
+/// Makes one call and counts it.
+async fn call(
+    entry: &Entry,
+    client: &StoreClient,
+    head: RequestHead,
+    time: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let answer = client.call(head, time).await;
+    entry.gauges.store_call(match &answer {
+        Ok(_) => "answered",
+        Err(_) => "failed",
+    });
+    answer
+}
+
+/// Waits after a failed call: [`RETRY_PAUSE_MS`] to twice as long.
+async fn pause() {
+    let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
+    sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/src/direct/sync/prove.rs
@@ -0,0 +1,104 @@
+//! Small reads that prove freshness.
+//!
+//! Every one to two seconds some entry asks for the store's revision; if everything up to it has
+//! been applied here, the configuration was the newest when the question was sent. Peers share these
+//! proofs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::sleep;
+
+use super::watch::WATCH_LAG;
+use super::{call, CallError, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
+use crate::clock::Millis;
+use crate::direct::directory::Revision;
+use crate::direct::entry::Entry;
+
+/// Age of the newest proof, own or a peer's, at which an entry that watches asks for another: below
+/// the age at which peers take it for cut off from the store ([`crate::direct::peers`]).
+const PROVE_AT: Millis = Millis(600);
+/// The same at an entry that follows others, since those that watch ask for all; at most half of
+/// the age up to which keyed requests may run.
+const FOLLOWER_PROVES_AT: Millis = Millis(2_200);
+/// Random addition to [`PROVE_AT`], in ms, so that one entry asks and the others hear of it.
+const PROVE_SPREAD_MS: u64 = 700;
+/// Pause between two questions while the store is away: its return is noticed in time to wait for
+/// lapsed endpoints, and an entry that is turned away for long makes few calls.
+const AWAY_PAUSE: Duration = Duration::from_millis(350);
+
+/// Proves freshness whenever the newest proof grows old.
+pub async fn prove(entry: Rc<Entry>) -> anyhow::Result<()> {
+    let client = StoreClient::new(entry.settings.borrow().store);
+    loop {
+        wait_until_due(&entry).await;
+        let asked = entry.clock.now();
+        match ask_revision(&entry, &client).await {
+            Ok(revision) => {
+                entry.store_answered();
+                if !entry.prove_up_to(asked, revision) {
+                    // The watch proves it when it brings the rest.
+                    list_if_behind(&entry, revision).await;
+                }
+            }
+            Err(err) => {
+                entry.store_failed(&err);
+                sleep(AWAY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks the store for its revision.
+async fn ask_revision(entry: &Entry, client: &StoreClient) -> Result<Revision, CallError> {
+    let head = entry.dialect.revision_query();
+    let (status, body) = call(entry, client, head, CALL_TIME).await?;
+    let revision = entry.dialect.revision(status, &body);
+    revision.map_err(CallError::Unusable)
+}
+
+/// Waits until the newest proof is so old that another is due.
+async fn wait_until_due(entry: &Entry) {
+    let spread = Millis(rand::thread_rng().gen_range(0..PROVE_SPREAD_MS));
+    loop {
+        match until_question(entry, spread) {
+            Millis(0) => return,
+            wait => sleep(wait.duration()).await,
+        }
+    }
+}
+
+/// Time until the store should be asked for a proof; 0 for now.
+///
+/// While the store is away it is asked on, whatever peers prove: its return has to be noticed, since
+/// lapsed endpoints are only waited for from then on.
+pub fn until_question(entry: &Entry, spread: Millis) -> Millis {
+    if entry.store_is_away() {
+        return Millis(0);
+    }
+    match entry.proof_age() {
+        Some(age) => (prove_at(entry) + spread) - age,
+        // Nothing is proven before the first listing, which is a proof itself.
+        None => Millis(RETRY_PAUSE_MS),
+    }
+}
+
+/// Age of the newest proof at which an entry asks for another.
+fn prove_at(entry: &Entry) -> Millis {
+    if entry.is_watching() {
+        return PROVE_AT;
+    }
+    let bound = entry.settings.borrow().bounds.key_proof_age();
+    bound.map_or(FOLLOWER_PROVES_AT, |bound| {
+        Millis(bound.0 / 2).min(FOLLOWER_PROVES_AT)
+    })
+}
+
+/// Has everything read anew when the watch does not bring what the store has.
+async fn list_if_behind(entry: &Entry, revision: Revision) {
+    sleep(WATCH_LAG).await;
+    if entry.applied() < revision {
+        entry.list_again.notify_one();
+    }
+}
