--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -4,7 +4,7 @@
 mod beliefs;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -35,6 +35,15 @@
     Stopping,
 }
 
+/// What an entry fetches from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fetch {
+    /// A newer configuration.
+    Catalog,
+    /// Changes that the peer has applied and this entry has not.
+    Changes,
+}
+
 /// One direct entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -83,10 +92,8 @@
     watching: Cell<bool>,
     /// Changes that the watch brought, for peers.
     changes: RefCell<ChangeLog>,
-    /// Whether changes are being fetched from a peer.
-    catching_up: Cell<bool>,
-    /// Whether a newer configuration is being fetched from a peer.
-    fetching: Cell<bool>,
+    /// What is being fetched from peers.
+    fetching: RefCell<HashSet<Fetch>>,
     life: watch::Sender<Life>,
 }
 
@@ -124,8 +131,7 @@
             in_flight: Cell::default(),
             watching: Cell::default(),
             changes: RefCell::default(),
-            catching_up: Cell::default(),
-            fetching: Cell::default(),
+            fetching: RefCell::default(),
             life: watch::Sender::new(Life::Serving),
             settings: RefCell::new(settings),
         })
@@ -159,24 +165,14 @@
         self.in_flight.get()
     }
 
-    /// Whether a newer configuration may be fetched from a peer: one at a time.
-    pub fn begin_fetch(&self) -> bool {
-        !self.fetching.replace(true)
+    /// Whether this may be fetched from a peer: one fetch of a kind at a time.
+    pub fn begin_fetch(&self, fetch: Fetch) -> bool {
+        self.fetching.borrow_mut().insert(fetch)
     }
 
     /// The fetch ended.
-    pub fn end_fetch(&self) {
-        self.fetching.set(false);
-    }
-
-    /// Whether changes may be fetched from a peer: one fetch at a time.
-    pub fn begin_catch_up(&self) -> bool {
-        !self.catching_up.replace(true)
-    }
-
-    /// That fetch ended.
-    pub fn end_catch_up(&self) {
-        self.catching_up.set(false);
+    pub fn end_fetch(&self, fetch: Fetch) {
+        self.fetching.borrow_mut().remove(&fetch);
     }
 
     /// A peer is heard that was not before.
--- /dev/null
+++ b/src/direct/fetch.rs
@@ -0,0 +1,59 @@
+//! Fetching from a peer what it has and this entry has not: a newer configuration, or changes.
+//!
+//! Each begins with [`Entry::begin_fetch`], and ends it when it is over.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, StatusCode};
+use bytes::Bytes;
+
+use crate::direct::changes;
+use crate::direct::entry::{Entry, Fetch};
+use crate::direct::ready;
+use crate::direct::sync::{self, CallError, StoreClient};
+
+/// Time for a peer to hand over its configuration.
+const FETCH_TIME: Duration = Duration::from_millis(800);
+
+/// Takes a newer configuration from a peer; the store may not be reachable from here.
+pub async fn catalog(entry: Rc<Entry>, from: SocketAddr) {
+    match ask(&entry, from, ready::catalog_query()).await {
+        Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
+            Ok(published) => entry.take_catalog(published, &from.to_string()),
+            Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
+        },
+        Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
+        Err(err) => tracing::debug!(%err, %from, "a peer's configuration could not be fetched"),
+    }
+    entry.end_fetch(Fetch::Catalog);
+}
+
+/// Takes the changes that a peer's watch brought and this entry has not applied.
+pub async fn changes(entry: Rc<Entry>, from: SocketAddr) {
+    match ask(&entry, from, ready::changes_query(entry.applied())).await {
+        Ok((status, body)) if status.is_success() => {
+            let passed = changes::decode(&body).unwrap_or_default();
+            if let Err(err) = sync::apply_passed(&entry, &passed) {
+                tracing::warn!(%err, %from, "a peer's changes can't be read");
+            }
+        }
+        Ok((status, _)) => {
+            tracing::debug!(%status, %from, "a peer does not keep the changes, asking the store");
+            entry.watch_again.notify_one();
+        }
+        Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
+    }
+    entry.end_fetch(Fetch::Changes);
+}
+
+/// Makes one call to a peer, where it answers operators and peers.
+async fn ask(
+    entry: &Entry,
+    peer: SocketAddr,
+    query: RequestHead,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let address = SocketAddr::new(peer.ip(), entry.settings.borrow().admin.port());
+    StoreClient::new(address).call(query, FETCH_TIME).await
+}
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,4 +1,4 @@
-//! Datagrams between entries: telling in rounds, hearing, and fetching a newer configuration.
+//! Datagrams between entries: telling in rounds, and hearing.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,16 +9,12 @@
 use tokio::time::sleep;
 
 use crate::clock::Millis;
-use crate::direct::changes;
 use crate::direct::directory::EndpointKey;
-use crate::direct::entry::{Entry, Life};
+use crate::direct::entry::{Entry, Fetch, Life};
+use crate::direct::fetch;
 use crate::direct::load::Work;
 use crate::direct::peers::{self, Hello, MOST_BYTES, ROUND};
-use crate::direct::ready;
-use crate::direct::sync::{self, StoreClient};
 
-/// Time for a peer to hand over its configuration.
-const FETCH_TIME: Duration = Duration::from_millis(800);
 /// Pause after an error of the socket.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -98,11 +94,11 @@
             entry.prove_by_peer(asked, Millis(age));
         }
     }
-    if hello.version > entry.version() && entry.begin_fetch() {
-        actix_rt::spawn(fetch(Rc::clone(entry), from));
+    if hello.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
+        actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
     }
-    if hello.watches && hello.revision > entry.applied() && entry.begin_catch_up() {
-        actix_rt::spawn(catch_up(Rc::clone(entry), from));
+    if hello.watches && hello.revision > entry.applied() && entry.begin_fetch(Fetch::Changes) {
+        actix_rt::spawn(fetch::changes(Rc::clone(entry), from));
     }
     entry.peer_applied(hello.revision);
     take_work(entry, hello, now);
@@ -130,40 +126,3 @@
         }
     }
 }
-
-/// Takes a newer configuration from a peer; the store may not be reachable from here.
-async fn fetch(entry: Rc<Entry>, from: SocketAddr) {
-    let address = SocketAddr::new(from.ip(), entry.settings.borrow().admin.port());
-    let client = StoreClient::new(address);
-    let answer = client.call(ready::catalog_query(), FETCH_TIME).await;
-    match answer {
-        Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
-            Ok(published) => entry.take_catalog(published, &from.to_string()),
-            Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
-        },
-        Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
-        Err(err) => tracing::debug!(%err, %from, "a peer's configuration could not be fetched"),
-    }
-    entry.end_fetch();
-}
-
-/// Takes the changes that a peer's watch brought and this entry has not applied.
-async fn catch_up(entry: Rc<Entry>, from: SocketAddr) {
-    let address = SocketAddr::new(from.ip(), entry.settings.borrow().admin.port());
-    let client = StoreClient::new(address);
-    let query = ready::changes_query(entry.applied());
-    match client.call(query, FETCH_TIME).await {
-        Ok((status, body)) if status.is_success() => {
-            let passed = changes::decode(&body).unwrap_or_default();
-            if let Err(err) = sync::apply_passed(&entry, &passed) {
-                tracing::warn!(%err, %from, "a peer's changes can't be read");
-            }
-        }
-        Ok((status, _)) => {
-            tracing::debug!(%status, %from, "a peer does not keep the changes, asking the store");
-            entry.watch_again.notify_one();
-        }
-        Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
-    }
-    entry.end_catch_up();
-}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -6,7 +6,7 @@
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
-//! [`sync`]. All decisions are state machines without I/O; [`entry`] is the state that
+//! [`sync`] and [`gossip`]. All decisions are state machines without I/O; [`entry`] is the state that
 //! the tasks share, [`process`] starts and ends them and opens the sockets.
 //!
 //! The formats on the wire come from an implementation of [`dialect::Dialect`].
@@ -23,6 +23,7 @@
 pub mod directory;
 pub mod entry;
 pub mod explain;
+pub mod fetch;
 pub mod freshness;
 pub mod gauge;
 pub mod gossip;
