--- /dev/null
+++ b/src/direct/peers/hello.rs
@@ -0,0 +1,55 @@
+//! What an entry tells a peer in one datagram, and how it is written.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::PlacedPrompt;
+use crate::direct::load::Work;
+
+/// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
+pub const MOST_BYTES: usize = 8 << 10;
+
+/// One life of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PeerId(pub u64);
+
+/// What an entry tells its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender.
+    pub from: PeerId,
+    /// Number of this datagram; rises.
+    pub number: u64,
+    /// Number of the receiver's datagram that the sender heard last.
+    pub echo: Option<u64>,
+    /// Configuration version in force at the sender.
+    pub version: u64,
+    /// Age of its proof in ms; `None` when there is none.
+    pub proof_age_ms: Option<u64>,
+    /// Revision of the store up to which the sender has applied all changes.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// Whether it watches the store, which answers it, and so hears of changes first.
+    pub watches: bool,
+    /// Addresses of some entries.
+    pub others: Vec<SocketAddr>,
+    /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
+    pub work: Vec<(u32, Work)>,
+    /// Prompts that the sender placed lately.
+    pub placed: Vec<PlacedPrompt>,
+}
+
+/// Writes a datagram.
+pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
+    let bytes = bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()?;
+    (bytes.len() <= MOST_BYTES).then_some(bytes)
+}
+
+/// Reads a datagram; `None` when it is not one of ours.
+pub fn decode(bytes: &[u8]) -> Option<Hello> {
+    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
+    let (hello, read) = bincode::serde::decode_from_slice(bytes, config).ok()?;
+    (read == bytes.len()).then_some(hello)
+}
--- a/src/direct/peers.rs
+++ b/src/direct/peers/mod.rs
@@ -6,13 +6,16 @@
 //! datagram, so that the receiver can date the proof on its own clock (see
 //! [`crate::direct::freshness`]).
 
+mod hello;
+mod placements;
+mod watchers;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
+pub use self::hello::{decode, encode, Hello, PeerId, MOST_BYTES};
+pub use self::placements::{PlacedPrompt, RecentPlacements};
 use crate::clock::Millis;
-use crate::direct::load::Work;
 
 /// Time between two rounds of datagrams.
 pub const ROUND: Millis = Millis(150);
@@ -22,87 +25,12 @@
 pub const PER_ROUND: usize = 7;
 /// Silence after which a peer no longer counts as an entry.
 const SILENCE: Millis = Millis(4_000);
-/// Entries that watch the store for all.
-const WATCHERS: usize = 2;
-/// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
-/// in a small fleet, and with what a watcher gathers well within the bounds on changes.
-const WATCHER_SILENCE: Millis = Millis(450);
-/// Age of its proof from which on a watcher is taken for cut off from the store.
-const WATCHER_PROOF: Millis = Millis(1_500);
-/// Rounds through all peers in which a watcher must be heard.
-const WATCHER_CYCLES: u64 = 2;
 /// Silence after which an address is forgotten unless it is a seed.
 const FORGET: Millis = Millis(20_000);
 /// Addresses passed on in one datagram.
 const TOLD: usize = 8;
 /// Own datagrams whose time of sending is remembered.
 const REMEMBERED: usize = 256;
-/// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
-pub const MOST_BYTES: usize = 8 << 10;
-
-/// One life of an entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct PeerId(pub u64);
-
-/// What an entry tells its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
-    /// The sender.
-    pub from: PeerId,
-    /// Number of this datagram; rises.
-    pub number: u64,
-    /// Number of the receiver's datagram that the sender heard last.
-    pub echo: Option<u64>,
-    /// Configuration version in force at the sender.
-    pub version: u64,
-    /// Age of its proof in ms; `None` when there is none.
-    pub proof_age_ms: Option<u64>,
-    /// Revision of the store up to which the sender has applied all changes.
-    pub revision: u64,
-    /// Whether the sender is stopping.
-    pub leaving: bool,
-    /// Whether it watches the store, which answers it, and so hears of changes first.
-    pub watches: bool,
-    /// Addresses of some entries.
-    pub others: Vec<SocketAddr>,
-    /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
-    pub work: Vec<(u32, Work)>,
-    /// Prompts that the sender placed lately.
-    pub placed: Vec<PlacedPrompt>,
-}
-
-/// A prompt that was sent to an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlacedPrompt {
-    /// Its last shared part.
-    pub part: u64,
-    /// Digest of the endpoint's identity.
-    pub endpoint: u32,
-}
-
-/// Placements that are told, the newest ones: an entry makes some ten in the time between two
-/// datagrams to one peer.
-const MOST_PLACED: usize = 12;
-
-/// The newest placements, one a shared part.
-#[derive(Debug, Default)]
-pub struct RecentPlacements(VecDeque<PlacedPrompt>);
-
-impl RecentPlacements {
-    /// A prompt was sent to an endpoint.
-    pub fn add(&mut self, placed: PlacedPrompt) {
-        self.0.retain(|other| other.part != placed.part);
-        self.0.push_back(placed);
-        if self.0.len() > MOST_PLACED {
-            self.0.pop_front();
-        }
-    }
-
-    /// All of them, the oldest first.
-    pub fn all(&self) -> Vec<PlacedPrompt> {
-        self.0.iter().copied().collect()
-    }
-}
 
 /// What follows from a datagram.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -125,6 +53,7 @@
     known_since: Millis,
     is_seed: bool,
     leaving: bool,
+    /// Whether it watches the store, by its last datagram, and is in touch with it.
     watches: bool,
 }
 
@@ -237,8 +166,7 @@
         peer.heard = Some(now);
         peer.last_number = hello.number;
         peer.leaving = hello.leaving;
-        let proof = hello.proof_age_ms.map(Millis);
-        peer.watches = hello.watches && proof.is_some_and(|age| age < WATCHER_PROOF);
+        peer.watches = watchers::is_in_touch(hello);
         let asked = hello.echo.and_then(|number| self.sent_at(number));
         Heard {
             is_new: !(was_heard && same_life),
@@ -246,27 +174,6 @@
         }
     }
 
-    /// Whether this entry is to watch the store: too few of those that come before it in an order
-    /// that all entries compute alike are known to do so.
-    pub fn is_watcher(&self, now: Millis) -> bool {
-        let own = watch_rank(self.own);
-        let silence = WATCHER_SILENCE + Millis(self.cycle().0 * WATCHER_CYCLES);
-        let watches = |peer: &Peer| {
-            let heard = peer.heard.is_some_and(|at| now - at < silence);
-            heard && peer.watches && !peer.leaving
-        };
-        let before = self
-            .peers
-            .iter()
-            .filter(|(address, peer)| watches(peer) && watch_rank(**address) < own);
-        before.take(WATCHERS).count() < WATCHERS
-    }
-
-    /// Time in which every peer is told once.
-    fn cycle(&self) -> Millis {
-        Millis(ROUND.0 * self.peers.len().div_ceil(PER_ROUND) as u64)
-    }
-
     /// Entries that serve, this one included.
     pub fn entries(&self, now: Millis) -> usize {
         let heard = |peer: &&Peer| peer.heard.is_some_and(|at| now - at < SILENCE);
@@ -307,25 +214,3 @@
         });
     }
 }
-
-/// Place of an entry in the order of those that watch: at random, so that watchers are not all in
-/// the zone whose addresses come first.
-fn watch_rank(address: SocketAddr) -> (u64, SocketAddr) {
-    let hash = blake3::hash(address.to_string().as_bytes());
-    let mut head = [0; 8];
-    head.copy_from_slice(&hash.as_bytes()[..8]);
-    (u64::from_be_bytes(head), address)
-}
-
-/// Writes a datagram.
-pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
-    let bytes = bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()?;
-    (bytes.len() <= MOST_BYTES).then_some(bytes)
-}
-
-/// Reads a datagram; `None` when it is not one of ours.
-pub fn decode(bytes: &[u8]) -> Option<Hello> {
-    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
-    let (hello, read) = bincode::serde::decode_from_slice(bytes, config).ok()?;
-    (read == bytes.len()).then_some(hello)
-}
--- /dev/null
+++ b/src/direct/peers/watchers.rs
@@ -0,0 +1,54 @@
+//! Who watches the store: a few entries for all, the first ones of an order that all compute alike.
+
+use std::net::SocketAddr;
+
+use super::{Hello, Peer, PeerBook, PER_ROUND, ROUND};
+use crate::clock::Millis;
+
+/// Entries that watch the store for all.
+const WATCHERS: usize = 2;
+/// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
+/// in a small fleet, and with what a watcher gathers well within the bounds on changes.
+const WATCHER_SILENCE: Millis = Millis(450);
+/// Age of its proof from which on a watcher is taken for cut off from the store.
+const WATCHER_PROOF: Millis = Millis(1_500);
+/// Rounds through all peers in which a watcher must be heard.
+const WATCHER_CYCLES: u64 = 2;
+
+impl PeerBook {
+    /// Whether this entry is to watch the store: too few of those that come before it in an order
+    /// that all entries compute alike are known to do so.
+    pub fn is_watcher(&self, now: Millis) -> bool {
+        let own = watch_rank(self.own);
+        let silence = WATCHER_SILENCE + Millis(self.cycle().0 * WATCHER_CYCLES);
+        let watches = |peer: &Peer| {
+            let heard = peer.heard.is_some_and(|at| now - at < silence);
+            heard && peer.watches && !peer.leaving
+        };
+        let before = self
+            .peers
+            .iter()
+            .filter(|(address, peer)| watches(peer) && watch_rank(**address) < own);
+        before.take(WATCHERS).count() < WATCHERS
+    }
+
+    /// Time in which every peer is told once.
+    fn cycle(&self) -> Millis {
+        Millis(ROUND.0 * self.peers.len().div_ceil(PER_ROUND) as u64)
+    }
+}
+
+/// Whether a peer watches the store and is not cut off from it.
+pub(super) fn is_in_touch(hello: &Hello) -> bool {
+    let proof = hello.proof_age_ms.map(Millis);
+    hello.watches && proof.is_some_and(|age| age < WATCHER_PROOF)
+}
+
+/// Place of an entry in the order of those that watch: at random, so that watchers are not all in
+/// the zone whose addresses come first.
+fn watch_rank(address: SocketAddr) -> (u64, SocketAddr) {
+    let hash = blake3::hash(address.to_string().as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    (u64::from_be_bytes(head), address)
+}
