--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -23,16 +23,17 @@
 impl Job<'_> {
     /// Picks the endpoint that keeps a copy of the run that `choice` begins, where that is worth it.
     pub(super) fn pick_copy(&mut self, choice: &Choice) {
+        let other = |key| key != choice.key && !self.tried.contains(&key);
+        let copy = self.is_worth_copy().then(|| self.choose(other));
+        self.copy = copy.flatten().map(|choice| choice.key);
+    }
+
+    /// Whether the run is a stream whose answer is long beside its prompt.
+    fn is_worth_copy(&self) -> bool {
         let prompt: u64 = self.ask.parts.iter().map(|part| part.tokens).sum();
         let answer = self.ask.output_tokens;
         let is_stream = matches!(self.route().shape, Shape::Events { .. });
-        let is_worth = is_stream && prompt > 0 && prompt + answer <= COPY_RATIO * answer;
-        let other = |key| key != choice.key && !self.tried.contains(&key);
-        self.copy = if is_worth {
-            self.choose(other).map(|choice| choice.key)
-        } else {
-            None
-        };
+        is_stream && prompt > 0 && prompt + answer <= COPY_RATIO * answer
     }
 
     /// Whether the run goes on from its copy, after the endpoint that made it was lost: it must be
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -86,18 +86,7 @@
         let directory = self.entry.directory();
         let accounts = self.entry.accounts();
         let settings = self.entry.settings.borrow();
-        let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
-        let demand = Demand {
-            band: load::band(self.priority()),
-            parts: &self.ask.parts,
-            output_tokens: self.ask.output_tokens,
-            zone: &settings.zone,
-            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
-            delicate: self.catalog.delicacy(self.route(), &self.pool),
-            pause: self.catalog.tightest_pause(&self.pool),
-            blind: self.entry.peers.borrow().blind(now),
-            draw: rand::random(),
-        };
+        let demand = self.demand(&settings.zone, now);
         let candidates = directory
             .of_pool(&self.pool)
             .filter(|(key, _)| is_candidate(*key))
@@ -113,6 +102,22 @@
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
     }
 
+    /// What is to be placed, by an entry in `zone`.
+    fn demand<'a>(&'a self, zone: &'a str, now: Millis) -> Demand<'a> {
+        let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
+        Demand {
+            band: load::band(self.priority()),
+            parts: &self.ask.parts,
+            output_tokens: self.ask.output_tokens,
+            zone,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            delicate: self.catalog.delicacy(self.route(), &self.pool),
+            pause: self.catalog.tightest_pause(&self.pool),
+            blind: self.entry.peers.borrow().blind(now),
+            draw: rand::random(),
+        }
+    }
+
     /// A connection to an endpoint: a kept one that is quiet, or a new one.
     async fn open(&self, key: EndpointKey) -> Option<Channel> {
         if let Some(channel) = self.entry.idle_channel(key) {
@@ -214,11 +219,8 @@
             reply = &mut sending => return Ok(reply),
             () = sleep(silent.min(left).duration()) => {}
         }
-        let mut heard = Millis(0);
-        self.entry.account(key, |account| heard = account.heard);
-        if heard <= sent_at && silent < left {
+        if !self.was_heard(key, sent_at) && silent < left {
             self.entry.endpoint_failed(key, Fault::Contact, "silent");
-
             if self.may_repeat() && self.has_attempts() {
                 self.log_failed(key, "silent", true);
                 return Err(Attempt::Lost(key));
@@ -229,4 +231,11 @@
             .await
             .map_err(|_| Attempt::TimeOver)
     }
+
+    /// Whether anything was heard of an endpoint since a time.
+    fn was_heard(&self, key: EndpointKey, since: Millis) -> bool {
+        let mut heard = Millis(0);
+        self.entry.account(key, |account| heard = account.heard);
+        heard > since
+    }
 }
