--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -136,19 +136,22 @@
     let answer = site.ask("/resume/cut", "r1").await;
     assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5]);
     assert!(!answer.is_cut);
-    let second = site.engines.iter().flat_map(|engine| engine.arrivals());
-    let resumed: Vec<_> = second
-        .filter(|a| a.header("last-event-id").is_some())
-        .collect();
+    let mut resumed = site.arrivals();
+    resumed.retain(|a| a.header("last-event-id").is_some());
     assert_eq!(resumed.len(), 1);
     assert_eq!(resumed[0].header("last-event-id"), Some("2"));
 }
 
+/// A request with more lines in its head.
+fn with_lines(path: &str, id: &str, lines: &str) -> Vec<u8> {
+    let text = String::from_utf8(request(path, id, "k1")).unwrap();
+    let lines = format!("{lines}\r\ncontent-length");
+    text.replace("content-length", &lines).into_bytes()
+}
+
 /// A request for a stream whose answer is long beside its prompt.
 fn long_answer(path: &str, id: &str) -> Vec<u8> {
-    let text = String::from_utf8(request(path, id, "k1")).unwrap();
-    let told = "x-token-usage: 100,400\r\ncontent-length";
-    text.replace("content-length", told).into_bytes()
+    with_lines(path, id, "x-token-usage: 100,400")
 }
 
 /// The run of a long answer is copied, and goes on from its copy when its engine dies.
@@ -159,8 +162,7 @@
     let answer = exchange(callers, &long_answer("/stream/die", "r1")).await;
     assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5]);
     assert!(!answer.is_cut);
-    let arrivals = site.engines.iter().flat_map(|engine| engine.arrivals());
-    let mut arrivals: Vec<_> = arrivals.collect();
+    let mut arrivals = site.arrivals();
     assert_eq!(arrivals.len(), 2);
     arrivals.sort_by_key(|arrival| arrival.header("kv-from").is_some());
     let [first, second] = &arrivals[..] else {
@@ -197,14 +199,11 @@
 async fn short_not_copied() {
     let site = Site::with_entry(2).await;
     let callers = site.entries[0].addr("callers");
-    let text = String::from_utf8(request("/stream/events", "r1", "k1")).unwrap();
-    let told = "x-token-usage: 9000,50\r\nx-kv-backup: 127.0.0.1:1\r\ncontent-length";
-    let bytes = text.replace("content-length", told).into_bytes();
+    let lines = "x-token-usage: 9000,50\r\nx-kv-backup: 127.0.0.1:1";
+    let bytes = with_lines("/stream/events", "r1", lines);
     assert_eq!(exchange(callers, &bytes).await.status, 200);
-    let arrivals = site.engines.iter().flat_map(|engine| engine.arrivals());
-    assert!(arrivals
-        .into_iter()
-        .all(|a| a.header("x-kv-backup").is_none()));
+    let arrivals = site.arrivals();
+    assert!(arrivals.iter().all(|a| a.header("x-kv-backup").is_none()));
 }
 
 /// An entry that follows another one hears of changes without calls of its own.
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -157,20 +157,18 @@
         delicate: 100,
         ..demand(&short)
     };
-    let place = |pool: &mut Pool, demand: Demand<'_>, read: bool| {
+    let place = |pool: &mut Pool, demand: Demand<'_>| {
         let choice = pool.choose(demand);
         let i = (0..3).find(|i| pool.key(*i) == choice.key).unwrap();
         pool.loads[i].begin(choice.footprint, NOW);
-        if read {
-            pool.loads[i].read(choice.footprint);
-        }
+        pool.loads[i].read(choice.footprint);
         i
     };
     let mut streams = [0; 3];
     let mut prompts = [0; 3];
     for _ in 0..12 {
-        streams[place(&mut pool, urgent, true)] += 1;
-        prompts[place(&mut pool, demand(&long), true)] += 1;
+        streams[place(&mut pool, urgent)] += 1;
+        prompts[place(&mut pool, demand(&long))] += 1;
     }
     let both = (0..3).filter(|i| streams[*i] > 0 && prompts[*i] > 0);
     assert_eq!(both.count(), 0, "streams {streams:?}, prompts {prompts:?}");
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -65,8 +65,11 @@
         self.loads[i].read(footprint);
     }
 
-    fn position(&self, key: EndpointKey) -> usize {
-        self.keys.iter().position(|k| *k == key).unwrap()
+    /// Position of the endpoint that is chosen.
+    fn choose(&self, demand: Demand<'_>) -> usize {
+        let candidates = self.candidates().into_iter();
+        let choice = choose(demand, candidates, &PrefixMap::default(), NOW).unwrap();
+        self.keys.iter().position(|k| *k == choice.key).unwrap()
     }
 }
 
@@ -79,6 +82,21 @@
     }
 }
 
+/// A stream with the tightest pauses, at an entry that does not see others' choices yet.
+fn urgent(parts: &[Part], draw: u64) -> Demand<'_> {
+    Demand {
+        band: 0,
+        parts,
+        output_tokens: 300,
+        zone: "hall-a",
+        memory_tokens: 290_000,
+        delicate: 100,
+        pause: Millis(250),
+        blind: Millis(300),
+        draw,
+    }
+}
+
 fn stream() -> Footprint {
     Footprint {
         band: 0,
@@ -156,22 +174,9 @@
             pool.begin(i, long_prompt());
         }
     }
-    let prefixes = PrefixMap::default();
     let parts = [Part { id: 1, tokens: 500 }];
     for draw in 0..200 {
-        let demand = Demand {
-            band: 0,
-            parts: &parts,
-            output_tokens: 300,
-            zone: "hall-a",
-            memory_tokens: 290_000,
-            delicate: 100,
-            pause: Millis(250),
-            blind: Millis(300),
-            draw,
-        };
-        let choice = choose(demand, pool.candidates().into_iter(), &prefixes, NOW).unwrap();
-        let i = pool.position(choice.key);
+        let i = pool.choose(urgent(&parts, draw));
         pool.begin(i, stream());
     }
     let running = pool.loads.iter().map(|load| load.total(NOW).delicate / 100);
@@ -183,7 +188,6 @@
 #[test]
 fn unseen_choices_part() {
     let pool = Pool::new(12);
-    let prefixes = PrefixMap::default();
     let parts = [Part {
         id: 1,
         tokens: 9_000,
@@ -192,17 +196,11 @@
     for draw in 0..60 {
         let demand = Demand {
             band: 2,
-            parts: &parts,
             output_tokens: 50,
-            zone: "hall-a",
-            memory_tokens: 290_000,
             delicate: 6,
-            pause: Millis(250),
-            blind: Millis(300),
-            draw,
+            ..urgent(&parts, draw)
         };
-        let choice = choose(demand, pool.candidates().into_iter(), &prefixes, NOW).unwrap();
-        chosen[pool.position(choice.key)] += 1;
+        chosen[pool.choose(demand)] += 1;
     }
     assert!(chosen.iter().all(|n| *n <= 20), "{chosen:?}");
 }
