--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -55,8 +55,8 @@
         self.unread.iter().fold(0, |sum, n| sum.saturating_add(*n))
     }
 
-    /// Prompt tokens of coarse requests that are read in a millisecond: where the load is steady, as
-    /// many as are forgotten in one.
+    /// Prompt tokens of coarse requests that are read in a millisecond: where the load is steady,
+    /// as many as are forgotten in one.
     pub fn read_per_ms(&self) -> f64 {
         f64::from(self.pressure) * LN_2 / PRESSURE_HALF_LIFE_MS
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,10 +4,12 @@
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
+//! An endpoint is chosen by its [`price`], beside the [`lanes`] of its pool and its [`load`].
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
-//! [`sync`] and [`gossip`]. All decisions are state machines without I/O; [`entry`] is the state that
-//! the tasks share, [`process`] starts and ends them and opens the sockets.
+//! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers). All decisions are state machines
+//! without I/O; [`entry`] is the state that the tasks share, [`process`] starts and ends them and
+//! opens the sockets.
 //!
 //! The formats on the wire come from an implementation of [`dialect::Dialect`].
 
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -53,7 +53,7 @@
 /// Price of an endpoint that has just started, in ms.
 const WARMING_MS: f64 = 60.0;
 
-/// Time until the first event, by estimate, at an endpoint that keeps `cached` tokens of the prompt.
+/// Time until the first event, by estimate, at an endpoint that keeps `cached` prompt tokens.
 pub fn expected_ms(demand: &Demand<'_>, seen: &Seen<'_>, cached: u64, now: Millis) -> f64 {
     let candidate = &seen.candidate;
     let unread = demand.prompt_tokens() - cached;
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -1,8 +1,8 @@
 //! Small reads that prove freshness.
 //!
 //! Every one to two seconds some entry asks for the store's revision; if everything up to it has
-//! been applied here, the configuration was the newest when the question was sent. Peers share these
-//! proofs.
+//! been applied here, the configuration was the newest when the question was sent. Peers share
+//! these proofs.
 
 use std::rc::Rc;
 use std::time::Duration;
