--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// Takes a datagram: the peer, its proof, its version and its work.
+/// Takes a datagram: the peer, its proof, its version, its work and its placements.
 fn heard(entry: &Rc<Entry>, from: SocketAddr, hello: &Hello) {
     let now = entry.clock.now();
     let heard = entry.peers.borrow_mut().hear(from, hello, now);
@@ -102,6 +102,7 @@
     }
     entry.peer_applied(hello.revision);
     take_work(entry, hello, now);
+    take_placements(entry, hello, now);
 }
 
 /// Takes a peer's work at each endpoint; none where it tells none.
@@ -116,7 +117,11 @@
             .load
             .peer(hello.from, work.copied().unwrap_or_default(), now);
     }
-    drop(accounts);
+}
+
+/// Takes note of the prompts that a peer placed.
+fn take_placements(entry: &Entry, hello: &Hello, now: Millis) {
+    let directory = entry.directory();
     let by_digest: HashMap<u32, EndpointKey> =
         directory.iter().map(|(key, e)| (e.digest, key)).collect();
     let mut prefixes = entry.prefixes.borrow_mut();
