--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,10 +4,13 @@
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
+//! An endpoint is chosen by its [`price`], which follows from its [`load`], what it keeps of the
+//! [`prefix`] of a prompt, and the [`lanes`] of its pool.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
-//! [`sync`]. All decisions are state machines without I/O; [`entry`] is the state that
-//! the tasks share, [`process`] starts and ends them and opens the sockets.
+//! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers). All decisions are state machines
+//! without I/O; [`entry`] is the state that the tasks share, [`process`] starts and ends them and
+//! opens the sockets.
 //!
 //! The formats on the wire come from an implementation of [`dialect::Dialect`].
 
@@ -23,6 +26,7 @@
 pub mod directory;
 pub mod entry;
 pub mod explain;
+pub mod fetch;
 pub mod freshness;
 pub mod gauge;
 pub mod gossip;
@@ -34,6 +38,7 @@
 pub mod load;
 pub mod peers;
 pub mod prefix;
+pub mod price;
 pub mod process;
 pub mod progress;
 pub mod ready;
