--- a/lab/tests/own_answer.rs
+++ b/lab/tests/own_answer.rs
@@ -106,6 +106,22 @@
     fleet.close();
 }
 
+#[actix_rt::test]
+async fn silent_then_back() {
+    let mut fleet = fleet(2, 1).await;
+    let stream = spawn_chat(&fleet, 0, chat("waits", "annotation", 1_500));
+    let first = running_slot(&fleet).await;
+    let second = position(&fleet, MODEL_POOL, 0) + position(&fleet, MODEL_POOL, 1) - first;
+    fleet.slots[second].sidecar.freeze();
+    fleet.slots[first].endpoint.kill();
+    // Longer than an offer waits for its answer.
+    sleep(Duration::from_millis(2_000)).await;
+    fleet.slots[second].sidecar.thaw();
+    let reply = stream.await.unwrap();
+    assert_eq!(reply.end, End::Complete, "the endpoint left was silent");
+    fleet.close();
+}
+
 #[actix_rt::test]
 async fn many_taken_up() {
     let mut spec = spec(2, 1);
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -22,10 +22,11 @@
 /// Times that one stream is taken up again.
 const MAX_RESUMES: u32 = 3;
 
-/// Longest time that a broken stream waits for the rerun budget.
+/// Longest time that a broken stream waits for the rerun budget, and that it then searches for an
+/// endpoint: three times the wait for one endpoint's answer to an offer.
 const PATIENCE: Millis = Millis(5_000);
-/// Longest time between two looks at the rerun budget.
-const BUDGET_LOOK: Duration = Duration::from_millis(300);
+/// Longest time between two looks at the rerun budget, or two searches.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
 /// What comes next in an answer.
 #[derive(Debug)]
@@ -145,7 +146,7 @@
             if clock.now() >= until {
                 return false;
             }
-            sleep(rand::thread_rng().gen_range(Duration::ZERO..=BUDGET_LOOK)).await;
+            pause_before_look().await;
         }
         true
     }
@@ -158,6 +159,7 @@
         let now = self.entry.node.clock.now();
         self.entry.router.borrow_mut().failed(now, &lost);
         self.job.avoid.push(lost);
+        let until = now + PATIENCE;
         loop {
             match attempt::place(&self.entry, &mut self.job).await {
                 Placed::Running(mut running) => {
@@ -166,6 +168,9 @@
                     return true;
                 }
                 Placed::Ended(end) if self.may_turn_back(broke, &end) => self.job.avoid.clear(),
+                Placed::Ended(end) if self.may_search_again(&end, until) => {
+                    pause_before_look().await;
+                }
                 Placed::Replay(_) | Placed::Ended(_) => return false,
             }
         }
@@ -175,13 +180,34 @@
     /// the last one was lost from sight, so it may only have been silent, or restarted since.
     fn may_turn_back(&self, broke: &Outcome, end: &Outcome) -> bool {
         let lost_from_sight = matches!(broke, Outcome::Unknown(UnknownReason::SidecarLost));
-        let none_left = matches!(
-            end,
-            Outcome::NotRun {
-                reason: NotRunReason::NoEndpoint,
-                ..
-            }
-        );
-        lost_from_sight && none_left && !self.job.avoid.is_empty()
+        lost_from_sight && found_none(end) && !self.job.avoid.is_empty()
+    }
+
+    /// Whether the stream is worth another search. An endpoint that did not answer its offer in time
+    /// may only be busy: of 30 streams whose engine was killed beside eight busy processes, one was
+    /// given up in 2 of 4 runs.
+    fn may_search_again(&self, end: &Outcome, until: Millis) -> bool {
+        let pool = self.job.policy.pool_at(self.job.pool);
+        let members = self.entry.node.replica.members();
+        let has_other = members
+            .sidecars(&pool.name)
+            .any(|instance| !self.job.avoid.contains(&instance.id));
+        found_none(end) && has_other && self.entry.node.clock.now() < until
     }
 }
+
+/// Whether a search ended without any endpoint that answered.
+fn found_none(end: &Outcome) -> bool {
+    matches!(
+        end,
+        Outcome::NotRun {
+            reason: NotRunReason::NoEndpoint,
+            ..
+        }
+    )
+}
+
+/// A random pause, so that the streams of a lost endpoint don't all look again at once.
+async fn pause_before_look() {
+    sleep(rand::thread_rng().gen_range(Duration::ZERO..=LOOK_AGAIN)).await;
+}
