--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -47,6 +47,8 @@
     pub priority: Option<u8>,
     /// Event after which a stream goes on.
     pub last_event: Option<u64>,
+    /// Another endpoint from which kept parts of the prompt are taken before it is read.
+    pub fetch_from: Option<SocketAddr>,
     /// Another endpoint that is to keep a copy of the run's memory.
     pub copy_to: Option<SocketAddr>,
     /// The address under which the endpoint has kept a copy of this run; the run goes on from it.
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -185,6 +185,7 @@
             team: team.map(|team| team.name.as_str()),
             priority: Some(self.priority()),
             last_event: self.position.get().last_event,
+            fetch_from: None,
             copy_to: copy.filter(|_| !self.takes_over),
             copy_of: copy.filter(|_| self.takes_over),
         };
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -103,6 +103,7 @@
         team: Some("hule930"),
         priority: Some(1),
         last_event: Some(7),
+        fetch_from: Some(([10, 0, 0, 6], 8_000).into()),
         copy_to: Some(([10, 0, 0, 7], 8_000).into()),
         copy_of: Some(([10, 0, 0, 8], 8_000).into()),
     };
@@ -122,6 +123,7 @@
     assert_eq!(text("x-request-priority"), "1");
     assert_eq!(text("last-event-id"), "7");
     assert_eq!(text("x-kv-backup"), "10.0.0.7:8000");
+    assert_eq!(text("kv-fetch"), "10.0.0.6:8000");
     assert_eq!(text("kv-from"), "10.0.0.8:8000/9c41d07be2a35f68");
     assert_eq!(text("x-request-id"), "9c41d07be2a35f68");
     assert_eq!(text("x-prompt-prefix"), STREAM[4].1);
@@ -139,6 +141,7 @@
         team: None,
         priority: None,
         last_event: None,
+        fetch_from: None,
         copy_to: None,
         copy_of: None,
     };
@@ -154,6 +157,101 @@
     assert_eq!(out.headers.get("x-request-deadline").unwrap(), "1");
 }
 
+/// An order that says no more than it must.
+fn bare_order() -> Order<'static> {
+    Order {
+        endpoint: "i-1",
+        time_left: Millis(100),
+        team: None,
+        priority: None,
+        last_event: None,
+        fetch_from: None,
+        copy_to: None,
+        copy_of: None,
+    }
+}
+
+/// All values of a header of the request that an endpoint gets.
+fn ordered(headers: &[(&str, &str)], name: &str) -> Vec<String> {
+    let out = Platform.order(&request(headers), &bare_order());
+    let values = out.headers.get_all(name);
+    values.map(|v| v.to_str().unwrap().to_owned()).collect()
+}
+
+/// What orders an endpoint never comes from a caller, however it is written.
+#[test]
+fn forged_orders() {
+    let ours = [
+        "X-Request-Deadline",
+        "X-Expect-Instance",
+        "X-Expect-Version",
+        "X-Tenant",
+        "X-Request-Priority",
+        "X-Hold",
+        "X-Pin-Duration",
+        "X-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Wait-Ms",
+        "Authorization",
+    ];
+    for name in ours {
+        let odd = name.to_ascii_uppercase();
+        let forged = [(name, "forged"), (&odd, "forged"), ("connection", "close")];
+        let listed = [("connection", name), (name, "forged")];
+        for headers in [&forged[..], &listed[..]] {
+            let values = ordered(headers, name);
+            assert!(!values.contains(&"forged".to_owned()), "{name}: {values:?}");
+            assert!(values.len() <= 1, "{name}: {values:?}");
+        }
+    }
+}
+
+/// What a caller says of its own request arrives as sent, also when `Connection` names it.
+#[test]
+fn callers_own() {
+    let theirs = [
+        "Host",
+        "X-Request-Id",
+        "X-Model",
+        "X-Token-Usage",
+        "X-Prompt-Prefix",
+        "X-Length-Hint",
+        "Last-Event-Id",
+    ];
+    for name in theirs {
+        let listed = [("connection", name), (name, "as sent")];
+        assert_eq!(ordered(&listed, name), ["as sent"], "{name}");
+    }
+    let other = [("x-any", "1"), ("x-any", "2")];
+    assert_eq!(ordered(&other, "x-any"), ["1", "2"]);
+    let private = [("connection", "X-Any"), ("x-any", "1")];
+    assert!(ordered(&private, "x-any").is_empty());
+}
+
+/// The target's host goes before the header, for the route as for the endpoint.
+#[test]
+fn absolute_target() {
+    let mut head = request(&[("host", "other.example"), ("x-request-id", "1")]);
+    head.uri = "http://Ficu95.example:80/lohu930/2f".parse().unwrap();
+    assert_eq!(Platform.ask(&head).unwrap().host, "ficu95.example");
+    let out = Platform.order(&head, &bare_order());
+    let host = out.headers.get("host").unwrap();
+    assert_eq!(host, "Ficu95.example:80");
+}
+
+/// Nothing leads a caller to what endpoints take as orders, and nothing is said twice.
+#[test]
+fn smuggled_requests() {
+    let mut head = request(&[("host", "a"), ("x-request-id", "1")]);
+    head.uri = "/violetline/kv-pin/5c1e07a2".parse().unwrap();
+    assert_eq!(Platform.ask(&head), Err(Refusal::NoRoute));
+    let ids = [("x-request-id", "1"), ("x-request-id", "2")];
+    assert_eq!(ask(&ids), Err(Refusal::Malformed));
+    let hosts = [("x-request-id", "1"), ("host", "a"), ("host", "b")];
+    assert_eq!(ask(&hosts), Err(Refusal::Malformed));
+}
+
 #[test]
 fn answers_judged() {
     let id = HeaderValue::from_static("9");
