Kept parts of prompts are moved between engines instead of being read again

Hypothesis: a review whose 6,300 shared tokens are kept at a busy engine either waits there or has them read again (150 ms) elsewhere; moved over the engines' links they take 25 ms, by what the configuration tells of memory a token and bandwidth. So any endpoint may serve any prompt. Parts are taken only from an endpoint that is well and has read them: an answer that began says so, before it the estimate. With it, the time until the first event and the price of an endpoint are told apart, since the record of seen by expected time was compared with a sum that held prices. Ruled out: moving without a price (0.015 ms) spreads parts and drives others out of memory. Demand, Candidate and Seen stand in a module below choose, lanes and price.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -97,6 +97,25 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
+    /// How memory moves between engines; `None` where it can't.
+    pub moves: Option<MoveShape>,
+}
+
+/// How the memory of prompts moves between engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MoveShape {
+    /// Bytes of memory of one token.
+    pub token_bytes: u64,
+    /// Bandwidth of an engine's link, in Mbit/s.
+    pub link_mbps: u64,
+}
+
+impl MoveShape {
+    /// Time on the link, in ms.
+    pub fn ms(&self, tokens: u64) -> f64 {
+        let bits = tokens as f64 * self.token_bytes as f64 * 8.0;
+        bits / (self.link_mbps.max(1) as f64 * 1_000.0)
+    }
 }
 
 /// A team and what its requests inherit.
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -5,11 +5,13 @@
 //! meet there without a word between entries.
 
 use crate::clock::Millis;
-use crate::direct::directory::{Endpoint, EndpointKey};
-use crate::direct::health::{Grade, Record};
+use crate::direct::demand::{Candidate, Demand, Seen};
+use crate::direct::directory::EndpointKey;
+use crate::direct::health::Grade;
 use crate::direct::lanes::Lanes;
-use crate::direct::load::{Footprint, Load, Work, WHOLE};
-use crate::direct::prefix::{Part, PrefixMap};
+use crate::direct::load::{Footprint, Work, WHOLE};
+use crate::direct::moves::{self, Supply};
+use crate::direct::prefix::PrefixMap;
 use crate::direct::price::{self, READ_TOKENS_PER_MS};
 
 /// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
@@ -18,69 +20,6 @@
 /// known yet.
 const KEPT_PART: f64 = 0.9;
 
-/// What is to be placed.
-#[derive(Debug, Clone, Copy)]
-pub struct Demand<'a> {
-    /// Band of urgency.
-    pub band: usize,
-    /// Parts of the prompt; empty for plain services.
-    pub parts: &'a [Part],
-    /// Tokens that the answer may have.
-    pub output_tokens: u64,
-    /// Availability zone of this entry.
-    pub zone: &'a str,
-    /// Tokens of memory of an engine of the pool; 0 for plain services.
-    pub memory_tokens: u64,
-    /// How much the answer suffers when prompts are read beside it, in hundredths: 100 for the
-    /// stream with the tightest pauses.
-    pub delicate: u32,
-    /// Tightest pause among the pool's streams; 0 where there are none.
-    pub pause: Millis,
-    /// How long other entries' choices stay unseen here; 0 where there are none.
-    pub blind: Millis,
-    /// A random number, so that entries that know the same don't all choose the same endpoint.
-    pub draw: u64,
-}
-
-impl Demand<'_> {
-    /// Tokens of all parts of the prompt.
-    pub fn prompt_tokens(&self) -> u64 {
-        self.parts.iter().map(|part| part.tokens).sum()
-    }
-
-    /// Tokens of all parts but the last, which belongs to the request itself.
-    pub fn shared_tokens(&self) -> u64 {
-        let count = self.parts.len().saturating_sub(1);
-        self.parts[..count].iter().map(|part| part.tokens).sum()
-    }
-}
-
-/// An endpoint with what is known of it.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate<'a> {
-    /// Its key.
-    pub key: EndpointKey,
-    /// Its entry in the directory.
-    pub endpoint: &'a Endpoint,
-    /// Its load.
-    pub load: &'a Load,
-    /// Its record.
-    pub record: &'a Record,
-}
-
-/// An endpoint with what is known of it for one request.
-#[derive(Debug, Clone, Copy)]
-pub struct Seen<'a> {
-    /// The endpoint.
-    pub candidate: Candidate<'a>,
-    /// Its load from all entries, as far as known.
-    pub total: Work,
-    /// Tokens at the head of the prompt that it is known to keep.
-    pub known: u64,
-    /// Whether it is kept for delicate streams.
-    pub is_kept: bool,
-}
-
 /// The endpoint chosen and why.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Choice {
@@ -92,8 +31,8 @@
     pub footprint: Footprint,
     /// Grade of the endpoint's record.
     pub grade: Grade,
-    /// Tokens that the endpoint is taken to keep.
-    pub cached: u64,
+    /// Where the prompt's tokens come from.
+    pub supply: Supply,
 }
 
 /// Chooses among `candidates`; `None` when there is none.
@@ -111,13 +50,15 @@
     let preferred = preferred(&demand, &all).filter(|_| !is_known);
     let mut best: Option<((Grade, f64), Choice)> = None;
     for seen in &all {
-        let choice = estimate(&demand, seen, preferred, now);
-        let price = choice.expected_ms
-            + price::lane_ms(&demand, seen)
-            + price::spread_ms(&demand, seen, choice.footprint.unread);
-        let rank = (usable_grade(choice.grade, &seen.candidate, now), price);
-        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-            best = Some((rank, choice));
+        let kept = Supply::kept(seen.known.max(expected_kept(&demand, seen, preferred)));
+        let moved = moves::supply(&demand, &all, seen, now);
+        for supply in std::iter::once(kept).chain(moved) {
+            let choice = estimate(&demand, seen, supply, now);
+            let price = price::price_ms(&demand, seen, &supply, now);
+            let rank = (usable_grade(choice.grade, &seen.candidate, now), price);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, choice));
+            }
         }
     }
     best.map(|(_, choice)| choice)
@@ -132,8 +73,10 @@
 ) -> Seen<'a> {
     let total = candidate.load.total(now);
     let kept_since = kept_since(demand, total, now);
+    let kept = prefixes.kept(candidate.key, demand.parts, kept_since, now);
     Seen {
-        known: prefixes.cached(candidate.key, demand.parts, kept_since),
+        known: kept.sent,
+        ready: kept.read,
         candidate,
         total,
         is_kept: false,
@@ -179,16 +122,10 @@
 }
 
 /// The estimate for one endpoint, and what the request would add there.
-fn estimate(
-    demand: &Demand<'_>,
-    seen: &Seen<'_>,
-    preferred: Option<EndpointKey>,
-    now: Millis,
-) -> Choice {
+fn estimate(demand: &Demand<'_>, seen: &Seen<'_>, supply: Supply, now: Millis) -> Choice {
     let candidate = &seen.candidate;
     let prompt = demand.prompt_tokens();
-    let cached = seen.known.max(expected_kept(demand, candidate, preferred));
-    let unread = prompt - cached;
+    let unread = prompt - supply.spared();
     let footprint = Footprint {
         band: demand.band,
         unread: u32::try_from(unread).unwrap_or(u32::MAX),
@@ -197,28 +134,24 @@
     };
     Choice {
         key: candidate.key,
-        expected_ms: price::expected_ms(demand, seen, cached, now),
+        expected_ms: price::expected_ms(demand, seen, &supply, now),
         footprint,
         grade: candidate.record.grade(now),
-        cached,
+        supply,
     }
 }
 
 /// The time since which an endpoint keeps unused parts: what runs leaves the rest of its memory to
 /// them, and prompts that are read push the oldest out.
 fn kept_since(demand: &Demand<'_>, total: Work, now: Millis) -> Millis {
-    let free = demand.memory_tokens as f64 * KEPT_PART - f64::from(total.held);
+    let free = demand.memory_tokens() as f64 * KEPT_PART - f64::from(total.held);
     let kept_ms = free.max(0.0) / total.read_per_ms().max(f64::EPSILON);
     now - Millis(kept_ms as u64)
 }
 
 /// Tokens that an endpoint is expected to keep unseen: only the preferred one keeps any.
-fn expected_kept(
-    demand: &Demand<'_>,
-    candidate: &Candidate<'_>,
-    preferred: Option<EndpointKey>,
-) -> u64 {
-    if preferred != Some(candidate.key) {
+fn expected_kept(demand: &Demand<'_>, seen: &Seen<'_>, preferred: Option<EndpointKey>) -> u64 {
+    if preferred != Some(seen.candidate.key) {
         return 0;
     }
     (demand.shared_tokens() as f64 * EXPECTED_KEPT) as u64
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -84,6 +84,12 @@
         expected_ms: u64,
         /// Prompt tokens that the endpoint is taken to keep.
         cached: u64,
+        /// Prompt tokens that it takes from another endpoint's memory.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        moved: u64,
+        /// That endpoint.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        moved_from: Option<String>,
         /// Tokens that it must read.
         unread: u32,
         /// Requests there, of all entries as far as known.
@@ -227,6 +233,11 @@
     }
 }
 
+/// Whether a count is left out of a line.
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 /// One line of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Line {
--- /dev/null
+++ b/src/direct/demand.rs
@@ -0,0 +1,79 @@
+//! What is to be placed, and what is known of an endpoint for it: the terms of a choice.
+
+use crate::clock::Millis;
+use crate::direct::catalog::EngineShape;
+use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::health::Record;
+use crate::direct::load::{Load, Work};
+use crate::direct::prefix::Part;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Band of urgency.
+    pub band: usize,
+    /// Parts of the prompt; empty for plain services.
+    pub parts: &'a [Part],
+    /// Tokens that the answer may have.
+    pub output_tokens: u64,
+    /// Availability zone of this entry.
+    pub zone: &'a str,
+    /// Size of an engine of the pool; `None` for plain services.
+    pub engine: Option<EngineShape>,
+    /// How much the answer suffers when prompts are read beside it, in hundredths: 100 for the
+    /// stream with the tightest pauses.
+    pub delicate: u32,
+    /// Tightest pause among the pool's streams; 0 where there are none.
+    pub pause: Millis,
+    /// How long other entries' choices stay unseen here; 0 where there are none.
+    pub blind: Millis,
+    /// A random number, so that entries that know the same don't all choose the same endpoint.
+    pub draw: u64,
+}
+
+impl Demand<'_> {
+    /// Tokens of all parts of the prompt.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Tokens of all parts but the last, which belongs to the request itself.
+    pub fn shared_tokens(&self) -> u64 {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count].iter().map(|part| part.tokens).sum()
+    }
+
+    /// Tokens of memory of an engine of the pool; 0 for plain services.
+    pub fn memory_tokens(&self) -> u64 {
+        self.engine.map_or(0, |engine| engine.memory_tokens)
+    }
+}
+
+/// An endpoint with what is known of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its entry in the directory.
+    pub endpoint: &'a Endpoint,
+    /// Its load.
+    pub load: &'a Load,
+    /// Its record.
+    pub record: &'a Record,
+}
+
+/// An endpoint with what is known of it for one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen<'a> {
+    /// The endpoint.
+    pub candidate: Candidate<'a>,
+    /// Its load from all entries, as far as known.
+    pub total: Work,
+    /// Tokens at the head of the prompt that it is known to keep, or will once it has read what was
+    /// sent to it.
+    pub known: u64,
+    /// Those of them that it has read, so that others can take them from it.
+    pub ready: u64,
+    /// Whether it is kept for delicate streams.
+    pub is_kept: bool,
+}
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -127,7 +127,7 @@
     let mut prefixes = entry.prefixes.borrow_mut();
     for placed in &hello.placed {
         if let Some(key) = by_digest.get(&placed.endpoint) {
-            prefixes.note(*key, std::iter::once(placed.part), now);
+            prefixes.note(*key, std::iter::once(placed.part), now, now);
         }
     }
 }
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -211,6 +211,8 @@
     fn began(&self, choice: &Choice, placed: &Placed, sent_at: Millis) {
         let now = self.entry.clock.now();
         placed.read();
+        let ids = self.ask.parts.iter().map(|part| part.id);
+        self.entry.prefixes.borrow_mut().read(choice.key, ids, now);
         self.entry.account(choice.key, |account| {
             account.heard = now;
             account.record.began(now, now - sent_at, choice.expected_ms);
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -19,7 +19,9 @@
             endpoint: endpoint.into(),
             attempt: self.attempts,
             expected_ms: choice.expected_ms as u64,
-            cached: choice.cached,
+            cached: choice.supply.kept,
+            moved: choice.supply.moved,
+            moved_from: self.source_id(choice),
             unread: choice.footprint.unread,
             running,
             catalog: self.catalog.version,
@@ -31,6 +33,13 @@
         self.entry.log.request(self.ask.id.as_bytes(), placed);
     }
 
+    /// Identity of the endpoint that parts of the prompt are taken from.
+    fn source_id(&self, choice: &Choice) -> Option<String> {
+        let directory = self.entry.directory();
+        let source = directory.get(choice.supply.from?)?;
+        Some(source.listed.id.clone())
+    }
+
     /// Logs that an attempt failed.
     pub(super) fn log_failed(&self, key: EndpointKey, failure: &str, may_have_run: bool) {
         let directory = self.entry.directory();
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -12,7 +12,8 @@
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::Share;
 use crate::direct::channel::{Channel, Failure, Reply};
-use crate::direct::choose::{self, Candidate, Choice, Demand};
+use crate::direct::choose::{self, Choice};
+use crate::direct::demand::{Candidate, Demand};
 use crate::direct::dialect::Order;
 use crate::direct::directory::EndpointKey;
 use crate::direct::health::Fault;
@@ -111,7 +112,7 @@
             parts: &self.ask.parts,
             output_tokens: self.ask.output_tokens,
             zone,
-            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            engine,
             delicate: self.catalog.delicacy(self.route(), &self.pool),
             pause: self.catalog.tightest_pause(&self.pool),
             blind: self.entry.peers.borrow().blind(now),
@@ -178,6 +179,8 @@
         self.log_placed(choice, &endpoint.listed.id, now);
         let copy = self.copy.and_then(|key| directory.get(key));
         let copy = copy.map(|e| e.listed.address);
+        let fetch_from = choice.supply.from.and_then(|key| directory.get(key));
+        let fetch_from = fetch_from.map(|e| e.listed.address);
         let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
         let order = Order {
             endpoint: &endpoint.listed.id,
@@ -185,7 +188,7 @@
             team: team.map(|team| team.name.as_str()),
             priority: Some(self.priority()),
             last_event: self.position.get().last_event,
-            fetch_from: None,
+            fetch_from: fetch_from.filter(|_| !self.takes_over),
             copy_to: copy.filter(|_| !self.takes_over),
             copy_of: copy.filter(|_| self.takes_over),
         };
@@ -197,7 +200,9 @@
         let now = self.entry.clock.now();
         let parts = &self.ask.parts;
         let mut prefixes = self.entry.prefixes.borrow_mut();
-        prefixes.note(choice.key, parts.iter().map(|part| part.id), now);
+        let read_at = now + Millis(choice.expected_ms as u64);
+        let ids = parts.iter().map(|part| part.id);
+        prefixes.note(choice.key, ids, now, read_at);
         let shared = parts.len().checked_sub(2).map(|last| parts[last].id);
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key).map(|e| e.digest);
--- a/src/direct/lanes.rs
+++ b/src/direct/lanes.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashSet;
 
-use crate::direct::choose::{Candidate, Seen};
+use crate::direct::demand::{Candidate, Seen};
 use crate::direct::directory::EndpointKey;
 use crate::direct::load;
 
--- a/src/direct/prefix.rs
+++ b/src/direct/prefix.rs
@@ -25,7 +25,19 @@
 #[derive(Debug, Clone, Copy)]
 struct Use {
     endpoint: EndpointKey,
+    /// When it was sent there last.
     at: Millis,
+    /// When it has been read there, by estimate until an answer began.
+    read_at: Millis,
+}
+
+/// Tokens at the head of a prompt that an endpoint keeps.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Those that were sent there: it has read them, or will have before it reads what comes after.
+    pub sent: u64,
+    /// Those that it has read.
+    pub read: u64,
 }
 
 /// The estimate for all endpoints.
@@ -38,28 +50,71 @@
 impl PrefixMap {
     /// Tokens at the head of a prompt that need not be read at an endpoint which keeps unused parts
     /// since `kept_since`.
-    pub fn cached(&self, endpoint: EndpointKey, parts: &[Part], kept_since: Millis) -> u64 {
-        let kept = |part: &Part| {
-            let uses = self.uses.get(&part.id);
-            let at = uses.and_then(|uses| uses.iter().find(|u| u.endpoint == endpoint));
-            at.is_some_and(|u| u.at >= kept_since)
-        };
+    pub fn kept(
+        &self,
+        endpoint: EndpointKey,
+        parts: &[Part],
+        kept_since: Millis,
+        now: Millis,
+    ) -> Kept {
+        let mut kept = Kept::default();
+        let mut tokens = 0;
         // A part is only kept together with all before it, so the deepest one tells.
-        let deepest = parts.iter().rposition(kept);
-        let count = deepest.map_or(0, |at| at + 1);
-        parts[..count].iter().map(|part| part.tokens).sum()
+        for part in parts {
+            tokens += part.tokens;
+            let Some(last) = self.last_use(endpoint, part.id) else {
+                continue;
+            };
+            if last.at >= kept_since {
+                kept.sent = tokens;
+                if last.read_at <= now {
+                    kept.read = tokens;
+                }
+            }
+        }
+        kept
+    }
+
+    fn last_use(&self, endpoint: EndpointKey, part: u64) -> Option<&Use> {
+        let uses = self.uses.get(&part)?;
+        uses.iter().find(|u| u.endpoint == endpoint)
+    }
+
+    /// An endpoint has read the parts that were sent to it.
+    pub fn read(&mut self, endpoint: EndpointKey, parts: impl Iterator<Item = u64>, now: Millis) {
+        for part in parts {
+            let uses = self.uses.get_mut(&part);
+            if let Some(u) = uses.and_then(|uses| uses.iter_mut().find(|u| u.endpoint == endpoint))
+            {
+                u.read_at = u.read_at.min(now);
+            }
+        }
     }
 
-    /// A prompt with these parts was sent to an endpoint, by this entry or a peer.
-    pub fn note(&mut self, endpoint: EndpointKey, parts: impl Iterator<Item = u64>, now: Millis) {
+    /// A prompt with these parts was sent to an endpoint, by this entry or a peer, which will have
+    /// read them at `read_at`.
+    pub fn note(
+        &mut self,
+        endpoint: EndpointKey,
+        parts: impl Iterator<Item = u64>,
+        now: Millis,
+        read_at: Millis,
+    ) {
         if self.uses.len() > MOST_PARTS {
             self.uses.clear();
         }
         for part in parts {
             let uses = self.uses.entry(part).or_default();
             match uses.iter_mut().find(|u| u.endpoint == endpoint) {
-                Some(u) => u.at = now,
-                None => uses.push(Use { endpoint, at: now }),
+                Some(u) => {
+                    u.at = now;
+                    u.read_at = u.read_at.min(read_at);
+                }
+                None => uses.push(Use {
+                    endpoint,
+                    at: now,
+                    read_at,
+                }),
             }
         }
     }
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -4,8 +4,9 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::clock::Millis;
-use crate::direct::choose::{Candidate, Demand, Seen};
+use crate::direct::demand::{Candidate, Demand, Seen};
 use crate::direct::load::{streams, Work, BANDS, WHOLE};
+use crate::direct::moves::Supply;
 
 /// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
 /// the record corrects the rest per endpoint. From the users' sheets, rounded down.
@@ -35,6 +36,9 @@
 /// Weight of shared tokens that are read again beyond the time that this takes: it is work done
 /// twice, also for those who wait behind it.
 const READ_AGAIN: f64 = 8.0;
+/// Price of moving a token, in ms: links and memory are shared, and a prompt stays where its parts are
+/// unless that is busy. At a quarter of it, twice as many parts were moved and read again.
+const MOVED_MS: f64 = 0.06;
 /// Memory in use above which an engine may have to preempt.
 const MEMORY_FULL: f64 = 0.88;
 /// Price of overfull memory, in ms: some request is preempted and read anew, which costs more than
@@ -53,18 +57,29 @@
 /// Price of an endpoint that has just started, in ms.
 const WARMING_MS: f64 = 60.0;
 
-/// Time until the first event, by estimate, at an endpoint that keeps `cached` prompt tokens.
-pub fn expected_ms(demand: &Demand<'_>, seen: &Seen<'_>, cached: u64, now: Millis) -> f64 {
-    let candidate = &seen.candidate;
-    let unread = demand.prompt_tokens() - cached;
-    let again = demand.shared_tokens().saturating_sub(cached);
-    work_ms(demand, seen, unread, now) * candidate.record.slowness(now)
-        + distance_ms(demand, candidate)
+/// Time until the first event, by estimate.
+pub fn expected_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
+    let slowness = seen.candidate.record.slowness(now);
+    time_ms(demand, seen, supply, now) * slowness
+}
+
+/// Price of an endpoint: the time until the first event, and what the request costs others.
+pub fn price_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
+    let unread = demand.prompt_tokens() - supply.spared();
+    let again = demand.shared_tokens().saturating_sub(supply.spared());
+    expected_ms(demand, seen, supply, now)
+        + full_ms(demand, seen)
+        + memory_ms(demand, seen.total)
+        + beside_ms(demand, seen, unread)
+        + distance_ms(demand, &seen.candidate)
         + read_ms(again as f64) * READ_AGAIN
+        + supply.moved as f64 * MOVED_MS
+        + lane_ms(demand, seen)
+        + spread_ms(demand, seen, unread)
 }
 
 /// Price of an endpoint that is kept for the other kind of load.
-pub fn lane_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
+fn lane_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
     if demand.pause == Millis(0) {
         return 0.0;
     }
@@ -75,11 +90,11 @@
 
 /// A random addition that parts entries which choose at the same time and don't see each other's
 /// choices yet; `unread` is what the endpoint would read.
-pub fn spread_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u32) -> f64 {
+fn spread_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64) -> f64 {
     let mut hasher = DefaultHasher::new();
     (demand.draw, seen.candidate.endpoint.digest).hash(&mut hasher);
     let part = hasher.finish() as f64 / u64::MAX as f64;
-    let read = read_ms(f64::from(unread));
+    let read = read_ms(unread as f64);
     let unseen = (demand.blind.0 as f64 / BLIND_MS).min(1.0);
     part * unseen * (SPREAD_MS + read * SPREAD_READ)
 }
@@ -90,15 +105,14 @@
 }
 
 /// Time until the first event if the endpoint were as fast as estimated: reading what goes before
-/// and the request itself, the batch, the memory, what waits, and the harm to streams.
-fn work_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64, now: Millis) -> f64 {
+/// and the request itself, a move, the batch, and what waits.
+fn time_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
     let (candidate, total) = (&seen.candidate, seen.total);
+    let unread = demand.prompt_tokens() - supply.spared();
     let read = read_ms(tokens_before(demand, total) + unread as f64);
     let batch = batch_ms(demand, seen);
-    let memory = memory_ms(demand, total);
     let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
-    let beside = beside_ms(demand, seen, unread);
-    BASE_MS + read + batch + memory + waiting + beside
+    BASE_MS + read + supply.move_ms(demand) + batch + waiting
 }
 
 /// Prompt tokens that are read before the request's own; less urgent ones count in part.
@@ -115,16 +129,29 @@
     before
 }
 
-/// Price of the requests that run there; at a plain service each takes its part of the time.
+/// Time that the requests that run there add; at a plain service each takes its part of it.
 fn batch_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
-    let running = f64::from(seen.total.running);
-    let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
-    let used = running / slots;
-    if demand.memory_tokens == 0 {
-        return used * WAITING_MS;
+    if demand.engine.is_none() {
+        return used_slots(seen) * WAITING_MS;
+    }
+    f64::from(seen.total.running) * BATCH_MS
+}
+
+/// Price of a batch that fills; none at plain services.
+fn full_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
+    if demand.engine.is_none() {
+        return 0.0;
     }
-    let over = (running - slots * BATCH_FULL).max(0.0);
-    running * BATCH_MS + used * used * FULL_BATCH_MS + over * OVERFULL_MS
+    let used = used_slots(seen);
+    let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
+    let over = (used - BATCH_FULL).max(0.0) * slots;
+    used * used * FULL_BATCH_MS + over * OVERFULL_MS
+}
+
+/// Part of the slots in use; more than 1 where requests wait.
+fn used_slots(seen: &Seen<'_>) -> f64 {
+    let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
+    f64::from(seen.total.running) / slots
 }
 
 /// What reading beside streams costs: an engine reads prompts between the tokens of all others,
@@ -147,11 +174,11 @@
 
 /// Price of overfull memory; none for plain services.
 fn memory_ms(demand: &Demand<'_>, total: Work) -> f64 {
-    if demand.memory_tokens == 0 {
+    if demand.engine.is_none() {
         return 0.0;
     }
     let held = u64::from(total.held) + demand.prompt_tokens() + demand.output_tokens;
-    let used = held as f64 / demand.memory_tokens as f64;
+    let used = held as f64 / demand.memory_tokens().max(1) as f64;
     if used > MEMORY_FULL {
         MEMORY_MS * used
     } else {
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -43,6 +43,8 @@
         attempt: 1,
         expected_ms: 40,
         cached: 6_300,
+        moved: 0,
+        moved_from: None,
         unread: 2_890,
         running: 4,
         catalog: 7,
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -4,14 +4,20 @@
 
 use common::listed;
 use violetline::clock::Millis;
-use violetline::direct::choose::{choose, Candidate, Choice, Demand};
+use violetline::direct::catalog::EngineShape;
+use violetline::direct::choose::{choose, Choice};
+use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey, Listed};
 use violetline::direct::health::{Fault, Grade, Record};
 use violetline::direct::load::{Footprint, Load, Report};
 use violetline::direct::prefix::{Part, PrefixMap};
 
 const NOW: Millis = Millis(10_000);
-const MEMORY: u64 = 290_000;
+const ENGINE: EngineShape = EngineShape {
+    slots: 64,
+    memory_tokens: 290_000,
+    moves: None,
+};
 
 /// Endpoints a, b, c with their loads and records.
 struct Pool {
@@ -56,7 +62,7 @@
         parts,
         output_tokens: 100,
         zone: "hall-a",
-        memory_tokens: MEMORY,
+        engine: Some(ENGINE),
         delicate: 6,
         pause: Millis(250),
         blind: Millis(0),
@@ -93,10 +99,10 @@
     for i in 0..3 {
         let key = pool.key(i);
         pool.prefixes.forget(key);
-        pool.prefixes.note(key, ids(&other), NOW);
+        pool.prefixes.note(key, ids(&other), NOW, NOW);
         let choice = pool.choose(demand(&parts));
         assert_eq!(choice.key, key);
-        assert_eq!(choice.cached, 6_300);
+        assert_eq!(choice.supply.kept, 6_300);
         assert_eq!(choice.footprint.unread, 2_900);
         pool.prefixes.forget(key);
     }
@@ -107,7 +113,7 @@
     let mut pool = Pool::new();
     let parts = prompt();
     let key = pool.key(1);
-    pool.prefixes.note(key, ids(&parts), NOW);
+    pool.prefixes.note(key, ids(&parts), NOW, NOW);
     for _ in 0..12 {
         pool.loads[1].begin(footprint(9_000, 6), NOW);
     }
@@ -119,7 +125,7 @@
     let first = Pool::new().choose(demand(&prompt()));
     let second = Pool::new().choose(demand(&prompt()));
     assert_eq!(first.key, second.key);
-    assert!(first.cached > 0);
+    assert!(first.supply.kept > 0);
 }
 
 /// Where a prompt is known to be kept, the place that all expect without knowledge does not count.
@@ -130,7 +136,7 @@
     let expected = pool.choose(demand(&parts)).key;
     let other = (0..3).find(|i| pool.key(*i) != expected).unwrap();
     let key = pool.key(other);
-    pool.prefixes.note(key, ids(&parts), NOW);
+    pool.prefixes.note(key, ids(&parts), NOW, NOW);
     pool.loads[other].begin(footprint(9_000, 6), NOW);
     assert_eq!(pool.choose(demand(&parts)).key, pool.key(other));
 }
@@ -222,7 +228,7 @@
         pool.directory.apply(Change::Put(far), NOW);
     }
     let plain = Demand {
-        memory_tokens: 0,
+        engine: None,
         delicate: 0,
         ..demand(&[])
     };
@@ -247,7 +253,7 @@
     let mut pool = Pool::new();
     let parts = prompt();
     let key = pool.key(0);
-    pool.prefixes.note(key, ids(&parts), NOW);
+    pool.prefixes.note(key, ids(&parts), NOW, NOW);
     let held = Footprint {
         held: 280_000,
         ..footprint(0, 0)
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -4,7 +4,9 @@
 
 use common::listed;
 use violetline::clock::Millis;
-use violetline::direct::choose::{choose, Candidate, Demand, Seen};
+use violetline::direct::catalog::EngineShape;
+use violetline::direct::choose::choose;
+use violetline::direct::demand::{Candidate, Demand, Seen};
 use violetline::direct::directory::{Change, Directory, EndpointKey, Listed};
 use violetline::direct::health::{Fault, Record};
 use violetline::direct::lanes::Lanes;
@@ -12,6 +14,11 @@
 use violetline::direct::prefix::{Part, PrefixMap};
 
 const NOW: Millis = Millis(10_000);
+const ENGINE: EngineShape = EngineShape {
+    slots: 64,
+    memory_tokens: 290_000,
+    moves: None,
+};
 /// Prompt tokens that an endpoint reads in a millisecond.
 const READS: f64 = 50.0;
 
@@ -77,6 +84,7 @@
     Seen {
         total: candidate.load.total(NOW),
         known: 0,
+        ready: 0,
         is_kept: false,
         candidate,
     }
@@ -89,7 +97,7 @@
         parts,
         output_tokens: 300,
         zone: "hall-a",
-        memory_tokens: 290_000,
+        engine: Some(ENGINE),
         delicate: 100,
         pause: Millis(250),
         blind: Millis(300),
--- /dev/null
+++ b/tests/direct_moves.rs
@@ -0,0 +1,154 @@
+//! Kept parts of prompts that are moved between endpoints instead of being read again.
+
+mod common;
+
+use common::listed;
+use violetline::clock::Millis;
+use violetline::direct::catalog::{EngineShape, MoveShape};
+use violetline::direct::choose::{choose, Choice};
+use violetline::direct::demand::{Candidate, Demand};
+use violetline::direct::directory::{Change, Directory, EndpointKey};
+use violetline::direct::health::{Fault, Record};
+use violetline::direct::load::{Footprint, Load};
+use violetline::direct::prefix::{Part, PrefixMap};
+
+const NOW: Millis = Millis(10_000);
+/// Bytes of memory of a token, and a link between engines in Mbit/s: 6,300 tokens move in 22 ms.
+const MOVES: MoveShape = MoveShape {
+    token_bytes: 327_680,
+    link_mbps: 740_000,
+};
+const SHARED: [Part; 2] = [part(1, 2_500), part(2, 3_800)];
+
+const fn part(id: u64, tokens: u64) -> Part {
+    Part { id, tokens }
+}
+
+/// Endpoints a, b, c, of which a keeps the shared parts and has much to read.
+struct Pool {
+    directory: Directory,
+    loads: [Load; 3],
+    records: [Record; 3],
+    prefixes: PrefixMap,
+    moves: Option<MoveShape>,
+}
+
+impl Pool {
+    fn new() -> Self {
+        let mut directory = Directory::default();
+        for id in ["a", "b", "c"] {
+            directory.apply(Change::Put(listed(id, 1)), Millis(0));
+        }
+        let mut pool = Self {
+            directory,
+            loads: Default::default(),
+            records: Default::default(),
+            prefixes: PrefixMap::default(),
+            moves: Some(MOVES),
+        };
+        let keeper = pool.key("a");
+        pool.prefixes.note(keeper, ids(&SHARED), NOW, NOW);
+        pool.loads[0].begin(footprint(60_000), NOW);
+        pool
+    }
+
+    fn key(&self, id: &str) -> EndpointKey {
+        self.directory.key(id).unwrap()
+    }
+
+    fn choose(&self, parts: &[Part]) -> Choice {
+        let demand = Demand {
+            band: 2,
+            parts,
+            output_tokens: 100,
+            zone: "hall-a",
+            engine: Some(EngineShape {
+                slots: 64,
+                memory_tokens: 290_000,
+                moves: self.moves,
+            }),
+            delicate: 44,
+            pause: Millis(200),
+            blind: Millis(0),
+            draw: 0,
+        };
+        let candidates = ["a", "b", "c"].iter().enumerate().map(|(i, id)| Candidate {
+            key: self.key(id),
+            endpoint: self.directory.get(self.key(id)).unwrap(),
+            load: &self.loads[i],
+            record: &self.records[i],
+        });
+        choose(demand, candidates, &self.prefixes, NOW).unwrap()
+    }
+}
+
+fn ids(parts: &[Part]) -> impl Iterator<Item = u64> + '_ {
+    parts.iter().map(|part| part.id)
+}
+
+fn footprint(unread: u32) -> Footprint {
+    Footprint {
+        band: 2,
+        unread,
+        held: unread,
+        delicate: 44,
+    }
+}
+
+fn prompt(own: u64) -> [Part; 3] {
+    [SHARED[0], SHARED[1], part(9, own)]
+}
+
+#[test]
+fn taken_from_keeper() {
+    let pool = Pool::new();
+    let choice = pool.choose(&prompt(2_900));
+    assert_ne!(choice.key, pool.key("a"), "the keeper is busy");
+    assert_eq!(choice.supply.from, Some(pool.key("a")));
+    assert_eq!(choice.supply.moved, 6_300);
+    assert_eq!(choice.footprint.unread, 2_900);
+}
+
+#[test]
+fn free_keeper_first() {
+    let mut pool = Pool::new();
+    pool.loads[0].read(footprint(60_000));
+    let choice = pool.choose(&prompt(2_900));
+    assert_eq!(choice.key, pool.key("a"));
+    assert_eq!((choice.supply.kept, choice.supply.from), (6_300, None));
+}
+
+#[test]
+fn failing_gives_nothing() {
+    let mut pool = Pool::new();
+    pool.records[0].failed(NOW, Fault::Contact);
+    assert_eq!(pool.choose(&prompt(2_900)).supply.from, None);
+}
+
+#[test]
+fn unread_gives_nothing() {
+    let mut pool = Pool::new();
+    let keeper = pool.key("a");
+    pool.prefixes.forget(keeper);
+    let later = NOW + Millis(300);
+    pool.prefixes.note(keeper, ids(&SHARED), NOW, later);
+    assert_eq!(pool.choose(&prompt(2_900)).supply.from, None);
+    pool.prefixes.read(keeper, ids(&SHARED), NOW);
+    assert_eq!(pool.choose(&prompt(2_900)).supply.moved, 6_300);
+}
+
+#[test]
+fn pool_without_moves() {
+    let mut pool = Pool::new();
+    pool.moves = None;
+    assert_eq!(pool.choose(&prompt(2_900)).supply.from, None);
+}
+
+#[test]
+fn short_not_moved() {
+    let mut pool = Pool::new();
+    let keeper = pool.key("a");
+    let short = [part(5, 100), part(6, 50)];
+    pool.prefixes.note(keeper, ids(&short), NOW, NOW);
+    assert_eq!(pool.choose(&short).supply.from, None);
+}
