Endpoints whose streams come late by a pause cost a stream more

So what streams met at an endpoint is observed (mean of the last, half forgotten in 6 s) and priced.

--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -275,3 +275,43 @@
     }
     assert_eq!(pool.loads[0].total(NOW).running, 3);
 }
+
+/// A stream goes where others kept to their pauses.
+#[test]
+fn late_streams_avoided() {
+    let mut pool = Pool::new();
+    let parts = [part(1, 500)];
+    let stream = Demand {
+        band: 0,
+        delicate: 100,
+        ..demand(&parts)
+    };
+    let first = pool.choose(stream).key;
+    let at = (0..3).find(|i| pool.key(*i) == first).unwrap();
+    for _ in 0..5 {
+        pool.records[at].streamed(NOW, true);
+    }
+    assert_ne!(pool.choose(stream).key, first);
+}
+
+/// A delay far below the target costs less than the streams that reading would make late.
+#[test]
+fn target_leaves_room() {
+    let mut pool = Pool::new();
+    let parts = [part(1, 4_000)];
+    let stream = Footprint {
+        band: 0,
+        ..footprint(0, 100)
+    };
+    for i in [0, 2] {
+        pool.loads[i].begin(stream, NOW);
+        pool.loads[i].begin(stream, NOW);
+    }
+    pool.loads[1].begin(footprint(4_000, 6), NOW);
+    let target = |ms| Demand {
+        target: Millis(ms),
+        ..demand(&parts)
+    };
+    assert_eq!(pool.choose(target(5_000)).key, pool.key(1));
+    assert_ne!(pool.choose(target(100)).key, pool.key(1));
+}
