--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -303,9 +303,10 @@
         band: 0,
         ..footprint(0, 100)
     };
-    for i in [0, 2] {
-        pool.loads[i].begin(stream, NOW);
-        pool.loads[i].begin(stream, NOW);
+    // More streams than are kept apart.
+    for _ in 0..6 {
+        pool.loads[0].begin(stream, NOW);
+        pool.loads[2].begin(stream, NOW);
     }
     pool.loads[1].begin(footprint(4_000, 6), NOW);
     let target = |ms| Demand {
