--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -224,6 +224,42 @@
     assert!(arrivals.iter().all(|a| a.header("x-kv-backup").is_none()));
 }
 
+/// What one engine has read is taken from its memory by the next one, not read again; a caller's
+/// word on it counts nothing.
+#[actix_rt::test]
+async fn parts_moved() {
+    let mut site = Site::start(2).await;
+    site.engine_shape = Some(serde_json::json!({"slots": 64, "kv_capacity": 300_000,
+        "kv_token_bytes": 327_680, "link_mbps": 740_000.0, "moves": true}));
+    site.configure(&["k1"]);
+    let settings = site.settings("127.0.0.1", 0, 0, &[]);
+    site.add_entry(&settings).await;
+    let callers = site.entries[0].addr("callers");
+    let parts = |own: u64| {
+        format!("x-prompt-prefix: a1:3000,a2:3000,{own:x}:9000\r\nkv-fetch: 127.0.0.1:1")
+    };
+    let first = with_lines("/stream/events", "r0", &parts(1));
+    assert_eq!(exchange(callers, &first).await.status, 200);
+    let keeper = site.engines.iter().find(|e| e.runs() == 1).unwrap();
+    let other = site.engines.iter().find(|e| e.runs() == 0).unwrap();
+    assert_eq!(keeper.arrivals()[0].header("kv-fetch"), None);
+    let mut hanging = Vec::new();
+    for n in 1..40 {
+        if !other.arrivals().is_empty() {
+            break;
+        }
+        let request = with_lines("/stream/hang", &format!("r{n}"), &parts(n + 1));
+        hanging.push(actix_rt::spawn(
+            async move { exchange(callers, &request).await },
+        ));
+        let arrived = n as usize + 1;
+        wait_for("it arrives", || async { site.arrivals().len() == arrived }).await;
+    }
+    let arrivals = other.arrivals();
+    let address = keeper.address.to_string();
+    assert_eq!(arrivals[0].header("kv-fetch"), Some(&*address));
+}
+
 /// An entry that follows another one hears of changes without calls of its own.
 #[actix_rt::test]
 async fn changes_from_peer() {
