--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -12,7 +12,7 @@
 use crate::clock::Millis;
 
 /// Time after the list's return within which live endpoints have written their entries again;
-/// the users' letter gives about two seconds.
+/// the platform gives them about two seconds.
 pub const LAPSE_GRACE: Millis = Millis(2_200);
 
 new_key_type! {
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -9,7 +9,7 @@
 use crate::direct::moves::Supply;
 
 /// Prompt tokens that an engine reads in a millisecond. Only the ratio to the other terms matters:
-/// the record corrects the rest per endpoint. From the users' sheets, rounded down.
+/// the record corrects the rest per endpoint.
 pub const READ_TOKENS_PER_MS: f64 = 50.0;
 /// Added to the time by each request of the batch, in ms; each makes every step a little longer.
 const BATCH_MS: f64 = 0.8;
