Sources of a move are found once for all candidates

Now the two best are found once; among those that have read as much, the least busy gives, then at random.

--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -10,7 +10,7 @@
 use crate::direct::health::Grade;
 use crate::direct::lanes::Lanes;
 use crate::direct::load::{Footprint, Work, WHOLE};
-use crate::direct::moves::{self, Supply};
+use crate::direct::moves::{Sources, Supply};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::price::{self, READ_TOKENS_PER_MS};
 
@@ -49,9 +49,10 @@
     let is_known = shared > 0 && all.iter().any(|seen| seen.known >= shared);
     let preferred = preferred(&demand, &all).filter(|_| !is_known);
     let mut best: Option<((Grade, f64), Choice)> = None;
+    let sources = Sources::find(&demand, &all, now);
     for seen in &all {
         let kept = Supply::kept(seen.known.max(expected_kept(&demand, seen, preferred)));
-        let moved = moves::supply(&demand, &all, seen, now);
+        let moved = sources.supply(seen);
         for supply in std::iter::once(kept).chain(moved) {
             let choice = estimate(&demand, seen, supply, now);
             let price = price::price_ms(&demand, seen, &supply, now);
--- a/src/direct/demand.rs
+++ b/src/direct/demand.rs
@@ -1,5 +1,7 @@
 //! What is to be placed, and what is known of an endpoint for it: the terms of a choice.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use crate::clock::Millis;
 use crate::direct::catalog::EngineShape;
 use crate::direct::directory::{Endpoint, EndpointKey};
@@ -45,6 +47,13 @@
         self.parts[..count].iter().map(|part| part.tokens).sum()
     }
 
+    /// The random number of one endpoint, by the digest of its identity.
+    pub fn draw_for(&self, digest: u32) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.draw, digest).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Tokens of memory of an engine of the pool; 0 for plain services.
     pub fn memory_tokens(&self) -> u64 {
         self.engine.map_or(0, |engine| engine.memory_tokens)
--- a/src/direct/moves.rs
+++ b/src/direct/moves.rs
@@ -5,6 +5,8 @@
 //! memory a token, 25 ms against 150 ms for 6,300 tokens), so any endpoint may serve a prompt whose
 //! parts are kept somewhere.
 
+use std::cmp::Reverse;
+
 use crate::clock::Millis;
 use crate::direct::demand::{Demand, Seen};
 use crate::direct::directory::EndpointKey;
@@ -50,31 +52,66 @@
     }
 }
 
-/// The best other endpoint from which `target` takes parts of the prompt, if that is worth a move: the
-/// one that has read the most of it, among those the nearest and least busy.
+/// The endpoints from which parts of one prompt can be taken: the best, and the next best for when the
+/// best is itself the target.
 ///
 /// Only an endpoint that is well gives: one that fails or is silent would hold the request up.
-pub fn supply(
-    demand: &Demand<'_>,
-    all: &[Seen<'_>],
-    target: &Seen<'_>,
-    now: Millis,
-) -> Option<Supply> {
-    demand.engine?.moves?;
-    let zone = &target.candidate.endpoint.listed.zone;
-    let source = all
-        .iter()
-        .filter(|seen| seen.candidate.key != target.candidate.key)
-        .filter(|seen| seen.candidate.record.grade(now) == Grade::Good)
-        .max_by_key(|seen| {
-            let is_near = seen.candidate.endpoint.listed.zone == *zone;
-            let unread = seen.total.all_unread();
-            (seen.ready, is_near, std::cmp::Reverse(unread))
-        })?;
-    let moved = source.ready.saturating_sub(target.known);
-    (moved >= LEAST_TOKENS).then_some(Supply {
-        kept: target.known,
-        moved,
-        from: Some(source.candidate.key),
-    })
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sources {
+    best: Option<Source>,
+    next: Option<Source>,
+}
+
+/// An endpoint that has read the head of a prompt.
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    key: EndpointKey,
+    /// Tokens of the prompt that it has read.
+    ready: u64,
+    /// Prompt tokens that it still has to read; the least busy gives first.
+    unread: u32,
+    /// Its place among those that are as good: at random, so that none of them becomes a bottleneck.
+    draw: u64,
+}
+
+impl Sources {
+    /// The sources for a prompt among all endpoints of its pool; none where memory can't be moved.
+    pub fn find(demand: &Demand<'_>, all: &[Seen<'_>], now: Millis) -> Self {
+        let mut found = Self::default();
+        if demand.engine.and_then(|engine| engine.moves).is_none() {
+            return found;
+        }
+        for seen in all.iter().filter(|seen| seen.ready >= LEAST_TOKENS) {
+            if seen.candidate.record.grade(now) == Grade::Good {
+                found.add(Source {
+                    key: seen.candidate.key,
+                    ready: seen.ready,
+                    unread: seen.total.all_unread(),
+                    draw: demand.draw_for(seen.candidate.endpoint.digest),
+                });
+            }
+        }
+        found
+    }
+
+    /// What `target` may take from another endpoint, if that is worth a move.
+    pub fn supply(&self, target: &Seen<'_>) -> Option<Supply> {
+        let is_other = |source: &Source| source.key != target.candidate.key;
+        let source = self.best.filter(is_other).or(self.next)?;
+        let moved = source.ready.saturating_sub(target.known);
+        (moved >= LEAST_TOKENS).then_some(Supply {
+            kept: target.known,
+            moved,
+            from: Some(source.key),
+        })
+    }
+
+    fn add(&mut self, source: Source) {
+        let rank = |source: &Source| (source.ready, Reverse(source.unread), source.draw);
+        if self.best.is_none_or(|best| rank(&source) > rank(&best)) {
+            self.next = self.best.replace(source);
+        } else if self.next.is_none_or(|next| rank(&source) > rank(&next)) {
+            self.next = Some(source);
+        }
+    }
 }
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -1,8 +1,6 @@
 //! The terms of an endpoint's price for a request, in ms: what it adds to the time until the first
 //! event, and what it costs the requests beside it.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use crate::clock::Millis;
 use crate::direct::demand::{Candidate, Demand, Seen};
 use crate::direct::load::{streams, Work, BANDS, WHOLE};
@@ -114,9 +112,8 @@
 /// A random addition that parts entries which choose at the same time and don't see each other's
 /// choices yet; `unread` is what the endpoint would read.
 fn spread_ms(demand: &Demand<'_>, seen: &Seen<'_>, unread: u64) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (demand.draw, seen.candidate.endpoint.digest).hash(&mut hasher);
-    let part = hasher.finish() as f64 / u64::MAX as f64;
+    let draw = demand.draw_for(seen.candidate.endpoint.digest);
+    let part = draw as f64 / u64::MAX as f64;
     let read = read_ms(unread as f64);
     let unseen = (demand.blind.0 as f64 / BLIND_MS).min(1.0);
     part * unseen * (SPREAD_MS + read * SPREAD_READ)
