--- /dev/null
+++ b/benches/placement.rs
@@ -0,0 +1,77 @@
+//! Cost of choosing an endpoint against the size of its pool, up to the size of docs/CAPACITY.md.
+
+use divan::{black_box, Bencher};
+use violetline::clock::Millis;
+use violetline::direct::catalog::{EngineShape, MoveShape};
+use violetline::direct::choose::choose;
+use violetline::direct::demand::{Candidate, Demand};
+use violetline::direct::directory::{Change, Directory, Listed};
+use violetline::direct::health::Record;
+use violetline::direct::load::Load;
+use violetline::direct::prefix::{Part, PrefixMap};
+
+const NOW: Millis = Millis(10_000);
+
+fn main() {
+    divan::main();
+}
+
+fn listed(n: usize) -> Listed {
+    Listed {
+        id: format!("i-{n}"),
+        pool: "pool".into(),
+        address: ([10, 0, 0, 1], 9_000).into(),
+        zone: "zone".into(),
+        slots: 64,
+        draining: false,
+        warming: Millis(0),
+        revision: 1,
+    }
+}
+
+/// Every third endpoint keeps the shared parts of the prompt.
+#[divan::bench(args = [9, 55, 3_500])]
+fn place_by_endpoints(bencher: Bencher<'_, '_>, count: usize) {
+    let mut directory = Directory::default();
+    for n in 0..count {
+        directory.apply(Change::Put(listed(n)), Millis(0));
+    }
+    let mut prefixes = PrefixMap::default();
+    for (key, _) in directory.iter().step_by(3) {
+        prefixes.note(key, [1, 2].into_iter(), NOW, NOW);
+    }
+    let (load, record) = (Load::default(), Record::default());
+    let tokens = [2_500, 3_800, 2_900];
+    let parts: Vec<Part> = (1..)
+        .zip(tokens)
+        .map(|(id, tokens)| Part { id, tokens })
+        .collect();
+    let demand = Demand {
+        band: 1,
+        parts: &parts,
+        output_tokens: 50,
+        target: Millis(600),
+        zone: "zone",
+        engine: Some(EngineShape {
+            slots: 64,
+            memory_tokens: 330_000,
+            moves: Some(MoveShape {
+                token_bytes: 327_680,
+                link_mbps: 740_000,
+            }),
+        }),
+        delicate: 44,
+        pause: Millis(200),
+        blind: Millis(75),
+        draw: 1,
+    };
+    bencher.bench_local(|| {
+        let candidates = directory.iter().map(|(key, endpoint)| Candidate {
+            key,
+            endpoint,
+            load: &load,
+            record: &record,
+        });
+        choose(black_box(demand), candidates, &prefixes, NOW)
+    });
+}
--- a/src/direct/prefix.rs
+++ b/src/direct/prefix.rs
@@ -43,7 +43,8 @@
 /// The estimate for all endpoints.
 #[derive(Debug, Default)]
 pub struct PrefixMap {
-    /// The last use of each part at each endpoint, by the part's id.
+    /// The last use of each part at each endpoint, by the part's id; sorted by endpoint, since a part
+    /// may be kept at a thousand of them.
     uses: HashMap<u64, Vec<Use>>,
 }
 
@@ -77,16 +78,17 @@
 
     fn last_use(&self, endpoint: EndpointKey, part: u64) -> Option<&Use> {
         let uses = self.uses.get(&part)?;
-        uses.iter().find(|u| u.endpoint == endpoint)
+        position(uses, endpoint).ok().map(|at| &uses[at])
     }
 
     /// An endpoint has read the parts that were sent to it.
     pub fn read(&mut self, endpoint: EndpointKey, parts: impl Iterator<Item = u64>, now: Millis) {
         for part in parts {
-            let uses = self.uses.get_mut(&part);
-            if let Some(u) = uses.and_then(|uses| uses.iter_mut().find(|u| u.endpoint == endpoint))
-            {
-                u.read_at = u.read_at.min(now);
+            let Some(uses) = self.uses.get_mut(&part) else {
+                continue;
+            };
+            if let Ok(at) = position(uses, endpoint) {
+                uses[at].read_at = uses[at].read_at.min(now);
             }
         }
     }
@@ -105,16 +107,17 @@
         }
         for part in parts {
             let uses = self.uses.entry(part).or_default();
-            match uses.iter_mut().find(|u| u.endpoint == endpoint) {
-                Some(u) => {
-                    u.at = now;
-                    u.read_at = u.read_at.min(read_at);
+            let newest = Use {
+                endpoint,
+                at: now,
+                read_at,
+            };
+            match position(uses, endpoint) {
+                Ok(at) => {
+                    let read_at = uses[at].read_at.min(read_at);
+                    uses[at] = Use { read_at, ..newest };
                 }
-                None => uses.push(Use {
-                    endpoint,
-                    at: now,
-                    read_at,
-                }),
+                Err(at) => uses.insert(at, newest),
             }
         }
     }
@@ -127,3 +130,8 @@
         self.uses.retain(|_, uses| !uses.is_empty());
     }
 }
+
+/// Position of an endpoint's use, or where it is to be inserted.
+fn position(uses: &[Use], endpoint: EndpointKey) -> Result<usize, usize> {
+    uses.binary_search_by_key(&endpoint, |u| u.endpoint)
+}
