--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -1,21 +1,16 @@
-//! The choice of an endpoint: the least time until the first event, by estimate.
-//!
-//! What the estimate adds up is in [`crate::direct::price`]. Where nothing is known of a prompt's
-//! shared parts, all entries prefer the same endpoint for them (rendezvous hashing), so that they
-//! meet there without a word between entries.
+//! The choice of an endpoint: the one with the least price, see [`crate::direct::price`], with the
+//! prompt's kept parts from its own memory or moved there, see [`crate::direct::moves`].
 
 use crate::clock::Millis;
 use crate::direct::demand::{Candidate, Demand, Seen};
 use crate::direct::directory::EndpointKey;
 use crate::direct::health::Grade;
 use crate::direct::lanes::Lanes;
-use crate::direct::load::{Footprint, Work, WHOLE};
+use crate::direct::load::{Footprint, Work};
 use crate::direct::moves::{Sources, Supply};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::price::{self, READ_TOKENS_PER_MS};
 
-/// Part of the shared tokens that the preferred endpoint is expected to keep unseen.
-const EXPECTED_KEPT: f64 = 0.8;
 /// Part of the memory that running requests and kept parts have together; a margin for what is not
 /// known yet.
 const KEPT_PART: f64 = 0.9;
@@ -44,14 +39,10 @@
 ) -> Option<Choice> {
     let mut all: Vec<Seen<'a>> = candidates.map(|c| see(&demand, c, prefixes, now)).collect();
     keep_for_streams(&demand, &mut all);
-    let shared = demand.shared_tokens();
-    // An expectation only stands in for knowledge; beside it, the prompt would be read twice.
-    let is_known = shared > 0 && all.iter().any(|seen| seen.known >= shared);
-    let preferred = preferred(&demand, &all).filter(|_| !is_known);
     let mut best: Option<((Grade, f64), Choice)> = None;
     let sources = Sources::find(&demand, &all, now);
     for seen in &all {
-        let kept = Supply::kept(seen.known.max(expected_kept(&demand, seen, preferred)));
+        let kept = Supply::kept(seen.known);
         let moved = sources.supply(seen);
         for supply in std::iter::once(kept).chain(moved) {
             let choice = estimate(&demand, seen, supply, now);
@@ -103,25 +94,6 @@
     }
 }
 
-/// The endpoint at which all entries expect the shared parts of this prompt.
-fn preferred(demand: &Demand<'_>, all: &[Seen<'_>]) -> Option<EndpointKey> {
-    let shared = demand.parts.len().checked_sub(2)?;
-    let part = demand.parts[shared].id;
-    let weight = |seen: &&Seen<'_>| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&part.to_be_bytes());
-        hasher.update(seen.candidate.endpoint.listed.id.as_bytes());
-        let hash = hasher.finalize();
-        let mut head = [0; 8];
-        head.copy_from_slice(&hash.as_bytes()[..8]);
-        u64::from_be_bytes(head)
-    };
-    let is_delicate = demand.delicate * 2 >= WHOLE;
-    let good = all.iter().filter(|seen| !seen.candidate.record.is_aside());
-    let own_lane = good.filter(|seen| seen.is_kept == is_delicate);
-    own_lane.max_by_key(weight).map(|seen| seen.candidate.key)
-}
-
 /// The estimate for one endpoint, and what the request would add there.
 fn estimate(demand: &Demand<'_>, seen: &Seen<'_>, supply: Supply, now: Millis) -> Choice {
     let candidate = &seen.candidate;
@@ -149,11 +121,3 @@
     let kept_ms = free.max(0.0) / total.read_per_ms().max(f64::EPSILON);
     now - Millis(kept_ms as u64)
 }
-
-/// Tokens that an endpoint is expected to keep unseen: only the preferred one keeps any.
-fn expected_kept(demand: &Demand<'_>, seen: &Seen<'_>, preferred: Option<EndpointKey>) -> u64 {
-    if preferred != Some(seen.candidate.key) {
-        return 0;
-    }
-    (demand.shared_tokens() as f64 * EXPECTED_KEPT) as u64
-}
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -23,11 +23,6 @@
 /// Time after which half of an old slowness is forgotten, so that the endpoint is tried again.
 const SLOWNESS_HALF_LIFE_MS: f64 = 4_000.0;
 
-/// Weight of the newest stream in the mean share of late ones.
-const LATE_WEIGHT: f64 = 0.2;
-/// Time after which half of an old share of late streams is forgotten: some lengths of a stream.
-const LATE_HALF_LIFE_MS: f64 = 6_000.0;
-
 /// How an endpoint may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Grade {
@@ -62,9 +57,6 @@
     /// Mean of seen by expected time as it was at `slowness_at`.
     slowness: f64,
     slowness_at: Millis,
-    /// Mean share of streams with a pause longer than theirs allow, as it was at `late_at`.
-    late: f64,
-    late_at: Millis,
 }
 
 impl Default for Record {
@@ -76,8 +68,6 @@
             aside: ASIDE_LEAST,
             slowness: 1.0,
             slowness_at: Millis(0),
-            late: 0.0,
-            late_at: Millis(0),
         }
     }
 }
@@ -134,20 +124,6 @@
         self.slowness_at = now;
     }
 
-    /// A stream kept to the pauses that its route allows, or did not.
-    pub fn streamed(&mut self, now: Millis, is_late: bool) {
-        let newest = f64::from(u8::from(is_late));
-        let mean = self.late_streams(now);
-        self.late = mean + (newest - mean) * LATE_WEIGHT;
-        self.late_at = now;
-    }
-
-    /// Share of the streams there that come late by a pause, 0 to 1.
-    pub fn late_streams(&self, now: Millis) -> f64 {
-        let age = (now - self.late_at).0 as f64;
-        self.late * 0.5_f64.powf(age / LATE_HALF_LIFE_MS)
-    }
-
     /// How many times longer than estimated this endpoint takes.
     pub fn slowness(&self, now: Millis) -> f64 {
         let age = (now - self.slowness_at).0 as f64;
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -189,14 +189,16 @@
             self.began(&answered.choice, answered.placed, answered.sent_at);
             head.clone()
         };
-        let left = || self.piece_left(key);
+        let left = || {
+            let now = self.entry.clock.now();
+            self.progress.borrow_mut().piece_left(now);
+        };
         let next = async |reply: &mut Reply| self.next_piece(reply).await;
         let reply = &mut answered.reply;
         match relay::events(reply, answerer, onward, next, begin, left).await {
             Ok(()) => {
                 self.keep(key, answered.reply, verdict);
                 self.entry.endpoint_served(key);
-                self.account_pauses(key);
                 self.log_ended(EndedHow::Served, status);
                 Attempt::Over(answerer.is_kept())
             }
@@ -205,34 +207,6 @@
         }
     }
 
-    /// A piece of a stream has left; the first pause that is too long is told at once.
-    fn piece_left(&self, key: EndpointKey) {
-        let now = self.entry.clock.now();
-        let mut progress = self.progress.borrow_mut();
-        let was_late = self.is_late(progress.longest_pause);
-        progress.piece_left(now);
-        if !was_late && self.is_late(progress.longest_pause) {
-            self.entry
-                .account(key, |account| account.record.streamed(now, true));
-        }
-    }
-
-    /// A stream ended well; one that was never late speaks for its endpoint.
-    fn account_pauses(&self, key: EndpointKey) {
-        let now = self.entry.clock.now();
-        let has_pauses = self.route().pause().is_some();
-        if has_pauses && !self.is_late(self.progress.borrow().longest_pause) {
-            self.entry
-                .account(key, |account| account.record.streamed(now, false));
-        }
-    }
-
-    /// Whether a pause is longer than the route allows.
-    fn is_late(&self, pause: Option<Millis>) -> bool {
-        let allowed = self.route().pause();
-        allowed.is_some_and(|allowed| pause > Some(allowed))
-    }
-
     /// The answer's first byte is about to leave.
     fn began(&self, choice: &Choice, placed: &Placed, sent_at: Millis) {
         let now = self.entry.clock.now();
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -25,9 +25,6 @@
 const HARM_BEYOND: f64 = 2.0;
 /// Weight of the reading that a delicate stream must expect beside it.
 const EXPOSURE: f64 = 0.4;
-/// Price of an endpoint all of whose streams come late by a pause, in ms: 0.725 against 0.719 of the mean
-/// worth of three days with bursts, five seeds, where a third of the engines is slower by 1.3.
-const LATE_STREAM_MS: f64 = 250.0;
 /// Price of a full batch, in ms; it grows with the square of the part in use.
 const FULL_BATCH_MS: f64 = 200.0;
 /// Part of the slots beyond which a request may have to wait for one.
@@ -76,7 +73,6 @@
         + distance_ms(demand, &seen.candidate)
         + read_ms(again as f64) * READ_AGAIN
         + supply.moved as f64 * MOVED_MS
-        + late_ms(demand, seen, now)
         + lane_ms(demand, seen)
         + spread_ms(demand, seen, unread)
 }
@@ -93,12 +89,6 @@
     }
 }
 
-/// Price of pauses that a stream must expect there, by what other streams met.
-fn late_ms(demand: &Demand<'_>, seen: &Seen<'_>, now: Millis) -> f64 {
-    let own = streams(demand.delicate.min(WHOLE));
-    own * seen.candidate.record.late_streams(now) * LATE_STREAM_MS
-}
-
 /// Price of an endpoint that is kept for the other kind of load.
 fn lane_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
     if demand.pause == Millis(0) {
--- a/src/direct/progress.rs
+++ b/src/direct/progress.rs
@@ -21,7 +21,7 @@
     /// When the last piece of its answer left.
     last: Option<Millis>,
     /// Longest time between two pieces.
-    pub longest_pause: Option<Millis>,
+    longest_pause: Option<Millis>,
 }
 
 impl Progress {
