--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,8 +4,8 @@
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
-//! An endpoint is chosen by its [`price`], which follows from its [`load`], what it keeps of the
-//! [`prefix`] of a prompt, and the [`lanes`] of its pool.
+//! For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
+//! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
 //! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers). All decisions are state machines
