--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -1,5 +1,8 @@
 //! The terms of an endpoint's price for a request, in ms: what it adds to the time until the first
 //! event, and what it costs the requests beside it.
+//!
+//! Figures beside the constants are the mean worth of three days with bursts, two seeds each, on nine
+//! engines, with the term and without it; 0.005 is noise.
 
 use crate::clock::Millis;
 use crate::direct::demand::{Candidate, Demand, Seen};
@@ -17,15 +20,17 @@
 const OTHER_ZONE_MS: f64 = 6.0;
 /// Part of less urgent work that still delays a more urgent request: what has begun goes on.
 const LESS_URGENT_PART: f64 = 0.35;
-/// Weight of the time that reading a prompt takes from each delicate stream beside it.
+/// Weight of the time that reading a prompt takes from each delicate stream beside it. Without it and
+/// [`HARM_BEYOND`], prompts are read beside streams and make them late: 0.731 against 0.618.
 const HARM: f64 = 0.25;
 /// Part of the tightest pause that reading beside a delicate stream may fill without harm.
 const PAUSE_PART: f64 = 0.35;
 /// Weight of the reading time beyond that, for each delicate stream: it comes late then.
 const HARM_BEYOND: f64 = 2.0;
-/// Weight of the reading that a delicate stream must expect beside it.
+/// Weight of the reading that a delicate stream must expect beside it: 0.731 against 0.703.
 const EXPOSURE: f64 = 0.4;
-/// Price of a full batch, in ms; it grows with the square of the part in use.
+/// Price of a full batch, in ms; it grows with the square of the part in use. At 400 and 800 ms streams
+/// leave engines with room for ones that read: on 55 engines 0.705 against 0.684 and 0.664.
 const FULL_BATCH_MS: f64 = 200.0;
 /// Part of the slots beyond which a request may have to wait for one.
 const BATCH_FULL: f64 = 0.85;
@@ -35,7 +40,8 @@
 /// twice, also for those who wait behind it.
 const READ_AGAIN: f64 = 8.0;
 /// Price of moving a token, in ms: links and memory are shared, and a prompt stays where its parts are
-/// unless that is busy. At a quarter of it, twice as many parts were moved and read again.
+/// unless that is busy. At a quarter of it, 1.6 times as much was moved and 1.4 times as much read
+/// again, since copies drive other parts out of memory (12 days, by what the platform priced).
 const MOVED_MS: f64 = 0.06;
 /// Memory in use above which an engine may have to preempt.
 const MEMORY_FULL: f64 = 0.88;
@@ -45,7 +51,8 @@
 /// Price of an endpoint that is kept for the other kind of load, in ms: no wall, so that a burst of
 /// one kind spills over.
 const OTHER_LANE_MS: f64 = 100.0;
-/// Most of the random addition to a price, in ms, besides [`SPREAD_READ`].
+/// Most of the random addition to a price, in ms, besides [`SPREAD_READ`]. It parts the choices of many
+/// entries: with thirty of them 0.718 against 0.674, with five nothing.
 const SPREAD_MS: f64 = 20.0;
 /// Most of the random addition to a price by the time that reading takes.
 const SPREAD_READ: f64 = 1.0;
@@ -79,7 +86,7 @@
 
 /// Price of the request's own time: a delay that leaves it in time costs its caller little, and the
 /// more the nearer its target comes. It leaves room to spare the streams beside it: 0.727 against
-/// 0.709 of the mean worth of three days with bursts.
+/// 0.709 without lanes, 0.731 against 0.726 with them.
 fn own_ms(demand: &Demand<'_>, expected: f64) -> f64 {
     let target = demand.target.0 as f64;
     if expected < target {
