--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -136,14 +136,8 @@
 #[test]
 fn no_team_told() {
     let order = Order {
-        endpoint: "i-1",
         time_left: Millis(0),
-        team: None,
-        priority: None,
-        last_event: None,
-        fetch_from: None,
-        copy_to: None,
-        copy_of: None,
+        ..bare_order()
     };
     let forged = [
         ("x-tenant", "forged"),
