Sight: what each read of a document brought, from whom, and how it failed

The logs could not tell a read that starves on its link (C1) from a slow processor (C2) or a slow store (C3), nor what a peer answered (D2). A `document_read` line for each read that failed or brought over 14 KB, a counter of bytes, gauges of the applied revision and of the time behind a peer. No decision changed.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::direct::resolve::Denied;
+use crate::direct::sync::Document;
 
 /// Lines a second about requests that went well. A full entry serves some hundred requests a
 /// second; a line takes about 10 microseconds.
@@ -185,6 +186,19 @@
         /// What was seen.
         why: String,
     },
+    /// A document was read from the store or a peer; told when that failed or brought much.
+    DocumentRead {
+        /// Which.
+        document: Document,
+        /// `store`, or the peer's address.
+        from: String,
+        /// How it failed; `None` where it went well.
+        failure: Option<String>,
+        /// Bytes of the answer's body that came.
+        bytes: u64,
+        /// Time in all, in ms.
+        took_ms: u64,
+    },
     /// A peer was lost or regained.
     Peer {
         /// Its address.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -211,6 +211,12 @@
         let now = self.clock.now();
         let gauges = &self.gauges;
         gauges.set("catalog_version", self.version());
+        gauges.set("applied_revision", self.applied.get());
+        let behind = self
+            .behind
+            .get()
+            .map_or(Millis(0), |(since, _)| now - since);
+        gauges.set("behind_ms", behind.0);
         gauges.set("entries", self.peers.borrow().entries(now) as u64);
         gauges.set("in_flight", self.in_flight.get());
         gauges.set("ready", u64::from(self.is_ready()));
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -12,14 +12,14 @@
 use crate::direct::changes;
 use crate::direct::entry::{Entry, Fetch};
 use crate::direct::ready;
-use crate::direct::sync::{self, CallError, StoreClient};
+use crate::direct::sync::{self, CallError, Document, Reading, StoreClient};
 
 /// Time for a peer to hand over its configuration or changes.
 const FETCH_TIME: Duration = Duration::from_millis(800);
 
 /// Takes a newer configuration from a peer; the store may not be reachable from here.
 pub async fn catalog(entry: Rc<Entry>, from: SocketAddr) {
-    match ask(&entry, from, ready::catalog_query()).await {
+    match ask(&entry, from, Document::Catalog, ready::catalog_query()).await {
         Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
             Ok(published) => entry.take_catalog(published, &from.to_string()),
             Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
@@ -32,7 +32,8 @@
 
 /// Takes the changes that a peer's watch brought and this entry has not applied.
 pub async fn changes(entry: Rc<Entry>, from: SocketAddr) {
-    match ask(&entry, from, ready::changes_query(entry.applied())).await {
+    let query = ready::changes_query(entry.applied());
+    match ask(&entry, from, Document::Changes, query).await {
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
             Some(passed) => {
                 if let Err(err) = sync::apply_passed(&entry, &passed) {
@@ -57,8 +58,18 @@
 async fn ask(
     entry: &Entry,
     peer: SocketAddr,
+    document: Document,
     query: RequestHead,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let address = SocketAddr::new(peer.ip(), entry.settings.borrow().admin.port());
-    StoreClient::new(address).call(query, FETCH_TIME).await
+    let client = StoreClient::new(address);
+    let reading = Reading::begin(entry, document, Some(peer));
+    let answer = client.call(query, FETCH_TIME).await;
+    let failure = match &answer {
+        Ok((status, _)) if !status.is_success() => Some(format!("status {}", status.as_u16())),
+        Ok(_) => None,
+        Err(err) => Some(err.to_string()),
+    };
+    reading.end(entry, &client, failure);
+    answer
 }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -21,6 +21,7 @@
     attempts: Counter<u64>,
     first_ms: Histogram<f64>,
     store_calls: Counter<u64>,
+    read_bytes: Counter<u64>,
     connections: Counter<u64>,
     state: Gauge<u64>,
 }
@@ -51,6 +52,7 @@
                 .with_boundaries(LATENCY_MS.to_vec())
                 .build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
+            read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
@@ -91,6 +93,15 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// A document was read from the store or a peer, or a part of it came.
+    pub fn read(&self, document: &'static str, source: &'static str, bytes: u64) {
+        let labels = [
+            KeyValue::new("document", document),
+            KeyValue::new("source", source),
+        ];
+        self.read_bytes.add(bytes, &labels);
+    }
+
     /// A connection to an endpoint was opened.
     pub fn connection(&self) {
         self.connections.add(1, &[]);
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -1,6 +1,6 @@
 //! A client of the store; peers are asked through it as well.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
     address: SocketAddr,
     /// The connection, while no call is under way on it.
     kept: RefCell<Option<Channel>>,
+    /// Bytes of the last answer's body that have arrived.
+    received: Cell<u64>,
 }
 
 impl StoreClient {
@@ -49,9 +51,15 @@
         Self {
             address,
             kept: RefCell::default(),
+            received: Cell::default(),
         }
     }
 
+    /// Bytes of the last answer's body that arrived, also where it did not end in time.
+    pub fn received(&self) -> u64 {
+        self.received.get()
+    }
+
     /// Makes one call. A connection whose answer was lost is never used again.
     pub async fn call(
         &self,
@@ -65,13 +73,16 @@
     }
 
     async fn exchange(&self, head: RequestHead) -> Result<(StatusCode, Bytes), Failure> {
+        self.received.set(0);
         let kept = self.kept.borrow_mut().take().filter(Channel::is_quiet);
         let channel = match kept {
             Some(channel) => channel,
             None => Channel::connect(self.address).await?,
         };
         let mut reply = channel.send(head, &Bytes::new(), |_| true).await?;
-        let body = reply.whole(MOST_BODY).await?;
+        let body = reply
+            .whole(MOST_BODY, |n| self.received.set(n as u64))
+            .await?;
         let status = reply.head.status;
         *self.kept.borrow_mut() = reply.into_channel();
         Ok((status, body))
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{call, CallError, StoreClient, CALL_TIME};
+use super::{call, CallError, Document, StoreClient, CALL_TIME};
 use crate::direct::dialect::Published;
 use crate::direct::directory::{Listed, Revision};
 use crate::direct::entry::Entry;
@@ -31,7 +31,7 @@
     let mut first = None;
     loop {
         let query = entry.dialect.page_query(from.as_deref());
-        let (status, body) = call(entry, client, query, CALL_TIME).await?;
+        let (status, body) = call(entry, client, Document::List, query, CALL_TIME).await?;
         let page = entry.dialect.page(status, &body);
         let page = page.map_err(CallError::Unusable)?;
         let begun = *first.get_or_insert(page.current);
@@ -46,7 +46,7 @@
 /// Reads the configuration; `None` where the store has none.
 async fn read_catalog(entry: &Entry, client: &StoreClient) -> Result<Option<Published>, CallError> {
     let query = entry.dialect.catalog_query();
-    let (status, body) = call(entry, client, query, CALL_TIME).await?;
+    let (status, body) = call(entry, client, Document::Catalog, query, CALL_TIME).await?;
     let catalog = entry.dialect.catalog(status, &body);
     catalog.map_err(CallError::Unusable)
 }
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod listing;
 mod prove;
+mod reading;
 mod watch;
 
 use std::time::Duration;
@@ -21,6 +22,7 @@
 pub use self::client::{CallError, StoreClient};
 pub use self::follow::follow;
 pub use self::prove::{prove, until_question};
+pub use self::reading::{Document, Reading};
 pub use self::watch::apply_passed;
 use crate::direct::entry::Entry;
 
@@ -29,14 +31,18 @@
 /// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
 
-/// Makes one call and counts it.
+/// Makes one call for a document and counts it.
 async fn call(
     entry: &Entry,
     client: &StoreClient,
+    document: Document,
     head: RequestHead,
     time: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
+    let reading = Reading::begin(entry, document, None);
     let answer = client.call(head, time).await;
+    let failure = answer.as_ref().err().map(ToString::to_string);
+    reading.end(entry, client, failure);
     entry.gauges.store_call(match &answer {
         Ok(_) => "answered",
         Err(_) => "failed",
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::watch::WATCH_LAG;
-use super::{call, CallError, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
+use super::{call, CallError, Document, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
 use crate::clock::Millis;
 use crate::direct::directory::Revision;
 use crate::direct::entry::Entry;
@@ -53,7 +53,7 @@
 /// Asks the store for its revision.
 async fn ask_revision(entry: &Entry, client: &StoreClient) -> Result<Revision, CallError> {
     let head = entry.dialect.revision_query();
-    let (status, body) = call(entry, client, head, CALL_TIME).await?;
+    let (status, body) = call(entry, client, Document::Revision, head, CALL_TIME).await?;
     let revision = entry.dialect.revision(status, &body);
     revision.map_err(CallError::Unusable)
 }
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::time::sleep;
 
-use super::{call, pause, CallError, StoreClient};
+use super::{call, pause, CallError, Document, StoreClient};
 use crate::clock::Millis;
 use crate::direct::changes::PassedOn;
 use crate::direct::dialect::{Unusable, Watched, Written};
@@ -69,7 +69,7 @@
 ) -> Result<(Watched, Bytes), CallError> {
     let head = entry.dialect.watch_query(after, wait);
     let time = wait.duration() + WATCH_SLACK;
-    let (status, body) = call(entry, client, head, time).await?;
+    let (status, body) = call(entry, client, Document::Changes, head, time).await?;
     let watched = entry.dialect.watched(status, &body);
     let watched = watched.map_err(CallError::Unusable)?;
     Ok((watched, body))
