--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -1,16 +1,19 @@
-//! A relay between two processes that can cut its connections, stand still, or refuse new ones.
+//! A relay between two processes that can cut its connections, stand still, refuse new ones, or be
+//! a narrow link.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{copy_bidirectional, AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::sleep;
 
 const LOOK: Duration = Duration::from_millis(10);
+/// Bytes that a narrow link carries at a time, whichever connection they belong to.
+const PACKET: usize = 4_096;
 
 /// A relay on this process's own tasks.
 #[derive(Debug, Clone)]
@@ -20,17 +23,28 @@
     cut: Rc<Notify>,
     refusing: Rc<Cell<bool>>,
     swallow: Rc<Cell<bool>>,
+    /// Bytes a second from the far side over all connections together; `None` for no bound.
+    rate: Rc<Cell<Option<u64>>>,
+    /// Held while a packet is on the link.
+    link: Rc<Mutex<()>>,
 }
 
 impl Relay {
     /// Starts a relay to an address.
     pub async fn start(to: SocketAddr) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(([127, 0, 0, 1], 0).into(), to).await
+    }
+
+    /// Starts a relay at an address to another one.
+    pub async fn start_at(at: SocketAddr, to: SocketAddr) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
         let relay = Self {
             addr: listener.local_addr()?,
             cut: Rc::default(),
             refusing: Rc::default(),
             swallow: Rc::default(),
+            rate: Rc::default(),
+            link: Rc::default(),
         };
         let cx = relay.clone();
         actix_rt::spawn(async move {
@@ -58,13 +72,50 @@
         self.swallow.set(swallow);
     }
 
+    /// Bounds what comes from the far side, in bytes a second, on open and new connections.
+    pub fn narrow(&self, rate: Option<u64>) {
+        self.rate.set(rate);
+    }
+
+    /// Passes bytes on, those from the far side at the link's rate.
+    async fn both_ways(&self, near: &mut TcpStream, far: &mut TcpStream) {
+        let (mut near_read, mut near_write) = near.split();
+        let (mut far_read, mut far_write) = far.split();
+        let there = tokio::io::copy(&mut near_read, &mut far_write);
+        let back = async {
+            let mut buf = [0; PACKET];
+            loop {
+                let len = match far_read.read(&mut buf).await {
+                    Ok(len) if len > 0 => len,
+                    _ => return,
+                };
+                self.wait_for_link(len).await;
+                if near_write.write_all(&buf[..len]).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            _ = there => {}
+            () = back => {}
+        }
+    }
+
+    /// Waits until a packet has passed the link.
+    async fn wait_for_link(&self, len: usize) {
+        let _held = self.link.lock().await;
+        if let Some(rate) = self.rate.get() {
+            sleep(Duration::from_secs_f64(len as f64 / rate as f64)).await;
+        }
+    }
+
     async fn carry(self, mut near: TcpStream, to: SocketAddr) {
         let Ok(mut far) = TcpStream::connect(to).await else {
             return;
         };
         if !self.swallow.get() {
             tokio::select! {
-                _ = copy_bidirectional(&mut near, &mut far) => {}
+                () = self.both_ways(&mut near, &mut far) => {}
                 () = self.cut.notified() => {}
                 () = wait_for(&self.swallow) => {
                     self.one_way(&mut near, &mut far).await;
