Reads of the store and of peers are bounded by progress, not by a fixed time

Cause: a read had 0.8 to 2.2 s in all, whatever its size, and each retry began at the first byte. Over 10 Mbit/s with callers beside, 1.1 to 1.5 MB never came whole; the link stayed full of thrown away bytes. Change: the head of an answer must come in time, its body must go on arriving (0.9 s of silence end it, 30 s at the most). A watch whose answer has begun isn't sent again, and an answer on its way is neither taken for an absent store nor for a lost watch.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -219,15 +219,13 @@
     }
 
     /// The whole body; [`Failure::Lost`] when it is longer than `most` bytes or ends early.
-    /// `arrived` is told how many bytes of it are there, after each piece.
-    pub async fn whole(&mut self, most: usize, arrived: impl Fn(usize)) -> Result<Bytes, Failure> {
+    pub async fn whole(&mut self, most: usize) -> Result<Bytes, Failure> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > most {
                 return Err(Failure::Lost);
             }
             body.extend_from_slice(&chunk);
-            arrived(body.len());
         }
         Ok(body.freeze())
     }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -88,6 +88,8 @@
     listed: Cell<bool>,
     /// Whether the store answered the last call; `None` before the first one.
     store_answers: Cell<Option<bool>>,
+    /// When a piece of an answer of the store came last.
+    store_sent: Cell<Option<Millis>>,
     in_flight: Cell<u64>,
     /// Whether the store is watched, and answered last.
     watching: Cell<bool>,
@@ -129,6 +131,7 @@
             unproven: Cell::default(),
             listed: Cell::default(),
             store_answers: Cell::default(),
+            store_sent: Cell::default(),
             in_flight: Cell::default(),
             watching: Cell::default(),
             changes: RefCell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -14,7 +14,22 @@
 /// after its pause for gathering them.
 const BEHIND: Millis = Millis(650);
 
+/// Time after a piece of a large answer in which the store counts as answering; longer than a
+/// question to it may take.
+const SENDS: Millis = Millis(1_000);
+
 impl Entry {
+    /// A piece of an answer of the store came.
+    pub fn store_sends(&self) {
+        self.store_sent.set(Some(self.clock.now()));
+    }
+
+    /// Whether no piece of an answer has come lately.
+    pub fn store_is_silent(&self) -> bool {
+        let now = self.clock.now();
+        self.store_sent.get().is_none_or(|at| now - at >= SENDS)
+    }
+
     /// The store answered a call.
     pub fn store_answered(&self) {
         let now = self.clock.now();
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -32,7 +32,7 @@
 
 /// Reads a whole body; [`Failure::Lost`] when it is too long or breaks off.
 pub async fn whole(reply: &mut Reply) -> Result<Bytes, Failure> {
-    reply.whole(MOST_WHOLE, |_| ()).await
+    reply.whole(MOST_WHOLE).await
 }
 
 /// Cuts an answer into whole events and drops those that the caller has already.
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -1,25 +1,33 @@
 //! A client of the store; peers are asked through it as well.
+//!
+//! An answer may be large and its link narrow, so a call has no fixed time in all: its head must
+//! come in time, and its body must go on arriving.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::{RequestHead, StatusCode};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::time::timeout;
 
-use crate::direct::channel::{Channel, Failure};
+use crate::direct::channel::{Channel, Failure, Reply};
 use crate::direct::dialect::Unusable;
 
-/// Longest body that is read from the store, in bytes.
+/// Longest body that is read, in bytes.
 const MOST_BODY: usize = 16 << 20;
+/// Silence within a body after which it is given up: the store and peers send what they have in one
+/// go, and three retransmissions of a packet take less.
+const STALL: Duration = Duration::from_millis(900);
+/// Longest time for a body that goes on arriving: [`MOST_BODY`] over a link of 10 Mbit/s, twice.
+const LONGEST: Duration = Duration::from_secs(30);
 
 /// A call to the store that brought nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallError {
     /// The connection failed.
     Connection(Failure),
-    /// No answer in time.
+    /// No answer in time, or it stopped arriving.
     Silent,
     /// The answer can't be used.
     Unusable(Unusable),
@@ -35,6 +43,10 @@
     }
 }
 
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct Arriving(Reply);
+
 /// A client of the store that keeps one connection.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -60,31 +72,66 @@
         self.received.get()
     }
 
-    /// Makes one call. A connection whose answer was lost is never used again.
+    /// Makes one call, whose answer begins within `time`. A connection whose answer was lost is never
+    /// used again.
     pub async fn call(
         &self,
         head: RequestHead,
         time: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let called = timeout(time, self.exchange(head)).await;
-        called
-            .map_err(|_| CallError::Silent)?
-            .map_err(CallError::Connection)
+        let arriving = self.begin(head, time).await?;
+        self.finish(arriving, |_| ()).await
     }
 
-    async fn exchange(&self, head: RequestHead) -> Result<(StatusCode, Bytes), Failure> {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn begin(&self, head: RequestHead, time: Duration) -> Result<Arriving, CallError> {
         self.received.set(0);
+        let begun = timeout(time, self.exchange(head)).await;
+        let reply = begun.map_err(|_| CallError::Silent)?;
+        reply.map(Arriving).map_err(CallError::Connection)
+    }
+
+    /// Reads the rest of an answer as long as it goes on arriving; `arrived` hears how
+    /// many bytes are there, after each piece.
+    pub async fn finish(
+        &self,
+        arriving: Arriving,
+        arrived: impl Fn(u64),
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let reading = timeout(LONGEST, self.read_body(arriving.0, arrived));
+        reading.await.map_err(|_| CallError::Silent)?
+    }
+
+    async fn exchange(&self, head: RequestHead) -> Result<Reply, Failure> {
         let kept = self.kept.borrow_mut().take().filter(Channel::is_quiet);
         let channel = match kept {
             Some(channel) => channel,
             None => Channel::connect(self.address).await?,
         };
-        let mut reply = channel.send(head, &Bytes::new(), |_| true).await?;
-        let body = reply
-            .whole(MOST_BODY, |n| self.received.set(n as u64))
-            .await?;
+        channel.send(head, &Bytes::new(), |_| true).await
+    }
+
+    async fn read_body(
+        &self,
+        mut reply: Reply,
+        arrived: impl Fn(u64),
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let mut body = BytesMut::new();
+        loop {
+            let piece = timeout(STALL, reply.chunk()).await;
+            let piece = piece.map_err(|_| CallError::Silent)?;
+            let Some(piece) = piece.map_err(CallError::Connection)? else {
+                break;
+            };
+            if body.len() + piece.len() > MOST_BODY {
+                return Err(CallError::Connection(Failure::Lost));
+            }
+            body.extend_from_slice(&piece);
+            self.received.set(body.len() as u64);
+            arrived(body.len() as u64);
+        }
         let status = reply.head.status;
         *self.kept.borrow_mut() = reply.into_channel();
-        Ok((status, body))
+        Ok((status, body.freeze()))
     }
 }
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -19,7 +19,7 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-pub use self::client::{CallError, StoreClient};
+pub use self::client::{Arriving, CallError, StoreClient};
 pub use self::follow::follow;
 pub use self::prove::{prove, until_question};
 pub use self::reading::{Document, Reading};
@@ -31,6 +31,9 @@
 /// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
 
+/// Bytes from which on an answer counts as large: 50 ms of a link of 10 Mbit/s.
+const LARGE: u64 = 64 << 10;
+
 /// Makes one call for a document and counts it.
 async fn call(
     entry: &Entry,
@@ -40,7 +43,26 @@
     time: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let reading = Reading::begin(entry, document, None);
-    let answer = client.call(head, time).await;
+    let begun = client.begin(head, time).await;
+    finish(entry, client, reading, begun).await
+}
+
+/// Reads the answer that has begun, if it has, and counts the call.
+async fn finish(
+    entry: &Entry,
+    client: &StoreClient,
+    reading: Reading,
+    begun: Result<Arriving, CallError>,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let arrived = |bytes| {
+        if bytes >= LARGE {
+            entry.store_sends();
+        }
+    };
+    let answer = match begun {
+        Ok(arriving) => client.finish(arriving, arrived).await,
+        Err(err) => Err(err),
+    };
     let failure = answer.as_ref().err().map(ToString::to_string);
     reading.end(entry, client, failure);
     entry.gauges.store_call(match &answer {
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -43,7 +43,10 @@
                 }
             }
             Err(err) => {
-                entry.store_failed(&err);
+                // A question may wait behind a large answer; the store is there all the same.
+                if entry.store_is_silent() {
+                    entry.store_failed(&err);
+                }
                 sleep(AWAY_PAUSE).await;
             }
         }
@@ -95,10 +98,11 @@
     })
 }
 
-/// Has everything read anew when the watch does not bring what the store has.
+/// Has everything read anew when the watch does not bring what the store has, and no large answer
+/// that may hold it is on its way.
 async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(WATCH_LAG).await;
-    if entry.applied() < revision {
+    if entry.applied() < revision && entry.store_is_silent() {
         entry.list_again.notify_one();
     }
 }
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::time::sleep;
 
-use super::{call, pause, CallError, Document, StoreClient};
+use super::{finish, pause, Arriving, CallError, Document, Reading, StoreClient};
 use crate::clock::Millis;
 use crate::direct::changes::PassedOn;
 use crate::direct::dialect::{Unusable, Watched, Written};
@@ -33,12 +33,13 @@
 /// Watches once, for at most `wait`; false when everything is to be read anew.
 pub(super) async fn watch(entry: &Rc<Entry>, client: &StoreClient, wait: Millis) -> bool {
     let after = entry.applied();
-    let watched = tokio::select! {
-        watched = read_watch(entry, client, after, wait) => watched,
+    let begun = tokio::select! {
+        begun = begin_watch(entry, client, after, wait) => begun,
         () = entry.list_again.notified() => return false,
         () = entry.watch_again.notified() => return true,
     };
-    match watched {
+    // What has begun to arrive is read to its end: asking again would begin at the first byte.
+    match read_watch(entry, client, begun).await {
         Ok((Watched::Changes(changes, current), text)) => {
             entry.store_answered();
             if changes.is_empty() {
@@ -60,16 +61,25 @@
     }
 }
 
-/// Makes the call of a watch: what it brought, and the store's text of that.
-async fn read_watch(
+/// Makes the call of a watch and waits until its answer begins.
+async fn begin_watch(
     entry: &Entry,
     client: &StoreClient,
     after: Revision,
     wait: Millis,
-) -> Result<(Watched, Bytes), CallError> {
+) -> Result<Arriving, CallError> {
     let head = entry.dialect.watch_query(after, wait);
-    let time = wait.duration() + WATCH_SLACK;
-    let (status, body) = call(entry, client, Document::Changes, head, time).await?;
+    client.begin(head, wait.duration() + WATCH_SLACK).await
+}
+
+/// Reads the answer: what it brought, and the store's text of that.
+async fn read_watch(
+    entry: &Entry,
+    client: &StoreClient,
+    begun: Result<Arriving, CallError>,
+) -> Result<(Watched, Bytes), CallError> {
+    let reading = Reading::begin(entry, Document::Changes, None);
+    let (status, body) = finish(entry, client, reading, begun).await?;
     let watched = entry.dialect.watched(status, &body);
     let watched = watched.map_err(CallError::Unusable)?;
     Ok((watched, body))
