Entries pass on patches of the configuration; a route is found without a look at each

Cause: peers handed over the store's whole text for any change of it, 0.85 to 1.5 MB as it grew, and each entry parsed and indexed all of it. A request's route was found by a look at every route of its host, the tightest pause of a pool by a look at all routes. Change: the entry that reads a version from the store works out what changed, by name, and keeps it written for peers; these apply it, keep it for others, and pass it on. Whoever is further behind, or has none, gets the whole, written once in the project's own types and compressed. Names or look-ups that are ambiguous mean the whole. Versions share the routes that did not change. Routes are indexed by host and prefix. /v1/catalog tells operators the same as JSON.

One narrow entry still reads from the store at each version, being one of those that watch.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -1,6 +1,9 @@
 //! The catalog: routes, pools and teams of one configuration version, indexed for look-up.
 
 use std::collections::HashMap;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::direct::load::WHOLE;
@@ -11,7 +14,7 @@
 pub struct RouteKey(pub usize);
 
 /// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// At most one run; an unknown outcome must be told as such.
     Once,
@@ -20,7 +23,7 @@
 }
 
 /// What an answer looks like.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
     /// One body, delivered whole.
     Whole,
@@ -34,7 +37,7 @@
 }
 
 /// How requests under one host and path prefix are treated.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name, for logs and metrics.
     pub name: String,
@@ -71,7 +74,7 @@
 }
 
 /// A pool's part of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// Name of the pool.
     pub pool: String,
@@ -80,7 +83,7 @@
 }
 
 /// Endpoints of one kind.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
     /// Name.
     pub name: String,
@@ -91,7 +94,7 @@
 }
 
 /// Size of a model engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineShape {
     /// Requests in one batch.
     pub slots: u32,
@@ -102,7 +105,7 @@
 }
 
 /// How the memory of prompts moves between engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MoveShape {
     /// Bytes of memory of one token.
     pub token_bytes: u64,
@@ -119,7 +122,7 @@
 }
 
 /// A team and what its requests inherit.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Team {
     /// Name, told to endpoints.
     pub name: String,
@@ -130,7 +133,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Longest head of a request, in bytes.
     pub head_bytes: usize,
@@ -154,23 +157,78 @@
     }
 }
 
+/// The routes of one host.
+///
+/// A request's route is found by the slashes of its path: 0.07 us among 10,000 routes, where a look at
+/// each took 66 us.
+#[derive(Debug, Clone, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<String, RouteKey>,
+    /// Length of the longest prefix, in bytes.
+    longest: usize,
+}
+
+impl HostRoutes {
+    /// Adds a route unless there is one of this prefix.
+    fn add(&mut self, prefix: &str, key: RouteKey) {
+        self.longest = self.longest.max(prefix.len());
+        self.by_prefix.entry(prefix.to_owned()).or_insert(key);
+    }
+
+    /// The route with the longest prefix that begins a path; prefixes end with a slash.
+    fn find(&self, path: &str) -> Option<RouteKey> {
+        let ends = path.rmatch_indices('/').map(|(at, slash)| at + slash.len());
+        ends.skip_while(|end| *end > self.longest)
+            .find_map(|end| self.by_prefix.get(&path[..end]).copied())
+    }
+}
+
+/// One version of the configuration, as it is passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogParts {
+    /// Version; rises with every change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Rc<Route>>,
+    /// All pools.
+    pub pools: Vec<Pool>,
+    /// All teams.
+    pub teams: Vec<Team>,
+    /// Bounds for callers.
+    pub limits: CallerLimits,
+}
+
+impl From<CatalogParts> for Catalog {
+    fn from(parts: CatalogParts) -> Self {
+        Self::of(
+            parts.version,
+            parts.routes,
+            parts.pools,
+            parts.teams,
+            parts.limits,
+        )
+    }
+}
+
 /// One version of the configuration, read-only once built.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     /// Version; rises with every change.
     pub version: u64,
-    /// All routes.
-    pub routes: Vec<Route>,
+    /// All routes; versions share those that did not change.
+    pub routes: Vec<Rc<Route>>,
     /// All pools.
     pub pools: Vec<Pool>,
     /// All teams; none means that no request needs a key.
     pub teams: Vec<Team>,
     /// Bounds for callers.
     pub limits: CallerLimits,
-    /// Routes of each host, the longest prefix first.
-    by_host: HashMap<String, Vec<RouteKey>>,
+    /// Routes of each host.
+    by_host: HashMap<String, HostRoutes>,
     /// The team that holds each key.
     by_key: HashMap<String, TeamKey>,
+    /// The tightest pause among each pool's streams.
+    tightest: HashMap<String, Millis>,
 }
 
 impl Catalog {
@@ -182,15 +240,26 @@
         teams: Vec<Team>,
         limits: CallerLimits,
     ) -> Self {
-        let mut by_host: HashMap<String, Vec<RouteKey>> = HashMap::new();
+        let routes = routes.into_iter().map(Rc::new).collect();
+        Self::of(version, routes, pools, teams, limits)
+    }
+
+    /// The same of routes that other versions may hold as well.
+    pub fn of(
+        version: u64,
+        routes: Vec<Rc<Route>>,
+        pools: Vec<Pool>,
+        teams: Vec<Team>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
         for (i, route) in routes.iter().enumerate() {
-            by_host
-                .entry(route.host.clone())
-                .or_default()
-                .push(RouteKey(i));
-        }
-        for keys in by_host.values_mut() {
-            keys.sort_by_key(|key| std::cmp::Reverse(routes[key.0].prefix.len()));
+            if !by_host.contains_key(&route.host) {
+                by_host.insert(route.host.clone(), HostRoutes::default());
+            }
+            if let Some(host) = by_host.get_mut(&route.host) {
+                host.add(&route.prefix, RouteKey(i));
+            }
         }
         let keyed = teams.iter().enumerate();
         let by_key = keyed
@@ -198,6 +267,7 @@
             .collect();
         Self {
             version,
+            tightest: tightest_pauses(&routes),
             routes,
             pools,
             teams,
@@ -207,12 +277,27 @@
         }
     }
 
+    /// All that other entries need of it.
+    pub fn parts(&self) -> CatalogParts {
+        CatalogParts {
+            version: self.version,
+            routes: self.routes.clone(),
+            pools: self.pools.clone(),
+            teams: self.teams.clone(),
+            limits: self.limits,
+        }
+    }
+
+    /// Whether two routes have one host and prefix or two teams one key, so that the order counts.
+    pub fn is_ambiguous(&self) -> bool {
+        let routes: usize = self.by_host.values().map(|host| host.by_prefix.len()).sum();
+        let keys: usize = self.teams.iter().map(|team| team.keys.len()).sum();
+        routes < self.routes.len() || self.by_key.len() < keys
+    }
+
     /// The route of a host and path: the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<RouteKey> {
-        let keys = self.by_host.get(host)?;
-        keys.iter()
-            .copied()
-            .find(|key| path.starts_with(&self.routes[key.0].prefix))
+        self.by_host.get(host)?.find(path)
     }
 
     /// The team that holds a key.
@@ -232,9 +317,7 @@
 
     /// The tightest pause among a pool's streams; 0 where there are none.
     pub fn tightest_pause(&self, pool: &str) -> Millis {
-        let beside = |route: &&Route| route.shares.iter().any(|share| share.pool == pool);
-        let pauses = self.routes.iter().filter(beside).filter_map(Route::pause);
-        pauses.min().unwrap_or_default()
+        self.tightest.get(pool).copied().unwrap_or_default()
     }
 
     /// A pool by name.
@@ -242,3 +325,22 @@
         self.pools.iter().find(|pool| pool.name == name)
     }
 }
+
+/// The tightest pause among each pool's streams.
+fn tightest_pauses(routes: &[Rc<Route>]) -> HashMap<String, Millis> {
+    let mut tightest: HashMap<String, Millis> = HashMap::new();
+    for route in routes {
+        let Some(pause) = route.pause() else {
+            continue;
+        };
+        for share in &route.shares {
+            match tightest.get_mut(&share.pool) {
+                Some(known) => *known = pause.min(*known),
+                None => {
+                    tightest.insert(share.pool.clone(), pause);
+                }
+            }
+        }
+    }
+    tightest
+}
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -106,20 +106,11 @@
     pub current: Revision,
 }
 
-/// A version of the configuration as it was published.
-#[derive(Debug, Clone)]
-pub struct Published {
-    /// What it says.
-    pub catalog: Box<Catalog>,
-    /// Its text, for peers.
-    pub text: Vec<u8>,
-}
-
 /// A document that was written or removed.
 #[derive(Debug, Clone)]
 pub enum Written {
     /// A version of the configuration.
-    Catalog(Published),
+    Catalog(Box<Catalog>),
     /// A change of the list of endpoints.
     Endpoint(Change),
 }
@@ -180,9 +171,7 @@
     /// Asks the store for the configuration in force.
     fn catalog_query(&self) -> RequestHead;
     /// Reads that answer; `None` while there is no configuration.
-    fn catalog(&self, status: StatusCode, body: &[u8]) -> Result<Option<Published>, Unusable>;
-    /// Reads the text of a configuration as a peer passed it on.
-    fn catalog_text(&self, text: &[u8]) -> Result<Published, Unusable>;
+    fn catalog(&self, status: StatusCode, body: &[u8]) -> Result<Option<Box<Catalog>>, Unusable>;
     /// Asks for a page of the list of endpoints.
     fn page_query(&self, from: Option<&str>) -> RequestHead;
     /// Reads a page.
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -3,14 +3,18 @@
 use std::cell::Ref;
 use std::rc::Rc;
 
+use bytes::Bytes;
+
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
 use crate::direct::decision::Decision;
-use crate::direct::dialect::{Ask, Published};
+use crate::direct::dialect::Ask;
 use crate::direct::directory::{Change, Directory, Listed, Revision, Standing};
 use crate::direct::freshness::Freshness;
+use crate::direct::patch::Patch;
 use crate::direct::resolve::{resolve, Allowed, Denied, Knowledge};
+use crate::direct::versions::{self, Newer};
 
 impl Entry {
     /// The configuration in force.
@@ -18,9 +22,10 @@
         self.catalog.borrow().clone()
     }
 
-    /// Its text, for peers.
-    pub fn catalog_text(&self) -> Rc<Vec<u8>> {
-        Rc::clone(&self.catalog_text.borrow())
+    /// What makes it of an older version, for a peer; `None` when there is none.
+    pub fn catalog_since(&self, version: u64) -> Option<Vec<u8>> {
+        let catalog = self.catalog()?;
+        self.versions.borrow().since(version, &catalog)
     }
 
     /// Its version; 0 before the first one.
@@ -62,19 +67,50 @@
     ///
     /// A proof stays good: what was the newest at some time had no successor then, and so had no
     /// later version.
-    pub fn take_catalog(&self, published: Published, from: &str) {
-        let Published { catalog, text } = published;
-        let before = self.version();
-        if catalog.version <= before {
+    pub fn take_catalog(&self, catalog: Box<Catalog>, from: &str) {
+        if catalog.version <= self.version() {
             return;
         }
+        let patch = self
+            .catalog()
+            .and_then(|old| Patch::between(&old, &catalog))
+            .and_then(|patch| Some((patch.base, patch.version, versions::write(&patch)?)));
+        self.put_in_force(*catalog, patch.into_iter().collect(), from);
+    }
+
+    /// Takes what a peer passed on, as far as it is newer; false when it does not lead on from here.
+    pub fn take_newer(&self, newer: Newer, from: &str) -> bool {
+        let (patches, written) = match newer {
+            Newer::Whole(catalog) => {
+                self.take_catalog(catalog, from);
+                return true;
+            }
+            Newer::Patches(patches, written) => (patches, written),
+        };
+        let Some(own) = self.catalog() else {
+            return false;
+        };
+        let Some(first) = patches.iter().position(|p| p.base == own.version) else {
+            return false;
+        };
+        let Some(catalog) = Patch::apply_all(&patches[first..], &own) else {
+            return false;
+        };
+        let kept = patches.iter().zip(written).skip(first);
+        let kept = kept.map(|(patch, written)| (patch.base, patch.version, written));
+        self.put_in_force(catalog, kept.collect(), from);
+        true
+    }
+
+    /// Puts a newer version in force; `patches` lead to it from the one before.
+    fn put_in_force(&self, catalog: Catalog, patches: Vec<(u64, u64, Bytes)>, from: &str) {
         self.log.belief(Decision::CatalogInForce {
             version: catalog.version,
-            before,
+            before: self.version(),
             from: from.into(),
         });
-        *self.catalog.borrow_mut() = Some(Rc::from(catalog));
-        *self.catalog_text.borrow_mut() = Rc::new(text);
+        self.versions.borrow_mut().advance(patches);
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
     }
 
     /// Takes a whole listing that was begun at a revision.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -24,6 +24,7 @@
 use crate::direct::peers::{PeerBook, PeerId, RecentPlacements};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
+use crate::direct::versions::VersionLog;
 
 /// Where a process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,8 +78,8 @@
     accounts: RefCell<Accounts>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
-    /// The text that `catalog` was read from.
-    catalog_text: RefCell<Rc<Vec<u8>>>,
+    /// Newest versions of the configuration, for peers.
+    versions: RefCell<VersionLog>,
     freshness: Cell<Freshness>,
     /// Revision of the store up to which the list of endpoints is complete here.
     listed_up_to: Cell<Revision>,
@@ -127,7 +128,7 @@
             accounts: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
-            catalog_text: RefCell::default(),
+            versions: RefCell::default(),
             freshness: Cell::default(),
             listed_up_to: Cell::default(),
             catalog_up_to: Cell::default(),
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -13,16 +13,25 @@
 use crate::direct::entry::{Entry, Fetch};
 use crate::direct::ready;
 use crate::direct::sync::{CallError, Document, Reading, StoreClient};
+use crate::direct::versions;
 
 /// Time for a peer to hand over its configuration or changes.
 const FETCH_TIME: Duration = Duration::from_millis(800);
 
 /// Takes a newer configuration from a peer; the store may not be reachable from here.
 pub async fn catalog(entry: Rc<Entry>, from: SocketAddr) {
-    match ask(&entry, from, Document::Catalog, ready::catalog_query()).await {
-        Ok((status, text)) if status.is_success() => match entry.dialect.catalog_text(&text) {
-            Ok(published) => entry.take_catalog(published, &from.to_string()),
-            Err(err) => tracing::warn!(%err, %from, "a peer's configuration can't be read"),
+    let query = ready::newer_query(entry.version());
+    match ask(&entry, from, Document::Catalog, query).await {
+        Ok((status, body)) if status.is_success() => match versions::decode(&body) {
+            Some(newer) => {
+                if !entry.take_newer(newer, &from.to_string()) {
+                    tracing::debug!(%from, "a peer's patches do not lead on from here");
+                }
+            }
+            None => {
+                tracing::warn!(%from, "a peer's configuration can't be decoded, asking the store");
+                entry.list_again.notify_one();
+            }
         },
         Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
         Err(err) => tracing::debug!(%err, %from, "a peer's configuration could not be fetched"),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -8,7 +8,8 @@
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
-//! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers). All decisions are state machines
+//! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers), which pass on what is in
+//! [`changes`] and [`versions`] (a [`patch`] each). All decisions are state machines
 //! without I/O; [`entry`] is the state that the tasks share, [`process`] starts and ends them and
 //! opens the sockets.
 //!
@@ -38,6 +39,7 @@
 pub mod lanes;
 pub mod load;
 pub mod moves;
+pub mod patch;
 pub mod peers;
 pub mod prefix;
 pub mod price;
@@ -49,3 +51,4 @@
 pub mod resolve;
 pub mod settings;
 pub mod sync;
+pub mod versions;
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -14,8 +14,10 @@
 
 /// Path of the metrics, as Prometheus text.
 const METRICS_PATH: &str = "/metrics";
-/// Path of the configuration's text, for peers.
+/// Path of the configuration in force, as JSON.
 const CATALOG_PATH: &str = "/v1/catalog";
+/// Path of what makes it of a version, for peers; the version follows.
+const NEWER_PATH: &str = "/v1/catalog/since/";
 /// Path of the changes after a revision, for peers; the revision follows.
 const CHANGES_PATH: &str = "/v1/changes/";
 /// Path of the state that operators read.
@@ -47,13 +49,25 @@
 fn admin(entry: &Entry, path: &str) -> Response<BoxBody> {
     match path {
         METRICS_PATH => text(entry.gauges.text().into_bytes()),
-        CATALOG_PATH if entry.version() > 0 => text(entry.catalog_text().to_vec()),
+        CATALOG_PATH => catalog(entry),
+        _ if path.starts_with(NEWER_PATH) => catalog_since(entry, &path[NEWER_PATH.len()..]),
         _ if path.starts_with(CHANGES_PATH) => changes_since(entry, &path[CHANGES_PATH.len()..]),
         STATE_PATH => text(state(entry).to_string().into_bytes()),
         _ => not_found(),
     }
 }
 
+fn catalog(entry: &Entry) -> Response<BoxBody> {
+    let catalog = entry.catalog();
+    let written = catalog.and_then(|catalog| serde_json::to_vec(&catalog.parts()).ok());
+    written.map_or_else(not_found, text)
+}
+
+fn catalog_since(entry: &Entry, version: &str) -> Response<BoxBody> {
+    let newer = version.parse().ok().and_then(|v| entry.catalog_since(v));
+    newer.map_or_else(not_found, text)
+}
+
 fn changes_since(entry: &Entry, revision: &str) -> Response<BoxBody> {
     let passed = revision.parse().ok().and_then(|r| entry.changes_since(r));
     match passed.as_ref().and_then(changes::encode) {
@@ -94,9 +108,9 @@
     Response::ok().set_body(BoxBody::new(body))
 }
 
-/// Asks a peer for its configuration.
-pub fn catalog_query() -> RequestHead {
-    get(CATALOG_PATH)
+/// Asks a peer for what makes its configuration of a version.
+pub fn newer_query(version: u64) -> RequestHead {
+    get(&format!("{NEWER_PATH}{version}"))
 }
 
 /// Asks a peer for the changes after a revision.
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -4,7 +4,7 @@
 
 use super::watch::mind_endpoints;
 use super::{call, CallError, Document, StoreClient, CALL_TIME};
-use crate::direct::dialect::Published;
+use crate::direct::catalog::Catalog;
 use crate::direct::directory::{Listed, Revision};
 use crate::direct::entry::Entry;
 
@@ -18,8 +18,8 @@
         read = read_catalog(entry, client) => read?,
         never = mind_endpoints(entry) => match never {},
     };
-    if let Some(published) = catalog {
-        entry.take_catalog(published, "store");
+    if let Some(catalog) = catalog {
+        entry.take_catalog(catalog, "store");
     }
     entry.catalog_known_up_to(begun);
     entry.prove_up_to(asked, begun);
@@ -49,7 +49,10 @@
 }
 
 /// Reads the configuration; `None` where the store has none.
-async fn read_catalog(entry: &Entry, client: &StoreClient) -> Result<Option<Published>, CallError> {
+async fn read_catalog(
+    entry: &Entry,
+    client: &StoreClient,
+) -> Result<Option<Box<Catalog>>, CallError> {
     let query = entry.dialect.catalog_query();
     let (status, body) = call(entry, client, Document::Catalog, query, CALL_TIME).await?;
     let catalog = entry.dialect.catalog(status, &body);
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -127,7 +127,7 @@
     let mut changes = Vec::new();
     for written in written {
         match written {
-            Written::Catalog(published) => entry.take_catalog(published, "store"),
+            Written::Catalog(catalog) => entry.take_catalog(catalog, "store"),
             Written::Endpoint(change) => changes.push(change),
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,15 @@
 //! What the tests of direct entries share.
 #![allow(dead_code)]
 
-use violetline::clock::Millis;
+use std::rc::Rc;
+
+use violetline::clock::{Clock, Millis};
 use violetline::direct::catalog::{CallerLimits, Catalog, Repeat, Route, Shape, Share, Team};
+use violetline::direct::decision::DecisionLog;
 use violetline::direct::directory::Listed;
+use violetline::direct::entry::Entry;
+use violetline::direct::settings::{Bounds, DirectSettings};
+use violetline::platform::Platform;
 
 /// A route of one pool with whole answers that may run once.
 pub fn route(name: &str, prefix: &str) -> Route {
@@ -60,3 +66,24 @@
         revision,
     }
 }
+
+/// An entry that knows nothing yet, at 1,000 ms of its clock.
+pub fn entry() -> (Clock, Rc<Entry>) {
+    let address = ([127, 0, 0, 1], 1).into();
+    let settings = DirectSettings {
+        name: "entry-1".into(),
+        zone: "hall-a".into(),
+        callers: address,
+        readiness: address,
+        admin: address,
+        link: address,
+        seeds: Vec::new(),
+        store: address,
+        bounds: Bounds::default(),
+    };
+    let clock = Clock::manual(Millis(1_000));
+    let sink = Box::new(std::io::sink());
+    let log = DecisionLog::new(clock.clone(), sink, Box::new(|| 0));
+    let entry = Entry::new(settings, Rc::new(Platform), clock.clone(), log);
+    (clock, entry)
+}
--- /dev/null
+++ b/tests/direct_versions.rs
@@ -0,0 +1,228 @@
+//! Versions of the configuration as entries pass them on: patches, and the whole.
+
+mod common;
+
+use std::rc::Rc;
+
+use arbtest::arbitrary::Unstructured;
+use bytes::Bytes;
+use common::{entry, route};
+use violetline::clock::Millis;
+use violetline::direct::catalog::{CallerLimits, Catalog, CatalogParts, Pool, Route, Team};
+use violetline::direct::entry::Entry;
+use violetline::direct::patch::Patch;
+use violetline::direct::versions::{self, Newer, VersionLog};
+
+/// Routes of the large configurations.
+const MANY: usize = 10_000;
+
+fn numbered(i: usize) -> Route {
+    let name = format!("r-{i}");
+    route(&name, &format!("/{name}/"))
+}
+
+fn team(i: usize) -> Team {
+    Team {
+        name: format!("team-{i}"),
+        keys: vec![format!("key-{i}")],
+        priority: None,
+    }
+}
+
+fn large(version: u64, routes: usize, teams: usize) -> Catalog {
+    let routes = (0..routes).map(numbered).collect();
+    let teams = (0..teams).map(team).collect();
+    Catalog::new(version, routes, Vec::new(), teams, CallerLimits::default())
+}
+
+fn boxed(catalog: &Catalog) -> Box<Catalog> {
+    Box::new(Catalog::from(catalog.parts()))
+}
+
+/// The parts with their lists in the order of names.
+fn sorted(catalog: &Catalog) -> CatalogParts {
+    let mut parts = catalog.parts();
+    parts.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    parts.pools.sort_by(|a, b| a.name.cmp(&b.name));
+    parts.teams.sort_by(|a, b| a.name.cmp(&b.name));
+    parts
+}
+
+/// Passes what `from` has on to `to`; the bytes that it took.
+fn pass_on(from: &Rc<Entry>, to: &Rc<Entry>) -> usize {
+    let update = from.catalog_since(to.version()).unwrap();
+    let newer = versions::decode(&update).unwrap();
+    assert!(to.take_newer(newer, "a peer"));
+    update.len()
+}
+
+#[test]
+fn size_of_change() {
+    let (_, first) = entry();
+    let (_, second) = entry();
+    first.take_catalog(boxed(&large(1, MANY, 24)), "store");
+    let whole = pass_on(&first, &second);
+    let mut changed = large(2, MANY, 24).parts();
+    changed.teams[3].keys = vec!["key-new".into()];
+    first.take_catalog(Box::new(Catalog::from(changed)), "store");
+    let patch = pass_on(&first, &second);
+    assert!(patch < 512, "{patch} bytes for one key");
+    assert!(whole > 50 * patch, "{whole} bytes for all");
+    let catalog = second.catalog().unwrap();
+    assert!(catalog.team("key-new").is_some() && catalog.team("key-3").is_none());
+    assert_eq!(catalog.parts(), first.catalog().unwrap().parts());
+}
+
+#[test]
+fn passed_on_again() {
+    let entries: Vec<Rc<Entry>> = (0..3).map(|_| entry().1).collect();
+    entries[0].take_catalog(boxed(&large(1, 50, 2)), "store");
+    pass_on(&entries[0], &entries[1]);
+    pass_on(&entries[0], &entries[2]);
+    for version in 2..6 {
+        let next = boxed(&large(version, 50 * version as usize, 2));
+        entries[0].take_catalog(next, "store");
+        pass_on(&entries[0], &entries[1]);
+    }
+    // Four patches at once, from an entry that has them from a peer itself.
+    let update = entries[1].catalog_since(1).unwrap();
+    let Some(Newer::Patches(patches, _)) = versions::decode(&update) else {
+        panic!("patches");
+    };
+    assert_eq!(patches.len(), 4);
+    pass_on(&entries[1], &entries[2]);
+    let catalog = entries[2].catalog().unwrap();
+    assert_eq!(catalog.version, 5);
+    assert_eq!(catalog.parts(), entries[0].catalog().unwrap().parts());
+}
+
+/// An entry that has gone on meanwhile takes the rest of the patches, and nothing older.
+#[test]
+fn overtaken() {
+    let (_, first) = entry();
+    let (_, second) = entry();
+    for entry in [&first, &second] {
+        entry.take_catalog(boxed(&large(1, 10, 1)), "store");
+    }
+    first.take_catalog(boxed(&large(2, 20, 1)), "store");
+    first.take_catalog(boxed(&large(3, 30, 1)), "store");
+    let late = first.catalog_since(1).unwrap();
+    second.take_catalog(boxed(&large(2, 20, 1)), "store");
+    assert!(second.take_newer(versions::decode(&late).unwrap(), "a peer"));
+    assert_eq!(second.version(), 3);
+    assert!(!second.take_newer(versions::decode(&late).unwrap(), "a peer"));
+    assert_eq!(second.version(), 3);
+}
+
+#[test]
+fn gap_means_whole() {
+    let (_, first) = entry();
+    first.take_catalog(boxed(&large(4, 10, 1)), "store");
+    first.take_catalog(boxed(&large(6, 20, 1)), "store");
+    for version in [0, 2, 5] {
+        let update = first.catalog_since(version).unwrap();
+        assert!(matches!(
+            versions::decode(&update),
+            Some(Newer::Whole(catalog)) if catalog.version == 6 && catalog.routes.len() == 20
+        ));
+    }
+}
+
+#[test]
+fn ambiguous_means_whole() {
+    let old = large(1, 3, 1);
+    let same_name = vec![route("a", "/a/"), route("a", "/b/")];
+    let same_prefix = vec![route("a", "/a/"), route("b", "/a/")];
+    for routes in [same_name, same_prefix] {
+        let new = Catalog::new(2, routes, Vec::new(), Vec::new(), CallerLimits::default());
+        assert_eq!(Patch::between(&old, &new), None);
+    }
+    let one_key = |i: usize| Team {
+        keys: vec!["key".into()],
+        ..team(i)
+    };
+    let teams = vec![one_key(1), one_key(2)];
+    let new = Catalog::new(2, Vec::new(), Vec::new(), teams, CallerLimits::default());
+    assert_eq!(Patch::between(&old, &new), None);
+}
+
+#[test]
+fn kept_bounded() {
+    let mut log = VersionLog::default();
+    for version in 0..8 {
+        let written = Bytes::from(vec![0; 200 << 10]);
+        log.advance(vec![(version, version + 1, written)]);
+    }
+    let catalog = large(8, 1, 1);
+    let body = |version| log.since(version, &catalog).unwrap().len();
+    assert!(body(6) > 400 << 10, "the newest two are kept");
+    assert!(body(5) < 1 << 10, "older ones are not");
+}
+
+/// A configuration that is drawn at random, with few names, so that versions share some.
+fn drawn(u: &mut Unstructured<'_>, version: u64) -> arbtest::arbitrary::Result<Catalog> {
+    let mut routes = Vec::new();
+    let mut pools = Vec::new();
+    let mut teams = Vec::new();
+    for i in 0..6 {
+        if u.arbitrary()? {
+            let mut route = numbered(i);
+            route.timeout = Millis(u.int_in_range(1..=3)?);
+            routes.push(route);
+        }
+        if u.arbitrary()? {
+            pools.push(Pool {
+                name: format!("pool-{i}"),
+                max_connections: u.int_in_range(1..=3)?,
+                engine: None,
+            });
+        }
+        if u.arbitrary()? {
+            teams.push(Team {
+                priority: Some(u.int_in_range(0..=2)?),
+                ..team(i)
+            });
+        }
+    }
+    let limits = CallerLimits {
+        body_bytes: u.int_in_range(1..=2)?,
+        ..CallerLimits::default()
+    };
+    Ok(Catalog::new(version, routes, pools, teams, limits))
+}
+
+#[test]
+fn any_versions() {
+    arbtest::arbtest(|u| {
+        let first = drawn(u, 1)?;
+        let second = drawn(u, 2)?;
+        let third = drawn(u, 3)?;
+        let patches = [
+            Patch::between(&first, &second).unwrap(),
+            Patch::between(&second, &third).unwrap(),
+        ];
+        let made = Patch::apply_all(&patches, &first).unwrap();
+        assert_eq!(sorted(&made), sorted(&third));
+        assert_eq!(made.is_ambiguous(), third.is_ambiguous());
+        for i in 0..6 {
+            let path = format!("/r-{i}/x");
+            let name = |c: &Catalog| {
+                c.route("host.example", &path)
+                    .map(|k| c.routes[k.0].name.clone())
+            };
+            assert_eq!(name(&made), name(&third));
+        }
+        assert!(Patch::apply_all(&patches[1..], &first).is_none());
+        Ok(())
+    });
+}
+
+/// Whatever a peer sends is read without a panic.
+#[test]
+fn any_bytes() {
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let _ = versions::decode(&bytes);
+        Ok(())
+    });
+}
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -2,38 +2,13 @@
 
 mod common;
 
-use std::rc::Rc;
-
-use common::listed;
+use common::{entry, listed};
 use futures_util::FutureExt;
-use violetline::clock::{Clock, Millis};
+use violetline::clock::Millis;
 use violetline::direct::channel::Failure;
-use violetline::direct::decision::DecisionLog;
 use violetline::direct::directory::Change;
 use violetline::direct::entry::Entry;
-use violetline::direct::settings::{Bounds, DirectSettings};
 use violetline::direct::sync::{until_question, CallError};
-use violetline::platform::Platform;
-
-fn entry() -> (Clock, Rc<Entry>) {
-    let address = ([127, 0, 0, 1], 1).into();
-    let settings = DirectSettings {
-        name: "entry-1".into(),
-        zone: "hall-a".into(),
-        callers: address,
-        readiness: address,
-        admin: address,
-        link: address,
-        seeds: Vec::new(),
-        store: address,
-        bounds: Bounds::default(),
-    };
-    let clock = Clock::manual(Millis(1_000));
-    let sink = Box::new(std::io::sink());
-    let log = DecisionLog::new(clock.clone(), sink, Box::new(|| 0));
-    let entry = Entry::new(settings, Rc::new(Platform), clock.clone(), log);
-    (clock, entry)
-}
 
 fn asks_again(entry: &Entry) -> bool {
     entry.watch_again.notified().now_or_never().is_some()
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -6,7 +6,7 @@
 use base64::Engine;
 use serde_json::json;
 use violetline::clock::Millis;
-use violetline::direct::catalog::{Repeat, Shape};
+use violetline::direct::catalog::{Catalog, Repeat, Shape};
 use violetline::direct::dialect::{Ask, Dialect, Order, Refusal, Unusable, Watched, Written};
 use violetline::direct::directory::Change;
 use violetline::direct::prefix::Part;
@@ -315,12 +315,18 @@
     })
 }
 
+/// Reads a configuration as the store answers with it.
+fn read_catalog(text: &[u8]) -> Result<Box<Catalog>, Unusable> {
+    let value = STANDARD.encode(text);
+    let body = json!({"key": "op/config", "value": value}).to_string();
+    let read = Platform.catalog(StatusCode::OK, body.as_bytes());
+    read.map(|catalog| catalog.expect("there is one"))
+}
+
 #[test]
 fn configuration_read() {
     let text = config().to_string();
-    let published = Platform.catalog_text(text.as_bytes()).unwrap();
-    assert_eq!(published.text, text.as_bytes());
-    let catalog = published.catalog;
+    let catalog = read_catalog(text.as_bytes()).unwrap();
     assert_eq!(catalog.version, 7);
     let [split, resumable, plain] = &catalog.routes[..] else {
         panic!("three routes");
@@ -400,7 +406,7 @@
     let Watched::Changes(changes, 12) = watched else {
         panic!("changes up to 12");
     };
-    assert!(matches!(&changes[0], Written::Catalog(p) if p.catalog.version == 7));
+    assert!(matches!(&changes[0], Written::Catalog(c) if c.version == 7));
     let gone = Change::Removed {
         id: "i-1".into(),
         revision: 12,
@@ -432,7 +438,8 @@
         let body: Vec<u8> = u.arbitrary()?;
         let _ = Platform.watched(StatusCode::OK, &body);
         let _ = Platform.page(StatusCode::OK, &body);
-        let _ = Platform.catalog_text(&body);
+        let _ = Platform.catalog(StatusCode::OK, &body);
+        let _ = read_catalog(&body);
         Ok(())
     });
 }
