Datagrams that would be too long tell less instead of nothing

A datagram over 8 KB was not sent at all, and one with work at over 227 endpoints was not read, since the bound on its memory was that on its bytes; peers would take the sender for silent and cut off. Change: placements, then the least of the work are left out; the bound on memory is its own.

too_much_work fails before at the writing, and with that mended alone at the reading. Looked for as well and not found: the product's own documents, whose time of a read bounds the head alone (slow_platform keeps it so).

--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -1,5 +1,6 @@
 //! What an entry tells a peer in one datagram, and how it is written.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,9 @@
 
 /// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
 pub const MOST_BYTES: usize = 8 << 10;
+/// Memory that a datagram takes once read, at most, in bytes: an item of work takes a dozen bytes on
+/// the wire and forty in memory.
+const MOST_DECODED: usize = 8 * MOST_BYTES;
 
 /// One life of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -47,15 +51,39 @@
     pub placed: Vec<PlacedPrompt>,
 }
 
-/// Writes a datagram.
+/// Writes a datagram; `None` when that is not possible within [`MOST_BYTES`].
+///
+/// One that would be too long leaves out placements, then the least of the sender's work: were it not
+/// sent, peers would also miss the proof, the version and the revisions in it, and take the
+/// sender for silent.
 pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
-    let bytes = bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()?;
-    (bytes.len() <= MOST_BYTES).then_some(bytes)
+    let bytes = write(hello)?;
+    if bytes.len() <= MOST_BYTES {
+        return Some(bytes);
+    }
+    let mut shorter = hello.clone();
+    shorter.placed.clear();
+    let weight = |work: &Work| Reverse((work.running, work.all_unread()));
+    shorter.work.sort_by_key(|(_, work)| weight(work));
+    loop {
+        let bytes = write(&shorter)?;
+        if bytes.len() <= MOST_BYTES {
+            return Some(bytes);
+        }
+        if shorter.work.is_empty() {
+            return None;
+        }
+        shorter.work.truncate(shorter.work.len() * 3 / 4);
+    }
+}
+
+fn write(hello: &Hello) -> Option<Vec<u8>> {
+    bincode::serde::encode_to_vec(hello, bincode::config::standard()).ok()
 }
 
 /// Reads a datagram; `None` when it is not one of ours.
 pub fn decode(bytes: &[u8]) -> Option<Hello> {
-    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
+    let config = bincode::config::standard().with_limit::<MOST_DECODED>();
     let (hello, read) = bincode::serde::decode_from_slice(bytes, config).ok()?;
     (read == bytes.len()).then_some(hello)
 }
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -286,6 +286,32 @@
     });
 }
 
+/// An entry with work at more endpoints than a datagram holds still tells its proof, its version and
+/// the most of its work.
+#[test]
+fn too_much_work() {
+    let mut sent = hello(2, 9, Some(4));
+    sent.proof_age_ms = Some(70);
+    sent.work = (0..3_500)
+        .map(|endpoint| {
+            let running = endpoint % 50;
+            let work = Work {
+                running,
+                unread: [9_000; 3],
+                held: 100_000,
+                ..Work::default()
+            };
+            (endpoint, work)
+        })
+        .collect();
+    let bytes = peers::encode(&sent).unwrap();
+    assert!(bytes.len() <= MOST_BYTES);
+    let heard = peers::decode(&bytes).unwrap();
+    assert_eq!((heard.number, heard.proof_age_ms), (9, Some(70)));
+    assert!(heard.work.len() > 100);
+    assert!(heard.work.iter().all(|(_, work)| work.running > 40));
+}
+
 /// A busy entry's datagrams stay within what an instance may spend on control: 28 KB a second.
 #[test]
 fn datagram_size() {
