Soak: the way to the store becomes a narrow link, and the configuration grows

Two faults more: a link of 0.1 to 1 MB/s for a while, and growth by up to 1,500 routes, to 3,000 at most.

--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! The faults of the soak: what happens to entries, engines, the store and the ways between them.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,10 @@
 use crate::site;
 use crate::standin::Condition;
 
+/// Rates of a narrow link, in bytes a second: the largest configuration takes 0.5 to 6 s.
+const NARROW: Range<u64> = 100 << 10..1 << 20;
+/// Routes that the configuration grows to at most: 0.6 MB of text.
+const MOST_ROUTES: usize = 3_000;
 /// Time for an entry to end after SIGTERM: its grace time and a little.
 const STOP_TIME: Duration = Duration::from_secs(9);
 
@@ -24,7 +29,7 @@
         let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
         let time = Duration::from_millis(rng.gen_range(100..3_000));
         let engine = rng.gen_range(0..self.engines.borrow().len());
-        match rng.gen_range(0..14) {
+        match rng.gen_range(0..16) {
             0 => restart(entry, End::Kill, time),
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
@@ -38,6 +43,8 @@
             10 => one_way(self.engines.borrow()[engine].relay.clone(), time),
             11 => refuse(self.engines.borrow()[engine].relay.clone(), time),
             12 => self.replace_engine(engine).await?,
+            13 => narrow(entry.to_store.clone(), rng.gen_range(NARROW), time),
+            14 => self.grow(rng),
             _ => self.change_keys(rng),
         }
         Ok(())
@@ -75,17 +82,27 @@
         if removed.remove(key).is_none() {
             removed.insert(key, Instant::now());
         }
-        let kept: Vec<&str> = KEYS
-            .into_iter()
-            .filter(|k| !removed.contains_key(k))
-            .collect();
+        let is_kept = |key: &&str| !removed.contains_key(*key);
+        let kept: Vec<&str> = KEYS.into_iter().filter(is_kept).collect();
         self.site.borrow_mut().configure(&kept);
     }
 
+    /// The configuration grows by many routes.
+    fn grow(&self, rng: &mut SmallRng) {
+        let mut site = self.site.borrow_mut();
+        let grown = site.idle_routes + rng.gen_range(100..MOST_ROUTES / 2);
+        site.idle_routes = grown.min(MOST_ROUTES);
+        let removed = self.removed.borrow();
+        let is_kept = |key: &&str| !removed.contains_key(*key);
+        let kept: Vec<&str> = KEYS.into_iter().filter(is_kept).collect();
+        site.configure(&kept);
+    }
+
     /// Ends all faults that last.
     pub(super) fn lift(&self) {
         self.site.borrow().store.set_condition(Condition::Up);
         for entry in &self.entries {
+            entry.to_store.narrow(None);
             entry.to_store.swallow_answers(false);
             entry.to_store.cut();
             entry.process.borrow().thaw();
@@ -159,6 +176,15 @@
     Ok(())
 }
 
+/// Makes the way to the store a narrow link for a time, of so many bytes a second.
+fn narrow(relay: Relay, rate: u64, time: Duration) {
+    relay.narrow(Some(rate));
+    actix_rt::spawn(async move {
+        sleep(time).await;
+        relay.narrow(None);
+    });
+}
+
 /// Lets requests through for a time, but no answers.
 fn one_way(relay: Relay, time: Duration) {
     relay.swallow_answers(true);
