--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -193,6 +193,7 @@
         /// `store`, or the peer's address.
         from: String,
         /// How it failed; `None` where it went well.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
         failure: Option<String>,
         /// Bytes of the answer's body that came.
         bytes: u64,
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -3,8 +3,6 @@
 use std::cell::Ref;
 use std::rc::Rc;
 
-use bytes::Bytes;
-
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
@@ -14,7 +12,7 @@
 use crate::direct::freshness::Freshness;
 use crate::direct::patch::Patch;
 use crate::direct::resolve::{resolve, Allowed, Denied, Knowledge};
-use crate::direct::versions::{self, Newer};
+use crate::direct::versions::{self, Newer, WrittenPatch};
 
 impl Entry {
     /// The configuration in force.
@@ -71,11 +69,11 @@
         if catalog.version <= self.version() {
             return;
         }
-        let patch = self
-            .catalog()
-            .and_then(|old| Patch::between(&old, &catalog))
-            .and_then(|patch| Some((patch.base, patch.version, versions::write(&patch)?)));
-        self.put_in_force(*catalog, patch.into_iter().collect(), from);
+        let patched = self.catalog().and_then(|old| patched(&old, &catalog));
+        match patched {
+            Some((catalog, written)) => self.put_in_force(catalog, vec![written], from),
+            None => self.put_in_force(*catalog, Vec::new(), from),
+        }
     }
 
     /// Takes what a peer passed on, as far as it is newer; false when it does not lead on from here.
@@ -97,13 +95,17 @@
             return false;
         };
         let kept = patches.iter().zip(written).skip(first);
-        let kept = kept.map(|(patch, written)| (patch.base, patch.version, written));
+        let kept = kept.map(|(patch, text)| WrittenPatch {
+            base: patch.base,
+            version: patch.version,
+            text,
+        });
         self.put_in_force(catalog, kept.collect(), from);
         true
     }
 
     /// Puts a newer version in force; `patches` lead to it from the one before.
-    fn put_in_force(&self, catalog: Catalog, patches: Vec<(u64, u64, Bytes)>, from: &str) {
+    fn put_in_force(&self, catalog: Catalog, patches: Vec<WrittenPatch>, from: &str) {
         self.log.belief(Decision::CatalogInForce {
             version: catalog.version,
             before: self.version(),
@@ -223,3 +225,16 @@
         self.close_idle(now);
     }
 }
+
+/// The new version made of the old one, so that they share what did not change, and the patch for
+/// peers; `None` where there can't be one.
+fn patched(old: &Catalog, new: &Catalog) -> Option<(Catalog, WrittenPatch)> {
+    let patch = Patch::between(old, new)?;
+    let written = WrittenPatch {
+        base: patch.base,
+        version: patch.version,
+        text: versions::write(&patch)?,
+    };
+    let catalog = Patch::apply_all(&[patch], old)?;
+    Some((catalog, written))
+}
--- a/src/direct/versions.rs
+++ b/src/direct/versions.rs
@@ -48,16 +48,19 @@
 
 /// A patch as it is passed on.
 #[derive(Debug, Clone)]
-struct Kept {
-    base: u64,
-    version: u64,
-    written: Bytes,
+pub struct WrittenPatch {
+    /// The version to which it belongs.
+    pub base: u64,
+    /// The version that it makes.
+    pub version: u64,
+    /// Its text, compressed.
+    pub text: Bytes,
 }
 
 /// The newest patches, without a gap between them, up to the version in force.
 #[derive(Debug, Default)]
 pub struct VersionLog {
-    kept: VecDeque<Kept>,
+    kept: VecDeque<WrittenPatch>,
     bytes: usize,
     /// The version in force as it is passed on, once a peer has asked for it.
     whole: RefCell<Option<Bytes>>,
@@ -65,38 +68,34 @@
 
 impl VersionLog {
     /// A version came into force by these patches, written for peers; none where it came whole.
-    pub fn advance(&mut self, patches: Vec<(u64, u64, Bytes)>) {
+    pub fn advance(&mut self, patches: Vec<WrittenPatch>) {
         self.whole.take();
         if patches.is_empty() {
             self.kept.clear();
             self.bytes = 0;
         }
-        for (base, version, written) in patches {
-            self.bytes += written.len();
-            self.kept.push_back(Kept {
-                base,
-                version,
-                written,
-            });
+        for patch in patches {
+            self.bytes += patch.text.len();
+            self.kept.push_back(patch);
         }
         while self.kept.len() > MOST_PATCHES || self.bytes > MOST_BYTES {
             let Some(oldest) = self.kept.pop_front() else {
                 return;
             };
-            self.bytes -= oldest.written.len();
+            self.bytes -= oldest.text.len();
         }
     }
 
     /// What makes the version in force of `version`, for a peer; `None` when it can't be written.
     pub fn since(&self, version: u64, catalog: &Catalog) -> Option<Vec<u8>> {
-        let newer: Vec<&Kept> = self
+        let newer: Vec<&WrittenPatch> = self
             .kept
             .iter()
             .skip_while(|patch| patch.base != version)
             .collect();
         let is_newest = newer.last().is_some_and(|p| p.version == catalog.version);
         let body = if is_newest {
-            UpdateBody::Patches(newer.iter().map(|p| p.written.to_vec()).collect())
+            UpdateBody::Patches(newer.iter().map(|p| p.text.to_vec()).collect())
         } else {
             UpdateBody::Whole(self.whole(catalog)?.to_vec())
         };
--- a/tests/direct_versions.rs
+++ b/tests/direct_versions.rs
@@ -11,7 +11,7 @@
 use violetline::direct::catalog::{CallerLimits, Catalog, CatalogParts, Pool, Route, Team};
 use violetline::direct::entry::Entry;
 use violetline::direct::patch::Patch;
-use violetline::direct::versions::{self, Newer, VersionLog};
+use violetline::direct::versions::{self, Newer, VersionLog, WrittenPatch};
 
 /// Routes of the large configurations.
 const MANY: usize = 10_000;
@@ -150,8 +150,11 @@
 fn kept_bounded() {
     let mut log = VersionLog::default();
     for version in 0..8 {
-        let written = Bytes::from(vec![0; 200 << 10]);
-        log.advance(vec![(version, version + 1, written)]);
+        log.advance(vec![WrittenPatch {
+            base: version,
+            version: version + 1,
+            text: Bytes::from(vec![0; 200 << 10]),
+        }]);
     }
     let catalog = large(8, 1, 1);
     let body = |version| log.since(version, &catalog).unwrap().len();
