Names and doc comments of the large answer and of versions read as meant

Read as a newcomer: a large answer is told apart from the store's silence, the time that peers have to bring a version says so, patches that lead to no newer version are not taken, and a peer's configuration that can't be decoded no longer has the list read anew with each datagram (the proof's age has the store asked).

--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -88,10 +88,12 @@
         let Some(own) = self.catalog() else {
             return false;
         };
+        // What came into force here meanwhile is left out.
         let Some(first) = patches.iter().position(|p| p.base == own.version) else {
             return false;
         };
-        let Some(catalog) = Patch::apply_all(&patches[first..], &own) else {
+        let made = Patch::apply_all(&patches[first..], &own);
+        let Some(catalog) = made.filter(|made| made.version > own.version) else {
             return false;
         };
         let kept = patches.iter().zip(written).skip(first);
@@ -112,7 +114,7 @@
             from: from.into(),
         });
         self.versions.borrow_mut().advance(patches);
-        self.lacks_since.set(None);
+        self.missing_since.set(None);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
     }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -80,7 +80,7 @@
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
     /// Since when a peer has had a newer version of the configuration.
-    lacks_since: Cell<Option<Millis>>,
+    missing_since: Cell<Option<Millis>>,
     /// Newest versions of the configuration, for peers.
     versions: RefCell<VersionLog>,
     freshness: Cell<Freshness>,
@@ -132,7 +132,7 @@
             accounts: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
-            lacks_since: Cell::default(),
+            missing_since: Cell::default(),
             versions: RefCell::default(),
             freshness: Cell::default(),
             listed_up_to: Cell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -14,14 +14,14 @@
 
 /// Time after a piece of a large answer in which the store counts as answering; longer than a
 /// question to it may take.
-const SENDS: Millis = Millis(1_000);
+const LARGE_SILENCE: Millis = Millis(1_000);
 /// Time for which a large answer excuses the age of the proof that waits for it; after that others
 /// watch as well. 3 MB take as long over 10 Mbit/s.
 const LARGE_TIME: Millis = Millis(2_500);
 
-/// Time without a version that a peer has after which this entry reads the store itself: some tries to
-/// fetch it; with the store's answer still within the bound on keys.
-const LACKS: Millis = Millis(1_500);
+/// Time for which a version that a peer has is left to peers to bring; after that this entry reads
+/// the store itself. It is enough for some tries, and for the store's answer within the bound on keys.
+const PEERS_TIME: Millis = Millis(1_500);
 
 /// A large answer of the store that is on its way, or was.
 #[derive(Debug, Clone, Copy)]
@@ -33,26 +33,30 @@
 
 impl Entry {
     /// A piece of a large answer of the store came.
-    pub fn store_sends(&self) {
+    pub fn large_answer_arrives(&self) {
         let now = self.clock.now();
-        let under_way = self.large_answer.get().filter(|a| now - a.last < SENDS);
-        let since = under_way.map_or(now, |answer| answer.since);
+        let since = self.arriving().map_or(now, |answer| answer.since);
         self.large_answer
             .set(Some(LargeAnswer { since, last: now }));
     }
 
-    /// Whether no piece of a large answer has come lately.
-    pub fn store_is_silent(&self) -> bool {
+    /// The large answer of the store that is on its way now.
+    fn arriving(&self) -> Option<LargeAnswer> {
         let now = self.clock.now();
         let answer = self.large_answer.get();
-        answer.is_none_or(|answer| now - answer.last >= SENDS)
+        answer.filter(|answer| now - answer.last < LARGE_SILENCE)
     }
 
-    /// Whether a large answer is on its way that has not taken too long.
+    /// Whether a large answer of the store is on its way.
     pub fn reads_large(&self) -> bool {
+        self.arriving().is_some()
+    }
+
+    /// Whether one is on its way that has not taken too long.
+    pub fn is_excused(&self) -> bool {
         let now = self.clock.now();
-        let in_time = |answer: LargeAnswer| now - answer.since < LARGE_TIME;
-        !self.store_is_silent() && self.large_answer.get().is_some_and(in_time)
+        let arriving = self.arriving();
+        arriving.is_some_and(|answer| now - answer.since < LARGE_TIME)
     }
 
     /// The store answered a call.
@@ -112,17 +116,17 @@
 
     /// A peer has this version of the configuration.
     pub fn peer_has_version(&self, version: u64) {
-        if version > self.version() && self.lacks_since.get().is_none() {
-            self.lacks_since.set(Some(self.clock.now()));
+        if version > self.version() && self.missing_since.get().is_none() {
+            self.missing_since.set(Some(self.clock.now()));
         }
     }
 
-    /// Whether peers watch the store for this entry and it has their version, or has lacked it for a
-    /// short time only.
+    /// Whether peers watch the store for this entry and it has their version, or has missed it for
+    /// less than [`PEERS_TIME`].
     pub fn peers_bring_catalog(&self) -> bool {
         let now = self.clock.now();
-        let lacks = self.lacks_since.get();
-        let keeps_up = lacks.is_none_or(|since| now - since < LACKS);
+        let missing = self.missing_since.get();
+        let keeps_up = missing.is_none_or(|since| now - since < PEERS_TIME);
         self.version() > 0 && keeps_up && !self.peers.borrow().is_watcher(now)
     }
 
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -15,7 +15,7 @@
 use crate::direct::sync::{CallError, Document, Reading, StoreClient};
 use crate::direct::versions;
 
-/// Time for a peer to hand over its configuration or changes.
+/// Time for a peer's answer to begin.
 const FETCH_TIME: Duration = Duration::from_millis(800);
 
 /// Takes a newer configuration from a peer; the store may not be reachable from here.
@@ -29,8 +29,8 @@
                 }
             }
             None => {
-                tracing::warn!(%from, "a peer's configuration can't be decoded, asking the store");
-                entry.list_again.notify_one();
+                // The store is asked once the proof has grown old.
+                tracing::warn!(%from, "a peer's configuration can't be decoded");
             }
         },
         Ok((status, _)) => tracing::debug!(%status, %from, "a peer has no configuration"),
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -76,7 +76,7 @@
         catalog_revision: entry.catalog_up_to(),
         leaving: entry.life() != Life::Serving,
         watches: entry.is_watching(),
-        reads_large: entry.reads_large(),
+        reads_large: entry.is_excused(),
         link_mbps: book.link_mbps(),
         others: book.others(peer, now),
         work,
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -25,7 +25,7 @@
 pub use self::reading::{Document, Reading};
 use crate::direct::entry::Entry;
 
-/// Time for any other call. The store answers in milliseconds, at its slowest in some hundred.
+/// Time for the answer to any other call to begin. The store answers in milliseconds, at its slowest in some hundred.
 const CALL_TIME: Duration = Duration::from_millis(900);
 /// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
@@ -55,7 +55,7 @@
 ) -> Result<(StatusCode, Bytes), CallError> {
     let arrived = |bytes| {
         if bytes >= LARGE {
-            entry.store_sends();
+            entry.large_answer_arrives();
         }
     };
     let answer = match begun {
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -1,8 +1,8 @@
 //! Small reads that prove freshness.
 //!
-//! Every one to two seconds some entry asks for the store's revision; if everything up to it has
-//! been applied here, the configuration was the newest when the question was sent. Peers share
-//! these proofs.
+//! Every one to two seconds some entry asks for the store's revision; if the configuration in force
+//! is known to be the newest up to there, it was the newest when the question was sent. Peers share
+//! these proofs. What is known of endpoints doesn't matter for it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +44,7 @@
             }
             Err(err) => {
                 // A question may wait behind a large answer; the store is there all the same.
-                if entry.store_is_silent() {
+                if !entry.reads_large() {
                     entry.store_failed(&err);
                 }
                 sleep(AWAY_PAUSE).await;
@@ -102,7 +102,7 @@
 /// that may hold it is on its way.
 async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(WATCH_LAG).await;
-    if entry.applied() < revision && entry.store_is_silent() {
+    if entry.applied() < revision && !entry.reads_large() {
         entry.list_again.notify_one();
     }
 }
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -29,8 +29,8 @@
 /// Time after which what the store has and the watch did not bring is read by listing; longer
 /// than [`GATHER`].
 pub(super) const WATCH_LAG: Duration = Duration::from_millis(800);
-/// Time after which an answer that still arrives is taken for a large configuration: a fifth of the
-/// shortest bound on changes of the list is left for reading these apart.
+/// Time after which an answer that still arrives is taken for a large one, and the list is watched
+/// beside it: a tenth of the shortest bound on changes of the list.
 const LARGE_AFTER: Duration = Duration::from_millis(200);
 
 /// Watches everything once; false when everything is to be read anew.
