Relay: each side may close while the other goes on, as before it could be narrow

A relay ended with the first side that closed; a caller that closes its own half and still reads would have lost its answer.

--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -81,24 +81,22 @@
     async fn both_ways(&self, near: &mut TcpStream, far: &mut TcpStream) {
         let (mut near_read, mut near_write) = near.split();
         let (mut far_read, mut far_write) = far.split();
-        let there = tokio::io::copy(&mut near_read, &mut far_write);
+        let there = async {
+            let _ = tokio::io::copy(&mut near_read, &mut far_write).await;
+            let _ = far_write.shutdown().await;
+        };
         let back = async {
             let mut buf = [0; PACKET];
-            loop {
-                let len = match far_read.read(&mut buf).await {
-                    Ok(len) if len > 0 => len,
-                    _ => return,
-                };
+            while let Ok(len) = far_read.read(&mut buf).await {
                 self.wait_for_link(len).await;
-                if near_write.write_all(&buf[..len]).await.is_err() {
-                    return;
+                if len == 0 || near_write.write_all(&buf[..len]).await.is_err() {
+                    break;
                 }
             }
+            let _ = near_write.shutdown().await;
         };
-        tokio::select! {
-            _ = there => {}
-            () = back => {}
-        }
+        // Each side may close while the other goes on.
+        tokio::join!(there, back);
     }
 
     /// Waits until a packet has passed the link.
