--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Revision after which all changes up to the newest are kept.
+    pub fn after(&self) -> Revision {
+        self.after
+    }
+
     /// All changes after a revision; `None` when some of them are not kept, or there are none.
     pub fn since(&self, revision: Revision) -> Option<PassedOn> {
         if self.after > revision || self.up_to <= revision {
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -4,7 +4,7 @@
 //! was away and the entry lapsed meanwhile. The first must be obeyed at once, the second must not.
 //! They are told apart by whether the list was away shortly before.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -105,6 +105,7 @@
 pub struct Directory {
     arena: SlotMap<EndpointKey, Endpoint>,
     by_id: HashMap<String, EndpointKey>,
+    by_digest: HashMap<u32, EndpointKey>,
     /// Whether the list can't be read now.
     away: bool,
     /// When it could be read again after it was away last.
@@ -167,6 +168,18 @@
             .collect()
     }
 
+    /// What a whole listing that was begun at `begun` changes in a list that is complete up to `before`.
+    pub fn changes_to(&self, all: &[Listed], before: Revision, begun: Revision) -> Vec<Change> {
+        let newer = all.iter().filter(|listed| listed.revision > before);
+        let held: HashSet<&str> = all.iter().map(|listed| listed.id.as_str()).collect();
+        let missing = self.by_id.keys().filter(|id| !held.contains(id.as_str()));
+        let removed = missing.map(|id| Change::Removed {
+            id: id.clone(),
+            revision: begun,
+        });
+        newer.cloned().map(Change::Put).chain(removed).collect()
+    }
+
     /// Ends the grace of lapsed entries; returns those that left for good.
     pub fn expire(&mut self, now: Millis) -> Vec<EndpointKey> {
         let over: Vec<EndpointKey> = self
@@ -215,6 +228,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// Key of an endpoint by the digest of its identity.
+    pub fn by_digest(&self, digest: u32) -> Option<EndpointKey> {
+        self.by_digest.get(&digest).copied()
+    }
+
     /// Takes an entry unless a newer one of the same endpoint is known.
     fn put(&mut self, listed: Listed) {
         let standing = if listed.draining {
@@ -231,11 +249,13 @@
             }
             None => {
                 let id = listed.id.clone();
+                let digest = digest(&id);
                 let key = self.arena.insert(Endpoint {
-                    digest: digest(&id),
+                    digest,
                     listed,
                     standing,
                 });
+                self.by_digest.insert(digest, key);
                 self.by_id.insert(id, key);
             }
         }
@@ -269,6 +289,7 @@
     fn remove(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.arena.remove(key) {
             self.by_id.remove(&endpoint.listed.id);
+            self.by_digest.remove(&endpoint.digest);
         }
     }
 }
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -118,9 +118,17 @@
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
     }
 
-    /// Takes a whole listing that was begun at a revision.
+    /// Takes a whole listing that was begun at a revision, and keeps for peers what it changes.
+    ///
+    /// When the store has dropped its history, its watchers list anew; their peers would have to as well
+    /// if the changes that they keep began after that: 14 of 20 entries of a zone did.
     pub fn take_listing(&self, listed: Vec<Listed>, begun: Revision) {
         let now = self.clock.now();
+        let before = self.listed_up_to.get();
+        if begun > before {
+            let changes = self.directory.borrow().changes_to(&listed, before, begun);
+            self.changes.borrow_mut().keep(before, begun, &changes);
+        }
         let gone = self.directory.borrow_mut().replace(listed, begun, now);
         self.forget(&gone);
         self.listed.set(true);
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -68,6 +68,8 @@
     pub prefixes: RefCell<PrefixMap>,
     /// Prompts placed lately, for peers.
     pub placements: RefCell<RecentPlacements>,
+    /// Prompts placed lately in the own availability zone, for other zones.
+    pub zone_placements: RefCell<RecentPlacements>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Wakes the watch to read everything anew.
@@ -116,6 +118,7 @@
     ) -> Rc<Self> {
         let mut peers = PeerBook::new(settings.link, &settings.seeds, rand::random());
         peers.set_link(settings.link_mbps);
+        peers.set_zone(&settings.zone);
         Rc::new(Self {
             clock,
             dialect,
@@ -125,6 +128,7 @@
             peers: RefCell::new(peers),
             prefixes: RefCell::default(),
             placements: RefCell::default(),
+            zone_placements: RefCell::default(),
             retries: RefCell::default(),
             list_again: Notify::new(),
             watch_again: Notify::new(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -93,6 +93,11 @@
         self.changes.borrow().since(revision)
     }
 
+    /// Revision after which all changes of the list are kept here, for peers.
+    pub fn changes_after(&self) -> Revision {
+        self.changes.borrow().after()
+    }
+
     /// Whether the last call to the store failed.
     pub fn store_is_away(&self) -> bool {
         self.store_answers.get() == Some(false)
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -9,42 +9,97 @@
 use tokio::time::sleep;
 
 use crate::clock::Millis;
-use crate::direct::directory::EndpointKey;
 use crate::direct::entry::{Entry, Fetch, Life};
 use crate::direct::fetch;
-use crate::direct::load::Work;
-use crate::direct::peers::{self, Hello, MOST_BYTES, ROUND};
+use crate::direct::load::{Load, Teller, Work};
+use crate::direct::peers::{self, Covers, Hello, Tell, FAR_BYTES, MOST_BYTES, ROUND};
 
 /// Pause after an error of the socket.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Age of its proof from which on an entry that does not watch the store asks one that does: two hops
+/// behind a watcher that asks the store every second.
+const ASK_AT: Millis = Millis(900);
+/// Rounds between two such questions.
+const ASK_ROUNDS: u64 = 2;
+/// Turns of telling all peers for which a placement is told: lost datagrams are made up for.
+const PLACED_TURNS: u64 = 2;
+
+/// Placements that a neighbour is told at most, the newest ones: an entry makes some five in a turn.
+const OWN_PLACED: usize = 12;
+/// Placements of the zone that another zone's entry is told at most.
+const ZONE_PLACED: usize = 24;
 
 /// Tells some peers each round.
 pub async fn tell(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
+    let mut rounds = 0;
     loop {
         sleep(ROUND.duration()).await;
         let now = entry.clock.now();
-        let round = entry.peers.borrow_mut().round(now);
-        for peer in round {
-            let hello = hello_for(&entry, peer, now);
-            let Some(bytes) = peers::encode(&hello) else {
-                tracing::warn!(work = hello.work.len(), "datagram too long, not sent");
-                continue;
-            };
-            // A peer that is down answers with an error; the next round tells it again.
-            if let Err(err) = socket.send_to(&bytes, peer).await {
-                tracing::debug!(%err, %peer, "datagram not sent");
-            }
+        let round = entry.peers.borrow_mut().round(entry.is_watching(), now);
+        for tell in round {
+            let hello = hello_for(&entry, tell, now);
+            let bytes = send(&socket, tell.to, &hello).await;
+            entry.peers.borrow_mut().sent_bytes(tell.covers, bytes);
+        }
+        rounds += 1;
+        if rounds % ASK_ROUNDS == 0 {
+            ask_proof(&entry, &socket, now).await;
         }
     }
 }
 
+/// Asks an entry that watches the store for its proof where the own one grows old.
+///
+/// Without it an entry of a large fleet asks the store itself: proofs that pass from peer to peer in
+/// rounds are older than one is good for.
+async fn ask_proof(entry: &Entry, socket: &UdpSocket, now: Millis) {
+    let is_old = entry.proof_age().is_none_or(|age| age >= ASK_AT);
+    if !is_old || entry.is_watching() {
+        return;
+    }
+    let source = entry.peers.borrow().proof_source(rand::random());
+    if let Some(to) = source {
+        let tell = Tell {
+            to,
+            covers: Covers::Nothing,
+        };
+        let mut hello = hello_for(entry, tell, now);
+        hello.asks = true;
+        send(socket, to, &hello).await;
+    }
+}
+
+/// Sends a datagram; its length in bytes.
+async fn send(socket: &UdpSocket, to: SocketAddr, hello: &Hello) -> usize {
+    let most = match hello.covers {
+        Covers::Zone => FAR_BYTES,
+        Covers::Sender | Covers::Nothing => MOST_BYTES,
+    };
+    let Some(bytes) = peers::encode_within(hello, most) else {
+        tracing::warn!(work = hello.work.len(), "datagram too long, not sent");
+        return 0;
+    };
+    // A peer that is down answers with an error; the next round tells it again.
+    if let Err(err) = socket.send_to(&bytes, to).await {
+        tracing::debug!(%err, %to, "datagram not sent");
+    }
+    bytes.len()
+}
+
 /// Hears peers.
 pub async fn hear(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
     let mut buf = vec![0; MOST_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => match peers::decode(&buf[..length]) {
-                Some(hello) => heard(&entry, from, &hello),
+                Some(hello) => {
+                    let is_new = heard(&entry, from, &hello);
+                    // A peer that is not known learns the zone of this entry at once, and so whom it
+                    // tells in turn.
+                    if hello.asks || is_new {
+                        answer(&entry, &socket, from).await;
+                    }
+                }
                 None => tracing::debug!(%from, "datagram is not one of ours"),
             },
             Err(err) => {
@@ -55,37 +110,75 @@
     }
 }
 
+/// Answers a peer that asks for a proof.
+async fn answer(entry: &Entry, socket: &UdpSocket, to: SocketAddr) {
+    let tell = Tell {
+        to,
+        covers: Covers::Nothing,
+    };
+    let hello = hello_for(entry, tell, entry.clock.now());
+    send(socket, to, &hello).await;
+}
+
 /// What this entry tells one peer now.
-fn hello_for(entry: &Entry, peer: SocketAddr, now: Millis) -> Hello {
-    let directory = entry.directory();
-    let accounts = entry.accounts();
-    let work = accounts
-        .iter()
-        .map(|(key, account)| (key, account.load.own(now)))
-        .filter(|(_, work)| !work.is_idle())
-        .filter_map(|(key, work)| Some((directory.get(key)?.digest, work)))
-        .collect();
+fn hello_for(entry: &Entry, tell: Tell, now: Millis) -> Hello {
+    let work = work_for(entry, tell.covers, now);
     let mut book = entry.peers.borrow_mut();
+    let since = now - Millis(book.turn(tell.covers, now).0 * PLACED_TURNS);
+    let (placed, others) = match tell.covers {
+        Covers::Sender => (
+            entry.placements.borrow().since(since, OWN_PLACED),
+            book.others(tell.to, now),
+        ),
+        Covers::Zone => (
+            entry.zone_placements.borrow().since(since, ZONE_PLACED),
+            book.others(tell.to, now),
+        ),
+        Covers::Nothing => (Vec::new(), Vec::new()),
+    };
     Hello {
         from: entry.id,
         number: book.next_number(now),
-        echo: book.echo(peer),
+        echo: book.echo(tell.to),
         version: entry.version(),
         proof_age_ms: entry.freshness().age(now).map(|age| age.0),
         revision: entry.listed_up_to(),
+        changes_after: entry.changes_after(),
         catalog_revision: entry.catalog_up_to(),
         leaving: entry.life() != Life::Serving,
         watches: entry.is_watching(),
         reads_large: entry.is_excused(),
         link_mbps: book.link_mbps(),
-        others: book.others(peer, now),
+        zone: book.zone(),
+        zone_entries: book.zone_entries(now),
+        asks: false,
+        others,
+        covers: tell.covers,
         work,
-        placed: entry.placements.borrow().all(),
+        placed,
     }
 }
 
-/// Takes a datagram: the peer, its proof, its version, its work and its placements.
-fn heard(entry: &Rc<Entry>, from: SocketAddr, hello: &Hello) {
+/// The work that a datagram tells, by the digests of the endpoints.
+fn work_for(entry: &Entry, covers: Covers, now: Millis) -> Vec<(u32, Work)> {
+    let of = |load: &Load| match covers {
+        Covers::Sender => load.own(now),
+        Covers::Zone => load.of_cell(now),
+        Covers::Nothing => Work::default(),
+    };
+    let directory = entry.directory();
+    let accounts = entry.accounts();
+    let all = accounts
+        .iter()
+        .map(|(key, account)| (key, of(&account.load)));
+    all.filter(|(_, work)| !work.is_at_rest())
+        .filter_map(|(key, work)| Some((directory.get(key)?.digest, work)))
+        .collect()
+}
+
+/// Takes a datagram: the peer, its proof, its version, its work and its placements. True when the
+/// peer was not known.
+fn heard(entry: &Rc<Entry>, from: SocketAddr, hello: &Hello) -> bool {
     let now = entry.clock.now();
     let heard = entry.peers.borrow_mut().hear(from, hello, now);
     if heard.is_new {
@@ -104,37 +197,48 @@
     if hello.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
     }
-    if hello.watches && hello.revision > entry.listed_up_to() && entry.begin_fetch(Fetch::Changes) {
+    let has_changes =
+        hello.revision > entry.listed_up_to() && hello.changes_after <= entry.listed_up_to();
+    if has_changes && entry.begin_fetch(Fetch::Changes) {
         actix_rt::spawn(fetch::changes(Rc::clone(entry), from));
     }
     entry.peer_applied(hello.revision);
     take_work(entry, hello, now);
     take_placements(entry, hello, now);
+    heard.is_new
 }
 
-/// Takes a peer's work at each endpoint; none where it tells none.
+/// Takes what a peer tells of work at each endpoint.
 fn take_work(entry: &Entry, hello: &Hello, now: Millis) {
+    let book = entry.peers.borrow();
+    let (teller, lasts) = match (hello.covers, hello.zone) {
+        (Covers::Sender, _) => (Teller::Peer(hello.from), book.near_word()),
+        (Covers::Zone, Some(zone)) => (Teller::Zone(zone), book.zone_word(now)),
+        (Covers::Zone, None) | (Covers::Nothing, _) => return,
+    };
     let told: HashMap<u32, Work> = hello.work.iter().copied().collect();
     let directory = entry.directory();
     let mut accounts = entry.accounts_mut();
     for (key, account) in accounts.iter_mut() {
         let digest = directory.get(key).map(|endpoint| endpoint.digest);
-        let work = digest.and_then(|digest| told.get(&digest));
-        account
-            .load
-            .peer(hello.from, work.copied().unwrap_or_default(), now);
+        match digest.and_then(|digest| told.get(&digest)) {
+            Some(work) => account.load.told(teller, *work, lasts, now),
+            None => account.load.told_at_rest(teller, now),
+        }
     }
 }
 
 /// Takes note of the prompts that a peer placed.
 fn take_placements(entry: &Entry, hello: &Hello, now: Millis) {
     let directory = entry.directory();
-    let by_digest: HashMap<u32, EndpointKey> =
-        directory.iter().map(|(key, e)| (e.digest, key)).collect();
     let mut prefixes = entry.prefixes.borrow_mut();
+    let mut of_zone = entry.zone_placements.borrow_mut();
     for placed in &hello.placed {
-        if let Some(key) = by_digest.get(&placed.endpoint) {
-            prefixes.note(*key, std::iter::once(placed.part), now, now);
+        if let Some(key) = directory.by_digest(placed.endpoint) {
+            prefixes.note(key, std::iter::once(placed.part), now, now);
+        }
+        if hello.covers == Covers::Sender {
+            of_zone.hear(*placed, now);
         }
     }
 }
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -209,7 +209,8 @@
         let endpoint = directory.get(choice.key).map(|e| e.digest);
         if let (Some(part), Some(endpoint)) = (shared, endpoint) {
             let placed = PlacedPrompt { part, endpoint };
-            self.entry.placements.borrow_mut().add(placed);
+            self.entry.placements.borrow_mut().add(placed, now);
+            self.entry.zone_placements.borrow_mut().add(placed, now);
         }
     }
 
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -1,16 +1,15 @@
 //! The load of one endpoint: this entry's own requests there, exact and at once, and what peers
 //! and the endpoint itself told, which count less with age.
 
-use std::collections::HashMap;
 use std::f64::consts::LN_2;
 
 use crate::clock::Millis;
-use crate::direct::peers::PeerId;
+use crate::direct::peers::{PeerId, ZoneId};
 
 /// Bands of urgency in which tokens to read are counted: 0, 1, and all others.
 pub const BANDS: usize = 3;
-/// Age after which a peer's word on its own requests no longer counts; some heartbeats long.
-const PEER_WORD: Millis = Millis(1_500);
+/// Pressure below which it is forgotten, in tokens: reading as many takes some milliseconds.
+const LEAST_PRESSURE: u32 = 256;
 /// Age after which the endpoint's own word on its load no longer counts.
 const REPORT_WORD: Millis = Millis(300);
 
@@ -45,9 +44,14 @@
 }
 
 impl Work {
-    /// Nothing at all.
-    pub fn is_idle(&self) -> bool {
-        *self == Self::default()
+    /// Nothing is under way; only pressure may be left.
+    pub fn is_at_rest(&self) -> bool {
+        let pressure = self.pressure;
+        *self
+            == Self {
+                pressure,
+                ..Self::default()
+            }
     }
 
     /// Prompt tokens still to be read, of all bands.
@@ -62,7 +66,8 @@
     }
 
     /// The sum of both; at its largest where that does not fit.
-    fn plus(self, other: Self) -> Self {
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
         let mut unread = self.unread;
         for (sum, add) in unread.iter_mut().zip(other.unread) {
             *sum = sum.saturating_add(add);
@@ -77,6 +82,26 @@
     }
 }
 
+/// Who told of work at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Teller {
+    /// A peer, of its own.
+    Peer(PeerId),
+    /// Some entry of another availability zone, of all entries there.
+    Zone(ZoneId),
+}
+
+/// What was told of work at an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    teller: Teller,
+    /// When it was told.
+    at: Millis,
+    /// Until when it counts.
+    until: Millis,
+    work: Work,
+}
+
 /// What one request adds to an endpoint's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Footprint {
@@ -112,8 +137,8 @@
     /// [`Work::pressure`] of this entry as it was at `pressure_at`.
     pressure: f64,
     pressure_at: Millis,
-    /// What peers told, and when.
-    peers: HashMap<PeerId, (Millis, Work)>,
+    /// What others told.
+    told: Vec<Told>,
     /// What the endpoint told last, and when.
     report: Option<(Millis, Report)>,
 }
@@ -144,13 +169,34 @@
         self.own.delicate = self.own.delicate.saturating_sub(footprint.delicate);
     }
 
-    /// A peer told its own work there.
-    pub fn peer(&mut self, peer: PeerId, work: Work, now: Millis) {
-        if work.is_idle() {
-            self.peers.remove(&peer);
-        } else {
-            self.peers.insert(peer, (now, work));
+    /// Work there was told; it counts for `lasts` unless it is told anew.
+    pub fn told(&mut self, teller: Teller, work: Work, lasts: Millis, now: Millis) {
+        self.told.retain(|told| told.teller != teller);
+        self.told.push(Told {
+            teller,
+            at: now,
+            until: now + lasts,
+            work,
+        });
+    }
+
+    /// Nothing is under way there by the newest word of a teller: only the pressure of what was is left.
+    pub fn told_at_rest(&mut self, teller: Teller, now: Millis) {
+        let Some(at) = self.told.iter().position(|told| told.teller == teller) else {
+            return;
+        };
+        let told = &mut self.told[at];
+        let pressure = fade(f64::from(told.work.pressure), now - told.at) as u32;
+        if pressure < LEAST_PRESSURE {
+            self.told.swap_remove(at);
+            return;
         }
+        told.work = Work {
+            pressure,
+            ..Work::default()
+        };
+        told.until = told.until + (now - told.at);
+        told.at = now;
     }
 
     /// The endpoint told its load.
@@ -168,14 +214,20 @@
 
     /// The pressure of this entry's requests, as far as it is not forgotten.
     fn pressure_now(&self, now: Millis) -> f64 {
-        let age = (now - self.pressure_at).0 as f64;
-        self.pressure * 0.5_f64.powf(age / PRESSURE_HALF_LIFE_MS)
+        fade(self.pressure, now - self.pressure_at)
     }
 
     /// Work of all entries, as far as known.
     pub fn total(&self, now: Millis) -> Work {
-        let fresh = self.peers.values().filter(|(at, _)| now - *at < PEER_WORD);
-        fresh.fold(self.own(now), |sum, (_, work)| sum.plus(*work))
+        let fresh = self.told.iter().filter(|told| now < told.until);
+        fresh.fold(self.own(now), |sum, told| sum.plus(told.work))
+    }
+
+    /// Work of this entry and of the peers that told theirs one by one.
+    pub fn of_cell(&self, now: Millis) -> Work {
+        let fresh = self.told.iter().filter(|told| now < told.until);
+        let peers = fresh.filter(|told| matches!(told.teller, Teller::Peer(_)));
+        peers.fold(self.own(now), |sum, told| sum.plus(told.work))
     }
 
     /// Requests that wait at the endpoint by its own word, if that is fresh.
@@ -186,3 +238,8 @@
         }
     }
 }
+
+/// What is left of a pressure after a time.
+fn fade(pressure: f64, age: Millis) -> f64 {
+    pressure * 0.5_f64.powf(age.0 as f64 / PRESSURE_HALF_LIFE_MS)
+}
--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::compact;
+use super::zones::ZoneId;
 use super::PlacedPrompt;
 use crate::direct::load::Work;
 
@@ -18,6 +20,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PeerId(pub u64);
 
+/// Whose work a datagram tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Covers {
+    /// The sender's own; nothing is told of others.
+    Sender,
+    /// That of all entries of the sender's availability zone, as far as it hears them.
+    Zone,
+    /// Nobody's: the datagram tells the rest alone.
+    Nothing,
+}
+
 /// What an entry tells its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -33,6 +46,8 @@
     pub proof_age_ms: Option<u64>,
     /// Revision of the store up to which the sender's list of endpoints is complete.
     pub revision: u64,
+    /// Revision after which the sender keeps all changes of the list, to pass them on.
+    pub changes_after: u64,
     /// Revision of the store up to which `version` is known to be the newest.
     pub catalog_revision: u64,
     /// Whether the sender is stopping.
@@ -43,22 +58,36 @@
     pub reads_large: bool,
     /// Bandwidth of the sender's link, in Mbit/s; 0 where it is not known.
     pub link_mbps: u32,
+    /// The sender's availability zone; `None` where it is not known.
+    pub zone: Option<ZoneId>,
+    /// Entries that serve in that zone, the sender included.
+    pub zone_entries: u32,
+    /// Whether the sender wants an answer at once: its proof grows old.
+    pub asks: bool,
     /// Addresses of some entries.
     pub others: Vec<SocketAddr>,
-    /// The sender's work at endpoints, by the digest of their identity; idle ones are left out.
+    /// Whose work follows.
+    pub covers: Covers,
+    /// Work at endpoints, by the digest of their identity; those at rest are left out.
+    #[serde(with = "compact")]
     pub work: Vec<(u32, Work)>,
-    /// Prompts that the sender placed lately.
+    /// Prompts that they placed lately.
     pub placed: Vec<PlacedPrompt>,
 }
 
 /// Writes a datagram; `None` when that is not possible within [`MOST_BYTES`].
+pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
+    encode_within(hello, MOST_BYTES)
+}
+
+/// Writes a datagram; `None` when that is not possible within `most` bytes.
 ///
 /// One that would be too long leaves out placements, then the least of the sender's work: were it not
 /// sent, peers would also miss the proof, the version and the revisions in it, and take the
 /// sender for silent.
-pub fn encode(hello: &Hello) -> Option<Vec<u8>> {
+pub fn encode_within(hello: &Hello, most: usize) -> Option<Vec<u8>> {
     let bytes = write(hello)?;
-    if bytes.len() <= MOST_BYTES {
+    if bytes.len() <= most {
         return Some(bytes);
     }
     let mut shorter = hello.clone();
@@ -67,7 +96,7 @@
     shorter.work.sort_by_key(|(_, work)| weight(work));
     loop {
         let bytes = write(&shorter)?;
-        if bytes.len() <= MOST_BYTES {
+        if bytes.len() <= most {
             return Some(bytes);
         }
         if shorter.work.is_empty() {
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -6,27 +6,23 @@
 //! datagram, so that the receiver can date the proof on its own clock (see
 //! [`crate::direct::freshness`]).
 
+mod compact;
 mod hello;
 mod placements;
+mod rounds;
 mod watchers;
+mod zones;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-pub use self::hello::{decode, encode, Hello, PeerId, MOST_BYTES};
+pub use self::hello::{decode, encode, encode_within, Covers, Hello, PeerId, MOST_BYTES};
 pub use self::placements::{PlacedPrompt, RecentPlacements};
+pub use self::rounds::{Tell, FAR_BYTES, FAR_PER_ROUND, PER_ROUND, ROUND, ROUND_BYTES};
+pub use self::zones::ZoneId;
+use self::zones::Zones;
 use crate::clock::Millis;
 
-/// Time between two rounds of datagrams.
-pub const ROUND: Millis = Millis(150);
-/// Peers told in one round: all in a small fleet, in turn in a large one, so that an entry's
-/// traffic does not grow with the fleet. 47 datagrams a second of some 580 bytes stay within the
-/// 28 KB/s that an instance may spend on control.
-pub const PER_ROUND: usize = 7;
-/// Silence after which a peer no longer counts as an entry.
-const SILENCE: Millis = Millis(4_000);
-/// Silence after which an address is forgotten unless it is a seed.
-const FORGET: Millis = Millis(20_000);
 /// Addresses passed on in one datagram.
 const TOLD: usize = 8;
 /// Own datagrams whose time of sending is remembered.
@@ -57,6 +53,8 @@
     watches: bool,
     /// Bandwidth of its link, in Mbit/s; 0 where it is not known.
     link_mbps: u32,
+    /// Its availability zone; `None` where it is not known.
+    zone: Option<ZoneId>,
 }
 
 /// All peers of one entry.
@@ -65,14 +63,30 @@
     own: SocketAddr,
     /// Bandwidth of the own link, in Mbit/s; 0 where it is not known.
     link_mbps: u32,
+    /// The own availability zone; `None` where it is not known.
+    zone: Option<ZoneId>,
+    /// What entries of other zones told of these.
+    zones: Zones,
     /// By address, so that rounds go through them in a steady order.
     peers: BTreeMap<SocketAddr, Peer>,
     /// Numbers of own datagrams and when they were sent, the newest last.
     sent: VecDeque<(u64, Millis)>,
     /// Number of the last own datagram.
     number: u64,
-    /// Position of the next round among the peers.
-    turn: usize,
+    /// Neighbours, as of the last round.
+    near_count: usize,
+    /// Peers of other zones, as of the last round.
+    far_count: usize,
+    /// Position of the next round among the neighbours.
+    near_turn: usize,
+    /// Its position among the entries of other zones.
+    far_turn: usize,
+    /// Its position among those that watch the store in other zones.
+    watcher_turn: usize,
+    /// Bytes of the last datagram to a neighbour.
+    near_bytes: usize,
+    /// Bytes of the last datagram to another zone.
+    far_bytes: usize,
     /// Position of the next address to pass on.
     told: usize,
 }
@@ -86,10 +100,19 @@
         let mut book = Self {
             own,
             link_mbps: 0,
+            zone: None,
+            zones: Zones::default(),
             peers: BTreeMap::new(),
             sent: VecDeque::new(),
             number: u64::from(first_number) << 24,
-            turn: 0,
+            near_count: 0,
+            far_count: 0,
+            near_turn: 0,
+            // The entries of a zone begin at different places, so that together they tell all others.
+            far_turn: first_number as usize,
+            watcher_turn: 0,
+            near_bytes: 0,
+            far_bytes: 0,
             told: 0,
         };
         book.set_seeds(seeds, Millis(0));
@@ -101,6 +124,16 @@
         self.link_mbps = mbps as u32;
     }
 
+    /// Tells the own availability zone.
+    pub fn set_zone(&mut self, name: &str) {
+        self.zone = ZoneId::of(name);
+    }
+
+    /// The own availability zone.
+    pub fn zone(&self) -> Option<ZoneId> {
+        self.zone
+    }
+
     /// Bandwidth of the own link, in Mbit/s; 0 where it is not known.
     pub fn link_mbps(&self) -> u32 {
         self.link_mbps
@@ -120,19 +153,6 @@
         }
     }
 
-    /// The peers to tell in this round.
-    pub fn round(&mut self, now: Millis) -> Vec<SocketAddr> {
-        self.peers.retain(|_, peer| {
-            let last = peer.heard.unwrap_or(peer.known_since);
-            peer.is_seed || now - last < FORGET
-        });
-        let all: Vec<SocketAddr> = self.peers.keys().copied().collect();
-        let count = all.len().min(PER_ROUND);
-        let start = self.turn;
-        self.turn = self.turn.wrapping_add(count);
-        (0..count).map(|i| all[(start + i) % all.len()]).collect()
-    }
-
     /// Numbers the next datagram and remembers when it is sent.
     pub fn next_number(&mut self, now: Millis) -> u64 {
         self.number += 1;
@@ -151,8 +171,9 @@
 
     /// Some addresses to pass on, other than the receiver's own.
     pub fn others(&mut self, receiver: SocketAddr, now: Millis) -> Vec<SocketAddr> {
+        let silence = self.silence();
         let heard = self.peers.iter().filter(|(address, peer)| {
-            **address != receiver && peer.heard.is_some_and(|at| now - at < SILENCE)
+            **address != receiver && peer.heard.is_some_and(|at| now - at < silence)
         });
         let all: Vec<SocketAddr> = heard.map(|(address, _)| *address).collect();
         let count = all.len().min(TOLD);
@@ -169,10 +190,11 @@
             self.meet(*other, now);
         }
         self.meet(from, now);
+        let silence = self.new_after();
         let Some(peer) = self.peers.get_mut(&from) else {
             return Heard::default();
         };
-        let was_heard = peer.heard.is_some_and(|at| now - at < SILENCE);
+        let was_heard = peer.heard.is_some_and(|at| now - at < silence);
         let same_life = peer.id == Some(hello.from);
         if same_life && hello.number < peer.last_number {
             return Heard::default();
@@ -183,6 +205,10 @@
         peer.leaving = hello.leaving;
         peer.watches = watchers::is_in_touch(hello);
         peer.link_mbps = hello.link_mbps;
+        peer.zone = hello.zone;
+        if let Some(zone) = hello.zone.filter(|zone| self.zone != Some(*zone)) {
+            self.zones.hear(zone, hello.zone_entries, now);
+        }
         let asked = hello.echo.and_then(|number| self.sent_at(number));
         Heard {
             is_new: !(was_heard && same_life),
@@ -190,22 +216,28 @@
         }
     }
 
-    /// Entries that serve, this one included.
+    /// Entries that serve, this one included: those heard one by one, and those of other zones as
+    /// these tell.
     pub fn entries(&self, now: Millis) -> usize {
-        let heard = |peer: &&Peer| peer.heard.is_some_and(|at| now - at < SILENCE);
-        1 + self
-            .peers
-            .values()
-            .filter(heard)
-            .filter(|p| !p.leaving)
-            .count()
+        let near = self.serving(now, |peer| self.is_near(peer));
+        let is_large = self.peers.values().any(|peer| !self.is_near(peer));
+        let far = self.zones.heard(now, self.zone_silence(now));
+        1 + near + far.filter(|_| is_large).sum::<usize>()
+    }
+
+    /// Entries that serve in the own zone, this one included.
+    pub fn zone_entries(&self, now: Millis) -> u32 {
+        let count = 1 + self.serving(now, |peer| peer.zone == self.zone);
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Mean time for which what another entry does stays unseen here; 0 without peers.
-    pub fn blind(&self, now: Millis) -> Millis {
-        let peers = (self.entries(now) - 1) as u64;
-        let rounds = peers.div_ceil(PER_ROUND as u64);
-        Millis(ROUND.0 * rounds / 2)
+    /// Peers of a kind that are heard and serve.
+    fn serving(&self, now: Millis, wanted: impl Fn(&Peer) -> bool) -> usize {
+        let silence = self.silence();
+        let serves =
+            |peer: &&Peer| !peer.leaving && peer.heard.is_some_and(|at| now - at < silence);
+        let peers = self.peers.values().filter(serves);
+        peers.filter(|peer| wanted(peer)).count()
     }
 
     /// When an own datagram was sent; `None` when that was too long ago or in another life.
@@ -228,6 +260,7 @@
             leaving: false,
             watches: false,
             link_mbps: 0,
+            zone: None,
         });
     }
 }
--- a/src/direct/peers/placements.rs
+++ b/src/direct/peers/placements.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Placements that are told, the newest ones: an entry makes some ten in the time between two
-/// datagrams to one peer.
-const MOST_PLACED: usize = 12;
+use crate::clock::Millis;
+
+/// Placements that are remembered, the newest ones: two datagrams to another zone hold as many.
+const MOST_PLACED: usize = 24;
 
 /// A prompt that was sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,20 +20,29 @@
 
 /// The newest placements, one a shared part.
 #[derive(Debug, Default)]
-pub struct RecentPlacements(VecDeque<PlacedPrompt>);
+pub struct RecentPlacements(VecDeque<(Millis, PlacedPrompt)>);
 
 impl RecentPlacements {
     /// A prompt was sent to an endpoint.
-    pub fn add(&mut self, placed: PlacedPrompt) {
-        self.0.retain(|other| other.part != placed.part);
-        self.0.push_back(placed);
+    pub fn add(&mut self, placed: PlacedPrompt, now: Millis) {
+        self.0.retain(|(_, other)| other.part != placed.part);
+        self.0.push_back((now, placed));
         if self.0.len() > MOST_PLACED {
             self.0.pop_front();
         }
     }
 
-    /// All of them, the oldest first.
-    pub fn all(&self) -> Vec<PlacedPrompt> {
-        self.0.iter().copied().collect()
+    /// A peer placed a prompt; one that it tells again changes nothing.
+    pub fn hear(&mut self, placed: PlacedPrompt, now: Millis) {
+        if self.0.iter().all(|(_, known)| *known != placed) {
+            self.add(placed, now);
+        }
+    }
+
+    /// The newest `most` of those since a time, the oldest first.
+    pub fn since(&self, from: Millis, most: usize) -> Vec<PlacedPrompt> {
+        let recent = self.0.iter().filter(|(at, _)| *at >= from);
+        let recent = recent.skip(self.0.len().saturating_sub(most));
+        recent.map(|(_, placed)| *placed).collect()
     }
 }
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -1,10 +1,10 @@
 //! Who watches the store: a few entries for all, the first ones of an order that all compute alike,
-//! those with wide links before others.
+//! those with wide links before others. In a fleet of several cells each has its own.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-use super::{Hello, Peer, PeerBook, PER_ROUND, ROUND};
+use super::{Hello, Peer, PeerBook};
 use crate::clock::Millis;
 
 /// Least number of entries that watch the store for all.
@@ -12,6 +12,9 @@
 /// Entries for each that watches, in a large fleet: what a watcher passes on stays within the
 /// traffic that an instance may spend on control.
 const ENTRIES_A_WATCHER: usize = 16;
+/// The same in a fleet of several zones, where all pass changes on and other zones' watchers stand in:
+/// with 16, zones of twenty entries would have two each.
+const ENTRIES_A_ZONE_WATCHER: usize = 32;
 /// Silence after which a watcher no longer counts, besides [`WATCHER_CYCLES`]: some lost datagrams
 /// in a small fleet, and with what a watcher gathers well within the bounds on changes.
 const WATCHER_SILENCE: Millis = Millis(450);
@@ -25,11 +28,7 @@
     /// that all entries compute alike are known to do so.
     pub fn is_watcher(&self, now: Millis) -> bool {
         let own = watch_rank(self.own, self.link_mbps);
-        let silence = WATCHER_SILENCE + Millis(self.cycle().0 * WATCHER_CYCLES);
-        let watches = |peer: &Peer| {
-            let heard = peer.heard.is_some_and(|at| now - at < silence);
-            heard && peer.watches && !peer.leaving
-        };
+        let watches = |peer: &Peer| self.is_near(peer) && self.is_heard_watcher(peer, now);
         let before = self
             .peers
             .iter()
@@ -37,15 +36,52 @@
         before.count() < self.watchers()
     }
 
-    /// Number of entries that watch the store.
-    fn watchers(&self) -> usize {
-        let entries = self.peers.len() + 1;
-        entries.div_ceil(ENTRIES_A_WATCHER).max(WATCHERS)
+    /// Whether this entry is among the first of the order in its own cell, whoever watches by now: at a
+    /// start nobody does, and all would.
+    pub fn is_first_in_line(&self, now: Millis) -> bool {
+        let own = watch_rank(self.own, self.link_mbps);
+        let silence = self.silence();
+        let is_heard = |peer: &Peer| peer.heard.is_some_and(|at| now - at < silence);
+        let before = self.peers.iter().filter(|(address, peer)| {
+            self.is_near(peer) && is_heard(peer) && watch_rank(**address, peer.link_mbps) < own
+        });
+        before.count() < self.watchers()
     }
 
-    /// Time in which every peer is told once.
-    fn cycle(&self) -> Millis {
-        Millis(ROUND.0 * self.peers.len().div_ceil(PER_ROUND) as u64)
+    /// Whom to ask for a younger proof: an entry that watches, of the own cell where there is one;
+    /// `draw` picks one of several.
+    pub fn proof_source(&self, draw: usize) -> Option<SocketAddr> {
+        let watchers = |near| {
+            let peers = self.peers.iter();
+            let watch = peers.filter(move |(_, peer)| {
+                self.is_near(peer) == near && (peer.watches && !peer.leaving)
+            });
+            watch.map(|(address, _)| *address).collect::<Vec<_>>()
+        };
+        let mut all = watchers(true);
+        if all.is_empty() {
+            all = watchers(false);
+        }
+        (!all.is_empty()).then(|| all[draw % all.len()])
+    }
+
+    fn is_heard_watcher(&self, peer: &Peer, now: Millis) -> bool {
+        let silence = WATCHER_SILENCE + Millis(self.near_cycle().0 * WATCHER_CYCLES);
+        let heard = peer.heard.is_some_and(|at| now - at < silence);
+        heard && peer.watches && !peer.leaving
+    }
+
+    /// Number of entries that watch the store in the own cell.
+    fn watchers(&self) -> usize {
+        let near = self
+            .peers
+            .values()
+            .filter(|peer| self.is_near(peer))
+            .count();
+        if near < self.peers.len() {
+            return (near + 1).div_ceil(ENTRIES_A_ZONE_WATCHER);
+        }
+        (near + 1).div_ceil(ENTRIES_A_WATCHER).max(WATCHERS)
     }
 }
 
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -176,6 +176,7 @@
             let now = entry.clock.now();
             entry.peers.borrow_mut().set_seeds(&new.seeds, now);
             entry.peers.borrow_mut().set_link(new.link_mbps);
+            entry.peers.borrow_mut().set_zone(&new.zone);
             *entry.settings.borrow_mut() = new;
             entry.log_process("reloaded", "settings changed");
         }
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -7,30 +7,38 @@
 
 use super::listing::read_all;
 use super::watch::{look, watch};
-use super::{pause, StoreClient};
+use super::{retry_pause, StoreClient};
+use crate::clock::Millis;
 use crate::direct::entry::Entry;
 
 /// Time between two looks at whether this entry is to watch the store itself.
 const ROLE_LOOK: Duration = Duration::from_millis(100);
 
+/// Time after a start in which nobody watches: peers are found meanwhile.
+const FIND_PEERS: Millis = Millis(600);
+/// Time after a start in which only the first in line watch; the others hear of them meanwhile. Without
+/// both, 103 entries that start together made 250 calls to watch, of 1,300 in a day.
+const LINE_UP: Millis = Millis(1_600);
+
 /// Keeps the configuration and the list of endpoints up to date.
 pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
     let client = StoreClient::new(entry.settings.borrow().store);
+    let started = entry.clock.now();
     loop {
         match read_all(&entry, &client).await {
-            Ok(()) => keep_up(&entry, &client).await,
+            Ok(()) => keep_up(&entry, &client, started).await,
             Err(err) => {
                 entry.store_failed(&err);
-                pause().await;
+                sleep(retry_pause(&entry).duration()).await;
             }
         }
     }
 }
 
 /// Keeps up until something goes wrong; the caller then reads everything anew.
-async fn keep_up(entry: &Rc<Entry>, client: &StoreClient) {
+async fn keep_up(entry: &Rc<Entry>, client: &StoreClient, started: Millis) {
     loop {
-        let is_watcher = entry.peers.borrow().is_watcher(entry.clock.now());
+        let is_watcher = is_watcher(entry, started);
         entry.set_watching(is_watcher);
         let goes_on = if is_watcher {
             watch(entry, client).await
@@ -44,6 +52,17 @@
     }
 }
 
+/// Whether this entry, which runs since `started`, is to watch the store.
+fn is_watcher(entry: &Entry, started: Millis) -> bool {
+    let now = entry.clock.now();
+    let peers = entry.peers.borrow();
+    match now - started {
+        age if age < FIND_PEERS => false,
+        age if age < LINE_UP => peers.is_first_in_line(now),
+        _ => peers.is_watcher(now),
+    }
+}
+
 /// Leaves changes to the peers that watch, for a while; false when everything is to be read anew.
 async fn follow_peers(entry: &Rc<Entry>, client: &StoreClient) -> bool {
     match woken(entry).await {
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -23,6 +23,7 @@
 pub use self::follow::follow;
 pub use self::prove::{prove, until_question};
 pub use self::reading::{Document, Reading};
+use crate::clock::Millis;
 use crate::direct::entry::Entry;
 
 /// Time for the answer to any other call to begin. The store answers in milliseconds, at its slowest in some hundred.
@@ -30,6 +31,12 @@
 /// Pause after a failed call, and the most of its random addition, in ms.
 const RETRY_PAUSE_MS: u64 = 150;
 
+/// Calls a second that all entries together make while the store is away or turns them down. With a pause
+/// that does not grow with the fleet, 103 entries made 720 a second.
+const FLEET_CALLS_PER_S: u64 = 100;
+/// Longest pause between two calls: the store's return is noticed while lapsed endpoints are waited for.
+const LONGEST_PAUSE: Millis = Millis(2_000);
+
 /// Bytes from which on an answer counts as large: 50 ms of a link of 10 Mbit/s.
 const LARGE: u64 = 64 << 10;
 
@@ -76,3 +83,18 @@
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
     sleep(Duration::from_millis(ms)).await;
 }
+
+/// Pause after a failed call for what peers bring as well, at random up to twice its least: all
+/// entries together ask no more often than [`FLEET_CALLS_PER_S`], however many they are.
+fn retry_pause(entry: &Entry) -> Millis {
+    let least = fleet_pause(entry, Millis(RETRY_PAUSE_MS));
+    least + Millis(rand::thread_rng().gen_range(0..least.0))
+}
+
+/// Pause between two calls of one entry: `least`, or longer in a fleet that would make more than
+/// [`FLEET_CALLS_PER_S`].
+fn fleet_pause(entry: &Entry, least: Millis) -> Millis {
+    let entries = entry.peers.borrow().entries(entry.clock.now()) as u64;
+    let shared = Millis(entries * 1_000 / FLEET_CALLS_PER_S);
+    shared.clamp(least, LONGEST_PAUSE.max(least))
+}
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -4,14 +4,12 @@
 //! is known to be the newest up to there, it was the newest when the question was sent. Peers share
 //! these proofs. What is known of endpoints doesn't matter for it.
 
-use std::rc::Rc;
-use std::time::Duration;
-
 use rand::Rng;
+use std::rc::Rc;
 use tokio::time::sleep;
 
 use super::watch::WATCH_LAG;
-use super::{call, CallError, Document, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
+use super::{call, fleet_pause, CallError, Document, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
 use crate::clock::Millis;
 use crate::direct::directory::Revision;
 use crate::direct::entry::Entry;
@@ -26,7 +24,7 @@
 const PROVE_SPREAD_MS: u64 = 700;
 /// Pause between two questions while the store is away: its return is noticed in time to wait for
 /// lapsed endpoints, and an entry that is turned away for long makes few calls.
-const AWAY_PAUSE: Duration = Duration::from_millis(350);
+const AWAY_PAUSE: Millis = Millis(350);
 
 /// Proves freshness whenever the newest proof grows old.
 pub async fn prove(entry: Rc<Entry>) -> anyhow::Result<()> {
@@ -47,7 +45,7 @@
                 if !entry.reads_large() {
                     entry.store_failed(&err);
                 }
-                sleep(AWAY_PAUSE).await;
+                sleep(fleet_pause(&entry, AWAY_PAUSE).duration()).await;
             }
         }
     }
--- /dev/null
+++ b/tests/direct_cells.rs
@@ -0,0 +1,364 @@
+//! What entries of fleets of any size know of each other, in simulated time without sockets: how old it
+//! is, and what telling it costs.
+
+use std::net::SocketAddr;
+
+use violetline::clock::Millis;
+use violetline::direct::load::Work;
+use violetline::direct::peers::{
+    encode_within, Covers, Hello, PeerBook, PeerId, PlacedPrompt, FAR_BYTES, MOST_BYTES, ROUND,
+    ROUND_BYTES,
+};
+
+/// One entry: its peers, and when the newest word on each entry's work was true.
+struct Entry {
+    address: SocketAddr,
+    zone: usize,
+    book: PeerBook,
+    known: Vec<Option<Millis>>,
+    up: bool,
+    /// Bytes and datagrams of its last round.
+    sent: (usize, usize),
+}
+
+/// A fleet whose datagrams arrive at once, except on cut ways.
+struct Fleet {
+    entries: Vec<Entry>,
+    now: Millis,
+    /// Lengths of datagrams by kind, once known.
+    lengths: [usize; 3],
+    /// Ways between zones on which datagrams are lost.
+    cut: Vec<(usize, usize)>,
+}
+
+fn address(i: usize) -> SocketAddr {
+    ([10, 0, (i / 250) as u8, (i % 250 + 1) as u8], 7_000).into()
+}
+
+fn index(address: SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => {
+            usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]) - 1
+        }
+        std::net::IpAddr::V6(_) => unreachable!("all are IPv4"),
+    }
+}
+
+impl Fleet {
+    fn new(count: usize, zones: usize) -> Self {
+        let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
+        let entry = |i: usize| {
+            let mut book = PeerBook::new(address(i), &seeds, (i * 7_919) as u32);
+            book.set_zone(&format!("zone-{}", i % zones));
+            Entry {
+                address: address(i),
+                zone: i % zones,
+                book,
+                known: vec![None; count],
+                up: true,
+                sent: (0, 0),
+            }
+        };
+        Self {
+            entries: (0..count).map(entry).collect(),
+            now: Millis(0),
+            lengths: [0; 3],
+            cut: Vec::new(),
+        }
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.now = self.now + ROUND;
+            for from in 0..self.entries.len() {
+                if self.entries[from].up {
+                    self.tell(from);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, from: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[from];
+        entry.known[from] = Some(now);
+        let round = entry.book.round(false, now);
+        entry.sent = (0, round.len());
+        for tell in round {
+            let bytes = self.bytes(from, tell.to, tell.covers);
+            let hello = bare(&mut self.entries[from], tell.to, tell.covers, now);
+            let entry = &mut self.entries[from];
+            entry.sent.0 += bytes;
+            entry.book.sent_bytes(tell.covers, bytes);
+            self.arrive(from, tell.to, &hello);
+        }
+    }
+
+    /// Length of a datagram; all of one kind are about as long.
+    fn bytes(&mut self, from: usize, to: SocketAddr, covers: Covers) -> usize {
+        let (kind, most) = match covers {
+            Covers::Sender => (0, MOST_BYTES),
+            Covers::Zone => (1, FAR_BYTES),
+            Covers::Nothing => (2, MOST_BYTES),
+        };
+        if self.lengths[kind] == 0 {
+            let hello = busy(&mut self.entries[from], to, covers, self.now);
+            self.lengths[kind] = encode_within(&hello, most).unwrap().len();
+        }
+        self.lengths[kind]
+    }
+
+    fn arrive(&mut self, from: usize, to: SocketAddr, hello: &Hello) {
+        let now = self.now;
+        let to = index(to);
+        if !self.entries[to].up {
+            return;
+        }
+        let way = (self.entries[from].zone, self.entries[to].zone);
+        if self.cut.contains(&way) {
+            return;
+        }
+        let told: Vec<(usize, Option<Millis>)> = match hello.covers {
+            Covers::Sender => vec![(from, Some(now))],
+            Covers::Zone => self.of_zone(from),
+            Covers::Nothing => Vec::new(),
+        };
+        let receiver = &mut self.entries[to];
+        let heard = receiver.book.hear(address(from), hello, now);
+        for (i, at) in told {
+            receiver.known[i] = receiver.known[i].max(at);
+        }
+        if heard.is_new {
+            let answer = bare(receiver, address(from), Covers::Nothing, now);
+            self.arrive(to, address(from), &answer);
+        }
+    }
+
+    /// What an entry knows of its own zone.
+    fn of_zone(&self, from: usize) -> Vec<(usize, Option<Millis>)> {
+        let zone = self.entries[from].zone;
+        let all = self.entries[from].known.iter().enumerate();
+        let own = all.filter(|(i, _)| self.entries[*i].zone == zone);
+        own.map(|(i, at)| (i, *at)).collect()
+    }
+
+    /// Ages of what entries that are up know of each other, in ms, sorted; of the own zone or of others.
+    fn ages(&self, own_zone: bool) -> Vec<u64> {
+        let up = || self.entries.iter().enumerate().filter(|(_, e)| e.up);
+        let mut ages = Vec::new();
+        for (_, entry) in up() {
+            for (i, other) in up().filter(|(_, o)| (o.zone == entry.zone) == own_zone) {
+                if other.address != entry.address {
+                    ages.push(entry.known[i].map_or(u64::MAX, |at| (self.now - at).0));
+                }
+            }
+        }
+        ages.sort_unstable();
+        ages
+    }
+
+    fn counts(&self) -> Vec<usize> {
+        let up = self.entries.iter().filter(|e| e.up);
+        up.map(|e| e.book.entries(self.now)).collect()
+    }
+}
+
+/// A datagram of an entry without work.
+fn bare(entry: &mut Entry, to: SocketAddr, covers: Covers, now: Millis) -> Hello {
+    Hello {
+        from: PeerId(u64::from(entry.address.port())),
+        number: entry.book.next_number(now),
+        echo: entry.book.echo(to),
+        version: 4,
+        proof_age_ms: Some(400),
+        revision: 1_000,
+        changes_after: 900,
+        catalog_revision: 1_000,
+        leaving: false,
+        watches: false,
+        reads_large: false,
+        link_mbps: 20,
+        zone: entry.book.zone(),
+        zone_entries: entry.book.zone_entries(now),
+        asks: false,
+        others: entry.book.others(to, now),
+        covers,
+        work: Vec::new(),
+        placed: Vec::new(),
+    }
+}
+
+/// A datagram of a busy entry: work at 12 endpoints, or at 100 of the zone, and placements.
+fn busy(entry: &mut Entry, to: SocketAddr, covers: Covers, now: Millis) -> Hello {
+    let work = Work {
+        running: 2,
+        unread: [0, 2_000, 7_000],
+        held: 12_000,
+        delicate: 150,
+        pressure: 30_000,
+    };
+    let (endpoints, prompts) = match covers {
+        Covers::Sender => (12, 8),
+        Covers::Zone => (100, 24),
+        Covers::Nothing => (0, 0),
+    };
+    let placed = PlacedPrompt {
+        part: 1 << 47,
+        endpoint: u32::MAX,
+    };
+    Hello {
+        work: (0..endpoints).map(|i| (u32::MAX - i, work)).collect(),
+        placed: vec![placed; prompts],
+        ..bare(entry, to, covers, now)
+    }
+}
+
+fn part_of(sorted: &[u64], part: f64) -> u64 {
+    sorted[((sorted.len() - 1) as f64 * part) as usize]
+}
+
+/// Half of what an entry knows of others is half a second old or less, with a hundred entries as with
+/// thirty, and it grows slower than the fleet.
+#[test]
+fn age_of_words() {
+    for (count, zones, own, others) in [
+        (3, 3, 150, 150),
+        (30, 3, 450, 750),
+        (103, 5, 900, 1_350),
+        (200, 6, 1_350, 2_250),
+    ] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.rounds(70);
+        if zones < count {
+            let ages = fleet.ages(true);
+            assert!(
+                part_of(&ages, 0.9) <= own,
+                "{count}: {:?}",
+                part_of(&ages, 0.9)
+            );
+        }
+        let ages = fleet.ages(false);
+        let (median, most) = (part_of(&ages, 0.5), part_of(&ages, 0.9));
+        assert!(
+            median <= others / 2 + 150 && most <= others,
+            "{count}: {median}, {most}"
+        );
+    }
+}
+
+/// All count all, whatever the size of the fleet.
+#[test]
+fn entries_counted() {
+    for (count, zones) in [(3, 3), (30, 3), (103, 5), (450, 12)] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.rounds(120);
+        assert!(
+            fleet.counts().iter().all(|n| *n == count),
+            "{count}: {:?}",
+            fleet.counts()
+        );
+    }
+}
+
+/// What an entry sends in a round is bounded and does not grow with the fleet.
+#[test]
+fn bytes_bounded() {
+    for (count, zones) in [(30, 3), (103, 5), (200, 6)] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.rounds(30);
+        let mut sums = vec![0; count];
+        for _ in 0..20 {
+            fleet.rounds(1);
+            for (sum, entry) in sums.iter_mut().zip(&fleet.entries) {
+                *sum += entry.sent.0;
+                assert!(entry.sent.1 <= 9, "{} datagrams", entry.sent.1);
+            }
+        }
+        let most = sums.iter().max().unwrap() / 20;
+        assert!(most <= ROUND_BYTES, "{count}: {most} bytes a round");
+    }
+}
+
+/// A zone that is lost no longer counts, and what the others know of each other grows no older.
+#[test]
+fn lost_zone() {
+    let mut fleet = Fleet::new(103, 5);
+    fleet.rounds(100);
+    for entry in &mut fleet.entries {
+        entry.up = entry.zone != 2;
+    }
+    let left = fleet.entries.iter().filter(|e| e.up).count();
+    fleet.rounds(160);
+    assert!(
+        fleet.counts().iter().all(|n| *n == left),
+        "{:?}",
+        fleet.counts()
+    );
+    assert!(part_of(&fleet.ages(false), 0.9) <= 1_350);
+    for entry in &mut fleet.entries {
+        entry.up = true;
+    }
+    fleet.rounds(100);
+    assert!(fleet.counts().iter().all(|n| *n == 103));
+}
+
+/// Where one zone's datagrams don't reach another, that one alone does without them.
+#[test]
+fn one_way_cut() {
+    let mut fleet = Fleet::new(103, 5);
+    fleet.rounds(100);
+    fleet.cut = vec![(0, 1)];
+    fleet.rounds(100);
+    for entry in &fleet.entries {
+        let hidden = entry.zone == 1;
+        let expected = if hidden { 103 - 21 } else { 103 };
+        assert_eq!(
+            entry.book.entries(fleet.now),
+            expected,
+            "zone {}",
+            entry.zone
+        );
+    }
+}
+
+/// An entry whose zone is not known is told like a neighbour, and hears all others one by one.
+#[test]
+fn unknown_zone() {
+    let mut fleet = Fleet::new(40, 4);
+    fleet.entries[0].book.set_zone("");
+    fleet.rounds(160);
+    let known = fleet.entries[0]
+        .known
+        .iter()
+        .filter(|at| at.is_some())
+        .count();
+    assert_eq!(known, 40);
+    let (word, blind) = (
+        fleet.entries[0].book.near_word(),
+        fleet.entries[0].book.blind(fleet.now),
+    );
+    assert!(word >= Millis(1_500) && blind < word);
+}
+
+/// What peers told counts for longer than it takes to tell it anew, in a fleet of any size.
+#[test]
+fn words_outlast_turns() {
+    for (count, zones) in [(3, 3), (30, 3), (103, 5), (50, 1)] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.rounds(70);
+        let (near, far) = (fleet.ages(true), fleet.ages(false));
+        let book = &fleet.entries[count / 2].book;
+        if !near.is_empty() && zones < count {
+            assert!(
+                part_of(&near, 0.9) < book.near_word().0,
+                "{count} in {zones}"
+            );
+        }
+        if !far.is_empty() {
+            assert!(
+                part_of(&far, 0.9) < book.zone_word(fleet.now).0,
+                "{count} in {zones}"
+            );
+        }
+    }
+}
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -6,7 +6,8 @@
 use violetline::clock::Millis;
 use violetline::direct::load::Work;
 use violetline::direct::peers::{
-    self, Hello, PeerBook, PeerId, PlacedPrompt, RecentPlacements, MOST_BYTES, PER_ROUND, ROUND,
+    self, Covers, Hello, PeerBook, PeerId, PlacedPrompt, RecentPlacements, MOST_BYTES, PER_ROUND,
+    ROUND,
 };
 
 fn address(i: u8) -> SocketAddr {
@@ -21,12 +22,17 @@
         version: 1,
         proof_age_ms: None,
         revision: 0,
+        changes_after: 0,
         catalog_revision: 0,
         leaving: false,
         watches: false,
         reads_large: false,
         link_mbps: 0,
+        zone: None,
+        zone_entries: 1,
+        asks: false,
         others: Vec::new(),
+        covers: Covers::Sender,
         work: Vec::new(),
         placed: Vec::new(),
     }
@@ -70,7 +76,8 @@
         let Some(book) = self.books.get_mut(&from) else {
             return 0;
         };
-        let round = book.round(now);
+        let watches = book.is_watcher(now);
+        let round: Vec<SocketAddr> = book.round(watches, now).iter().map(|t| t.to).collect();
         let mut messages = Vec::new();
         for peer in &round {
             let mut message = hello(1, book.next_number(now), book.echo(*peer));
@@ -327,12 +334,15 @@
     sent.work = (0..12).map(|i| (u32::MAX - i, work)).collect();
     let mut recent = RecentPlacements::default();
     for i in 0..100 {
-        recent.add(PlacedPrompt {
-            part: u64::from(u32::MAX) - i,
-            endpoint: u32::MAX,
-        });
+        recent.add(
+            PlacedPrompt {
+                part: u64::from(u32::MAX) - i,
+                endpoint: u32::MAX,
+            },
+            Millis(0),
+        );
     }
-    sent.placed = recent.all();
+    sent.placed = recent.since(Millis(0), 12);
     let length = peers::encode(&sent).unwrap().len();
     let rounds_per_s = 1_000 / ROUND.0;
     let per_s = length * PER_ROUND * rounds_per_s as usize;
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -8,7 +8,7 @@
 use violetline::direct::channel::Failure;
 use violetline::direct::directory::Change;
 use violetline::direct::entry::Entry;
-use violetline::direct::peers::{Hello, PeerId};
+use violetline::direct::peers::{Covers, Hello, PeerId};
 use violetline::direct::sync::{until_question, CallError};
 
 fn asks_again(entry: &Entry) -> bool {
@@ -152,12 +152,17 @@
         version: 3,
         proof_age_ms: Some(100),
         revision: 10,
+        changes_after: 0,
         catalog_revision: 10,
         leaving: false,
         watches: true,
         reads_large: false,
         link_mbps: 200,
+        zone: None,
+        zone_entries: 1,
+        asks: false,
         others: Vec::new(),
+        covers: Covers::Sender,
         work: Vec::new(),
         placed: Vec::new(),
     }
