--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -25,6 +25,8 @@
 struct Fleet {
     entries: Vec<Entry>,
     now: Millis,
+    /// Endpoints at which an entry has work.
+    busy_at: u32,
     /// Lengths of datagrams by kind, once known.
     lengths: [usize; 3],
     /// Ways between zones on which datagrams are lost.
@@ -62,6 +64,7 @@
         Self {
             entries: (0..count).map(entry).collect(),
             now: Millis(0),
+            busy_at: 12,
             lengths: [0; 3],
             cut: Vec::new(),
         }
@@ -102,7 +105,7 @@
             Covers::Nothing => (2, MOST_BYTES),
         };
         if self.lengths[kind] == 0 {
-            let hello = busy(&mut self.entries[from], to, covers, self.now);
+            let hello = busy(&mut self.entries[from], to, covers, self.busy_at);
             self.lengths[kind] = encode_within(&hello, most).unwrap().len();
         }
         self.lengths[kind]
@@ -188,8 +191,8 @@
     }
 }
 
-/// A datagram of a busy entry: work at 12 endpoints, or at 100 of the zone, and placements.
-fn busy(entry: &mut Entry, to: SocketAddr, covers: Covers, now: Millis) -> Hello {
+/// A datagram of a busy entry: work at some endpoints, or at 100 of the zone, and placements.
+fn busy(entry: &mut Entry, to: SocketAddr, covers: Covers, busy_at: u32) -> Hello {
     let work = Work {
         running: 2,
         unread: [0, 2_000, 7_000],
@@ -198,7 +201,7 @@
         pressure: 30_000,
     };
     let (endpoints, prompts) = match covers {
-        Covers::Sender => (12, 8),
+        Covers::Sender => (busy_at, 8),
         Covers::Zone => (100, 24),
         Covers::Nothing => (0, 0),
     };
@@ -209,7 +212,7 @@
     Hello {
         work: (0..endpoints).map(|i| (u32::MAX - i, work)).collect(),
         placed: vec![placed; prompts],
-        ..bare(entry, to, covers, now)
+        ..bare(entry, to, covers, Millis(0))
     }
 }
 
@@ -265,6 +268,7 @@
 fn bytes_bounded() {
     for (count, zones) in [(30, 3), (103, 5), (200, 6)] {
         let mut fleet = Fleet::new(count, zones);
+        fleet.busy_at = 40;
         fleet.rounds(30);
         let mut sums = vec![0; count];
         for _ in 0..20 {
