--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -21,9 +21,6 @@
 const ASK_AT: Millis = Millis(900);
 /// Rounds between two such questions.
 const ASK_ROUNDS: u64 = 2;
-/// Turns of telling all peers for which a placement is told: lost datagrams are made up for.
-const PLACED_TURNS: u64 = 2;
-
 /// Placements that a neighbour is told at most, the newest ones: an entry makes some five in a turn.
 const OWN_PLACED: usize = 12;
 /// Placements of the zone that another zone's entry is told at most.
@@ -124,7 +121,7 @@
 fn hello_for(entry: &Entry, tell: Tell, now: Millis) -> Hello {
     let work = work_for(entry, tell.covers, now);
     let mut book = entry.peers.borrow_mut();
-    let since = now - Millis(book.turn(tell.covers, now).0 * PLACED_TURNS);
+    let since = book.placed_since(tell.covers, now);
     let (placed, others) = match tell.covers {
         Covers::Sender => (
             entry.placements.borrow().since(since, OWN_PLACED),
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -36,6 +36,8 @@
 const WORD: Millis = Millis(1_500);
 /// Turns after which it no longer counts.
 const WORD_TURNS: u64 = 3;
+/// Turns for which a placement is told.
+const PLACED_TURNS: u64 = 2;
 /// Weight of earlier datagrams in the mean of their bytes, against 1 for the newest.
 const BYTES_WEIGHT: usize = 7;
 
@@ -86,12 +88,18 @@
         Millis(turns.0 / 2)
     }
 
-    /// Mean time between two datagrams to one receiver, or to one zone.
-    pub fn turn(&self, covers: Covers, now: Millis) -> Millis {
-        match covers {
+    /// Time since which placements are told: some turns, so that lost datagrams are made up for. In a
+    /// fleet of one cell all that are remembered: nobody passes them on, and 0.3 s of them cost 0.03 of the mean
+    /// worth of four days before nine engines (0.681 against 0.708).
+    pub fn placed_since(&self, covers: Covers, now: Millis) -> Millis {
+        if self.far_count == 0 {
+            return Millis(0);
+        }
+        let turn = match covers {
             Covers::Sender | Covers::Nothing => self.near_cycle(),
             Covers::Zone => self.near_cycle() + self.zone_interval(now),
-        }
+        };
+        now - Millis(turn.0 * PLACED_TURNS)
     }
 
     /// Time for which a neighbour's word on its work counts.
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -325,6 +325,28 @@
     }
 }
 
+/// Where all are told in each round, all remembered placements are told; otherwise those of some turns,
+/// since peers pass them on.
+#[test]
+fn placements_told() {
+    for (count, zones) in [(3, 3), (8, 2), (30, 3)] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.rounds(60);
+        let since = fleet.entries[0]
+            .book
+            .placed_since(Covers::Sender, fleet.now);
+        if count <= 8 {
+            assert_eq!(since, Millis(0), "{count}");
+        } else {
+            let age = fleet.now - since;
+            assert!(
+                age >= Millis(300) && age <= Millis(1_500),
+                "{count}: {age:?}"
+            );
+        }
+    }
+}
+
 /// An entry whose zone is not known is told like a neighbour, and hears all others one by one.
 #[test]
 fn unknown_zone() {
