--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -92,8 +92,11 @@
 }
 
 /// Pause between two calls of one entry: `least`, or longer in a fleet that would make more than
-/// [`FLEET_CALLS_PER_S`].
+/// [`FLEET_CALLS_PER_S`]. An entry that has nothing yet serves nobody, and waits no longer than `least`.
 fn fleet_pause(entry: &Entry, least: Millis) -> Millis {
+    if entry.version() == 0 || entry.listed_up_to() == 0 {
+        return least;
+    }
     let entries = entry.peers.borrow().entries(entry.clock.now()) as u64;
     let shared = Millis(entries * 1_000 / FLEET_CALLS_PER_S);
     shared.clamp(least, LONGEST_PAUSE.max(least))
