--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -121,7 +121,7 @@
     /// Takes a whole listing that was begun at a revision, and keeps for peers what it changes.
     ///
     /// When the store has dropped its history, its watchers list anew; their peers would have to as well
-    /// if the changes that they keep began after that: 14 of 20 entries of a zone did.
+    /// if the changes that they keep began after that: 14 of 23 entries of a zone did.
     pub fn take_listing(&self, listed: Vec<Listed>, begun: Revision) {
         let now = self.clock.now();
         let before = self.listed_up_to.get();
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -3,8 +3,9 @@
 //! All peers of the own availability zone are told the own work in turn; entries of other zones, in turn as
 //! well, are told the sum of the zone's work. Each of a zone's entries tells others, so that every
 //! entry hears of each other zone about as often as of a neighbour. In a fleet small enough to be told
-//! whole in each round all entries are neighbours, whatever their zones. What is sent in a round is
-//! bounded by bytes, whatever the size of the fleet: with larger datagrams fewer peers are told.
+//! whole in each round all entries are neighbours, whatever their zones. What is told of work in a round is
+//! bounded by bytes, whatever the size of the fleet: with larger datagrams fewer peers are told. Proofs
+//! between watchers and answers to questions come on top, a hundred bytes each.
 
 use std::net::SocketAddr;
 
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -25,9 +25,9 @@
 /// before one that is late apart from them, and no request waits past its target where its parts are kept.
 const LATE: f64 = 6.0;
 /// Weight of the time that reading a prompt takes from each delicate stream beside it. Without it and
-/// [`HARM_BEYOND`], prompts are read beside streams and make them late: 0.731 against 0.618. At 0.25 with 2
-/// beyond, cold starts of 103 entries made a fifth of the urgent streams late: 0.708 against 0.738 (two days
-/// with bursts); nine engines 0.850 against 0.857.
+/// [`HARM_BEYOND`], prompts are read beside streams and make them late: 0.731 against 0.618. With 0.25 and 2
+/// beyond 103 entries reached 0.706, with 1 and 4 (and more lanes) 0.737; nine engines 0.845 and 0.857 (three
+/// days, one seed).
 const HARM: f64 = 1.0;
 /// Part of the tightest pause that reading beside a delicate stream may fill without harm.
 const PAUSE_PART: f64 = 0.35;
@@ -35,7 +35,7 @@
 const HARM_BEYOND: f64 = 4.0;
 /// Weight of the reading that a delicate stream must expect beside it, where others' choices are seen:
 /// 0.731 against 0.703. It gathers streams on few engines, so it falls with the square of [`unseen`]: unchanged,
-/// a hundred entries put up to 50 streams on some engines while most were idle, 0.656 against 0.706.
+/// a hundred entries put up to 50 streams on some engines while most were idle, 0.649 against 0.706.
 const EXPOSURE: f64 = 0.4;
 /// Price of a full batch where others' choices are seen, in ms; it grows with the square of the part in use. At 400
 /// and 800 ms streams leave engines with room for ones that read: on 55 engines 0.705 against 0.684 and
@@ -49,13 +49,14 @@
 /// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
 const OVERFULL_MS: f64 = 25.0;
 /// Weight of shared tokens that are read again by a coarse request, beyond the time that this takes: it is
-/// work done twice, also for those who wait behind it, and the part is then kept at two places. At 8, 20 and 60
-/// on 180 engines 20, 13 and 7 million tokens were read again in a day with bursts; mean worth 0.588, 0.721, 0.735.
+/// work done twice, also for those who wait behind it, and the part is then kept at two places. In a day with bursts
+/// before 180 engines, 25 million tokens were read again at 8 (0.629) and 17 at 12 (0.683); with less
+/// exposure 13 at 20 (0.721) and 8 at 40 (0.712); as it is now 11 at 30 (0.702) and 7 at 60 (0.710).
 const READ_AGAIN: f64 = 60.0;
-/// The same at the home of the tokens.
+/// The same at the home of the tokens: 0.692 against 0.679 with [`READ_AGAIN`], which is noise.
 const READ_AGAIN_HOME: f64 = 8.0;
-/// The same for a delicate stream, whose prompt is short and whose place matters more: 0.838 of its worth
-/// against 0.816.
+/// The same for a delicate stream, whose prompt is short and whose place matters more. No gain was measured:
+/// 0.816 of its worth with 40 for all, and with this beside 60.
 const READ_AGAIN_DELICATE: f64 = 8.0;
 /// Price of moving a token, in ms: links and memory are shared, and a prompt stays where its parts are
 /// unless that is busy. At a quarter of it, 1.6 times as much was moved and 1.4 times as much read
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -17,7 +17,7 @@
 /// Time after a start in which nobody watches: peers are found meanwhile.
 const FIND_PEERS: Millis = Millis(600);
 /// Time after a start in which only the first in line watch; the others hear of them meanwhile. Without
-/// both, 103 entries that start together made 250 calls to watch, of 1,300 in a day.
+/// both, 19 entries of one zone that started together began 48 watches in eight seconds.
 const LINE_UP: Millis = Millis(1_600);
 
 /// Keeps the configuration and the list of endpoints up to date.
