Cordoned zones, lives of endpoints and entries of other writers are read from the store

Cordons come with the list (one range from after the configuration, so no call more), with every watch, with the answer that proves freshness, and from peers as changes of the list; whoever hears of one sends nothing more there, checked again when a request is sent. Another 'born' makes another endpoint of an entry, with another digest, so what peers tell of the earlier life does not reach it. An entry with a field missing, of another type or unknown names no endpoint, is counted, and logged once with its key; one over a good entry takes its place.

Ruled out: a key of its own for cordons in each listing (a call more at each start).

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -25,6 +25,7 @@
         slots: 64,
         draining: false,
         warming: Millis(0),
+        born: None,
         revision: 1,
     }
 }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -170,6 +170,22 @@
         /// Revision of the list.
         revision: u64,
     },
+    /// An availability zone was cordoned, so that nothing new is sent to its endpoints, or taken back.
+    ZoneCordon {
+        /// The zone.
+        zone: String,
+        /// Whether it is cordoned.
+        cordoned: bool,
+        /// Revision of the list.
+        revision: u64,
+    },
+    /// An entry of the store can't be read and names nothing; told when it is seen first.
+    EntryUnreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        why: String,
+    },
     /// An endpoint was set aside or taken back.
     EndpointHealth {
         /// Endpoint.
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -9,7 +9,8 @@
 
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
-use crate::direct::directory::{Change, Listed, Revision};
+use crate::direct::cordons::Cordon;
+use crate::direct::directory::{Change, Listing, Revision};
 use crate::direct::load::Report;
 use crate::direct::prefix::Part;
 
@@ -98,27 +99,49 @@
 /// One page of the list of endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
-    /// Entries.
-    pub listed: Vec<Listed>,
+    /// What it lists.
+    pub listing: Listing,
+    /// Entries that can't be read; they name nothing.
+    pub unreadable: Vec<Unreadable>,
     /// Where the next page starts, when there is one.
     pub next: Option<String>,
     /// The store's revision when it answered.
     pub current: Revision,
 }
 
+/// An entry of the store that can't be read, and why: its writer may be another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Its key.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+/// The store's revision, with the cordons that stood then.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The revision.
+    pub current: Revision,
+    /// The cordons; `None` where they are more than fit into one answer.
+    pub cordons: Option<Vec<Cordon>>,
+}
+
 /// A document that was written or removed.
 #[derive(Debug, Clone)]
 pub enum Written {
     /// A version of the configuration.
     Catalog(Box<Catalog>),
-    /// A change of the list of endpoints.
-    Endpoint(Change),
+    /// A change of the list of endpoints, or of the cordons.
+    Change(Change),
+    /// An entry that can't be read, and what that changes: an endpoint of its key is no longer named.
+    Unreadable(Unreadable, Option<Change>),
 }
 
 /// What a watch is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
-    /// The configuration and the list of endpoints.
+    /// The configuration, the list of endpoints and the cordons.
     All,
     /// The list of endpoints alone.
     Endpoints,
@@ -172,7 +195,7 @@
     fn catalog_query(&self) -> RequestHead;
     /// Reads that answer; `None` while there is no configuration.
     fn catalog(&self, status: StatusCode, body: &[u8]) -> Result<Option<Box<Catalog>>, Unusable>;
-    /// Asks for a page of the list of endpoints.
+    /// Asks for a page of the list of endpoints and of the cordons.
     fn page_query(&self, from: Option<&str>) -> RequestHead;
     /// Reads a page.
     fn page(&self, status: StatusCode, body: &[u8]) -> Result<Page, Unusable>;
@@ -180,8 +203,8 @@
     fn watch_query(&self, scope: Scope, since: Revision, wait: Millis) -> RequestHead;
     /// Reads the changes.
     fn watched(&self, status: StatusCode, body: &[u8]) -> Result<Watched, Unusable>;
-    /// Asks for the store's revision with an answer that is never stale.
-    fn revision_query(&self) -> RequestHead;
-    /// Reads the revision.
-    fn revision(&self, status: StatusCode, body: &[u8]) -> Result<Revision, Unusable>;
+    /// Asks for the store's revision and the cordons, with an answer that is never stale.
+    fn snapshot_query(&self) -> RequestHead;
+    /// Reads them.
+    fn snapshot(&self, status: StatusCode, body: &[u8]) -> Result<Snapshot, Unusable>;
 }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -1,4 +1,5 @@
-//! The directory: endpoints as the platform lists them, with the gaps of its outages bridged.
+//! The directory: endpoints as the platform lists them, with the gaps of its outages bridged, and the
+//! availability zones that are cordoned.
 //!
 //! Entries disappear from the platform's list for two reasons: the endpoint has left, or the list
 //! was away and the entry lapsed meanwhile. The first must be obeyed at once, the second must not.
@@ -11,6 +12,7 @@
 use slotmap::{new_key_type, SlotMap};
 
 use crate::clock::Millis;
+use crate::direct::cordons::{Cordon, Cordons};
 
 /// Time after the list's return within which live endpoints have written their entries again;
 /// the platform gives them about two seconds.
@@ -50,12 +52,32 @@
     pub slots: u32,
     /// Whether it announced its end.
     pub draining: bool,
-    /// Time for which it is still slow after its start.
+    /// Time for which it still warms up.
     pub warming: Millis,
+    /// When this life of the endpoint began, in ms of Unix time; `None` where it is not told.
+    pub born: Option<u64>,
     /// Where in the history this entry was written.
     pub revision: Revision,
 }
 
+/// Everything that a whole listing holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Endpoints.
+    pub endpoints: Vec<Listed>,
+    /// Availability zones to whose endpoints nothing new is sent.
+    pub cordons: Vec<Cordon>,
+}
+
+impl From<Vec<Listed>> for Listing {
+    fn from(endpoints: Vec<Listed>) -> Self {
+        Self {
+            endpoints,
+            cordons: Vec::new(),
+        }
+    }
+}
+
 /// A change of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -68,6 +90,10 @@
         /// When.
         revision: Revision,
     },
+    /// Nothing new is to be sent to the endpoints of an availability zone.
+    Cordoned(Cordon),
+    /// An availability zone takes work again.
+    Uncordoned(Cordon),
 }
 
 impl Change {
@@ -76,6 +102,7 @@
         match self {
             Self::Put(listed) => listed.revision,
             Self::Removed { revision, .. } => *revision,
+            Self::Cordoned(cordon) | Self::Uncordoned(cordon) => cordon.revision,
         }
     }
 }
@@ -87,14 +114,34 @@
     pub listed: Listed,
     /// Whether it takes new work.
     pub standing: Standing,
-    /// Digest of its identity, for messages between entries.
+    /// Digest of this life of it, for messages between entries.
     pub digest: u32,
+    /// When its newest entry was taken.
+    listed_at: Millis,
+    /// When something showed that it may have begun to warm up since its newest entry.
+    doubted: Option<Millis>,
 }
 
-/// First four bytes of an identity's BLAKE3 hash; equal in all entries. Two endpoints of one digest
-/// would share what peers tell of them, which is soft.
-pub fn digest(id: &str) -> u32 {
-    let hash = blake3::hash(id.as_bytes());
+impl Endpoint {
+    /// Until when it is taken to warm up, where that takes `time` from its beginning.
+    ///
+    /// What its entry tells is counted from when it was taken, which is later than it was written.
+    pub fn warm_at(&self, time: Millis) -> Millis {
+        let told = self.listed_at + self.listed.warming;
+        let doubted = self.doubted.map(|at| at + time);
+        doubted.map_or(told, |until| until.max(told))
+    }
+}
+
+/// First four bytes of the BLAKE3 hash of an identity and its life; equal in all entries. Two endpoints of
+/// one digest would share what peers tell of them, which is soft; two lives of one endpoint don't.
+pub fn digest(id: &str, born: Option<u64>) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(id.as_bytes());
+    if let Some(born) = born {
+        hasher.update(&born.to_be_bytes());
+    }
+    let hash = hasher.finalize();
     let mut head = [0; 4];
     head.copy_from_slice(&hash.as_bytes()[..4]);
     u32::from_be_bytes(head)
@@ -106,6 +153,7 @@
     arena: SlotMap<EndpointKey, Endpoint>,
     by_id: HashMap<String, EndpointKey>,
     by_digest: HashMap<u32, EndpointKey>,
+    cordons: Cordons,
     /// Whether the list can't be read now.
     away: bool,
     /// When it could be read again after it was away last.
@@ -132,52 +180,81 @@
         }
     }
 
-    /// Takes a change; returns the key of an endpoint that left for good.
+    /// Takes a change; returns the key of an endpoint that left for good, or whose life is over.
     pub fn apply(&mut self, change: Change, now: Millis) -> Option<EndpointKey> {
         match change {
-            Change::Put(listed) => {
-                self.put(listed);
+            Change::Put(listed) => self.put(listed, now),
+            Change::Removed { id, revision } => self.removed(&id, revision, now),
+            Change::Cordoned(cordon) => {
+                self.cordons.cordon(cordon);
+                None
+            }
+            Change::Uncordoned(cordon) => {
+                if self.cordons.uncordon(&cordon) {
+                    self.doubt_zone(&cordon.zone, now);
+                }
                 None
             }
-            Change::Removed { id, revision } => self.removed(&id, revision, now),
         }
     }
 
     /// Replaces everything by a whole listing that was begun at `revision`.
     ///
-    /// Entries that it does not hold have disappeared; returns those that left for good.
+    /// Entries that it does not hold have disappeared; returns the keys of endpoints that left for good, or
+    /// whose life is over.
     pub fn replace(
         &mut self,
-        all: Vec<Listed>,
+        all: impl Into<Listing>,
         revision: Revision,
         now: Millis,
     ) -> Vec<EndpointKey> {
-        let held: Vec<String> = all.iter().map(|listed| listed.id.clone()).collect();
-        for listed in all {
-            self.put(listed);
+        let all = all.into();
+        let held: HashSet<String> = all.endpoints.iter().map(|l| l.id.clone()).collect();
+        let mut gone = Vec::new();
+        for listed in all.endpoints {
+            gone.extend(self.put(listed, now));
         }
         let missing: Vec<String> = self
             .by_id
             .keys()
-            .filter(|id| !held.contains(id))
+            .filter(|id| !held.contains(*id))
             .cloned()
             .collect();
-        missing
-            .iter()
-            .filter_map(|id| self.removed(id, revision, now))
-            .collect()
+        let left = missing.iter();
+        gone.extend(left.filter_map(|id| self.removed(id, revision, now)));
+        self.replace_cordons(all.cordons, revision, now);
+        gone
+    }
+
+    /// What the cordons that stood at `revision` change in a list that is complete up to `before`.
+    pub fn cordon_changes_to(
+        &self,
+        all: &[Cordon],
+        before: Revision,
+        revision: Revision,
+    ) -> Vec<Change> {
+        self.cordons.changes_to(all, before, revision)
+    }
+
+    /// Replaces all cordons by those that stood at `revision`.
+    fn replace_cordons(&mut self, all: Vec<Cordon>, revision: Revision, now: Millis) {
+        for zone in self.cordons.replace(all, revision) {
+            self.doubt_zone(&zone, now);
+        }
     }
 
     /// What a whole listing that was begun at `begun` changes in a list that is complete up to `before`.
-    pub fn changes_to(&self, all: &[Listed], before: Revision, begun: Revision) -> Vec<Change> {
-        let newer = all.iter().filter(|listed| listed.revision > before);
-        let held: HashSet<&str> = all.iter().map(|listed| listed.id.as_str()).collect();
+    pub fn changes_to(&self, all: &Listing, before: Revision, begun: Revision) -> Vec<Change> {
+        let newer = all.endpoints.iter().filter(|l| l.revision > before);
+        let held: HashSet<&str> = all.endpoints.iter().map(|l| l.id.as_str()).collect();
         let missing = self.by_id.keys().filter(|id| !held.contains(id.as_str()));
         let removed = missing.map(|id| Change::Removed {
             id: id.clone(),
             revision: begun,
         });
-        newer.cloned().map(Change::Put).chain(removed).collect()
+        let cordons = self.cordons.changes_to(&all.cordons, before, begun);
+        let endpoints = newer.cloned().map(Change::Put).chain(removed);
+        endpoints.chain(cordons).collect()
     }
 
     /// Ends the grace of lapsed entries; returns those that left for good.
@@ -204,8 +281,19 @@
 
     /// Whether an endpoint may be given new work now.
     pub fn takes_work(&self, key: EndpointKey) -> bool {
-        self.get(key)
-            .is_some_and(|endpoint| endpoint.standing != Standing::Draining)
+        self.get(key).is_some_and(|e| self.is_open(e))
+    }
+
+    /// Whether nothing new is sent to the endpoints of an availability zone.
+    pub fn is_cordoned(&self, zone: &str) -> bool {
+        self.cordons.holds(zone)
+    }
+
+    /// An endpoint may have begun to warm up without its entry saying so.
+    pub fn doubt(&mut self, key: EndpointKey, now: Millis) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.doubted = Some(now);
+        }
     }
 
     /// Endpoints of a pool that take new work.
@@ -213,9 +301,8 @@
         &'a self,
         pool: &'a str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + 'a {
-        self.arena.iter().filter(move |(_, endpoint)| {
-            endpoint.listed.pool == pool && endpoint.standing != Standing::Draining
-        })
+        let all = self.arena.iter();
+        all.filter(move |(_, e)| e.listed.pool == pool && self.is_open(e))
     }
 
     /// All endpoints.
@@ -233,32 +320,58 @@
         self.by_digest.get(&digest).copied()
     }
 
-    /// Takes an entry unless a newer one of the same endpoint is known.
-    fn put(&mut self, listed: Listed) {
-        let standing = if listed.draining {
-            Standing::Draining
-        } else {
-            Standing::Ready
-        };
+    /// Whether an endpoint takes new work, and its availability zone is not cordoned.
+    fn is_open(&self, endpoint: &Endpoint) -> bool {
+        endpoint.standing != Standing::Draining && !self.cordons.holds(&endpoint.listed.zone)
+    }
+
+    /// The endpoints of a zone that takes work again may have to warm up.
+    fn doubt_zone(&mut self, zone: &str, now: Millis) {
+        let of_zone = self.arena.values_mut().filter(|e| e.listed.zone == zone);
+        for endpoint in of_zone {
+            endpoint.doubted = Some(now);
+        }
+    }
+
+    /// Takes an entry unless a newer one of the same endpoint is known. Returns the key of an earlier life
+    /// of the endpoint: the new one holds and knows nothing of what that had.
+    fn put(&mut self, listed: Listed, now: Millis) -> Option<EndpointKey> {
         let known = self.by_id.get(&listed.id).copied();
-        match known.and_then(|key| self.arena.get_mut(key)) {
-            Some(endpoint) if endpoint.listed.revision > listed.revision => {}
-            Some(endpoint) => {
-                endpoint.standing = standing;
-                endpoint.listed = listed;
-            }
-            None => {
-                let id = listed.id.clone();
-                let digest = digest(&id);
-                let key = self.arena.insert(Endpoint {
-                    digest,
-                    listed,
-                    standing,
-                });
-                self.by_digest.insert(digest, key);
-                self.by_id.insert(id, key);
-            }
+        let Some(key) = known else {
+            self.insert(listed, now);
+            return None;
+        };
+        let endpoint = self.arena.get_mut(key)?;
+        if endpoint.listed.revision > listed.revision {
+            return None;
+        }
+        if is_other_life(endpoint.listed.born, listed.born) {
+            self.remove(key);
+            self.insert(listed, now);
+            return Some(key);
+        }
+        if endpoint.listed.revision < listed.revision {
+            endpoint.listed_at = now;
+            endpoint.doubted = None;
         }
+        endpoint.standing = standing_of(&listed);
+        let born = listed.born.or(endpoint.listed.born);
+        endpoint.listed = Listed { born, ..listed };
+        None
+    }
+
+    fn insert(&mut self, listed: Listed, now: Millis) {
+        let id = listed.id.clone();
+        let digest = digest(&id, listed.born);
+        let key = self.arena.insert(Endpoint {
+            digest,
+            standing: standing_of(&listed),
+            listed,
+            listed_at: now,
+            doubted: None,
+        });
+        self.by_digest.insert(digest, key);
+        self.by_id.insert(id, key);
     }
 
     /// An entry disappeared: the endpoint has left, or its entry lapsed while the list was away.
@@ -293,3 +406,20 @@
         }
     }
 }
+
+const fn standing_of(listed: &Listed) -> Standing {
+    if listed.draining {
+        Standing::Draining
+    } else {
+        Standing::Ready
+    }
+}
+
+/// Whether an entry is of another life of an endpoint; one that does not tell when it began is taken for
+/// the life that is known.
+fn is_other_life(known: Option<u64>, told: Option<u64>) -> bool {
+    match (known, told) {
+        (Some(known), Some(told)) => known != told,
+        (None, _) | (_, None) => false,
+    }
+}
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -6,14 +6,18 @@
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
+use crate::direct::cordons::Cordon;
 use crate::direct::decision::Decision;
-use crate::direct::dialect::Ask;
-use crate::direct::directory::{Change, Directory, Listed, Revision, Standing};
+use crate::direct::dialect::{Ask, Unreadable};
+use crate::direct::directory::{Change, Directory, Listing, Revision, Standing};
 use crate::direct::freshness::Freshness;
 use crate::direct::patch::Patch;
 use crate::direct::resolve::{resolve, Allowed, Denied, Knowledge};
 use crate::direct::versions::{self, Newer, WrittenPatch};
 
+/// Keys of unreadable entries that are remembered, so that each is logged once.
+const MOST_UNREADABLE: usize = 1_000;
+
 impl Entry {
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
@@ -122,7 +126,8 @@
     ///
     /// When the store has dropped its history, its watchers list anew; their peers would have to as well
     /// if the changes that they keep began after that: 14 of 23 entries of a zone did.
-    pub fn take_listing(&self, listed: Vec<Listed>, begun: Revision) {
+    pub fn take_listing(&self, listed: impl Into<Listing>, begun: Revision) {
+        let listed = listed.into();
         let now = self.clock.now();
         let before = self.listed_up_to.get();
         if begun > before {
@@ -159,6 +164,7 @@
             Change::Put(listed) if listed.draining => (&listed.id, listed.revision, "draining"),
             Change::Put(listed) => (&listed.id, listed.revision, "ready"),
             Change::Removed { id, revision } => (id, *revision, "removed"),
+            Change::Cordoned(_) | Change::Uncordoned(_) => return self.take_cordon(change),
         };
         let mut standing = said.to_owned();
         let endpoint = endpoint.clone();
@@ -178,6 +184,49 @@
         });
     }
 
+    /// Takes a change of the cordons.
+    fn take_cordon(&self, change: Change) {
+        let (Change::Cordoned(cordon) | Change::Uncordoned(cordon)) = &change else {
+            return;
+        };
+        let zone = cordon.zone.clone();
+        let revision = cordon.revision;
+        let before = self.directory.borrow().is_cordoned(&zone);
+        let now = self.clock.now();
+        let gone = self.directory.borrow_mut().apply(change, now);
+        self.forget(gone.as_slice());
+        let cordoned = self.directory.borrow().is_cordoned(&zone);
+        if cordoned != before {
+            self.log.belief(Decision::ZoneCordon {
+                zone,
+                cordoned,
+                revision,
+            });
+        }
+    }
+
+    /// The store had these cordons at a revision.
+    pub fn take_cordons(&self, all: Vec<Cordon>, revision: Revision) {
+        let directory = self.directory.borrow();
+        let changes = directory.cordon_changes_to(&all, 0, revision);
+        drop(directory);
+        for change in changes {
+            self.take_cordon(change);
+        }
+    }
+
+    /// An entry of the store can't be read: it is counted, and logged when it is seen first.
+    pub fn found_unreadable(&self, found: Unreadable) {
+        self.gauges.unreadable();
+        let mut known = self.unreadable.borrow_mut();
+        if known.len() < MOST_UNREADABLE && known.insert(found.key.clone()) {
+            self.log.belief(Decision::EntryUnreadable {
+                key: found.key,
+                why: found.why,
+            });
+        }
+    }
+
     /// The configuration in force is the newest up to a revision.
     pub fn catalog_known_up_to(&self, revision: Revision) {
         self.catalog_up_to
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -103,6 +103,8 @@
     watching: Cell<bool>,
     /// Changes of the list, for peers.
     changes: RefCell<ChangeLog>,
+    /// Keys of entries of the store that can't be read.
+    unreadable: RefCell<HashSet<String>>,
     /// What is being fetched from peers.
     fetching: RefCell<HashSet<Fetch>>,
     life: watch::Sender<Life>,
@@ -120,7 +122,6 @@
         peers.set_link(settings.link_mbps);
         peers.set_zone(&settings.zone);
         Rc::new(Self {
-            clock,
             dialect,
             id: PeerId(rand::random()),
             log,
@@ -148,8 +149,10 @@
             in_flight: Cell::default(),
             watching: Cell::default(),
             changes: RefCell::default(),
+            unreadable: RefCell::default(),
             fetching: RefCell::default(),
             life: watch::Sender::new(Life::Serving),
+            clock,
             settings: RefCell::new(settings),
         })
     }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -23,6 +23,7 @@
     store_calls: Counter<u64>,
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
+    unreadable: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -54,6 +55,7 @@
             store_calls: meter.u64_counter("direct_store_calls").build(),
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
+            unreadable: meter.u64_counter("direct_unreadable_entries").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -107,6 +109,11 @@
         self.connections.add(1, &[]);
     }
 
+    /// An entry of the store could not be read.
+    pub fn unreadable(&self) {
+        self.unreadable.add(1, &[]);
+    }
+
     /// Sets a gauge, such as the version in force or the number of peers.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,7 +7,7 @@
 //! For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
-//! (endpoints), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
+//! (endpoints, with the [`cordons`] of their zones), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
 //! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers), which pass on what is in
 //! [`changes`] and [`versions`] (a [`patch`] each). All decisions are state machines
 //! without I/O; [`entry`] is the state that the tasks share, [`process`] starts and ends them and
@@ -22,6 +22,7 @@
 pub mod changes;
 pub mod channel;
 pub mod choose;
+pub mod cordons;
 pub mod decision;
 pub mod demand;
 pub mod dialect;
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -8,7 +8,7 @@
 use super::watch::mind_endpoints;
 use super::{call, CallError, Document, StoreClient, CALL_TIME};
 use crate::direct::catalog::Catalog;
-use crate::direct::directory::{Listed, Revision};
+use crate::direct::directory::{Listing, Revision};
 use crate::direct::entry::Entry;
 
 /// Time between two looks at whether peers bring the configuration.
@@ -17,9 +17,9 @@
 /// Reads the list and takes it, then the configuration unless peers bring that.
 pub(super) async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
     let asked = entry.clock.now();
-    let (listed, begun) = read_list(entry, client).await?;
+    let (listing, begun) = read_list(entry, client).await?;
     entry.store_answered();
-    entry.take_listing(listed, begun);
+    entry.take_listing(listing, begun);
     let read = tokio::select! {
         biased;
         () = peers_bring_it(entry) => None,
@@ -44,12 +44,9 @@
     }
 }
 
-/// Reads the list of endpoints, page by page, with the store's revision at the first one.
-async fn read_list(
-    entry: &Entry,
-    client: &StoreClient,
-) -> Result<(Vec<Listed>, Revision), CallError> {
-    let mut listed = Vec::new();
+/// Reads the list of endpoints and the cordons, page by page, with the store's revision at the first one.
+async fn read_list(entry: &Entry, client: &StoreClient) -> Result<(Listing, Revision), CallError> {
+    let mut listing = Listing::default();
     let mut from = None;
     let mut first = None;
     loop {
@@ -58,10 +55,14 @@
         let page = entry.dialect.page(status, &body);
         let page = page.map_err(CallError::Unusable)?;
         let begun = *first.get_or_insert(page.current);
-        listed.extend(page.listed);
+        listing.endpoints.extend(page.listing.endpoints);
+        listing.cordons.extend(page.listing.cordons);
+        for found in page.unreadable {
+            entry.found_unreadable(found);
+        }
         from = page.next;
         if from.is_none() {
-            return Ok((listed, begun));
+            return Ok((listing, begun));
         }
     }
 }
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -11,6 +11,7 @@
 use super::watch::WATCH_LAG;
 use super::{call, fleet_pause, CallError, Document, StoreClient, CALL_TIME, RETRY_PAUSE_MS};
 use crate::clock::Millis;
+use crate::direct::dialect::Snapshot;
 use crate::direct::directory::Revision;
 use crate::direct::entry::Entry;
 
@@ -32,9 +33,13 @@
     loop {
         wait_until_due(&entry).await;
         let asked = entry.clock.now();
-        match ask_revision(&entry, &client).await {
-            Ok(revision) => {
+        match ask_snapshot(&entry, &client).await {
+            Ok(snapshot) => {
                 entry.store_answered();
+                let revision = snapshot.current;
+                if let Some(cordons) = snapshot.cordons {
+                    entry.take_cordons(cordons, revision);
+                }
                 if !entry.prove_up_to(asked, revision) {
                     // The watch proves it when it brings the rest.
                     list_if_behind(&entry, revision).await;
@@ -51,12 +56,15 @@
     }
 }
 
-/// Asks the store for its revision.
-async fn ask_revision(entry: &Entry, client: &StoreClient) -> Result<Revision, CallError> {
-    let head = entry.dialect.revision_query();
+/// Asks the store for its revision and the cordons.
+pub(super) async fn ask_snapshot(
+    entry: &Entry,
+    client: &StoreClient,
+) -> Result<Snapshot, CallError> {
+    let head = entry.dialect.snapshot_query();
     let (status, body) = call(entry, client, Document::Revision, head, CALL_TIME).await?;
-    let revision = entry.dialect.revision(status, &body);
-    revision.map_err(CallError::Unusable)
+    let snapshot = entry.dialect.snapshot(status, &body);
+    snapshot.map_err(CallError::Unusable)
 }
 
 /// Waits until the newest proof is so old that another is due.
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -8,6 +8,7 @@
 
 use tokio::time::sleep;
 
+use super::prove::ask_snapshot;
 use super::{finish, pause, Arriving, CallError, Document, Reading, StoreClient};
 use crate::clock::Millis;
 use crate::direct::dialect::{Scope, Watched, Written};
@@ -58,10 +59,31 @@
 async fn watch_endpoints(entry: &Rc<Entry>, client: &StoreClient, wait: Millis) -> bool {
     let after = entry.listed_up_to();
     let begun = begin(entry, client, Scope::Endpoints, after, wait).await;
-    let watched = read(entry, client, begun).await;
+    let watched = match read(entry, client, begun).await {
+        Ok(Watched::Changes(changes, current)) => {
+            add_cordons(entry, client, changes, current).await
+        }
+        other => other,
+    };
     take(entry, Scope::Endpoints, watched).await
 }
 
+/// Adds the cordons as they stand now to changes of the list of endpoints, whose watch does not bring them.
+async fn add_cordons(
+    entry: &Entry,
+    client: &StoreClient,
+    mut changes: Vec<Written>,
+    current: Revision,
+) -> Result<Watched, CallError> {
+    let snapshot = ask_snapshot(entry, client).await?;
+    let before = entry.listed_up_to();
+    let cordons = snapshot.cordons.unwrap_or_default();
+    let directory = entry.directory();
+    let cordons = directory.cordon_changes_to(&cordons, before, snapshot.current);
+    changes.extend(cordons.into_iter().map(Written::Change));
+    Ok(Watched::Changes(changes, current))
+}
+
 /// Keeps the list of endpoints up to date while a large answer arrives; never ends.
 ///
 /// An endpoint that leaves is then known within a second, however long the configuration takes: 3 s
@@ -128,7 +150,11 @@
     for written in written {
         match written {
             Written::Catalog(catalog) => entry.take_catalog(catalog, "store"),
-            Written::Endpoint(change) => changes.push(change),
+            Written::Change(change) => changes.push(change),
+            Written::Unreadable(found, change) => {
+                entry.found_unreadable(found);
+                changes.extend(change);
+            }
         }
     }
     entry.take_changes(changes, current);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,6 +63,7 @@
         slots: 64,
         draining: false,
         warming: Millis(0),
+        born: None,
         revision,
     }
 }
--- /dev/null
+++ b/tests/foreign_entries.rs
@@ -0,0 +1,162 @@
+//! Entries of the store by other writers: they name nothing, the others hold.
+
+mod common;
+
+use actix_http::StatusCode;
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use common::{entry, listed};
+use serde_json::{json, Value};
+use violetline::direct::dialect::{Dialect, Unreadable, Watched, Written};
+use violetline::direct::directory::Change;
+use violetline::platform::Platform;
+
+fn good() -> Value {
+    json!({"service": "s1", "address": "10.128.0.9:8080", "zone": "hall-a", "version": "v1",
+           "slots": 64, "state": "ready", "cold_left_ms": 12.5, "sequence": 4,
+           "born": 1_765_000_000_000_u64})
+}
+
+fn item(key: &str, text: &str, revision: u64) -> Value {
+    json!({"key": key, "value": STANDARD.encode(text), "revision": revision,
+           "create_rev": 1, "lease": 0})
+}
+
+/// Entries that name no endpoint: each field missing or of another type, unknown states, other bytes.
+fn broken() -> Vec<String> {
+    let mut all = Vec::new();
+    let fields = ["service", "address", "zone", "version", "slots", "state"];
+    for field in fields.into_iter().chain(["cold_left_ms", "sequence"]) {
+        let mut missing = good();
+        missing.as_object_mut().unwrap().remove(field);
+        all.push(missing.to_string());
+        for other in [json!(null), json!([1]), json!({"a": 1}), json!(true)] {
+            let mut changed = good();
+            changed[field] = other;
+            all.push(changed.to_string());
+        }
+    }
+    let changes = [
+        ("state", json!("asleep")),
+        ("slots", json!(0)),
+        ("slots", json!(-4)),
+        ("address", json!("hall-a")),
+        ("cold_left_ms", json!(-1)),
+        ("sequence", json!(1.5)),
+        ("born", json!("2026-12-02")),
+        ("born", json!(1.5)),
+        ("born", json!(null)),
+        ("born", json!(-3)),
+    ];
+    for (field, other) in changes {
+        let mut changed = good();
+        changed[field] = other;
+        all.push(changed.to_string());
+    }
+    all.extend(["", "null", "[]", "{", "\u{0}\u{1}"].map(String::from));
+    all
+}
+
+fn page(items: &[Value]) -> violetline::direct::dialect::Page {
+    let body = json!({"items": items, "has_more": false, "current_rev": 99});
+    let body = body.to_string();
+    Platform.page(StatusCode::OK, body.as_bytes()).unwrap()
+}
+
+#[test]
+fn names_nothing() {
+    for text in broken() {
+        let items = [
+            item("servers/a", &good().to_string(), 1),
+            item("servers/b", &text, 2),
+            item("servers/c", &good().to_string(), 3),
+        ];
+        let page = page(&items);
+        let ids: Vec<&str> = page.listing.endpoints.iter().map(|l| &*l.id).collect();
+        assert_eq!(ids, ["a", "c"], "{text}");
+        assert_eq!(page.unreadable.len(), 1, "{text}");
+    }
+}
+
+#[test]
+fn good_one_read() {
+    let page = page(&[item("servers/a", &good().to_string(), 1)]);
+    assert_eq!(page.listing.endpoints[0].born, Some(1_765_000_000_000));
+    let mut without = good();
+    without.as_object_mut().unwrap().remove("born");
+    let page = self::page(&[item("servers/a", &without.to_string(), 1)]);
+    assert_eq!(page.listing.endpoints[0].born, None);
+}
+
+/// Bytes that are not base64 are no endpoint either; keys of other kinds are passed over.
+#[test]
+fn other_bytes() {
+    let mut items = vec![item("servers/a", &good().to_string(), 1)];
+    items.push(json!({"key": "servers/b", "value": "%%%", "revision": 2}));
+    items.push(
+        json!({"key": "servers/", "value": STANDARD.encode(good().to_string()), "revision": 3}),
+    );
+    items.push(json!({"key": "servers/c", "value": STANDARD.encode([0xff, 0xfe]), "revision": 4}));
+    items.push(item("elsewhere/d", &good().to_string(), 5));
+    items.push(item("op/evacuate/hall-b", "not json", 6));
+    let page = page(&items);
+    assert_eq!(page.listing.endpoints.len(), 1);
+    assert_eq!(page.unreadable.len(), 3);
+    assert_eq!(page.listing.cordons[0].zone, "hall-b");
+}
+
+/// Where a broken entry takes the place of a good one, the endpoint is no longer named.
+#[test]
+fn takes_the_place() {
+    let event = item("servers/a", "{}", 8);
+    let body = json!({"events": [event], "current_rev": 8}).to_string();
+    let watched = Platform.watched(StatusCode::OK, body.as_bytes());
+    let Ok(Watched::Changes(changes, 8)) = watched else {
+        panic!("changes up to 8");
+    };
+    let removed = Change::Removed {
+        id: "a".into(),
+        revision: 8,
+    };
+    assert!(matches!(&changes[0], Written::Unreadable(_, Some(change)) if *change == removed));
+}
+
+#[test]
+fn counted_and_told() {
+    let (_, entry) = entry();
+    entry.take_listing(vec![listed("a", 1)], 1);
+    for n in 0..3_000 {
+        for _ in 0..2 {
+            entry.found_unreadable(Unreadable {
+                key: format!("servers/{n}"),
+                why: "unknown state".into(),
+            });
+        }
+    }
+    assert_eq!(entry.directory().iter().count(), 1);
+    let text = entry.gauges.text();
+    let count = text
+        .lines()
+        .find(|l| l.starts_with("direct_unreadable_entries"));
+    assert!(count.unwrap().ends_with(" 6000"), "{count:?}");
+}
+
+/// Whatever is written, reading it never ends the process, and names an endpoint only where every field is
+/// of its type.
+#[test]
+fn any_entry() {
+    arbtest::arbtest(|u| {
+        let text: String = u.arbitrary()?;
+        let key: String = u.arbitrary()?;
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let items = [
+            item(&format!("servers/{key}"), &text, 1),
+            json!({"key": "servers/x", "value": STANDARD.encode(bytes), "revision": 2}),
+            item("servers/good", &good().to_string(), 3),
+        ];
+        let page = page(&items);
+        let ids: Vec<&str> = page.listing.endpoints.iter().map(|l| &*l.id).collect();
+        assert_eq!(ids, ["good"]);
+        Ok(())
+    });
+}
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -380,16 +380,23 @@
     assert_eq!(page.current, 9);
     assert_eq!(page.next.as_deref(), Some("servers/i-3"));
     assert_eq!(
-        page.listed.len(),
+        page.listing.endpoints.len(),
         2,
         "the unreadable entry is left out, the others count"
     );
-    assert_eq!(page.listed[0].id, "i-1");
-    assert!(page.listed[1].draining);
+    assert_eq!(page.listing.endpoints[0].id, "i-1");
+    assert!(page.listing.endpoints[1].draining);
+    assert_eq!(page.unreadable[0].key, "servers/i-3");
     let query = Platform.page_query(page.next.as_deref()).uri.to_string();
     assert_eq!(
         query,
-        "/violetline/kv-range?path_prefix=servers/&since_rev=servers/i-3"
+        "/violetline/kv-range?path_prefix=&since_rev=servers/i-3"
+    );
+    // The first page begins after the configuration, which is read apart.
+    let query = Platform.page_query(None).uri.to_string();
+    assert_eq!(
+        query,
+        "/violetline/kv-range?path_prefix=&since_rev=op/config"
     );
 }
 
@@ -411,7 +418,7 @@
         id: "i-1".into(),
         revision: 12,
     };
-    assert!(matches!(&changes[1], Written::Endpoint(change) if *change == gone));
+    assert!(matches!(&changes[1], Written::Change(change) if *change == gone));
     assert_eq!(changes.len(), 2);
     let history = Platform.watched(StatusCode::GONE, b"");
     assert!(matches!(history, Ok(Watched::HistoryGone)));
--- /dev/null
+++ b/tests/reborn_endpoint.rs
@@ -0,0 +1,115 @@
+//! An endpoint that starts again under its identity: nothing of its earlier life counts.
+
+mod common;
+
+use common::{entry, listed};
+use violetline::clock::Millis;
+use violetline::direct::directory::{digest, Change, Directory, EndpointKey, Listed};
+use violetline::direct::health::Fault;
+use violetline::direct::load::Footprint;
+use violetline::direct::prefix::Part;
+
+const FOOTPRINT: Footprint = Footprint {
+    band: 0,
+    unread: 1_000,
+    held: 1_000,
+    delicate: 0,
+};
+
+fn life(id: &str, born: u64, revision: u64) -> Listed {
+    Listed {
+        born: Some(born),
+        ..listed(id, revision)
+    }
+}
+
+fn key(directory: &Directory) -> EndpointKey {
+    directory.key("a").unwrap()
+}
+
+#[test]
+fn another_endpoint() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(life("a", 100, 1)), Millis(0));
+    let before = key(&directory);
+    let gone = directory.apply(Change::Put(life("a", 200, 2)), Millis(10));
+    assert_eq!(gone, Some(before));
+    assert_ne!(key(&directory), before);
+    assert!(
+        !directory.takes_work(before),
+        "checked when a request is sent"
+    );
+}
+
+#[test]
+fn same_life() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(life("a", 100, 1)), Millis(0));
+    let before = key(&directory);
+    for (n, born) in [Some(100), None, Some(100)].into_iter().enumerate() {
+        let listed = Listed {
+            born,
+            ..listed("a", n as u64 + 2)
+        };
+        assert_eq!(directory.apply(Change::Put(listed), Millis(10)), None);
+    }
+    assert_eq!(key(&directory), before, "an entry without it tells nothing");
+}
+
+/// An old entry that comes late does not bring the earlier life back.
+#[test]
+fn late_old_entry() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(life("a", 200, 5)), Millis(0));
+    let now = key(&directory);
+    assert_eq!(
+        directory.apply(Change::Put(life("a", 100, 4)), Millis(1)),
+        None
+    );
+    assert_eq!(key(&directory), now);
+}
+
+/// Peers tell of work and placements by a digest that is another one for each life.
+#[test]
+fn digest_of_life() {
+    assert_ne!(digest("a", Some(100)), digest("a", Some(200)));
+    assert_eq!(digest("a", Some(100)), digest("a", Some(100)));
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(life("a", 100, 1)), Millis(0));
+    directory.apply(Change::Put(life("a", 200, 2)), Millis(0));
+    assert_eq!(directory.by_digest(digest("a", Some(100))), None);
+    assert_eq!(
+        directory.by_digest(digest("a", Some(200))),
+        directory.key("a")
+    );
+}
+
+/// Load, record and kept parts are forgotten with the life that they were of.
+#[test]
+fn holds_nothing() {
+    let (clock, entry) = entry();
+    entry.take_listing(vec![life("a", 100, 1)], 1);
+    let before = key(&entry.directory());
+    let placed = entry.place(before, FOOTPRINT);
+    entry.endpoint_failed(before, Fault::Contact, "test");
+    let now = clock.now();
+    let parts = [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 9 }];
+    let ids = parts.iter().map(|part| part.id);
+    entry.prefixes.borrow_mut().note(before, ids, now, now);
+    entry.take_changes(vec![Change::Put(life("a", 200, 2))], 2);
+    let after = key(&entry.directory());
+    let accounts = entry.accounts();
+    let account = accounts.get(after).unwrap();
+    assert_eq!(account.load.own(now).running, 0);
+    assert!(!account.record.is_aside());
+    let kept = entry.prefixes.borrow().kept(after, &parts, Millis(0), now);
+    assert_eq!(kept.sent, 0);
+    assert!(accounts.get(before).is_none());
+    drop(accounts);
+    // The end of what ran in the earlier life changes nothing in the new one.
+    drop(placed);
+    assert_eq!(
+        entry.accounts().get(after).unwrap().load.own(now).running,
+        0
+    );
+}
--- /dev/null
+++ b/tests/zone_cordons.rs
@@ -0,0 +1,138 @@
+//! Cordoned availability zones: nothing new is sent there, whatever way the word of it comes.
+
+mod common;
+
+use common::{entry, listed};
+use violetline::clock::Millis;
+use violetline::direct::cordons::{Cordon, Cordons};
+use violetline::direct::directory::{Change, Directory, Listed, Listing};
+
+const ZONE: &str = "hall-a";
+
+fn cordon(revision: u64) -> Cordon {
+    Cordon {
+        zone: ZONE.into(),
+        revision,
+    }
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    let elsewhere = Listed {
+        zone: "hall-b".into(),
+        ..listed("b", 2)
+    };
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    directory.apply(Change::Put(elsewhere), Millis(0));
+    directory
+}
+
+fn takes_work(directory: &Directory, id: &str) -> bool {
+    directory.takes_work(directory.key(id).unwrap())
+}
+
+#[test]
+fn zone_left_out() {
+    let mut directory = directory();
+    directory.apply(Change::Cordoned(cordon(3)), Millis(10));
+    assert!(
+        !takes_work(&directory, "a"),
+        "checked when a request is sent"
+    );
+    assert!(takes_work(&directory, "b"));
+    assert_eq!(directory.of_pool("pool").count(), 1);
+    directory.apply(Change::Uncordoned(cordon(4)), Millis(20));
+    assert!(takes_work(&directory, "a"));
+}
+
+/// An endpoint that joins a cordoned zone gets nothing either.
+#[test]
+fn joins_cordoned_zone() {
+    let mut directory = directory();
+    directory.apply(Change::Cordoned(cordon(3)), Millis(10));
+    directory.apply(Change::Put(listed("c", 4)), Millis(20));
+    assert!(!takes_work(&directory, "c"));
+}
+
+/// What operators took back may be cold, whatever its entry said before.
+#[test]
+fn warms_up_after() {
+    let mut directory = directory();
+    let key = directory.key("a").unwrap();
+    directory.apply(Change::Cordoned(cordon(3)), Millis(1_000));
+    directory.apply(Change::Uncordoned(cordon(4)), Millis(9_000));
+    let warm_at = |directory: &Directory| directory.get(key).unwrap().warm_at(Millis(3_000));
+    assert_eq!(warm_at(&directory), Millis(12_000));
+    directory.apply(Change::Put(listed("a", 5)), Millis(9_500));
+    assert_eq!(
+        warm_at(&directory),
+        Millis(9_500),
+        "its newer entry says so"
+    );
+}
+
+#[test]
+fn older_word_ignored() {
+    let mut cordons = Cordons::default();
+    cordons.cordon(cordon(7));
+    assert!(!cordons.uncordon(&cordon(6)));
+    assert!(cordons.holds(ZONE));
+    assert!(cordons.uncordon(&cordon(8)));
+    cordons.cordon(cordon(7));
+    assert!(!cordons.holds(ZONE), "a peer's old word");
+}
+
+/// Listings and their changes bring both ends to the same state.
+#[test]
+fn passed_on_by_listing() {
+    let (_, first) = entry();
+    let (_, second) = entry();
+    let with_cordon = Listing {
+        endpoints: vec![listed("a", 1)],
+        cordons: vec![cordon(5)],
+    };
+    first.take_listing(vec![listed("a", 1)], 2);
+    second.take_listing(vec![listed("a", 1)], 2);
+    first.take_listing(with_cordon, 6);
+    let passed = first.changes_since(2).unwrap();
+    second.take_changes(passed.changes, passed.up_to);
+    assert!(second.directory().is_cordoned(ZONE));
+    first.take_listing(vec![listed("a", 1)], 9);
+    let passed = first.changes_since(6).unwrap();
+    second.take_changes(passed.changes, passed.up_to);
+    assert!(!second.directory().is_cordoned(ZONE));
+}
+
+/// A question for a proof may bring the end of a cordon before the listing does; peers that hear of the
+/// listing alone learn of that end as well.
+#[test]
+fn end_known_early() {
+    let (_, first) = entry();
+    let with_cordon = Listing {
+        endpoints: Vec::new(),
+        cordons: vec![cordon(5)],
+    };
+    first.take_listing(with_cordon, 6);
+    first.take_cordons(Vec::new(), 8);
+    assert!(!first.directory().is_cordoned(ZONE));
+    first.take_listing(Vec::new(), 9);
+    let passed = first.changes_since(6).unwrap();
+    let ends = |change: &Change| matches!(change, Change::Uncordoned(end) if end.zone == ZONE);
+    assert!(passed.changes.iter().any(ends));
+}
+
+/// Names that other writers make up neither push a zone out nor grow without bound.
+#[test]
+fn made_up_zones() {
+    let mut cordons = Cordons::default();
+    cordons.cordon(cordon(1));
+    for n in 0..5_000 {
+        cordons.cordon(Cordon {
+            zone: format!("made-up-{n}"),
+            revision: n + 2,
+        });
+    }
+    assert!(cordons.holds(ZONE));
+    assert!(cordons.uncordon(&cordon(9_000)));
+    assert!(!cordons.holds("made-up-4999"));
+}
