Endpoints that warm up get a share of their rate from each entry

Each entry computes its own share of the rate that the configuration tells, from a hash of its life and the endpoint's, and the largest fleet that it has seen; nothing is told, so entries that are cut off keep the bound as well. Choice and sending both keep it; requests sent before it was known count. What may be cold counts as cold: after a zone is taken back or a failed connection, until a newer entry says otherwise.

direct_path::reused_address listed an entry without version, cold_left_ms and sequence, which names no endpoint any more; the test now lists a whole one and asserts the same.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -72,6 +72,7 @@
             endpoint,
             load: &load,
             record: &record,
+            warming: false,
         });
         choose(black_box(demand), candidates, &prefixes, NOW)
     });
--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -362,7 +362,8 @@
     let site = Site::with_entry(1).await;
     let engine = &site.engines[0];
     let entry = serde_json::json!({"service": "s1", "address": engine.address.to_string(),
-        "zone": "hall-a", "slots": 8, "state": "ready"});
+        "zone": "hall-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+        "sequence": 1});
     site.store.put("servers/i-old", &entry);
     site.store.remove("servers/i-0");
     wait_for("the entry knows", || async {
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Millis;
 use crate::direct::load::WHOLE;
+use crate::direct::warmup::WarmUp;
 use crate::ids::TeamKey;
 
 /// Position of a route in the catalog's list.
@@ -83,7 +84,7 @@
 }
 
 /// Endpoints of one kind.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Pool {
     /// Name.
     pub name: String,
@@ -91,6 +92,8 @@
     pub max_connections: u32,
     /// What a model engine of this pool can hold; `None` for plain services.
     pub engine: Option<EngineShape>,
+    /// How its endpoints warm up; `None` where that is not told.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Size of a model engine.
@@ -184,7 +187,7 @@
 }
 
 /// One version of the configuration, as it is passed on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CatalogParts {
     /// Version; rises with every change.
     pub version: u64,
--- a/src/direct/demand.rs
+++ b/src/direct/demand.rs
@@ -87,6 +87,8 @@
     pub load: &'a Load,
     /// Its record.
     pub record: &'a Record,
+    /// Whether it is taken to warm up.
+    pub warming: bool,
 }
 
 /// An endpoint with what is known of it for one request.
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -9,9 +9,10 @@
 use crate::clock::Millis;
 use crate::direct::channel::Channel;
 use crate::direct::decision::Decision;
-use crate::direct::directory::EndpointKey;
+use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::health::{Fault, Record};
 use crate::direct::load::{Footprint, Load};
+use crate::direct::warmup::{self, RecentSends, WarmUp};
 
 /// Idle connections kept to one endpoint.
 const MOST_IDLE: usize = 24;
@@ -30,6 +31,8 @@
     pub record: Record,
     /// When anything last came from it.
     pub heard: Millis,
+    /// Requests that were sent to it lately.
+    pub sends: RecentSends,
     /// Connections to it that are not in use, the newest last.
     idle: Vec<Channel>,
 }
@@ -79,9 +82,33 @@
         }
     }
 
+    /// Requests a second that this entry may send to an endpoint of a pool; `None` where that is not limited,
+    /// since the endpoint is not taken to warm up.
+    pub fn warm_up_share(&self, endpoint: &Endpoint, warm_up: Option<WarmUp>) -> Option<usize> {
+        let warm_up = warm_up?;
+        let now = self.clock.now();
+        if now >= endpoint.warm_at(warm_up.time) {
+            return None;
+        }
+        let has_seeds = !self.settings.borrow().seeds.is_empty();
+        let sharers = self.fleet.get().sharers(now - self.started, has_seeds);
+        Some(warmup::share(warm_up, sharers, self.id, endpoint.digest))
+    }
+
+    /// Counts the entries that serve now for the shares of endpoints that warm up.
+    pub(super) fn see_fleet(&self) {
+        let mut fleet = self.fleet.get();
+        fleet.saw(self.peers.borrow().entries(self.clock.now()));
+        self.fleet.set(fleet);
+    }
+
     /// An endpoint failed a request.
     pub fn endpoint_failed(&self, key: EndpointKey, fault: Fault, why: &str) {
         let now = self.clock.now();
+        if fault == Fault::Contact {
+            // It may have started again, and its entry in the list is from before.
+            self.directory.borrow_mut().doubt(key, now);
+        }
         let mut set_aside = false;
         self.account(key, |account| set_aside = account.record.failed(now, fault));
         if set_aside {
@@ -105,7 +132,10 @@
     /// Adds a request to an endpoint's load until the guard is dropped.
     pub fn place(self: &Rc<Self>, key: EndpointKey, footprint: Footprint) -> Placed {
         let now = self.clock.now();
-        self.account(key, |account| account.load.begin(footprint, now));
+        self.account(key, |account| {
+            account.load.begin(footprint, now);
+            account.sends.note(now);
+        });
         Placed {
             entry: Rc::clone(self),
             key,
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -282,6 +282,7 @@
         let gone = self.directory.borrow_mut().expire(now);
         self.forget(&gone);
         self.close_idle(now);
+        self.see_fleet();
     }
 }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -26,6 +26,7 @@
 use crate::direct::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
+use crate::direct::warmup::FleetSize;
 
 /// Where a process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,6 +106,10 @@
     changes: RefCell<ChangeLog>,
     /// Keys of entries of the store that can't be read.
     unreadable: RefCell<HashSet<String>>,
+    /// The most entries that were seen to serve.
+    fleet: Cell<FleetSize>,
+    /// When this process started.
+    started: Millis,
     /// What is being fetched from peers.
     fetching: RefCell<HashSet<Fetch>>,
     life: watch::Sender<Life>,
@@ -150,6 +155,8 @@
             watching: Cell::default(),
             changes: RefCell::default(),
             unreadable: RefCell::default(),
+            fleet: Cell::default(),
+            started: clock.now(),
             fetching: RefCell::default(),
             life: watch::Sender::new(Life::Serving),
             clock,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -20,6 +20,7 @@
 use crate::direct::load;
 use crate::direct::peers::PlacedPrompt;
 use crate::direct::resolve::{Allowed, Denied};
+use crate::direct::warmup::WarmUp;
 
 /// Silence of an endpoint, in targets of the route, after which it is taken for unreachable.
 const SILENT_TARGETS: u64 = 3;
@@ -43,7 +44,7 @@
         if now >= self.end {
             return Attempt::TimeOver;
         }
-        if !self.entry.directory().takes_work(key) {
+        if !self.may_send(key, now) {
             return Attempt::NotSent(key);
         }
         match self.entry.allow(self.ask) {
@@ -89,21 +90,44 @@
         let accounts = self.entry.accounts();
         let settings = self.entry.settings.borrow();
         let demand = self.demand(&settings.zone, now);
+        let warm_up = self.warm_up();
         let candidates = directory
             .of_pool(&self.pool)
             .filter(|(key, _)| is_candidate(*key))
             .filter_map(|(key, endpoint)| {
                 let account = accounts.get(key)?;
-                Some(Candidate {
+                let share = self.entry.warm_up_share(endpoint, warm_up);
+                let is_allowed = share.is_none_or(|share| account.sends.allows(share, now));
+                is_allowed.then_some(Candidate {
                     key,
                     endpoint,
                     load: &account.load,
                     record: &account.record,
+                    warming: share.is_some() || endpoint.warm_at(Millis(0)) > now,
                 })
             });
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
     }
 
+    /// How endpoints of the pool warm up.
+    fn warm_up(&self) -> Option<WarmUp> {
+        self.catalog.pool(&self.pool).and_then(|pool| pool.warm_up)
+    }
+
+    /// Whether an endpoint may be sent to now: it takes work, and this entry's share of it is not used up
+    /// while it warms up.
+    fn may_send(&self, key: EndpointKey, now: Millis) -> bool {
+        let directory = self.entry.directory();
+        let Some(endpoint) = directory.get(key) else {
+            return false;
+        };
+        let share = self.entry.warm_up_share(endpoint, self.warm_up());
+        let accounts = self.entry.accounts();
+        let sends = accounts.get(key).map(|account| &account.sends);
+        let allows = |share| sends.is_some_and(|sends| sends.allows(share, now));
+        directory.takes_work(key) && share.is_none_or(allows)
+    }
+
     /// What is to be placed, by an entry in `zone`.
     fn demand<'a>(&'a self, zone: &'a str, now: Millis) -> Demand<'a> {
         let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -53,3 +53,4 @@
 pub mod settings;
 pub mod sync;
 pub mod versions;
+pub mod warmup;
--- a/src/direct/patch.rs
+++ b/src/direct/patch.rs
@@ -35,7 +35,7 @@
 }
 
 /// Changes of one list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Edits<T> {
     /// Names that are gone.
     removed: Vec<String>,
@@ -88,7 +88,7 @@
 }
 
 /// The changes that make one version of another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Patch {
     /// The version to which it belongs.
     pub base: u64,
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -79,7 +79,7 @@
 const BLIND_MS: f64 = 300.0;
 /// Price of each request that waits at the endpoint by its own word, in ms.
 const WAITING_MS: f64 = 15.0;
-/// Price of an endpoint that has just started, in ms.
+/// Price of an endpoint that warms up, in ms.
 const WARMING_MS: f64 = 60.0;
 
 /// Time until the first event, by estimate.
@@ -250,10 +250,6 @@
     } else {
         OTHER_ZONE_MS
     };
-    let warming = if listed.warming > Millis(0) {
-        WARMING_MS
-    } else {
-        0.0
-    };
+    let warming = if candidate.warming { WARMING_MS } else { 0.0 };
     zone + warming
 }
--- /dev/null
+++ b/src/direct/warmup.rs
@@ -0,0 +1,102 @@
+//! Endpoints that warm up: how many requests one entry may send there.
+//!
+//! An endpoint that has just started, or lost what it had, breaks down when all entries rush to it; it
+//! looks idle to each of them. So its rate is shared out before anything is sent: each entry computes
+//! its own share by itself, from a hash and the largest fleet that it has seen. Nothing is told, so
+//! entries that don't see each other, or are cut off, keep the bound together as well.
+//!
+//! Load pattern: a release, a lost zone or a crash under load, where some endpoints come back empty beside
+//! others that have a queue.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::direct::peers::PeerId;
+
+/// Part of the rate that endpoints bear while they warm up which all entries together are meant to use. Shares
+/// of fewer than one request a second are dealt by lot: of 100 entries with a share of 0.1 each, 25 or more get one
+/// once in 40,000 endpoints, and the bound allows half again as many and some more.
+const USED_PART: f64 = 0.75;
+/// Entries that are assumed while fewer have been seen: after a start others are heard within some rounds.
+const UNSEEN_FLEET: usize = 64;
+/// Time after its start in which an entry may not have heard of all others yet.
+const FIND_PEERS: Millis = Millis(1_500);
+/// Span over which requests are counted: a second, and what the way to the endpoint may shorten it by.
+const SPAN: Millis = Millis(1_100);
+/// Sends that are remembered for one endpoint; a share is never larger.
+const MOST_SENDS: usize = 32;
+
+/// How the endpoints of a pool warm up.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time that it takes.
+    pub time: Millis,
+    /// Requests a second that an endpoint bears meanwhile.
+    pub per_s: f64,
+}
+
+/// The fleet as far as its size matters here.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FleetSize {
+    most: usize,
+}
+
+impl FleetSize {
+    /// So many entries serve now, this one included.
+    pub fn saw(&mut self, entries: usize) {
+        self.most = self.most.max(entries);
+    }
+
+    /// Entries that share an endpoint's rate, at an entry that runs for `age`: the most that were ever
+    /// seen, since those that are not seen now may only be cut off.
+    pub fn sharers(&self, age: Millis, has_seeds: bool) -> usize {
+        if has_seeds && age < FIND_PEERS {
+            self.most.max(UNSEEN_FLEET)
+        } else {
+            self.most.max(1)
+        }
+    }
+}
+
+/// Requests a second that `entry`, one of `sharers`, may send to the endpoint with this digest while
+/// that warms up.
+pub fn share(warm_up: WarmUp, sharers: usize, entry: PeerId, digest: u32) -> usize {
+    let mean = warm_up.per_s * USED_PART / sharers.max(1) as f64;
+    let whole = mean.floor();
+    let lot = lot(entry, digest);
+    let dealt = usize::from(lot < mean - whole);
+    (whole as usize + dealt).min(MOST_SENDS)
+}
+
+/// A number from 0 to 1 that is another one for each entry and endpoint.
+fn lot(entry: PeerId, digest: u32) -> f64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&entry.0.to_be_bytes());
+    hasher.update(&digest.to_be_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(head) as f64 / u64::MAX as f64
+}
+
+/// Requests that this entry sent to one endpoint lately. All are counted, also those from before it was
+/// known to warm up.
+#[derive(Debug, Clone, Default)]
+pub struct RecentSends(VecDeque<Millis>);
+
+impl RecentSends {
+    /// A request is sent.
+    pub fn note(&mut self, now: Millis) {
+        if self.0.len() == MOST_SENDS {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+
+    /// Whether one more keeps within `share` requests in any second.
+    pub fn allows(&self, share: usize, now: Millis) -> bool {
+        let recent = self.0.iter().filter(|at| now < **at + SPAN);
+        recent.count() < share
+    }
+}
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -51,6 +51,7 @@
             endpoint: self.directory.get(self.key(i)).unwrap(),
             load: &self.loads[i],
             record: &self.records[i],
+            warming: false,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
--- a/tests/direct_home.rs
+++ b/tests/direct_home.rs
@@ -55,6 +55,7 @@
             endpoint: self.directory.get(*key).unwrap(),
             load: &self.loads[i],
             record: &self.records[i],
+            warming: false,
         });
         let choice = choose(demand, candidates, &self.prefixes, now).unwrap();
         let i = self.keys.iter().position(|key| *key == choice.key).unwrap();
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -55,6 +55,7 @@
             endpoint: self.directory.get(self.keys[i]).unwrap(),
             load: &self.loads[i],
             record: &self.records[i],
+            warming: false,
         };
         (0..self.keys.len()).map(candidate).collect()
     }
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -78,6 +78,7 @@
             endpoint: self.directory.get(self.key(id)).unwrap(),
             load: &self.loads[i],
             record: &self.records[i],
+            warming: false,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
--- a/tests/direct_versions.rs
+++ b/tests/direct_versions.rs
@@ -175,6 +175,7 @@
         }
         if u.arbitrary()? {
             pools.push(Pool {
+                warm_up: None,
                 name: format!("pool-{i}"),
                 max_connections: u.int_in_range(1..=3)?,
                 engine: None,
--- /dev/null
+++ b/tests/warm_up.rs
@@ -0,0 +1,133 @@
+//! Endpoints that warm up: the rate that all entries send there together, in simulated time.
+
+mod common;
+
+use common::{entry, listed};
+use violetline::clock::Millis;
+use violetline::direct::directory::{digest, Change, Listed};
+use violetline::direct::health::Fault;
+use violetline::direct::peers::PeerId;
+use violetline::direct::warmup::{share, FleetSize, RecentSends, WarmUp};
+
+const WARM_UP: WarmUp = WarmUp {
+    time: Millis(3_000),
+    per_s: 13.0,
+};
+/// Requests in any second beyond which an endpoint breaks down: half again its rate, and 5.
+const BOUND: usize = 24;
+
+/// The most requests in a second at one endpoint when all entries send as much as they may, each with a
+/// clock and in steps of its own, on ways of up to 40 ms.
+fn busiest_second(entries: u64, endpoint: u32, sharers: usize) -> usize {
+    let mut arrivals = Vec::new();
+    for entry in 0..entries {
+        let id = PeerId(entry.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let own = share(WARM_UP, sharers, id, endpoint);
+        let mut sends = RecentSends::default();
+        let mut now = Millis(entry * 37 % 500);
+        while now < Millis(3_000) {
+            if sends.allows(own, now) {
+                sends.note(now);
+                arrivals.push(now.0 + (entry * 13 + now.0) % 40);
+            }
+            now = now + Millis(7 + entry % 5);
+        }
+    }
+    arrivals.sort_unstable();
+    let within = |from: u64| {
+        let span = from..from + 1_000;
+        arrivals.iter().filter(|at| span.contains(at)).count()
+    };
+    arrivals.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+#[test]
+fn bound_holds() {
+    for entries in [1, 3, 30, 100, 450] {
+        let mut most = 0;
+        let mut sum = 0;
+        for n in 0..200 {
+            let busiest =
+                busiest_second(entries, digest(&format!("i-{n}"), None), entries as usize);
+            most = most.max(busiest);
+            sum += busiest;
+        }
+        assert!(most <= BOUND, "{entries} entries sent {most} in a second");
+        assert!(sum > 200 * 4, "{entries} entries use what there is: {sum}");
+    }
+}
+
+/// A part of the fleet that sees nobody keeps to the shares of the whole.
+#[test]
+fn cut_off_entries() {
+    let mut fleet = FleetSize::default();
+    fleet.saw(30);
+    fleet.saw(1);
+    let sharers = fleet.sharers(Millis(60_000), true);
+    assert_eq!(sharers, 30);
+    for n in 0..200 {
+        let endpoint = digest(&format!("i-{n}"), None);
+        assert!(busiest_second(30, endpoint, sharers) <= BOUND);
+    }
+}
+
+/// An entry that has just started does not take itself for the only one.
+#[test]
+fn fresh_entry() {
+    let mut fleet = FleetSize::default();
+    fleet.saw(1);
+    assert!(fleet.sharers(Millis(200), true) > 30);
+    assert_eq!(fleet.sharers(Millis(200), false), 1, "it has no seeds");
+    assert_eq!(fleet.sharers(Millis(5_000), true), 1);
+}
+
+#[test]
+fn told_by_entry() {
+    let (clock, entry) = entry();
+    let cold = Listed {
+        warming: Millis(2_000),
+        ..listed("a", 1)
+    };
+    entry.take_listing(vec![cold], 1);
+    let key = entry.directory().key("a").unwrap();
+    let is_warming = || {
+        let directory = entry.directory();
+        let endpoint = directory.get(key).unwrap();
+        entry.warm_up_share(endpoint, Some(WARM_UP)).is_some()
+    };
+    assert!(is_warming());
+    clock.advance(Millis(1_999));
+    assert!(is_warming());
+    clock.advance(Millis(1));
+    assert!(!is_warming(), "its time is over, whatever the list says");
+    entry.endpoint_failed(key, Fault::Contact, "no connection");
+    assert!(is_warming(), "it may have started again");
+    entry.take_changes(vec![Change::Put(listed("a", 2))], 2);
+    assert!(!is_warming(), "its newer entry says that it is warm");
+}
+
+/// Pools that tell nothing of warming up have no limit.
+#[test]
+fn not_told() {
+    let (_, entry) = entry();
+    let cold = Listed {
+        warming: Millis(2_000),
+        ..listed("a", 1)
+    };
+    entry.take_listing(vec![cold], 1);
+    let directory = entry.directory();
+    let key = directory.key("a").unwrap();
+    assert_eq!(entry.warm_up_share(directory.get(key).unwrap(), None), None);
+}
+
+/// Requests that were sent before it was known to warm up count.
+#[test]
+fn earlier_sends_count() {
+    let mut sends = RecentSends::default();
+    for _ in 0..3 {
+        sends.note(Millis(1_000));
+    }
+    assert!(!sends.allows(3, Millis(1_900)));
+    assert!(sends.allows(4, Millis(1_900)));
+    assert!(sends.allows(3, Millis(2_200)));
+}
