Requests that would wait too long in an overloaded pool are turned away at once

A request is not sent where its expected wait is over a part of the time left: 0.15 of it, 0.1 for the most urgent, where the backlog reaches the tightest target of the pool; four times as much where it is under a third of that.

--- /dev/null
+++ b/src/direct/admission.rs
@@ -0,0 +1,64 @@
+//! Admission: which requests are turned away before they are sent, so that those that are sent come in time.
+//!
+//! Load pattern: long prompts burst while endpoints are lost. What waits at an engine holds its memory, so
+//! kept parts give way, prompts are read whole, and everything waits longer: the state feeds itself until the
+//! burst is over, and the most urgent streams are late with all others. A caller that would wait for most of
+//! its time is better told at once to come back.
+//!
+//! How long one may wait follows the backlog of its pool, so calm days lose nothing: a request whose wait is
+//! due to its own length, in a pool that is idle, is sent whatever it takes.
+
+use crate::clock::Millis;
+
+/// Part of the tightest target of a pool up to which its mean backlog counts as calm. Bursts that a
+/// pool bears have 0.3 of it in the median; one that collapses passes 1 within two seconds.
+const CALM: f64 = 1.0 / 3.0;
+/// The part from which on the pool counts as overloaded: the most urgent streams would be late behind it.
+const OVERLOADED: f64 = 1.0;
+/// Part of the time that is left which a request may be expected to wait in an overloaded pool.
+const WAIT_PART: f64 = 0.15;
+/// The same for the most urgent.
+const URGENT_WAIT_PART: f64 = 0.1;
+/// How many times longer it may wait in a calm pool.
+const CALM_WAIT: f64 = 4.0;
+
+/// What decides whether a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outlook {
+    /// Band of its urgency; 0 is the most urgent.
+    pub band: usize,
+    /// Time until its first event at the best endpoint, by estimate, in ms.
+    pub expected_ms: f64,
+    /// Mean time that the pool's endpoints need to read the prompts that they have, in ms.
+    pub backlog_ms: f64,
+    /// Tightest target among the pool's routes; 0 where none is told.
+    pub tightest: Millis,
+    /// Time that is left.
+    pub left: Millis,
+}
+
+impl Outlook {
+    /// Whether the request is sent.
+    pub fn is_admitted(&self) -> bool {
+        self.expected_ms <= self.longest_wait_ms()
+    }
+
+    /// Longest time that it may be expected to wait, in ms.
+    fn longest_wait_ms(&self) -> f64 {
+        let part = match self.band {
+            0 => URGENT_WAIT_PART,
+            _ => WAIT_PART,
+        };
+        let calm = 1.0 - self.overload();
+        self.left.0 as f64 * part * (1.0 + (CALM_WAIT - 1.0) * calm)
+    }
+
+    /// How overloaded the pool is, from 0 to 1.
+    fn overload(&self) -> f64 {
+        if self.tightest == Millis(0) {
+            return 0.0;
+        }
+        let backlog = self.backlog_ms / self.tightest.0 as f64;
+        ((backlog - CALM) / (OVERLOADED - CALM)).clamp(0.0, 1.0)
+    }
+}
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -230,8 +230,17 @@
     by_host: HashMap<String, HostRoutes>,
     /// The team that holds each key.
     by_key: HashMap<String, TeamKey>,
-    /// The tightest pause among each pool's streams.
-    tightest: HashMap<String, Millis>,
+    /// The tightest demands on each pool.
+    tightest: HashMap<String, Tightest>,
+}
+
+/// The tightest demands of the routes of one pool; 0 where there is none.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tightest {
+    /// Pause between the events of a stream.
+    pause: Millis,
+    /// Time for an answer or its first event.
+    target: Millis,
 }
 
 impl Catalog {
@@ -270,7 +279,7 @@
             .collect();
         Self {
             version,
-            tightest: tightest_pauses(&routes),
+            tightest: tightest_demands(&routes),
             routes,
             pools,
             teams,
@@ -320,7 +329,12 @@
 
     /// The tightest pause among a pool's streams; 0 where there are none.
     pub fn tightest_pause(&self, pool: &str) -> Millis {
-        self.tightest.get(pool).copied().unwrap_or_default()
+        self.tightest.get(pool).copied().unwrap_or_default().pause
+    }
+
+    /// The tightest target among a pool's routes; 0 where none is told.
+    pub fn tightest_target(&self, pool: &str) -> Millis {
+        self.tightest.get(pool).copied().unwrap_or_default().target
     }
 
     /// A pool by name.
@@ -329,21 +343,24 @@
     }
 }
 
-/// The tightest pause among each pool's streams.
-fn tightest_pauses(routes: &[Rc<Route>]) -> HashMap<String, Millis> {
-    let mut tightest: HashMap<String, Millis> = HashMap::new();
+/// The tightest demands among each pool's requests.
+fn tightest_demands(routes: &[Rc<Route>]) -> HashMap<String, Tightest> {
+    let mut tightest: HashMap<String, Tightest> = HashMap::new();
     for route in routes {
-        let Some(pause) = route.pause() else {
-            continue;
-        };
         for share in &route.shares {
-            match tightest.get_mut(&share.pool) {
-                Some(known) => *known = pause.min(*known),
-                None => {
-                    tightest.insert(share.pool.clone(), pause);
-                }
-            }
+            let known = tightest.entry(share.pool.clone()).or_default();
+            known.pause = tighter(known.pause, route.pause().unwrap_or_default());
+            known.target = tighter(known.target, route.target);
         }
     }
     tightest
 }
+
+/// The tighter of two times, of which 0 is none.
+fn tighter(known: Millis, other: Millis) -> Millis {
+    match (known, other) {
+        (Millis(0), other) => other,
+        (known, Millis(0)) => known,
+        (known, other) => known.min(other),
+    }
+}
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -28,6 +28,8 @@
     pub grade: Grade,
     /// Where the prompt's tokens come from.
     pub supply: Supply,
+    /// Mean time that the candidates need to read the prompts that they have, in ms.
+    pub backlog_ms: f64,
 }
 
 /// Chooses among `candidates`; `None` when there is none.
@@ -40,6 +42,7 @@
     let mut all: Vec<Seen<'a>> = candidates.map(|c| see(&demand, c, prefixes, now)).collect();
     keep_for_streams(&demand, &mut all);
     mark_home(&demand, &mut all);
+    let backlog_ms = price::backlog_ms(&all);
     let mut best: Option<((Grade, f64), Choice)> = None;
     let sources = Sources::find(&demand, &all, now);
     for seen in &all {
@@ -54,7 +57,10 @@
             }
         }
     }
-    best.map(|(_, choice)| choice)
+    best.map(|(_, choice)| Choice {
+        backlog_ms,
+        ..choice
+    })
 }
 
 /// What is known of an endpoint for one request.
@@ -130,6 +136,7 @@
         footprint,
         grade: candidate.record.grade(now),
         supply,
+        backlog_ms: 0.0,
     }
 }
 
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -29,6 +29,13 @@
     Denied(Denied),
     /// No endpoint of the pool can be reached.
     NoEndpoint,
+    /// It would wait too long in a pool that is overloaded.
+    Overload {
+        /// Time until its first event at the best endpoint, by estimate, in ms.
+        expected_ms: u64,
+        /// Mean time that the pool's endpoints need to read the prompts that they have, in ms.
+        backlog_ms: u64,
+    },
     /// The endpoint said that it did not run it, and no other may be asked.
     EndpointRefused,
     /// The time was over before it could be sent.
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -21,7 +21,11 @@
             return self.broken();
         }
         refuse::log(self.entry, self.ask, self.incoming, why);
-        self.entry.gauges.request(&self.pool, "not_run");
+        let outcome = match why {
+            RefusedWhy::Overload { .. } => "turned_away",
+            _ => "not_run",
+        };
+        self.entry.gauges.request(&self.pool, outcome);
         let spread = rand::thread_rng().gen_range(0..COME_BACK_SPREAD_MS);
         let refusal = Refusal::NotRun(COME_BACK + Millis(spread));
         refuse::write(self.entry, answerer, refusal, Some(self.ask)).await
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -43,6 +43,8 @@
     Lost(EndpointKey),
     /// There is no endpoint to try.
     NoEndpoint,
+    /// It is not sent, since it would wait too long.
+    TurnedAway(RefusedWhy),
     /// It is no longer allowed.
     Denied(Denied),
     /// The time was over.
@@ -195,6 +197,7 @@
                         return self.lost(answerer).await;
                     }
                 }
+                Attempt::TurnedAway(why) => return self.give_up(answerer, why).await,
                 Attempt::NoEndpoint if self.sent => return self.lost(answerer).await,
                 Attempt::NoEndpoint => return self.give_up(answerer, RefusedWhy::NoEndpoint).await,
                 Attempt::Denied(denied) if !self.sent => {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -9,10 +9,12 @@
 use super::answer::Answered;
 use super::{Attempt, Job};
 use crate::clock::Millis;
+use crate::direct::admission::Outlook;
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::Share;
 use crate::direct::channel::{Channel, Failure, Reply};
 use crate::direct::choose::{self, Choice};
+use crate::direct::decision::RefusedWhy;
 use crate::direct::demand::{Candidate, Demand};
 use crate::direct::dialect::Order;
 use crate::direct::directory::EndpointKey;
@@ -33,6 +35,9 @@
         let Some(choice) = self.next_choice() else {
             return Attempt::NoEndpoint;
         };
+        if let Some(why) = self.turned_away(&choice) {
+            return Attempt::TurnedAway(why);
+        }
         let key = choice.key;
         let Some(channel) = self.open(key).await else {
             self.entry
@@ -109,6 +114,26 @@
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
     }
 
+    /// Why a request that no endpoint has yet is not sent; `None` where it is. Plain services bound their
+    /// own queues.
+    fn turned_away(&self, choice: &Choice) -> Option<RefusedWhy> {
+        let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
+        if is_plain || self.sent {
+            return None;
+        }
+        let outlook = Outlook {
+            band: load::band(self.priority()),
+            expected_ms: choice.expected_ms,
+            backlog_ms: choice.backlog_ms,
+            tightest: self.catalog.tightest_target(&self.pool),
+            left: self.end - self.entry.clock.now(),
+        };
+        (!outlook.is_admitted()).then_some(RefusedWhy::Overload {
+            expected_ms: choice.expected_ms as u64,
+            backlog_ms: choice.backlog_ms as u64,
+        })
+    }
+
     /// How endpoints of the pool warm up.
     fn warm_up(&self) -> Option<WarmUp> {
         self.catalog.pool(&self.pool).and_then(|pool| pool.warm_up)
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,7 +4,8 @@
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
-//! For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
+//! Whether a request is sent at all is decided by [`admission`], and how many an endpoint that has just started
+//! gets by [`warmup`]. For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints, with the [`cordons`] of their zones), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
@@ -15,6 +16,7 @@
 //!
 //! The formats on the wire come from an implementation of [`dialect::Dialect`].
 
+pub mod admission;
 pub mod answerer;
 pub mod budget;
 pub mod caller;
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -159,6 +159,15 @@
     tokens / READ_TOKENS_PER_MS
 }
 
+/// Mean time that endpoints need to read the prompts that they have, in ms.
+pub fn backlog_ms(all: &[Seen<'_>]) -> f64 {
+    let unread: f64 = all
+        .iter()
+        .map(|seen| f64::from(seen.total.all_unread()))
+        .sum();
+    read_ms(unread) / all.len().max(1) as f64
+}
+
 /// Time until the first event if the endpoint were as fast as estimated: reading what goes before
 /// and the request itself, a move, the batch, and what waits.
 fn time_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,64 @@
+//! Which requests are turned away, by the backlog of their pool and the time that they have.
+
+use violetline::clock::Millis;
+use violetline::direct::admission::Outlook;
+
+fn outlook(backlog_ms: f64, expected_ms: f64) -> Outlook {
+    Outlook {
+        band: 2,
+        expected_ms,
+        backlog_ms,
+        tightest: Millis(300),
+        left: Millis(4_000),
+    }
+}
+
+/// A long prompt in a pool that is idle is sent, whatever it takes.
+#[test]
+fn calm_admits() {
+    assert!(outlook(0.0, 2_300.0).is_admitted());
+    assert!(outlook(90.0, 2_300.0).is_admitted());
+}
+
+#[test]
+fn overload_refuses() {
+    assert!(!outlook(300.0, 700.0).is_admitted());
+    assert!(outlook(300.0, 500.0).is_admitted());
+}
+
+/// What may be waited for falls with the backlog without a step.
+#[test]
+fn falls_evenly() {
+    let admitted = |backlog: f64| {
+        let waits = (0..4_000).step_by(10);
+        waits
+            .filter(|ms| outlook(backlog, f64::from(*ms)).is_admitted())
+            .count()
+    };
+    let all: Vec<usize> = (0..40)
+        .map(|step| admitted(f64::from(step) * 10.0))
+        .collect();
+    assert!(all
+        .windows(2)
+        .all(|pair| pair[1] <= pair[0] && pair[0] - pair[1] < 15));
+}
+
+/// Without anything told of targets nothing is turned away for its pool's backlog alone.
+#[test]
+fn no_target_told() {
+    let outlook = Outlook {
+        tightest: Millis(0),
+        ..outlook(9_000.0, 2_000.0)
+    };
+    assert!(outlook.is_admitted());
+}
+
+/// Who has hardly any time left is told so at once.
+#[test]
+fn hopeless_refused() {
+    let hopeless = Outlook {
+        left: Millis(100),
+        ..outlook(0.0, 400.0)
+    };
+    assert!(!hopeless.is_admitted());
+}
