The share of endpoints that warm up follows the operators' bound

Cause: the shares used three quarters of the rate whatever the operators allow beyond it; with nothing allowed beyond, lots would pass the bound.

The mean rate keeps 4.5 standard deviations to the bound (settings warm_up_ratio and warm_up_extra, checked; none means the rate itself).

--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -90,9 +90,17 @@
         if now >= endpoint.warm_at(warm_up.time) {
             return None;
         }
-        let has_seeds = !self.settings.borrow().seeds.is_empty();
+        let settings = self.settings.borrow();
+        let has_seeds = !settings.seeds.is_empty();
+        let excess = settings.bounds.warm_up();
         let sharers = self.fleet.get().sharers(now - self.started, has_seeds);
-        Some(warmup::share(warm_up, sharers, self.id, endpoint.digest))
+        Some(warmup::share(
+            warm_up,
+            excess,
+            sharers,
+            self.id,
+            endpoint.digest,
+        ))
     }
 
     /// Counts the entries that serve now for the shares of endpoints that warm up.
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Millis;
 use crate::direct::budget::Allowance;
+use crate::direct::warmup::Excess;
 use crate::finding::Findings;
 use crate::settings::Checked;
 
@@ -56,6 +57,11 @@
     pub retry_ratio: f64,
     /// Repeats of a pool in a window besides, over all entries.
     pub retry_extra: f64,
+    /// Requests in any second that an endpoint may get while it warms up, over all entries, by the rate that
+    /// the configuration tells.
+    pub warm_up_ratio: f64,
+    /// Requests in any second besides.
+    pub warm_up_extra: f64,
 }
 
 impl Default for Bounds {
@@ -67,6 +73,8 @@
             retry_window_ms: 10_000,
             retry_ratio: 0.2,
             retry_extra: 20.0,
+            warm_up_ratio: 1.0,
+            warm_up_extra: 0.0,
         }
     }
 }
@@ -85,6 +93,14 @@
             extra: self.retry_extra,
         }
     }
+
+    /// What endpoints that warm up may get beyond the rate that they bear.
+    pub fn warm_up(&self) -> Excess {
+        Excess {
+            ratio: self.warm_up_ratio,
+            extra: self.warm_up_extra,
+        }
+    }
 }
 
 impl Checked for DirectSettings {
@@ -109,5 +125,9 @@
         findings.require(ratio, "bounds.retry_ratio", "must be from 0 to 1");
         let extra = bounds.retry_extra >= 0.0;
         findings.require(extra, "bounds.retry_extra", "must be 0 or more");
+        let ratio = (0.0..=100.0).contains(&bounds.warm_up_ratio);
+        findings.require(ratio, "bounds.warm_up_ratio", "must be from 0 to 100");
+        let extra = bounds.warm_up_extra >= 0.0 && bounds.warm_up_extra.is_finite();
+        findings.require(extra, "bounds.warm_up_extra", "must be 0 or more");
     }
 }
--- a/src/direct/warmup.rs
+++ b/src/direct/warmup.rs
@@ -15,10 +15,13 @@
 use crate::clock::Millis;
 use crate::direct::peers::PeerId;
 
-/// Part of the rate that endpoints bear while they warm up which all entries together are meant to use. Shares
-/// of fewer than one request a second are dealt by lot: of 100 entries with a share of 0.1 each, 25 or more get one
-/// once in 40,000 endpoints, and the bound allows half again as many and some more.
+/// Part of the rate that endpoints bear while they warm up which all entries together are meant to use, so
+/// that those which have to wait go elsewhere: a batch of prompts is read in turn.
 const USED_PART: f64 = 0.75;
+/// Standard deviations between the mean rate and the bound. Shares of fewer than one request a second are dealt by
+/// lot, so the number of entries that have one varies like a Poisson count; with 4.5 more than the bound
+/// allows have one at one endpoint of 30,000.
+const DEVIATIONS: f64 = 4.5;
 /// Entries that are assumed while fewer have been seen: after a start others are heard within some rounds.
 const UNSEEN_FLEET: usize = 64;
 /// Time after its start in which an entry may not have heard of all others yet.
@@ -60,10 +63,30 @@
     }
 }
 
+/// What operators allow beyond the rate that endpoints bear while they warm up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Excess {
+    /// Requests in any second by those that an endpoint bears.
+    pub ratio: f64,
+    /// Requests in any second besides.
+    pub extra: f64,
+}
+
+impl WarmUp {
+    /// Requests a second that all entries together are meant to send to one endpoint.
+    fn mean_rate(self, excess: Excess) -> f64 {
+        let bound = self.per_s * excess.ratio + excess.extra;
+        let half = DEVIATIONS / 2.0;
+        // The mean m for which m + DEVIATIONS * sqrt(m) is the bound.
+        let root = (half * half + bound.max(0.0)).sqrt() - half;
+        (root * root).min(self.per_s * USED_PART)
+    }
+}
+
 /// Requests a second that `entry`, one of `sharers`, may send to the endpoint with this digest while
 /// that warms up.
-pub fn share(warm_up: WarmUp, sharers: usize, entry: PeerId, digest: u32) -> usize {
-    let mean = warm_up.per_s * USED_PART / sharers.max(1) as f64;
+pub fn share(warm_up: WarmUp, excess: Excess, sharers: usize, entry: PeerId, digest: u32) -> usize {
+    let mean = warm_up.mean_rate(excess) / sharers.max(1) as f64;
     let whole = mean.floor();
     let lot = lot(entry, digest);
     let dealt = usize::from(lot < mean - whole);
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -7,12 +7,16 @@
 use violetline::direct::directory::{digest, Change, Listed};
 use violetline::direct::health::Fault;
 use violetline::direct::peers::PeerId;
-use violetline::direct::warmup::{share, FleetSize, RecentSends, WarmUp};
+use violetline::direct::warmup::{share, Excess, FleetSize, RecentSends, WarmUp};
 
 const WARM_UP: WarmUp = WarmUp {
     time: Millis(3_000),
     per_s: 13.0,
 };
+const EXCESS: Excess = Excess {
+    ratio: 1.5,
+    extra: 5.0,
+};
 /// Requests in any second beyond which an endpoint breaks down: half again its rate, and 5.
 const BOUND: usize = 24;
 
@@ -22,7 +26,7 @@
     let mut arrivals = Vec::new();
     for entry in 0..entries {
         let id = PeerId(entry.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let own = share(WARM_UP, sharers, id, endpoint);
+        let own = share(WARM_UP, EXCESS, sharers, id, endpoint);
         let mut sends = RecentSends::default();
         let mut now = Millis(entry * 37 % 500);
         while now < Millis(3_000) {
@@ -57,6 +61,20 @@
     }
 }
 
+/// Where operators allow nothing beyond the rate, less of it is used.
+#[test]
+fn tighter_bound() {
+    let strict = Excess {
+        ratio: 1.0,
+        extra: 0.0,
+    };
+    for n in 0..2_000 {
+        let endpoint = digest(&format!("i-{n}"), None);
+        let shares = (0..100).map(|entry| share(WARM_UP, strict, 100, PeerId(entry), endpoint));
+        assert!(shares.sum::<usize>() <= 13);
+    }
+}
+
 /// A part of the fleet that sees nobody keeps to the shares of the whole.
 #[test]
 fn cut_off_entries() {
