Requests whose route or team is bound to regions run nowhere else

Endpoints elsewhere, or in a zone whose region is not known, are left out of attempts, copies and moves, and again when a request is sent. The map of zones to regions comes with the settings.

--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -32,6 +32,7 @@
         }],
         max_attempts: 1,
         public: false,
+        regions: Vec::new(),
     }
 }
 
@@ -41,6 +42,7 @@
         name: format!("team-{i}"),
         keys: vec![format!("key-{i}-{version}")],
         priority: None,
+        regions: Vec::new(),
     };
     let teams = (0..24).map(team).collect();
     Catalog::new(version, routes, Vec::new(), teams, CallerLimits::default())
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -62,6 +62,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// Regions whose endpoints may run its requests; none for any.
+    pub regions: Vec<String>,
 }
 
 impl Route {
@@ -133,6 +135,8 @@
     pub keys: Vec<String>,
     /// Urgency that goes before the route's.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may run its requests; none for any.
+    pub regions: Vec<String>,
 }
 
 /// Bounds on what callers send.
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -17,11 +17,13 @@
 use crate::direct::decision::RefusedWhy;
 use crate::direct::demand::{Candidate, Demand};
 use crate::direct::dialect::Order;
-use crate::direct::directory::EndpointKey;
+use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::health::Fault;
 use crate::direct::load;
 use crate::direct::peers::PlacedPrompt;
+use crate::direct::residency;
 use crate::direct::resolve::{Allowed, Denied};
+use crate::direct::settings::DirectSettings;
 use crate::direct::warmup::WarmUp;
 
 /// Silence of an endpoint, in targets of the route, after which it is taken for unreachable.
@@ -99,7 +101,7 @@
         let warming_time = warm_up.map_or(Millis(0), |warm_up| warm_up.time);
         let candidates = directory
             .of_pool(&self.pool)
-            .filter(|(key, _)| is_candidate(*key))
+            .filter(|(key, endpoint)| is_candidate(*key) && self.may_run_at(endpoint, &settings))
             .filter_map(|(key, endpoint)| {
                 let account = accounts.get(key)?;
                 let share = self.entry.warm_up_share(endpoint, warm_up);
@@ -151,7 +153,15 @@
         let accounts = self.entry.accounts();
         let sends = accounts.get(key).map(|account| &account.sends);
         let allows = |share| sends.is_some_and(|sends| sends.allows(share, now));
-        directory.takes_work(key) && share.is_none_or(allows)
+        let may_run = self.may_run_at(endpoint, &self.entry.settings.borrow());
+        directory.takes_work(key) && may_run && share.is_none_or(allows)
+    }
+
+    /// Whether an endpoint lies where requests of this route and team may run.
+    fn may_run_at(&self, endpoint: &Endpoint, settings: &DirectSettings) -> bool {
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let zone = &endpoint.listed.zone;
+        residency::allows(self.route(), team, zone, &settings.regions)
     }
 
     /// What is to be placed, by an entry in `zone`.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,7 +3,7 @@
 //! The way of a request: [`caller`] (accept) - [`intake`] (read) - [`handle`] (allow or refuse) -
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
-//! Permission is decided by [`resolve`] (route, team); [`refuse`] writes the entry's own answers.
+//! Permission is decided by [`resolve`] (route, team) and [`residency`] (regions); [`refuse`] writes the entry's own answers.
 //! Whether a request is sent at all is decided by [`admission`], and how many an endpoint that has just started
 //! gets by [`warmup`]. For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
@@ -51,6 +51,7 @@
 pub mod ready;
 pub mod refuse;
 pub mod relay;
+pub mod residency;
 pub mod resolve;
 pub mod settings;
 pub mod sync;
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry that orders endpoints itself: JSON, validated whole before anything starts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,9 @@
     /// where it is largest.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Region of each availability zone, by its name.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Bounds that the operators promise to keep.
     pub bounds: Bounds,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests of direct entries share.
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use violetline::clock::{Clock, Millis};
@@ -28,6 +29,7 @@
         }],
         max_attempts: 1,
         public: false,
+        regions: Vec::new(),
     }
 }
 
@@ -48,6 +50,7 @@
         name: "beam-ops".into(),
         keys: vec!["key-1".into(), "key-2".into()],
         priority: None,
+        regions: Vec::new(),
     };
     let limits = CallerLimits::default();
     Catalog::new(version, routes, Vec::new(), vec![team], limits)
@@ -81,6 +84,7 @@
         seeds: Vec::new(),
         store: address,
         link_mbps: 0.0,
+        regions: BTreeMap::new(),
         bounds: Bounds::default(),
     };
     let clock = Clock::manual(Millis(1_000));
--- a/tests/direct_versions.rs
+++ b/tests/direct_versions.rs
@@ -26,6 +26,7 @@
         name: format!("team-{i}"),
         keys: vec![format!("key-{i}")],
         priority: None,
+        regions: Vec::new(),
     }
 }
 
