Plain services: the queue counts by its length, and late calls are turned away

Its queue of 24 ends just past the target, so half of what it serves is late.

Now the wait follows the queue, the record compares with the estimate for a usual endpoint, and while all slots are taken nothing is sent that would take over 0.8 of its target.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -22,7 +22,34 @@
 /// How many times longer it may wait in a calm pool.
 const CALM_WAIT: f64 = 4.0;
 
-/// What decides whether a request is sent.
+/// Part of its target that a call to a plain service may be expected to take while no slot is free. A service
+/// that has more than it can take is as busy behind a short queue as behind a long one; with 1 the queue of one
+/// deployment's services (24 calls on 6 slots of 60 ms) ends just where all of it is late.
+const PLAIN_PART: f64 = 0.8;
+
+/// What decides whether a request is sent to a plain service.
+///
+/// Load pattern: more calls than the endpoints that are left can take. Each has a queue of its own, and once that
+/// is full every call in it comes just too late.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlainOutlook {
+    /// Time until the answer at the best endpoint, by estimate, in ms.
+    pub expected_ms: f64,
+    /// Whether all its slots are taken; nothing is turned away while one is free.
+    pub is_full: bool,
+    /// Time within which an answer is in time; 0 where none is told.
+    pub target: Millis,
+}
+
+impl PlainOutlook {
+    /// Whether the request is sent.
+    pub fn is_admitted(&self) -> bool {
+        let in_time = self.expected_ms <= self.target.0 as f64 * PLAIN_PART;
+        !self.is_full || self.target == Millis(0) || in_time
+    }
+}
+
+/// What decides whether a request is sent to a model engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Outlook {
     /// Band of its urgency; 0 is the most urgent.
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -22,6 +22,8 @@
     pub key: EndpointKey,
     /// Time until the first event, by estimate, in ms.
     pub expected_ms: f64,
+    /// The same for an endpoint as fast as the estimate takes it, in ms; what the endpoint's record compares.
+    pub usual_ms: f64,
     /// What the request will add there.
     pub footprint: Footprint,
     /// Grade of the endpoint's record.
@@ -30,6 +32,8 @@
     pub supply: Supply,
     /// Mean time that the candidates need to read the prompts that they have, in ms.
     pub backlog_ms: f64,
+    /// Whether all slots of the endpoint are taken.
+    pub is_full: bool,
 }
 
 /// Chooses among `candidates`; `None` when there is none.
@@ -133,10 +137,12 @@
     Choice {
         key: candidate.key,
         expected_ms: price::expected_ms(demand, seen, &supply, now),
+        usual_ms: price::time_ms(demand, seen, &supply, now),
         footprint,
         grade: candidate.record.grade(now),
         supply,
         backlog_ms: 0.0,
+        is_full: candidate.load.present(now) >= candidate.endpoint.listed.slots,
     }
 }
 
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -9,7 +9,7 @@
 use super::answer::Answered;
 use super::{Attempt, Job};
 use crate::clock::Millis;
-use crate::direct::admission::Outlook;
+use crate::direct::admission::{Outlook, PlainOutlook};
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::Share;
 use crate::direct::channel::{Channel, Failure, Reply};
@@ -117,24 +117,36 @@
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
     }
 
-    /// Why a request that no endpoint has yet is not sent; `None` where it is. Plain services bound their
-    /// own queues.
+    /// Why a request that no endpoint has yet is not sent; `None` where it is.
     fn turned_away(&self, choice: &Choice) -> Option<RefusedWhy> {
         let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
-        if is_plain || self.sent {
-            return None;
-        }
-        let outlook = Outlook {
+        let is_admitted = match is_plain {
+            _ if self.sent => true,
+            true => self.plain_outlook(choice).is_admitted(),
+            false => self.outlook(choice).is_admitted(),
+        };
+        (!is_admitted).then_some(RefusedWhy::Overload {
+            expected_ms: choice.expected_ms as u64,
+            backlog_ms: choice.backlog_ms as u64,
+        })
+    }
+
+    fn outlook(&self, choice: &Choice) -> Outlook {
+        Outlook {
             band: load::band(self.priority()),
             expected_ms: choice.expected_ms,
             backlog_ms: choice.backlog_ms,
             tightest: self.catalog.tightest_target(&self.pool),
             left: self.end - self.entry.clock.now(),
-        };
-        (!outlook.is_admitted()).then_some(RefusedWhy::Overload {
-            expected_ms: choice.expected_ms as u64,
-            backlog_ms: choice.backlog_ms as u64,
-        })
+        }
+    }
+
+    fn plain_outlook(&self, choice: &Choice) -> PlainOutlook {
+        PlainOutlook {
+            expected_ms: choice.expected_ms,
+            is_full: choice.is_full,
+            target: self.route().target,
+        }
     }
 
     /// How endpoints of the pool warm up.
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -230,6 +230,16 @@
         peers.fold(self.own(now), |sum, told| sum.plus(told.work))
     }
 
+    /// Requests that the endpoint works on or that wait there: as far as entries know, or by its own word where
+    /// that is fresh and tells of more.
+    pub fn present(&self, now: Millis) -> u32 {
+        let told = match self.report {
+            Some((at, report)) if now - at < REPORT_WORD => report.running + report.waiting,
+            _ => 0,
+        };
+        self.total(now).running.max(told)
+    }
+
     /// Requests that wait at the endpoint by its own word, if that is fresh.
     pub fn waiting(&self, now: Millis) -> u32 {
         match self.report {
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -79,6 +79,11 @@
 const BLIND_MS: f64 = 300.0;
 /// Price of each request that waits at the endpoint by its own word, in ms.
 const WAITING_MS: f64 = 15.0;
+/// Work of a plain service for one request, in ms. Only the shape of the estimate matters: the record
+/// corrects the rest per endpoint.
+const PLAIN_MS: f64 = 20.0;
+/// Added to the time of a plain service whose slots are all taken, in ms, so that requests spread.
+const USED_SLOTS_MS: f64 = 5.0;
 /// Price of an endpoint that warms up, in ms.
 const WARMING_MS: f64 = 60.0;
 
@@ -170,11 +175,14 @@
 
 /// Time until the first event if the endpoint were as fast as estimated: reading what goes before
 /// and the request itself, a move, the batch, and what waits.
-fn time_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
+pub fn time_ms(demand: &Demand<'_>, seen: &Seen<'_>, supply: &Supply, now: Millis) -> f64 {
     let (candidate, total) = (&seen.candidate, seen.total);
     let unread = demand.prompt_tokens() - supply.spared();
+    if demand.engine.is_none() {
+        return BASE_MS + plain_ms(seen, now);
+    }
     let read = read_ms(tokens_before(demand, total) + unread as f64);
-    let batch = batch_ms(demand, seen);
+    let batch = f64::from(total.running) * BATCH_MS;
     let waiting = f64::from(candidate.load.waiting(now)) * WAITING_MS;
     BASE_MS + read + supply.move_ms(demand) + batch + waiting
 }
@@ -193,12 +201,12 @@
     before
 }
 
-/// Time that the requests that run there add; at a plain service each takes its part of it.
-fn batch_ms(demand: &Demand<'_>, seen: &Seen<'_>) -> f64 {
-    if demand.engine.is_none() {
-        return used_slots(seen) * WAITING_MS;
-    }
-    f64::from(seen.total.running) * BATCH_MS
+/// Time that a plain service takes: its work, once a slot is free, and a little for each that is taken.
+fn plain_ms(seen: &Seen<'_>, now: Millis) -> f64 {
+    let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
+    let present = f64::from(seen.candidate.load.present(now));
+    let queued = (present + 1.0 - slots).max(0.0);
+    PLAIN_MS * (1.0 + queued / slots) + present / slots * USED_SLOTS_MS
 }
 
 /// Price of a batch that fills; none at plain services.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Which requests are turned away, by the backlog of their pool and the time that they have.
 
 use violetline::clock::Millis;
-use violetline::direct::admission::Outlook;
+use violetline::direct::admission::{Outlook, PlainOutlook};
 
 fn outlook(backlog_ms: f64, expected_ms: f64) -> Outlook {
     Outlook {
@@ -62,3 +62,24 @@
     };
     assert!(!hopeless.is_admitted());
 }
+
+/// Nothing is turned away from a plain service while a slot is free.
+#[test]
+fn free_slot_admits() {
+    let outlook = PlainOutlook {
+        expected_ms: 900.0,
+        is_full: false,
+        target: Millis(300),
+    };
+    assert!(outlook.is_admitted());
+    let full = PlainOutlook {
+        is_full: true,
+        ..outlook
+    };
+    assert!(!full.is_admitted());
+    let in_time = PlainOutlook {
+        expected_ms: 200.0,
+        ..full
+    };
+    assert!(in_time.is_admitted());
+}
