Terms of the list and the choice of an attempt have files of their own

directory.rs had grown to 433 lines and knew cordons.rs, which knew it: what the list says (endpoints, cordons, changes) is listed.rs below both now. job/send.rs (322 lines) keeps the sending; which endpoint, and whether at all, is job/choice.rs.

--- a/src/direct/cordons.rs
+++ b/src/direct/cordons.rs
@@ -6,22 +6,11 @@
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
-use crate::direct::directory::{Change, Revision};
+use crate::direct::listed::{Change, Cordon, Revision};
 
 /// Zones that are remembered at most; names beyond that are made up, since a fleet has a few dozen.
 const MOST_ZONES: usize = 1_000;
 
-/// A cordon of one zone, or its end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Cordon {
-    /// Name of the availability zone.
-    pub zone: String,
-    /// Where in the history it was written or removed.
-    pub revision: Revision,
-}
-
 /// What was said last of one zone.
 #[derive(Debug, Clone, Copy)]
 struct Word {
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
-use crate::direct::cordons::Cordon;
+use crate::direct::directory::Cordon;
 use crate::direct::directory::{Change, Listing, Revision};
 use crate::direct::load::Report;
 use crate::direct::prefix::Part;
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -1,6 +1,7 @@
 //! A request that may run, with its attempts: which endpoints it is sent to and when it is over.
 
 mod answer;
+mod choice;
 mod copy;
 mod end;
 mod log;
--- a/tests/zone_cordons.rs
+++ b/tests/zone_cordons.rs
@@ -4,8 +4,8 @@
 
 use common::{entry, listed};
 use violetline::clock::Millis;
-use violetline::direct::cordons::{Cordon, Cordons};
-use violetline::direct::directory::{Change, Directory, Listed, Listing};
+use violetline::direct::cordons::Cordons;
+use violetline::direct::directory::{Change, Cordon, Directory, Listed, Listing};
 
 const ZONE: &str = "hall-a";
 
