Urgent requests may wait no less than less urgent ones

The longest wait is now at least that of any less urgent request of the pool, and never more than the time that is left. admission::urgent_goes_first fails on the code before.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -63,6 +63,8 @@
     pub tightest: Millis,
     /// Time that is left.
     pub left: Millis,
+    /// Longest time that the pool's less urgent requests have; 0 where there are none.
+    pub less_urgent: Millis,
 }
 
 impl Outlook {
@@ -71,14 +73,19 @@
         self.expected_ms <= self.longest_wait_ms()
     }
 
-    /// Longest time that it may be expected to wait, in ms.
+    /// Longest time that it may be expected to wait, in ms: no less than any less urgent request may, or a short
+    /// urgent one with little time would be turned away where long ones with more time are sent (66 of 675
+    /// in a burst of one team).
     fn longest_wait_ms(&self) -> f64 {
         let part = match self.band {
             0 => URGENT_WAIT_PART,
             _ => WAIT_PART,
         };
+        let left = self.left.0 as f64;
+        let own = left * part;
+        let wait = own.max(self.less_urgent.0 as f64 * WAIT_PART);
         let calm = 1.0 - self.overload();
-        self.left.0 as f64 * part * (1.0 + (CALM_WAIT - 1.0) * calm)
+        (wait * (1.0 + (CALM_WAIT - 1.0) * calm)).min(left)
     }
 
     /// How overloaded the pool is, from 0 to 1.
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::direct::load::WHOLE;
+use crate::direct::load::{band, BANDS, WHOLE};
 use crate::direct::warmup::WarmUp;
 use crate::ids::TeamKey;
 
@@ -245,6 +245,8 @@
     pause: Millis,
     /// Time for an answer or its first event.
     target: Millis,
+    /// Longest time that requests of each band have.
+    longest: [Millis; BANDS],
 }
 
 impl Catalog {
@@ -341,6 +343,13 @@
         self.tightest.get(pool).copied().unwrap_or_default().target
     }
 
+    /// Longest time that requests to a pool have which are less urgent than a band; 0 where there are none.
+    pub fn less_urgent_time(&self, pool: &str, band: usize) -> Millis {
+        let longest = self.tightest.get(pool).copied().unwrap_or_default().longest;
+        let less_urgent = longest.into_iter().skip(band + 1);
+        less_urgent.max().unwrap_or_default()
+    }
+
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.name == name)
@@ -355,6 +364,8 @@
             let known = tightest.entry(share.pool.clone()).or_default();
             known.pause = tighter(known.pause, route.pause().unwrap_or_default());
             known.target = tighter(known.target, route.target);
+            let longest = &mut known.longest[band(route.priority)];
+            *longest = route.timeout.max(*longest);
         }
     }
     tightest
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -65,12 +65,14 @@
     }
 
     fn outlook(&self, choice: &Choice) -> Outlook {
+        let band = load::band(self.priority());
         Outlook {
-            band: load::band(self.priority()),
+            band,
             expected_ms: choice.expected_ms,
             backlog_ms: choice.backlog_ms,
             tightest: self.catalog.tightest_target(&self.pool),
             left: self.end - self.entry.clock.now(),
+            less_urgent: self.catalog.less_urgent_time(&self.pool, band),
         }
     }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -10,6 +10,40 @@
         backlog_ms,
         tightest: Millis(300),
         left: Millis(4_000),
+        less_urgent: Millis(0),
+    }
+}
+
+/// Where a less urgent request is sent, a more urgent one with less time of its own is sent as well.
+#[test]
+fn urgent_goes_first() {
+    for backlog in [0.0, 150.0, 300.0, 900.0] {
+        for ms in (0..3_000).step_by(50) {
+            let expected = f64::from(ms);
+            let less = Outlook {
+                left: Millis(5_000),
+                ..outlook(backlog, expected)
+            };
+            let urgent = Outlook {
+                band: 1,
+                left: Millis(3_000),
+                less_urgent: Millis(5_000),
+                ..outlook(backlog, expected)
+            };
+            let of_team = Outlook {
+                band: 0,
+                less_urgent: Millis(5_000),
+                ..less
+            };
+            assert!(
+                !less.is_admitted() || urgent.is_admitted(),
+                "{backlog} {ms}"
+            );
+            assert!(
+                !less.is_admitted() || of_team.is_admitted(),
+                "{backlog} {ms}"
+            );
+        }
     }
 }
 
--- a/tests/overload_replay.rs
+++ b/tests/overload_replay.rs
@@ -321,6 +321,7 @@
             backlog_ms: choice.backlog_ms,
             tightest: Millis(300),
             left: Millis((ask.first_sent + of.patience).saturating_sub(now)),
+            less_urgent: Millis([4_000, 4_000, 0][of.band]),
         };
         if self.turns_away && !outlook.is_admitted() {
             self.turned_away += 1;
