Lost runs are logged with a digest of what was asked, and with the end of their endpoint

Cause: the logs of the incident could not tell whether requests with different ids are the same work, which requests were under way at an engine when it ended, nor whether an engine ended or a connection broke. attempt_failed lines carry a digest of caller, target and body; an endpoint_ended line names the runs lost with an endpoint whose life is over (connection refused, replaced, taken off the list); direct_runs_ended_with_endpoint_total counts them by sign.

No decision is changed.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -37,6 +37,8 @@
 /// How an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
+    /// Nothing listens at the address; nothing was sent.
+    Refused,
     /// No connection came up; nothing was sent.
     Connect,
     /// The connection failed before any byte of the request had left.
@@ -92,11 +94,15 @@
 }
 
 impl Channel {
-    /// Connects; [`Failure::Connect`] when that fails or takes too long.
+    /// Connects; [`Failure::Refused`] where nothing listens, [`Failure::Connect`] when that fails otherwise or
+    /// takes too long.
     pub async fn connect(address: SocketAddr) -> Result<Self, Failure> {
         let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
+            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(Failure::Refused)
+            }
             _ => return Err(Failure::Connect),
         };
         set_options(&stream);
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::{Clock, Millis};
+use crate::direct::ends::EndSign;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
 
@@ -140,6 +141,9 @@
         may_have_run: bool,
         /// Attempts that the route still allows.
         attempts_left: u32,
+        /// Digest of what was asked for; the same for every repeat of it.
+        #[serde(skip_serializing_if = "String::is_empty", default)]
+        fingerprint: String,
     },
     /// A request that was sent ended.
     Ended {
@@ -202,6 +206,15 @@
         /// Why.
         why: String,
     },
+    /// The life of an endpoint is over, and runs were lost with it.
+    EndpointEnded {
+        /// Endpoint.
+        endpoint: String,
+        /// What showed it.
+        sign: EndSign,
+        /// Digests of what those runs were asked for.
+        lost: Vec<String>,
+    },
     /// The configuration store was lost or regained.
     Store {
         /// Whether it answers.
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -9,7 +9,9 @@
 use crate::clock::Millis;
 use crate::direct::channel::Channel;
 use crate::direct::decision::Decision;
-use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::directory::{Endpoint, EndpointKey, Standing};
+use crate::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
+use crate::direct::fingerprint::Fingerprint;
 use crate::direct::health::{Fault, Record};
 use crate::direct::load::{Footprint, Load};
 use crate::direct::warmup::{self, RecentSends, WarmUp};
@@ -25,6 +27,8 @@
 /// What is known of one endpoint beyond its entry in the directory.
 #[derive(Debug, Default)]
 pub struct Account {
+    /// Its identity.
+    id: String,
     /// Its load.
     pub load: Load,
     /// Its record.
@@ -33,6 +37,8 @@
     pub heard: Millis,
     /// Requests that were sent to it lately.
     pub sends: RecentSends,
+    /// Runs that it did not finish.
+    lost: LostRuns,
     /// Connections to it that are not in use, the newest last.
     idle: Vec<Channel>,
 }
@@ -40,6 +46,14 @@
 /// The accounts of all listed endpoints.
 pub type Accounts = SecondaryMap<EndpointKey, Account>;
 
+impl Account {
+    /// Something came from the endpoint.
+    pub fn hear(&mut self, now: Millis) {
+        self.heard = now;
+        self.lost.heard(now);
+    }
+}
+
 impl Entry {
     /// What is known of every endpoint.
     pub fn accounts(&self) -> Ref<'_, Accounts> {
@@ -141,7 +155,12 @@
     }
 
     /// Adds a request to an endpoint's load until the guard is dropped.
-    pub fn place(self: &Rc<Self>, key: EndpointKey, footprint: Footprint) -> Placed {
+    pub fn place(
+        self: &Rc<Self>,
+        key: EndpointKey,
+        footprint: Footprint,
+        request: Fingerprint,
+    ) -> Placed {
         let now = self.clock.now();
         self.account(key, |account| {
             account.load.begin(footprint, now);
@@ -152,7 +171,45 @@
             key,
             footprint,
             is_read: Cell::new(false),
+            request,
+            began: now,
+            end: Cell::new(RunEnd::Lost(LostHow::Silent)),
+        }
+    }
+
+    /// A run at an endpoint was lost. Planned ends lose runs as well, and are no run's fault.
+    fn run_lost(&self, key: EndpointKey, run: LostRun) {
+        let standing = self.directory.borrow().get(key).map(|e| e.standing);
+        if !matches!(standing, Some(Standing::Ready | Standing::Lapsed(_))) {
+            return;
         }
+        let mut ended = None;
+        self.account(key, |account| ended = account.lost.lost(run));
+        if let Some(sign) = ended {
+            self.runs_ended_with(key, sign, &[run]);
+        }
+    }
+
+    /// The life of an endpoint is over.
+    pub fn endpoint_ended(&self, key: EndpointKey, sign: EndSign) {
+        let now = self.clock.now();
+        let mut lost = Vec::new();
+        self.account(key, |account| lost = account.lost.ended(sign, now));
+        if !lost.is_empty() {
+            self.runs_ended_with(key, sign, &lost);
+        }
+    }
+
+    /// Runs were lost with an endpoint.
+    fn runs_ended_with(&self, key: EndpointKey, sign: EndSign, lost: &[LostRun]) {
+        self.gauges.runs_ended(sign, lost.len() as u64);
+        let mut endpoint = String::new();
+        self.account(key, |account| endpoint.clone_from(&account.id));
+        self.log.belief(Decision::EndpointEnded {
+            endpoint,
+            sign,
+            lost: lost.iter().map(|run| run.request.to_string()).collect(),
+        });
     }
 
     fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
@@ -169,20 +226,23 @@
     pub(super) fn open_accounts(&self) {
         let directory = self.directory.borrow();
         let mut accounts = self.accounts.borrow_mut();
-        for (key, _) in directory.iter() {
+        for (key, endpoint) in directory.iter() {
             if !accounts.contains_key(key) {
-                accounts.insert(key, Account::default());
+                let account = Account {
+                    id: endpoint.listed.id.clone(),
+                    ..Account::default()
+                };
+                accounts.insert(key, account);
             }
         }
     }
 
     /// Drops what is known of endpoints that left the list.
     pub(super) fn forget(&self, gone: &[EndpointKey]) {
-        let mut accounts = self.accounts.borrow_mut();
-        let mut prefixes = self.prefixes.borrow_mut();
         for key in gone {
-            accounts.remove(*key);
-            prefixes.forget(*key);
+            self.endpoint_ended(*key, EndSign::Unlisted);
+            self.accounts.borrow_mut().remove(*key);
+            self.prefixes.borrow_mut().forget(*key);
         }
     }
 
@@ -201,6 +261,20 @@
     key: EndpointKey,
     footprint: Footprint,
     is_read: Cell<bool>,
+    request: Fingerprint,
+    began: Millis,
+    end: Cell<RunEnd>,
+}
+
+/// How a run at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    /// The endpoint gave its whole answer, or an error of its own.
+    Answered,
+    /// The endpoint did not run it.
+    NotRun,
+    /// Neither.
+    Lost(LostHow),
 }
 
 impl Placed {
@@ -212,6 +286,21 @@
                 .account(self.key, |account| account.load.read(footprint));
         }
     }
+
+    /// The endpoint has answered it.
+    pub fn answered(&self) {
+        self.end.set(RunEnd::Answered);
+    }
+
+    /// The endpoint did not run it.
+    pub fn not_run(&self) {
+        self.end.set(RunEnd::NotRun);
+    }
+
+    /// Its connection broke.
+    pub fn broken(&self) {
+        self.end.set(RunEnd::Lost(LostHow::Broken));
+    }
 }
 
 impl Drop for Placed {
@@ -220,6 +309,15 @@
         let footprint = self.footprint;
         self.entry
             .account(self.key, |account| account.load.end(footprint));
+        if let RunEnd::Lost(how) = self.end.get() {
+            let run = LostRun {
+                request: self.request,
+                began: self.began,
+                lost: self.entry.clock.now(),
+                how,
+            };
+            self.entry.run_lost(self.key, run);
+        }
     }
 }
 
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -69,9 +69,9 @@
 /// Whether a change of belief may be a cause for a request at these endpoints.
 fn bears_on(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
-        Decision::EndpointListed { endpoint, .. } | Decision::EndpointHealth { endpoint, .. } => {
-            endpoints.contains(endpoint.as_str())
-        }
+        Decision::EndpointListed { endpoint, .. }
+        | Decision::EndpointHealth { endpoint, .. }
+        | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
         Decision::Peer { .. } => false,
         _ => true,
     }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -7,6 +7,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::direct::ends::EndSign;
+
 /// Bounds of the latency buckets, in ms: around the targets of today's classes.
 const LATENCY_MS: [f64; 12] = [
     10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 500.0, 800.0, 1_200.0, 2_000.0, 4_000.0, 12_000.0,
@@ -24,6 +26,7 @@
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
     unreadable: Counter<u64>,
+    runs_ended: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -56,6 +59,7 @@
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
             unreadable: meter.u64_counter("direct_unreadable_entries").build(),
+            runs_ended: meter.u64_counter("direct_runs_ended_with_endpoint").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -114,6 +118,12 @@
         self.unreadable.add(1, &[]);
     }
 
+    /// Runs were lost with an endpoint whose life is over.
+    pub fn runs_ended(&self, sign: EndSign, runs: u64) {
+        let labels = [KeyValue::new("sign", sign.label())];
+        self.runs_ended.add(runs, &labels);
+    }
+
     /// Sets a gauge, such as the version in force or the number of peers.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -12,6 +12,7 @@
 use crate::direct::decision::EndedHow;
 use crate::direct::dialect::Verdict;
 use crate::direct::directory::EndpointKey;
+use crate::direct::ends::EndSign;
 use crate::direct::entry::{Life, Placed};
 use crate::direct::health::Fault;
 use crate::direct::relay::{self, Broken, Onward};
@@ -44,13 +45,16 @@
             .verdict(&answered.reply.head, &self.ask.id);
         self.heard(key, &verdict, now);
         if verdict.misdirected {
+            answered.placed.not_run();
             return self.misdirected(key);
         }
         if verdict.not_run {
+            answered.placed.not_run();
             return self.not_run(key, answered.reply, &verdict).await;
         }
         let status = answered.reply.head.status;
         if let Some(why) = self.fault(status, &verdict) {
+            answered.placed.answered();
             return self.failed(key, Fault::Answer, why);
         }
         let relaying = async {
@@ -68,7 +72,7 @@
     /// Takes note of what the endpoint tells of itself.
     fn heard(&self, key: EndpointKey, verdict: &Verdict, now: Millis) {
         self.entry.account(key, |account| {
-            account.heard = now;
+            account.hear(now);
             if let Some(report) = verdict.report {
                 account.load.reported(report, now);
             }
@@ -80,6 +84,7 @@
         let why = "another endpoint has its address";
         self.attempts -= 1;
         self.sent = self.attempts > 0;
+        self.entry.endpoint_ended(key, EndSign::Replaced);
         self.entry.endpoint_failed(key, Fault::Contact, why);
         self.log_failed(key, why, false);
         Attempt::NotRun(key)
@@ -142,8 +147,10 @@
     ) -> Attempt {
         let key = answered.choice.key;
         let Ok(body) = relay::whole(&mut answered.reply).await else {
+            answered.placed.broken();
             return self.failed(key, Fault::Answer, "the answer broke off");
         };
+        answered.placed.answered();
         self.began(&answered.choice, answered.placed, answered.sent_at);
         let status = answered.reply.head.status;
         let head = self.entry.dialect.answer(&answered.reply.head);
@@ -197,13 +204,17 @@
         let reply = &mut answered.reply;
         match relay::events(reply, answerer, onward, next, begin, left).await {
             Ok(()) => {
+                answered.placed.answered();
                 self.keep(key, answered.reply, verdict);
                 self.entry.endpoint_served(key);
                 self.log_ended(EndedHow::Served, status);
                 Attempt::Over(answerer.is_kept())
             }
             Err(Broken::Caller) => Attempt::CallerGone,
-            Err(Broken::Endpoint) => self.failed(key, Fault::Answer, "the stream broke off"),
+            Err(Broken::Endpoint) => {
+                answered.placed.broken();
+                self.failed(key, Fault::Answer, "the stream broke off")
+            }
         }
     }
 
@@ -214,7 +225,7 @@
         let ids = self.ask.parts.iter().map(|part| part.id);
         self.entry.prefixes.borrow_mut().read(choice.key, ids, now);
         self.entry.account(choice.key, |account| {
-            account.heard = now;
+            account.hear(now);
             account.record.began(now, now - sent_at, choice.usual_ms);
         });
         let mut progress = self.progress.borrow_mut();
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -85,6 +85,7 @@
         let Some(address) = self.sent_to else {
             return false;
         };
-        matches!(Channel::connect(address).await, Err(Failure::Connect))
+        let connected = Channel::connect(address).await;
+        matches!(connected, Err(Failure::Refused | Failure::Connect))
     }
 }
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -50,6 +50,11 @@
             failure: failure.into(),
             may_have_run,
             attempts_left: self.route().max_attempts.saturating_sub(self.attempts),
+            fingerprint: if may_have_run {
+                self.request.to_string()
+            } else {
+                String::new()
+            },
         };
         self.entry.log.request(self.ask.id.as_bytes(), failed);
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -20,6 +20,7 @@
 use crate::direct::dialect::Ask;
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::Entry;
+use crate::direct::fingerprint::Fingerprint;
 use crate::direct::intake::Incoming;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
@@ -65,6 +66,8 @@
     catalog: Rc<Catalog>,
     /// Its route and team there.
     allowed: Allowed,
+    /// What it asks for.
+    request: Fingerprint,
     /// Name of the pool whose endpoints it is sent to.
     pool: String,
     /// When its time is over.
@@ -99,6 +102,8 @@
         let pool = pick_pool(route);
         let patience = ask.patience.unwrap_or(route.timeout);
         let end = incoming.at + patience.min(route.timeout);
+        let team = allowed.team.map(|team| catalog.teams[team.0].name.as_str());
+        let request = Fingerprint::of(team, &ask.host, &incoming.head, &incoming.body);
         let mut noted = progress.borrow_mut();
         noted.route.clone_from(&route.name);
         noted.pool.clone_from(&pool);
@@ -109,6 +114,7 @@
             ask,
             progress,
             allowed,
+            request,
             pool,
             end,
             tried: Vec::new(),
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -15,6 +15,7 @@
 use crate::direct::choose::Choice;
 use crate::direct::dialect::Order;
 use crate::direct::directory::EndpointKey;
+use crate::direct::ends::EndSign;
 use crate::direct::health::Fault;
 use crate::direct::peers::PlacedPrompt;
 use crate::direct::resolve::{Allowed, Denied};
@@ -80,7 +81,11 @@
         }
         let address = self.entry.directory().get(key)?.listed.address;
         self.entry.gauges.connection();
-        Channel::connect(address).await.ok()
+        let connected = Channel::connect(address).await;
+        if matches!(connected, Err(Failure::Refused)) {
+            self.entry.endpoint_ended(key, EndSign::Refused);
+        }
+        connected.ok()
     }
 
     /// Sends the request; whatever is awaited comes after its first byte.
@@ -96,17 +101,19 @@
             return Attempt::NotSent(key);
         };
         self.note_placement(&choice);
-        let placed = self.entry.place(key, choice.footprint);
+        let placed = self.entry.place(key, choice.footprint, self.request);
         let is_own = |head: &ResponseHead| self.entry.dialect.verdict(head, &self.ask.id).is_own;
         let sending = channel.send(head, &self.incoming.body, is_own);
         let reply = match self.wait(sending, key, now).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(Failure::Connect | Failure::NotSent)) => {
+            Ok(Err(Failure::Refused | Failure::Connect | Failure::NotSent)) => {
+                placed.not_run();
                 self.attempts -= 1;
                 self.log_failed(key, "connection failed before sending", false);
                 return Attempt::NotSent(key);
             }
             Ok(Err(Failure::Lost)) => {
+                placed.broken();
                 self.sent = true;
                 return self.failed(key, Fault::Answer, "connection lost");
             }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -112,6 +112,7 @@
         attempt: 1,
         failure: "connection lost".into(),
         may_have_run: true,
+        fingerprint: String::new(),
         attempts_left: 0,
     };
     log.request(b"9c41", failed);
