--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -13,6 +13,7 @@
 use crate::direct::ends::EndSign;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
+use crate::fingerprint::Fingerprint;
 
 /// Lines a second about requests that went well. A full entry serves some hundred requests a
 /// second; a line takes about 10 microseconds.
@@ -37,6 +38,15 @@
         /// Mean time that the pool's endpoints need to read the prompts that they have, in ms.
         backlog_ms: u64,
     },
+    /// Endpoints ended in a row under what it asks for.
+    EndsEndpoints {
+        /// Digest of that.
+        fingerprint: Fingerprint,
+        /// Ends in a row.
+        ends: usize,
+        /// Time after which it may come back, in ms.
+        come_back_ms: u64,
+    },
     /// The endpoint said that it did not run it, and no other may be asked.
     EndpointRefused,
     /// The time was over before it could be sent.
@@ -215,6 +225,15 @@
         /// Digests of what those runs were asked for.
         lost: Vec<String>,
     },
+    /// Endpoints ended in a row under a request, which is not sent any more.
+    RequestRefused {
+        /// Digest of what is asked for.
+        fingerprint: String,
+        /// Ends in a row.
+        ends: usize,
+        /// Time for which it is refused, in ms.
+        for_ms: u64,
+    },
     /// The configuration store was lost or regained.
     Store {
         /// Whether it answers.
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -56,6 +56,11 @@
         doubted.map_or(self.told_warm_at, |until| until.max(self.told_warm_at))
     }
 
+    /// Whether it warms up by its own entries.
+    pub fn is_told_warming(&self, now: Millis) -> bool {
+        now < self.told_warm_at
+    }
+
     /// Takes what a newer entry says of warming up.
     fn hear_warming(&mut self, warming: Millis, now: Millis) {
         let was_warming = now < self.told_warm_at || self.doubted.is_some();
--- a/src/direct/ends.rs
+++ b/src/direct/ends.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::direct::fingerprint::Fingerprint;
+use crate::fingerprint::Fingerprint;
 
 /// Time for which bytes that an endpoint sent before its end may still be read after the first broken connection.
 const READ_LATE: Millis = Millis(100);
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -11,10 +11,11 @@
 use crate::direct::decision::Decision;
 use crate::direct::directory::{Endpoint, EndpointKey, Standing};
 use crate::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
-use crate::direct::fingerprint::Fingerprint;
 use crate::direct::health::{Fault, Record};
 use crate::direct::load::{Footprint, Load};
 use crate::direct::warmup::{self, RecentSends, WarmUp};
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::LifeDigest;
 
 /// Idle connections kept to one endpoint.
 const MOST_IDLE: usize = 24;
@@ -29,6 +30,8 @@
 pub struct Account {
     /// Its identity.
     id: String,
+    /// Digest of this life of it.
+    life: LifeDigest,
     /// Its load.
     pub load: Load,
     /// Its record.
@@ -39,6 +42,8 @@
     pub sends: RecentSends,
     /// Runs that it did not finish.
     lost: LostRuns,
+    /// Whether it is being found out whether it has ended.
+    is_checked: bool,
     /// Connections to it that are not in use, the newest last.
     idle: Vec<Channel>,
 }
@@ -52,6 +57,21 @@
         self.heard = now;
         self.lost.heard(now);
     }
+
+    /// Whether it is being found out whether the endpoint has ended.
+    pub fn is_checked(&self) -> bool {
+        self.is_checked
+    }
+
+    /// It is to be found out whether the endpoint has ended; true where that goes on by now.
+    pub(super) fn begin_check(&mut self) -> bool {
+        std::mem::replace(&mut self.is_checked, true)
+    }
+
+    /// That is found out.
+    pub(super) fn end_check(&mut self) {
+        self.is_checked = false;
+    }
 }
 
 impl Entry {
@@ -177,19 +197,30 @@
         }
     }
 
-    /// A run at an endpoint was lost. Planned ends lose runs as well, and are no run's fault.
-    fn run_lost(&self, key: EndpointKey, run: LostRun) {
-        let standing = self.directory.borrow().get(key).map(|e| e.standing);
-        if !matches!(standing, Some(Standing::Ready | Standing::Lapsed(_))) {
+    /// A run at an endpoint was lost.
+    fn run_lost(self: &Rc<Self>, key: EndpointKey, run: LostRun) {
+        if !self.may_end_by_a_run(key, run.lost) {
             return;
         }
         let mut ended = None;
         self.account(key, |account| ended = account.lost.lost(run));
         if let Some(sign) = ended {
             self.runs_ended_with(key, sign, &[run]);
+        } else if run.how == LostHow::Broken {
+            self.check_end(key);
         }
     }
 
+    /// Whether a run could be the cause if an endpoint ended now: not of one that leaves as planned, nor of one
+    /// that warms up and falls over at a rate that all entries cause together.
+    fn may_end_by_a_run(&self, key: EndpointKey, now: Millis) -> bool {
+        let directory = self.directory.borrow();
+        let Some(endpoint) = directory.get(key) else {
+            return false;
+        };
+        endpoint.standing != Standing::Draining && !endpoint.is_told_warming(now)
+    }
+
     /// The life of an endpoint is over.
     pub fn endpoint_ended(&self, key: EndpointKey, sign: EndSign) {
         let now = self.clock.now();
@@ -204,12 +235,17 @@
     fn runs_ended_with(&self, key: EndpointKey, sign: EndSign, lost: &[LostRun]) {
         self.gauges.runs_ended(sign, lost.len() as u64);
         let mut endpoint = String::new();
-        self.account(key, |account| endpoint.clone_from(&account.id));
+        let mut life = 0;
+        self.account(key, |account| {
+            endpoint.clone_from(&account.id);
+            life = account.life;
+        });
         self.log.belief(Decision::EndpointEnded {
             endpoint,
             sign,
             lost: lost.iter().map(|run| run.request.to_string()).collect(),
         });
+        self.suspect(life, lost);
     }
 
     fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
@@ -230,6 +266,7 @@
             if !accounts.contains_key(key) {
                 let account = Account {
                     id: endpoint.listed.id.clone(),
+                    life: endpoint.digest,
                     ..Account::default()
                 };
                 accounts.insert(key, account);
@@ -269,9 +306,9 @@
 /// How a run at an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunEnd {
-    /// The endpoint gave its whole answer, or an error of its own.
+    /// The endpoint gave its whole answer.
     Answered,
-    /// The endpoint did not run it.
+    /// The endpoint did not run it, or answered with an error, which may tell that its time was over before.
     NotRun,
     /// Neither.
     Lost(LostHow),
@@ -292,7 +329,7 @@
         self.end.set(RunEnd::Answered);
     }
 
-    /// The endpoint did not run it.
+    /// The endpoint did not run it, or answered with an error.
     pub fn not_run(&self) {
         self.end.set(RunEnd::NotRun);
     }
@@ -309,14 +346,18 @@
         let footprint = self.footprint;
         self.entry
             .account(self.key, |account| account.load.end(footprint));
-        if let RunEnd::Lost(how) = self.end.get() {
-            let run = LostRun {
-                request: self.request,
-                began: self.began,
-                lost: self.entry.clock.now(),
-                how,
-            };
-            self.entry.run_lost(self.key, run);
+        match self.end.get() {
+            RunEnd::Answered => self.entry.run_finished(self.request),
+            RunEnd::NotRun => {}
+            RunEnd::Lost(how) => {
+                let run = LostRun {
+                    request: self.request,
+                    began: self.began,
+                    lost: self.entry.clock.now(),
+                    how,
+                };
+                self.entry.run_lost(self.key, run);
+            }
         }
     }
 }
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -283,6 +283,7 @@
         self.forget(&gone);
         self.close_idle(now);
         self.see_fleet();
+        self.quarantine.borrow_mut().expire(now);
     }
 }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod beliefs;
 mod store;
+mod suspicion;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -27,6 +28,7 @@
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
 use crate::direct::warmup::FleetSize;
+use crate::quarantine::Quarantine;
 
 /// Where a process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,6 +75,12 @@
     pub zone_placements: RefCell<RecentPlacements>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
+    /// Requests under which endpoints ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Wakes requests that wait for one of their kind.
+    pub quarantine_changed: Notify,
+    /// Wakes the task that tells peers.
+    pub tell_now: Notify,
     /// Wakes the watch to read everything anew.
     pub list_again: Notify,
     /// Has the watch asked again on a new connection: the one that waits may have lost its answer.
@@ -136,6 +144,9 @@
             placements: RefCell::default(),
             zone_placements: RefCell::default(),
             retries: RefCell::default(),
+            quarantine: RefCell::default(),
+            quarantine_changed: Notify::new(),
+            tell_now: Notify::new(),
             list_again: Notify::new(),
             watch_again: Notify::new(),
             behind: Cell::default(),
@@ -250,6 +261,9 @@
             "proof_age_ms",
             self.proof_age().map_or(u64::MAX, |age| age.0),
         );
+        let quarantine = self.quarantine.borrow();
+        gauges.set("requests_suspected", quarantine.len() as u64);
+        gauges.set("requests_refused", quarantine.refused(now).len() as u64);
         gauges.set("endpoints", self.directory.borrow().iter().count() as u64);
     }
 }
--- /dev/null
+++ b/src/direct/entry/suspicion.rs
@@ -0,0 +1,120 @@
+//! Requests under which endpoints ended: what this entry saw itself, and what peers told.
+
+use std::rc::Rc;
+
+use super::{Account, Entry};
+use crate::clock::Millis;
+use crate::direct::channel::{Channel, Failure};
+use crate::direct::decision::Decision;
+use crate::direct::directory::EndpointKey;
+use crate::direct::ends::{EndSign, LostRun};
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Change, End, LifeDigest, Notice, Standing};
+
+impl Entry {
+    /// Whether a request may be sent to an endpoint now.
+    pub fn standing(&self, request: Fingerprint) -> Standing {
+        let now = self.clock.now();
+        self.quarantine.borrow().standing(request, now)
+    }
+
+    /// A request under suspicion is about to be sent.
+    pub fn suspect_began(&self, request: Fingerprint, at: Millis) {
+        let change = self.quarantine.borrow_mut().began(request, at, at);
+        self.changed(request, change);
+        self.tell_now.notify_one();
+    }
+
+    /// An endpoint finished a request.
+    pub fn run_finished(&self, request: Fingerprint) {
+        let now = self.clock.now();
+        let change = self.quarantine.borrow_mut().finished(request, now, now);
+        if change == Change::Cleared {
+            self.changed(request, change);
+            self.tell_now.notify_one();
+        }
+    }
+
+    /// Takes what a peer tells of requests under suspicion.
+    pub fn take_notices(&self, notices: &[Notice]) {
+        let now = self.clock.now();
+        for notice in notices {
+            if let Notice::Ended { endpoint, .. } = notice {
+                self.told_of_end(*endpoint);
+            }
+            let change = self.quarantine.borrow_mut().take(notice, now);
+            self.changed(notice.request(), change);
+        }
+    }
+
+    /// Runs were lost with an endpoint whose life is over: each of them may have ended it.
+    pub(super) fn suspect(&self, endpoint: LifeDigest, lost: &[LostRun]) {
+        let now = self.clock.now();
+        for run in lost {
+            let end = End {
+                endpoint,
+                began: run.began,
+                ended: run.lost,
+            };
+            let change = self.quarantine.borrow_mut().ended(run.request, end, now);
+            self.changed(run.request, change);
+        }
+        self.tell_now.notify_one();
+    }
+
+    /// Logs what changed and wakes those that wait for it. Peers that hear that a request is refused tell it on at
+    /// once.
+    fn changed(&self, request: Fingerprint, change: Change) {
+        match change {
+            Change::None => return,
+            Change::Refused { ends, until } => {
+                self.tell_now.notify_one();
+                let for_ms = (until - self.clock.now()).0;
+                self.log_refused(request, ends, for_ms);
+            }
+            Change::Suspected { .. } | Change::Began | Change::Cleared => {}
+        }
+        self.quarantine_changed.notify_waiters();
+    }
+
+    fn log_refused(&self, request: Fingerprint, ends: usize, for_ms: u64) {
+        self.log.belief(Decision::RequestRefused {
+            fingerprint: request.to_string(),
+            ends,
+            for_ms,
+        });
+    }
+
+    /// A peer saw the life of an endpoint end.
+    fn told_of_end(&self, endpoint: LifeDigest) {
+        let key = self.directory.borrow().by_digest(endpoint);
+        if let Some(key) = key {
+            self.endpoint_ended(key, EndSign::Told);
+        }
+    }
+
+    /// Finds out whether an endpoint that broke a connection has ended: nothing listens any more then.
+    ///
+    /// Without this an end is known when the next request is sent there, 0.1 to 1.2 s later on small sites, and
+    /// what ended it may have come again by then.
+    pub(super) fn check_end(self: &Rc<Self>, key: EndpointKey) {
+        let Some(address) = self.directory.borrow().get(key).map(|e| e.listed.address) else {
+            return;
+        };
+        let mut is_new = false;
+        self.account(key, |account| is_new = !account.begin_check());
+        if !is_new {
+            return;
+        }
+        let entry = Rc::clone(self);
+        actix_rt::spawn(async move {
+            match Channel::connect(address).await {
+                Err(Failure::Refused) => entry.endpoint_ended(key, EndSign::Refused),
+                Err(_) => {}
+                Ok(channel) => entry.keep_channel(key, channel),
+            }
+            entry.account(key, Account::end_check);
+            entry.quarantine_changed.notify_waiters();
+        });
+    }
+}
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::clock::Millis;
 use crate::direct::entry::{Entry, Fetch, Life};
 use crate::direct::fetch;
 use crate::direct::load::{Load, Teller, Work};
-use crate::direct::peers::{self, Covers, Hello, Tell, FAR_BYTES, MOST_BYTES, ROUND};
+use crate::direct::peers::{self, Covers, Hello, Tell, FAR_BYTES, MOST_BYTES, MOST_NOTICES, ROUND};
+use crate::quarantine::Notice;
 
 /// Pause after an error of the socket.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -26,17 +27,29 @@
 /// Placements of the zone that another zone's entry is told at most.
 const ZONE_PLACED: usize = 24;
 
+/// Time in which what is to be told at once is gathered: an endpoint that ends loses dozens of runs.
+const GATHER: Duration = Duration::from_millis(5);
+
 /// Tells some peers each round.
 pub async fn tell(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
     let mut rounds = 0;
+    let mut next = Instant::now() + ROUND.duration();
     loop {
-        sleep(ROUND.duration()).await;
+        tokio::select! {
+            () = sleep_until(next) => next = Instant::now() + ROUND.duration(),
+            () = entry.tell_now.notified() => {
+                tell_at_once(&entry, &socket).await;
+                continue;
+            }
+        }
         let now = entry.clock.now();
+        let notices = notices(&entry);
         let round = entry.peers.borrow_mut().round(entry.is_watching(), now);
         for tell in round {
             let hello = hello_for(&entry, tell, now);
             let bytes = send(&socket, tell.to, &hello).await;
             entry.peers.borrow_mut().sent_bytes(tell.covers, bytes);
+            send_notices(&socket, tell.to, &notices).await;
         }
         rounds += 1;
         if rounds % ASK_ROUNDS == 0 {
@@ -45,6 +58,35 @@
     }
 }
 
+/// Tells some peers between two rounds of requests under suspicion: what ends an endpoint within 0.1 s comes again
+/// before the next round.
+async fn tell_at_once(entry: &Entry, socket: &UdpSocket) {
+    sleep(GATHER).await;
+    let notices = notices(entry);
+    let peers = entry.peers.borrow_mut().at_once();
+    for peer in peers {
+        send_notices(socket, peer, &notices).await;
+    }
+}
+
+/// What is to be told of requests under suspicion now.
+fn notices(entry: &Entry) -> Vec<Notice> {
+    let now = entry.clock.now();
+    let since = entry.peers.borrow().notices_since(now);
+    let quarantine = entry.quarantine.borrow();
+    quarantine.notices_since(since, MOST_NOTICES, now)
+}
+
+async fn send_notices(socket: &UdpSocket, to: SocketAddr, notices: &[Notice]) {
+    let Some(bytes) = peers::encode_notices(notices) else {
+        return;
+    };
+    // A peer that is down answers with an error; others pass on what it missed.
+    if let Err(err) = socket.send_to(&bytes, to).await {
+        tracing::debug!(%err, %to, "notices not sent");
+    }
+}
+
 /// Asks an entry that watches the store for its proof where the own one grows old.
 ///
 /// Without it an entry of a large fleet asks the store itself: proofs that pass from peer to peer in
@@ -91,13 +133,21 @@
             Ok((length, from)) => match peers::decode(&buf[..length]) {
                 Some(hello) => {
                     let is_new = heard(&entry, from, &hello);
+                    if is_new {
+                        let now = entry.clock.now();
+                        let refused = entry.quarantine.borrow().refused_notices(MOST_NOTICES, now);
+                        send_notices(&socket, from, &refused).await;
+                    }
                     // A peer that is not known learns the zone of this entry at once, and so whom it
                     // tells in turn.
                     if hello.asks || is_new {
                         answer(&entry, &socket, from).await;
                     }
                 }
-                None => tracing::debug!(%from, "datagram is not one of ours"),
+                None => match peers::decode_notices(&buf[..length]) {
+                    Some(notices) => entry.take_notices(&notices),
+                    None => tracing::debug!(%from, "datagram is not one of ours"),
+                },
             },
             Err(err) => {
                 tracing::debug!(%err, "datagram socket");
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -54,7 +54,7 @@
         }
         let status = answered.reply.head.status;
         if let Some(why) = self.fault(status, &verdict) {
-            answered.placed.answered();
+            answered.placed.not_run();
             return self.failed(key, Fault::Answer, why);
         }
         let relaying = async {
@@ -150,9 +150,12 @@
             answered.placed.broken();
             return self.failed(key, Fault::Answer, "the answer broke off");
         };
-        answered.placed.answered();
-        self.began(&answered.choice, answered.placed, answered.sent_at);
         let status = answered.reply.head.status;
+        match status.is_server_error() {
+            true => answered.placed.not_run(),
+            false => answered.placed.answered(),
+        }
+        self.began(&answered.choice, answered.placed, answered.sent_at);
         let head = self.entry.dialect.answer(&answered.reply.head);
         self.keep(key, answered.reply, verdict);
         let how = self.account_whole(key, status);
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -23,11 +23,16 @@
         refuse::log(self.entry, self.ask, self.incoming, why);
         let outcome = match why {
             RefusedWhy::Overload { .. } => "turned_away",
+            RefusedWhy::EndsEndpoints { .. } => "ends_endpoints",
             _ => "not_run",
         };
         self.entry.gauges.request(&self.pool, outcome);
         let spread = rand::thread_rng().gen_range(0..COME_BACK_SPREAD_MS);
-        let refusal = Refusal::NotRun(COME_BACK + Millis(spread));
+        let come_back = match why {
+            RefusedWhy::EndsEndpoints { come_back_ms, .. } => Millis(come_back_ms),
+            _ => COME_BACK,
+        };
+        let refusal = Refusal::NotRun(come_back + Millis(spread));
         refuse::write(self.entry, answerer, refusal, Some(self.ask)).await
     }
 
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -6,6 +6,7 @@
 mod end;
 mod log;
 mod send;
+mod turn;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -20,12 +21,12 @@
 use crate::direct::dialect::Ask;
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::Entry;
-use crate::direct::fingerprint::Fingerprint;
 use crate::direct::intake::Incoming;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
 use crate::direct::relay::Position;
 use crate::direct::resolve::{Allowed, Denied};
+use crate::fingerprint::Fingerprint;
 
 /// Time beyond a request's own in which the endpoint's last word is still waited for.
 const OVERTIME: Millis = Millis(60);
@@ -49,6 +50,8 @@
     TurnedAway(RefusedWhy),
     /// It is no longer allowed.
     Denied(Denied),
+    /// Another copy of what it asks for has begun to run, and comes first.
+    Waits,
     /// The time was over.
     TimeOver,
     /// The caller can't be written to.
@@ -68,6 +71,8 @@
     allowed: Allowed,
     /// What it asks for.
     request: Fingerprint,
+    /// When it began to run under suspicion, for others that ask for the same.
+    turn: Option<Millis>,
     /// Name of the pool whose endpoints it is sent to.
     pool: String,
     /// When its time is over.
@@ -103,7 +108,7 @@
         let patience = ask.patience.unwrap_or(route.timeout);
         let end = incoming.at + patience.min(route.timeout);
         let team = allowed.team.map(|team| catalog.teams[team.0].name.as_str());
-        let request = Fingerprint::of(team, &ask.host, &incoming.head, &incoming.body);
+        let request = fingerprint(team, ask, incoming);
         let mut noted = progress.borrow_mut();
         noted.route.clone_from(&route.name);
         noted.pool.clone_from(&pool);
@@ -115,6 +120,7 @@
             progress,
             allowed,
             request,
+            turn: None,
             pool,
             end,
             tried: Vec::new(),
@@ -204,6 +210,8 @@
                         return self.lost(answerer).await;
                     }
                 }
+                Attempt::Waits => {}
+                Attempt::TurnedAway(_) if self.sent => return self.lost(answerer).await,
                 Attempt::TurnedAway(why) => return self.give_up(answerer, why).await,
                 Attempt::NoEndpoint if self.sent => return self.lost(answerer).await,
                 Attempt::NoEndpoint => return self.give_up(answerer, RefusedWhy::NoEndpoint).await,
@@ -242,6 +250,15 @@
     }
 }
 
+/// What a request asks for.
+fn fingerprint(team: Option<&str>, ask: &Ask, incoming: &Incoming) -> Fingerprint {
+    let head = &incoming.head;
+    let target = head.uri.path_and_query();
+    let target = target.map_or("", |target| target.as_str());
+    let target = [&*ask.host, head.method.as_str(), target];
+    Fingerprint::of(team.unwrap_or_default(), &target, &incoming.body)
+}
+
 /// Picks one of a route's pools by weight.
 fn pick_pool(route: &Route) -> String {
     let total: u32 = route.shares.iter().map(|share| share.weight).sum();
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -28,6 +28,9 @@
 impl Job<'_> {
     /// Sends the request to one more endpoint and relays its answer.
     pub(super) async fn attempt(&mut self, answerer: &mut Answerer) -> Attempt {
+        if let Some(why) = self.wait_for_turn().await {
+            return Attempt::TurnedAway(why);
+        }
         let Some(choice) = self.next_choice() else {
             return Attempt::NoEndpoint;
         };
@@ -53,6 +56,10 @@
             Ok(_) => return Attempt::Denied(Denied::StaleCatalog),
             Err(denied) => return Attempt::Denied(denied),
         }
+        if !self.take_turn(now) {
+            self.entry.keep_channel(key, channel);
+            return Attempt::Waits;
+        }
         self.attempts += 1;
         self.sent_to = self.entry.directory().get(key).map(|e| e.listed.address);
         self.send(answerer, channel, choice, now).await
--- /dev/null
+++ b/src/direct/job/turn.rs
@@ -0,0 +1,81 @@
+//! Turns of requests under suspicion: copies of one run one after the other, and none once enough endpoints
+//! have ended under them.
+
+use tokio::time::sleep;
+
+use super::Job;
+use crate::clock::Millis;
+use crate::direct::decision::RefusedWhy;
+use crate::direct::entry::Account;
+use crate::quarantine::Standing;
+
+/// Ends in a row from which on a copy is turned away, rather than sent, when it has waited in vain for another one.
+const ENDS_TO_TURN_AWAY: usize = 2;
+
+impl Job<'_> {
+    /// Waits while a copy of the request that is under suspicion runs somewhere; why it is not sent, where it is not.
+    ///
+    /// It waits as long as it may and still be in time: most that wait are innocent and get their turn within
+    /// the time of one answer.
+    pub(super) async fn wait_for_turn(&self) -> Option<RefusedWhy> {
+        let wait_until = (self.incoming.at + self.route().target).min(self.end);
+        loop {
+            // Registered before the look, so that no change is missed.
+            let changed = self.entry.quarantine_changed.notified();
+            if self.is_checked() {
+                changed.await;
+                continue;
+            }
+            let now = self.entry.clock.now();
+            let (ends, until) = match self.entry.standing(self.request) {
+                Standing::Clear | Standing::Suspect { .. } => return None,
+                Standing::UnderWay { began, .. } if self.turn == Some(began) => return None,
+                Standing::Refused { ends, until } => return Some(self.ends_endpoints(ends, until)),
+                Standing::UnderWay { ends, until, .. } => (ends, until),
+            };
+            if now >= wait_until {
+                let is_refused = ends >= ENDS_TO_TURN_AWAY;
+                return is_refused.then(|| self.ends_endpoints(ends, until));
+            }
+            let wait = until.min(wait_until) - now;
+            tokio::select! {
+                () = changed => {}
+                () = sleep(wait.duration()) => {}
+            }
+        }
+    }
+
+    /// Whether it is being found out if the endpoint has ended that lost the last run. Sent on before that is known, a
+    /// request that ends endpoints would end a second one for each of its own.
+    fn is_checked(&self) -> bool {
+        let last = self.tried.last();
+        let accounts = self.entry.accounts();
+        last.and_then(|key| accounts.get(*key))
+            .is_some_and(Account::is_checked)
+    }
+
+    /// Takes the turn of a request under suspicion just before it is sent; false where another copy was first, or
+    /// it is refused by now.
+    pub(super) fn take_turn(&mut self, now: Millis) -> bool {
+        match self.entry.standing(self.request) {
+            Standing::Clear => true,
+            Standing::UnderWay { began, .. } if self.turn == Some(began) => true,
+            Standing::Refused { .. } => false,
+            Standing::UnderWay { ends, .. } if ends >= ENDS_TO_TURN_AWAY => false,
+            Standing::UnderWay { .. } if now < self.incoming.at + self.route().target => false,
+            Standing::Suspect { .. } | Standing::UnderWay { .. } => {
+                self.turn = Some(now);
+                self.entry.suspect_began(self.request, now);
+                true
+            }
+        }
+    }
+
+    fn ends_endpoints(&self, ends: usize, until: Millis) -> RefusedWhy {
+        RefusedWhy::EndsEndpoints {
+            fingerprint: self.request,
+            ends,
+            come_back_ms: (until - self.entry.clock.now()).0,
+        }
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -33,7 +33,6 @@
 pub mod entry;
 pub mod explain;
 pub mod fetch;
-pub mod fingerprint;
 pub mod freshness;
 pub mod gauge;
 pub mod gossip;
--- /dev/null
+++ b/src/direct/peers/alert.rs
@@ -0,0 +1,31 @@
+//! What an entry tells peers of requests under suspicion, in datagrams of their own: there are none on most days, and
+//! entries that don't know them drop them.
+
+use crate::quarantine::Notice;
+
+use super::MOST_BYTES;
+
+/// First byte of such a datagram; no [`super::Hello`] begins with it, since bincode never writes it first in a number.
+const MARK: u8 = 0xff;
+/// Notices in one datagram at most: with 17 bytes each it stays within one packet on any path.
+pub const MOST_NOTICES: usize = 72;
+
+/// Writes a datagram; `None` where there is nothing to tell.
+pub fn encode_notices(notices: &[Notice]) -> Option<Vec<u8>> {
+    let told = &notices[..notices.len().min(MOST_NOTICES)];
+    if told.is_empty() {
+        return None;
+    }
+    let mut bytes = vec![MARK];
+    let config = bincode::config::standard();
+    bytes.extend(bincode::serde::encode_to_vec(told, config).ok()?);
+    Some(bytes)
+}
+
+/// Reads a datagram; `None` when it is none of these.
+pub fn decode_notices(bytes: &[u8]) -> Option<Vec<Notice>> {
+    let text = bytes.strip_prefix(&[MARK])?;
+    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
+    let (notices, read) = bincode::serde::decode_from_slice(text, config).ok()?;
+    (read == text.len()).then_some(notices)
+}
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -6,6 +6,7 @@
 //! datagram, so that the receiver can date the proof on its own clock (see
 //! [`crate::direct::freshness`]).
 
+mod alert;
 mod compact;
 mod hello;
 mod placements;
@@ -16,6 +17,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+pub use self::alert::{decode_notices, encode_notices, MOST_NOTICES};
 pub use self::hello::{decode, encode, encode_within, Covers, Hello, PeerId, MOST_BYTES};
 pub use self::placements::{PlacedPrompt, RecentPlacements};
 pub use self::rounds::{Tell, FAR_BYTES, FAR_PER_ROUND, PER_ROUND, ROUND, ROUND_BYTES};
@@ -83,6 +85,10 @@
     far_turn: usize,
     /// Its position among those that watch the store in other zones.
     watcher_turn: usize,
+    /// Position among the neighbours of what is told at once.
+    near_at_once: usize,
+    /// Its position among the entries of other zones.
+    far_at_once: usize,
     /// Bytes of the last datagram to a neighbour.
     near_bytes: usize,
     /// Bytes of the last datagram to another zone.
@@ -111,6 +117,8 @@
             // The entries of a zone begin at different places, so that together they tell all others.
             far_turn: first_number as usize,
             watcher_turn: 0,
+            near_at_once: 0,
+            far_at_once: first_number as usize,
             near_bytes: 0,
             far_bytes: 0,
             told: 0,
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -39,6 +39,8 @@
 const WORD_TURNS: u64 = 3;
 /// Turns for which a placement is told.
 const PLACED_TURNS: u64 = 2;
+/// Turns for which what was learned of requests under suspicion is told.
+const NOTICE_TURNS: u64 = 2;
 /// Weight of earlier datagrams in the mean of their bytes, against 1 for the newest.
 const BYTES_WEIGHT: usize = 7;
 
@@ -103,6 +105,22 @@
         now - Millis(turn.0 * PLACED_TURNS)
     }
 
+    /// Time since which what was learned of requests under suspicion is told: some turns, so that lost datagrams are made
+    /// up for, and every peer passes it on in its own.
+    pub fn notices_since(&self, now: Millis) -> Millis {
+        let turn = self.near_cycle() + self.zone_interval(now) + ROUND;
+        now - Millis(turn.0 * NOTICE_TURNS)
+    }
+
+    /// The peers to tell at once, between two rounds.
+    pub fn at_once(&mut self) -> Vec<SocketAddr> {
+        let near = self.addresses(|book, peer| book.is_near(peer));
+        let far = self.addresses(|book, peer| !book.is_near(peer));
+        let mut told = take_turn(&near, &mut self.near_at_once, PER_ROUND);
+        told.extend(take_turn(&far, &mut self.far_at_once, FAR_PER_ROUND));
+        told
+    }
+
     /// Time for which a neighbour's word on its work counts.
     pub fn near_word(&self) -> Millis {
         WORD.max(Millis(self.near_cycle().0 * WORD_TURNS))
--- /dev/null
+++ b/src/fingerprint.rs
@@ -0,0 +1,56 @@
+//! What a request asks for, as a digest: the same for every repeat of it, whatever its id and whichever
+//! entry it comes to.
+
+use std::fmt;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// First eight bytes of the BLAKE3 hash of caller, target and body.
+///
+/// The caller is part of it, so that no team can bring another team's requests under suspicion. Headers are
+/// not: a caller that repeats a request gives it another id and less time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The digest of a request: its caller's team (empty where no key is needed), what names its target, and its
+    /// body.
+    pub fn of(team: &str, target: &[&str], body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in std::iter::once(&team).chain(target) {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_be_bytes(first))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl Serialize for Fingerprint {
+    /// Hex in text, eight bytes otherwise: as a number it would mostly take nine.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.to_be_bytes().serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; 8]>::deserialize(deserializer).map(|b| Self(u64::from_be_bytes(b)));
+        }
+        let text = String::deserialize(deserializer)?;
+        let number = u64::from_str_radix(&text, 16);
+        number.map(Self).map_err(serde::de::Error::custom)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod finding;
+pub mod fingerprint;
 pub mod flow;
 pub mod gossip;
 pub mod health;
@@ -60,6 +61,7 @@
 pub mod overlay;
 #[path = "../platform/mod.rs"]
 pub mod platform;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod replica;
--- /dev/null
+++ b/src/quarantine/mod.rs
@@ -0,0 +1,409 @@
+//! Requests under which endpoints ended, and which of them are not sent any more.
+//!
+//! A request that ends every endpoint that begins to run it comes again under another id, at any entry. One end
+//! proves nothing, since dozens of requests are lost with an endpoint, and endpoints end for reasons of their own. So an end
+//! counts against a request only if that run had begun after the last counted end: several copies that are lost at once, or
+//! a rack that goes, count as one. A run that an endpoint finishes clears the request. From the third end in a
+//! row on it is refused.
+//!
+//! Whether a request is under suspicion also decides how many of its copies run: one at a time, over all entries as far
+//! as they hear each other.
+//!
+//! What entries tell each other ([`Notice`]) is a set: the same notice twice, or in another order, changes nothing.
+
+mod notices;
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use self::notices::RecentNotices;
+use crate::clock::Millis;
+use crate::fingerprint::Fingerprint;
+
+/// Ends in a row from which on a request is refused. With two, innocent requests would be refused where engines end
+/// one after the other: one that runs for 0.7 s on nine engines of which one ends each second is lost
+/// with each of two runs in 6 of 1,000 cases, with each of three in 5 of 10,000 (computed).
+pub const ENDS_TO_REFUSE: usize = 3;
+/// First time for which it is refused; it doubles with each further end.
+const REFUSED_LEAST: Millis = Millis::from_secs(600);
+/// Longest time for which it is refused, so that engines of a newer version get it to try.
+const REFUSED_MOST: Millis = Millis::from_secs(3_600);
+/// Time for which ends below [`ENDS_TO_REFUSE`] are remembered.
+const KEPT: Millis = Millis::from_secs(600);
+/// Time after which one more copy may run although the last one has not ended: it is no longer taken for the
+/// cause of an end that comes.
+const TRIAL_TIME: Millis = Millis(1_500);
+/// Requests that are remembered; some 100 bytes each.
+const MOST_CASES: usize = 4_096;
+/// Ends that are remembered of one request, the newest ones.
+const MOST_ENDS: usize = 8;
+/// How much the times that two processes tell of one moment may differ: the way of a datagram.
+const DATING: Millis = Millis(20);
+
+/// One life of an endpoint, as a digest that all entries compute alike.
+pub type LifeDigest = u32;
+
+/// An endpoint's life that ended under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct End {
+    /// The endpoint's life.
+    pub endpoint: LifeDigest,
+    /// When the run was sent there.
+    pub began: Millis,
+    /// When it was lost.
+    pub ended: Millis,
+}
+
+/// What entries tell each other of one request; times are ages in ms, so that no two clocks are compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Notice {
+    /// An endpoint ended under it.
+    Ended {
+        /// The request.
+        request: Fingerprint,
+        /// The endpoint's life.
+        endpoint: LifeDigest,
+        /// Age of the run's beginning.
+        began: u32,
+        /// Age of its end.
+        ended: u32,
+    },
+    /// It is under suspicion and was sent to an endpoint.
+    Began {
+        /// The request.
+        request: Fingerprint,
+        /// Age of the run's beginning.
+        began: u32,
+    },
+    /// It was under suspicion, and an endpoint has finished it.
+    Finished {
+        /// The request.
+        request: Fingerprint,
+        /// Age of that.
+        finished: u32,
+    },
+}
+
+impl Notice {
+    /// The request that it is about.
+    pub const fn request(&self) -> Fingerprint {
+        match self {
+            Self::Ended { request, .. }
+            | Self::Began { request, .. }
+            | Self::Finished { request, .. } => *request,
+        }
+    }
+
+    /// The same some time later.
+    pub fn older_by(mut self, time: Millis) -> Self {
+        let grow = |age: &mut u32| *age = age.saturating_add(time.as_u32());
+        match &mut self {
+            Self::Ended { began, ended, .. } => {
+                grow(began);
+                grow(ended);
+            }
+            Self::Began { began, .. } => grow(began),
+            Self::Finished { finished, .. } => grow(finished),
+        }
+        self
+    }
+}
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Clear,
+    /// Endpoints ended under it; it may run once at a time, and that is told to others.
+    Suspect {
+        /// Ends in a row.
+        ends: usize,
+    },
+    /// The same, and a copy runs somewhere.
+    UnderWay {
+        /// Ends in a row.
+        ends: usize,
+        /// When that copy was sent.
+        began: Millis,
+        /// When another copy may run in any case.
+        until: Millis,
+    },
+    /// It is not sent.
+    Refused {
+        /// Ends in a row.
+        ends: usize,
+        /// Until when.
+        until: Millis,
+    },
+}
+
+/// What changed with something that was seen or told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing; it was known, or concerns no request under suspicion.
+    None,
+    /// An endpoint ended under a request.
+    Suspected {
+        /// Ends in a row.
+        ends: usize,
+    },
+    /// The same, and the request is refused from now on.
+    Refused {
+        /// Ends in a row.
+        ends: usize,
+        /// Until when.
+        until: Millis,
+    },
+    /// A request under suspicion runs.
+    Began,
+    /// A request is no longer under suspicion.
+    Cleared,
+}
+
+/// What is known of one request.
+#[derive(Debug, Clone, Default)]
+struct Case {
+    /// Ends under it since it was finished last, the oldest first.
+    ends: Vec<End>,
+    /// When an endpoint finished it last.
+    finished: Option<Millis>,
+    /// When the newest run of it under suspicion began.
+    began: Option<Millis>,
+}
+
+impl Case {
+    /// Ends in a row: runs that began after the end of the one before.
+    fn in_a_row(&self) -> usize {
+        let mut count = 0;
+        let mut last = None;
+        for end in &self.ends {
+            if last.is_none_or(|last: Millis| end.began + DATING >= last) {
+                count += 1;
+                last = Some(end.ended);
+            }
+        }
+        count
+    }
+
+    fn last_end(&self) -> Option<Millis> {
+        self.ends.last().map(|end| end.ended)
+    }
+
+    /// Adds an end; false where it changes nothing.
+    fn add(&mut self, end: End) -> bool {
+        let is_known = self.ends.iter().any(|e| e.endpoint == end.endpoint);
+        let is_settled = self.finished.is_some_and(|at| end.ended <= at);
+        if is_known || is_settled {
+            return false;
+        }
+        let at = self.ends.partition_point(|e| e.ended <= end.ended);
+        self.ends.insert(at, end);
+        if self.ends.len() > MOST_ENDS {
+            self.ends.remove(0);
+        }
+        true
+    }
+
+    /// Until when it is refused; `None` below [`ENDS_TO_REFUSE`].
+    fn refused_until(&self) -> Option<Millis> {
+        let beyond = self.in_a_row().checked_sub(ENDS_TO_REFUSE)?;
+        let time = Millis(REFUSED_LEAST.0 << beyond.min(MOST_ENDS)).min(REFUSED_MOST);
+        self.last_end().map(|at| at + time)
+    }
+
+    /// When the newest thing known of it happened.
+    fn touched(&self) -> Millis {
+        let newest = self.last_end().max(self.finished).max(self.began);
+        newest.unwrap_or_default()
+    }
+
+    fn is_over(&self, now: Millis) -> bool {
+        let kept = self.refused_until().unwrap_or_default();
+        now >= (self.touched() + KEPT).max(kept + KEPT)
+    }
+}
+
+/// All requests under which endpoints ended, as one entry knows them.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    cases: HashMap<Fingerprint, Case>,
+    /// What peers are told.
+    recent: RecentNotices,
+}
+
+impl Quarantine {
+    /// Whether a request may be sent at `now`.
+    pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
+        let Some(case) = self.cases.get(&request) else {
+            return Standing::Clear;
+        };
+        let ends = case.in_a_row();
+        if ends == 0 {
+            return Standing::Clear;
+        }
+        if let Some(until) = case.refused_until().filter(|until| now < *until) {
+            return Standing::Refused { ends, until };
+        }
+        // A run that began before the last end is that one, or was lost with it.
+        let begun = case.began.filter(|at| Some(*at) > case.last_end());
+        match begun {
+            Some(began) if now < began + TRIAL_TIME => Standing::UnderWay {
+                ends,
+                began,
+                until: began + TRIAL_TIME,
+            },
+            _ => Standing::Suspect { ends },
+        }
+    }
+
+    /// An endpoint ended under a request.
+    pub fn ended(&mut self, request: Fingerprint, end: End, now: Millis) -> Change {
+        self.make_room(request, now);
+        let case = self.cases.entry(request).or_default();
+        if !case.add(end) {
+            return Change::None;
+        }
+        let ends = case.in_a_row();
+        // A peer that missed an earlier end can't count them.
+        for end in &case.ends {
+            self.recent.add(told(request, end, now), ends, now);
+        }
+        match case.refused_until() {
+            Some(until) if now < until => Change::Refused { ends, until },
+            _ => Change::Suspected { ends },
+        }
+    }
+
+    /// A request under suspicion was sent to an endpoint.
+    pub fn began(&mut self, request: Fingerprint, at: Millis, now: Millis) -> Change {
+        let Some(case) = self.cases.get_mut(&request) else {
+            return Change::None;
+        };
+        if case.ends.is_empty() || Some(at) <= case.began {
+            return Change::None;
+        }
+        case.began = Some(at);
+        let notice = Notice::Began {
+            request,
+            began: (now - at).as_u32(),
+        };
+        self.recent.add(notice, case.in_a_row(), now);
+        Change::Began
+    }
+
+    /// An endpoint finished a request.
+    pub fn finished(&mut self, request: Fingerprint, at: Millis, now: Millis) -> Change {
+        let Some(case) = self.cases.get_mut(&request) else {
+            return Change::None;
+        };
+        let before = case.ends.len();
+        case.ends.retain(|end| end.ended > at);
+        case.finished = case.finished.max(Some(at));
+        if case.ends.len() == before {
+            return Change::None;
+        }
+        let notice = Notice::Finished {
+            request,
+            finished: (now - at).as_u32(),
+        };
+        self.recent.clear(request);
+        self.recent.add(notice, 0, now);
+        Change::Cleared
+    }
+
+    /// Takes what a peer tells.
+    pub fn take(&mut self, notice: &Notice, now: Millis) -> Change {
+        let at = |age: u32| now - Millis(u64::from(age));
+        match *notice {
+            Notice::Ended {
+                request,
+                endpoint,
+                began,
+                ended,
+            } => {
+                let end = End {
+                    endpoint,
+                    began: at(began),
+                    ended: at(ended),
+                };
+                self.ended(request, end, now)
+            }
+            Notice::Began { request, began } => self.began(request, at(began), now),
+            Notice::Finished { request, finished } => self.finished(request, at(finished), now),
+        }
+    }
+
+    /// What is to be told to peers: what was learned since `from`, and for longer what is alarming; at most `most`.
+    pub fn notices_since(&self, from: Millis, most: usize, now: Millis) -> Vec<Notice> {
+        self.recent.since(from, most, now)
+    }
+
+    /// What a peer must know that was not heard for a while: the newest of what is refused.
+    pub fn refused_notices(&self, most: usize, now: Millis) -> Vec<Notice> {
+        let refused = self.refused(now).into_iter();
+        let all = refused.flat_map(|request| {
+            let ends = self.cases.get(&request).map_or(&[][..], |case| &case.ends);
+            ends.iter().map(move |end| told(request, end, now))
+        });
+        all.take(most).collect()
+    }
+
+    /// Ends in a row under a request.
+    pub fn ends(&self, request: Fingerprint) -> usize {
+        self.cases.get(&request).map_or(0, Case::in_a_row)
+    }
+
+    /// The requests that are refused now, the newest first.
+    pub fn refused(&self, now: Millis) -> Vec<Fingerprint> {
+        let refused = self.cases.iter().filter(|(_, case)| {
+            let until = case.refused_until();
+            until.is_some_and(|until| now < until)
+        });
+        let mut refused: Vec<_> = refused.map(|(key, case)| (case.touched(), *key)).collect();
+        refused.sort_unstable_by(|a, b| b.cmp(a));
+        refused.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn expire(&mut self, now: Millis) {
+        self.cases.retain(|_, case| !case.is_over(now));
+    }
+
+    /// Makes room for one more. What has the fewest ends goes first, so that no caller can make others
+    /// forget a request that does end endpoints.
+    fn make_room(&mut self, request: Fingerprint, now: Millis) {
+        if self.cases.len() < MOST_CASES || self.cases.contains_key(&request) {
+            return;
+        }
+        self.expire(now);
+        let mut all: Vec<_> = self.cases.iter().collect();
+        all.sort_unstable_by_key(|(key, case)| (case.in_a_row(), case.touched(), **key));
+        // An eighth at a time, so that a flood does not sort the table for each of its requests.
+        let excess = (all.len() + MOST_CASES / 8).saturating_sub(MOST_CASES);
+        let gone: Vec<Fingerprint> = all.iter().take(excess).map(|(key, _)| **key).collect();
+        for key in gone {
+            self.cases.remove(&key);
+        }
+    }
+}
+
+/// An end as it is told now.
+fn told(request: Fingerprint, end: &End, now: Millis) -> Notice {
+    Notice::Ended {
+        request,
+        endpoint: end.endpoint,
+        began: (now - end.began).as_u32(),
+        ended: (now - end.ended).as_u32(),
+    }
+}
--- /dev/null
+++ b/src/quarantine/notices.rs
@@ -0,0 +1,75 @@
+//! What is told to other entries of requests under suspicion, and for how long.
+
+use std::collections::VecDeque;
+
+use super::Notice;
+use crate::clock::Millis;
+use crate::fingerprint::Fingerprint;
+
+/// Notices that are remembered, the newest ones.
+const MOST_RECENT: usize = 256;
+/// Ends in a row from which on all notices of a request are told first, and longer: few innocent requests get there.
+const ALARMING: usize = 2;
+/// Time for which those are told: longer than most cuts between entries, after which a peer that was lost for
+/// longer is told all that is refused.
+const ALARMING_TIME: Millis = Millis(6_000);
+
+/// One notice and when it was learned.
+#[derive(Debug, Clone, Copy)]
+struct Recent {
+    learned: Millis,
+    notice: Notice,
+    is_alarming: bool,
+}
+
+/// The newest notices, one of a kind and request.
+#[derive(Debug, Default)]
+pub(super) struct RecentNotices(VecDeque<Recent>);
+
+impl RecentNotices {
+    /// Something was learned of a request with so many ends in a row.
+    pub(super) fn add(&mut self, notice: Notice, ends: usize, now: Millis) {
+        self.0.retain(|recent| !is_same(&recent.notice, &notice));
+        if self.0.len() == MOST_RECENT {
+            self.0.pop_front();
+        }
+        self.0.push_back(Recent {
+            learned: now,
+            notice,
+            is_alarming: ends >= ALARMING,
+        });
+    }
+
+    /// A request was cleared: what spoke against it is told no more.
+    pub(super) fn clear(&mut self, request: Fingerprint) {
+        self.0.retain(|recent| recent.notice.request() != request);
+    }
+
+    /// At most `most` of those to be told now, of which those that are not alarming were learned since `from`; ages as
+    /// of `now`.
+    pub(super) fn since(&self, from: Millis, most: usize, now: Millis) -> Vec<Notice> {
+        let is_due = |recent: &&Recent| match recent.is_alarming {
+            true => recent.learned + ALARMING_TIME >= now,
+            false => recent.learned >= from,
+        };
+        let newest = || self.0.iter().rev().filter(is_due);
+        let alarming = newest().filter(|recent| recent.is_alarming);
+        let others = newest().filter(|recent| !recent.is_alarming);
+        let due = alarming.chain(others).take(most);
+        due.map(|recent| recent.notice.older_by(now - recent.learned))
+            .collect()
+    }
+}
+
+/// Whether two notices tell the same of one request, whatever their ages.
+fn is_same(one: &Notice, other: &Notice) -> bool {
+    if one.request() != other.request() {
+        return false;
+    }
+    match (one, other) {
+        (Notice::Ended { endpoint: a, .. }, Notice::Ended { endpoint: b, .. }) => a == b,
+        (Notice::Began { .. }, Notice::Began { .. }) => true,
+        (Notice::Finished { .. }, Notice::Finished { .. }) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/tests/ended_endpoints.rs
@@ -0,0 +1,61 @@
+//! Runs that were lost with an endpoint, told apart from those lost for other reasons.
+
+use violetline::clock::Millis;
+use violetline::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
+use violetline::fingerprint::Fingerprint;
+
+fn lost(request: u64, at: u64, how: LostHow) -> LostRun {
+    LostRun {
+        request: Fingerprint(request),
+        began: Millis(at - 50),
+        lost: Millis(at),
+        how,
+    }
+}
+
+fn requests(runs: &[LostRun]) -> Vec<u64> {
+    runs.iter().map(|run| run.request.0).collect()
+}
+
+#[test]
+fn refused_connection() {
+    let mut runs = LostRuns::default();
+    assert_eq!(runs.lost(lost(1, 100, LostHow::Broken)), None);
+    assert_eq!(runs.lost(lost(2, 100, LostHow::Silent)), None);
+    let ended = runs.ended(EndSign::Refused, Millis(110));
+    assert_eq!(requests(&ended), [1, 2]);
+    assert!(runs.ended(EndSign::Unlisted, Millis(3_000)).is_empty());
+    // One that is read only now was lost with it as well.
+    let late = runs.lost(lost(3, 120, LostHow::Broken));
+    assert_eq!(late, Some(EndSign::Refused));
+}
+
+/// A frozen engine, or one behind a cut, says nothing, and its entry lapses.
+#[test]
+fn silent_then_unlisted() {
+    let mut runs = LostRuns::default();
+    runs.lost(lost(1, 100, LostHow::Silent));
+    runs.lost(lost(2, 100, LostHow::Broken));
+    let ended = runs.ended(EndSign::Unlisted, Millis(3_000));
+    assert_eq!(requests(&ended), [2]);
+}
+
+/// A connection breaks and the endpoint goes on: what was lost there is not held against it when that ends later.
+#[test]
+fn heard_afterwards() {
+    let mut runs = LostRuns::default();
+    runs.lost(lost(1, 100, LostHow::Broken));
+    // Bytes from before the end may be read just after the first broken connection.
+    runs.heard(Millis(120));
+    runs.lost(lost(2, 300, LostHow::Broken));
+    runs.heard(Millis(320));
+    let ended = runs.ended(EndSign::Refused, Millis(330));
+    assert_eq!(requests(&ended), [2]);
+}
+
+#[test]
+fn lost_long_before() {
+    let mut runs = LostRuns::default();
+    runs.lost(lost(1, 100, LostHow::Broken));
+    assert!(runs.ended(EndSign::Refused, Millis(20_000)).is_empty());
+}
--- /dev/null
+++ b/tests/quarantine_rules.rs
@@ -0,0 +1,184 @@
+//! Which requests are taken for the cause when endpoints end, and which are not.
+
+use violetline::clock::Millis;
+use violetline::fingerprint::Fingerprint;
+use violetline::quarantine::{Change, End, Notice, Quarantine, Standing};
+
+const REQUEST: Fingerprint = Fingerprint(7);
+
+fn end(endpoint: u32, began: u64, ended: u64) -> End {
+    End {
+        endpoint,
+        began: Millis(began),
+        ended: Millis(ended),
+    }
+}
+
+/// A quarantine in which these ends were seen as they happened.
+fn seen(ends: &[End]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for end in ends {
+        quarantine.ended(REQUEST, *end, end.ended);
+    }
+    quarantine
+}
+
+fn is_refused(quarantine: &Quarantine, at: u64) -> bool {
+    matches!(
+        quarantine.standing(REQUEST, Millis(at)),
+        Standing::Refused { .. }
+    )
+}
+
+#[test]
+fn third_in_row() {
+    let ends = [end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)];
+    assert_eq!(
+        seen(&ends[..2]).standing(REQUEST, Millis(600)),
+        Standing::Suspect { ends: 2 }
+    );
+    assert!(is_refused(&seen(&ends), 600));
+    let other = seen(&ends).standing(Fingerprint(8), Millis(600));
+    assert_eq!(other, Standing::Clear);
+}
+
+/// A rack goes with three endpoints that run copies of one request; or five copies are under way when the first ends.
+#[test]
+fn lost_at_once() {
+    let at_once = [end(1, 0, 900), end(2, 100, 900), end(3, 300, 910)];
+    let quarantine = seen(&at_once);
+    assert_eq!(
+        quarantine.standing(REQUEST, Millis(1_000)),
+        Standing::Suspect { ends: 1 }
+    );
+    let mut again = quarantine;
+    again.ended(REQUEST, end(4, 1_000, 1_100), Millis(1_100));
+    again.ended(REQUEST, end(5, 1_200, 1_300), Millis(1_300));
+    assert!(is_refused(&again, 1_400));
+}
+
+/// The end of one life counts once, whoever saw it, in whatever order.
+#[test]
+fn one_life_once() {
+    let mut quarantine = seen(&[end(1, 0, 100), end(1, 0, 104), end(2, 200, 300)]);
+    assert_eq!(
+        quarantine.ended(REQUEST, end(2, 201, 330), Millis(400)),
+        Change::None
+    );
+    assert!(!is_refused(&quarantine, 500));
+    // The address and the id are the same; the life is another one.
+    quarantine.ended(REQUEST, end(9, 400, 500), Millis(500));
+    assert!(is_refused(&quarantine, 600));
+}
+
+#[test]
+fn order_of_notices() {
+    let all = [end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)];
+    let now = Millis(1_000);
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]] {
+        let mut quarantine = Quarantine::default();
+        for i in order {
+            let told = Notice::Ended {
+                request: REQUEST,
+                endpoint: all[i].endpoint,
+                began: (now - all[i].began).as_u32(),
+                ended: (now - all[i].ended).as_u32(),
+            };
+            quarantine.take(&told, now);
+            assert_eq!(quarantine.take(&told, now), Change::None);
+        }
+        assert!(is_refused(&quarantine, 1_000), "{order:?}");
+    }
+}
+
+/// A run that an endpoint finishes clears it, also where an earlier end is told only afterwards.
+#[test]
+fn finished_clears() {
+    let mut quarantine = seen(&[end(1, 0, 100), end(2, 200, 300)]);
+    let change = quarantine.finished(REQUEST, Millis(400), Millis(400));
+    assert_eq!(change, Change::Cleared);
+    assert_eq!(
+        quarantine.ended(REQUEST, end(3, 150, 350), Millis(450)),
+        Change::None
+    );
+    assert_eq!(quarantine.standing(REQUEST, Millis(500)), Standing::Clear);
+    quarantine.ended(REQUEST, end(4, 500, 600), Millis(600));
+    assert_eq!(quarantine.ends(REQUEST), 1);
+}
+
+#[test]
+fn one_at_once() {
+    let mut quarantine = seen(&[end(1, 0, 100)]);
+    let now = Millis(200);
+    assert_eq!(quarantine.began(REQUEST, now, now), Change::Began);
+    let standing = quarantine.standing(REQUEST, Millis(250));
+    assert!(matches!(standing, Standing::UnderWay { ends: 1, began, .. } if began == now));
+    quarantine.ended(REQUEST, end(2, 200, 300), Millis(300));
+    let standing = quarantine.standing(REQUEST, Millis(310));
+    assert_eq!(standing, Standing::Suspect { ends: 2 });
+    // A run whose end nobody tells does not hold the next one up for good.
+    quarantine.began(REQUEST, Millis(320), Millis(320));
+    let standing = quarantine.standing(REQUEST, Millis(2_000));
+    assert_eq!(standing, Standing::Suspect { ends: 2 });
+}
+
+/// Hours later, on other engines: it may run once, and is refused for longer where that ends one more.
+#[test]
+fn tried_again() {
+    let ends = [end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)];
+    let mut quarantine = seen(&ends);
+    assert!(is_refused(&quarantine, 600_000));
+    let later = 601_000;
+    quarantine.expire(Millis(later));
+    assert_eq!(
+        quarantine.standing(REQUEST, Millis(later)),
+        Standing::Suspect { ends: 3 }
+    );
+    quarantine.ended(REQUEST, end(4, later, later + 100), Millis(later + 100));
+    assert!(is_refused(&quarantine, later + 1_190_000));
+    quarantine.finished(
+        REQUEST,
+        Millis(later + 1_201_000),
+        Millis(later + 1_201_000),
+    );
+    let standing = quarantine.standing(REQUEST, Millis(later + 1_201_000));
+    assert_eq!(standing, Standing::Clear);
+}
+
+/// A flood of requests that are each lost once does not make entries forget one that ends endpoints.
+#[test]
+fn flood_of_others() {
+    let mut quarantine = seen(&[end(1, 0, 100), end(2, 200, 300)]);
+    for i in 0..20_000 {
+        let now = Millis(1_000 + i);
+        quarantine.ended(Fingerprint(100 + i), end(3, 900, 1_000), now);
+    }
+    assert!(quarantine.len() <= 4_096);
+    assert_eq!(quarantine.ends(REQUEST), 2);
+}
+
+#[test]
+fn refused_told_anew() {
+    let ends = [end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)];
+    let late = Millis(100_000);
+    let told = seen(&ends).refused_notices(72, late);
+    let mut newcomer = Quarantine::default();
+    for notice in &told {
+        newcomer.take(notice, Millis(500_000));
+    }
+    assert!(is_refused(&newcomer, 500_010));
+    // The ages go on: it is not refused for longer than elsewhere.
+    assert!(!is_refused(&newcomer, 500_000 + 501_000));
+}
+
+#[test]
+fn caller_in_digest() {
+    let of = |team, body: &[u8]| Fingerprint::of(team, &["h", "POST", "/p"], body);
+    assert_eq!(of("a", b"x"), of("a", b"x"));
+    assert_ne!(of("a", b"x"), of("b", b"x"));
+    assert_ne!(of("a", b"x"), of("a", b"y"));
+    assert_ne!(
+        Fingerprint::of("a", &["hp", ""], b""),
+        Fingerprint::of("a", &["h", "p"], b"")
+    );
+}
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -5,10 +5,10 @@
 use common::{entry, listed};
 use violetline::clock::Millis;
 use violetline::direct::directory::{digest, Change, Directory, EndpointKey, Listed};
-use violetline::direct::fingerprint::Fingerprint;
 use violetline::direct::health::Fault;
 use violetline::direct::load::Footprint;
 use violetline::direct::prefix::Part;
+use violetline::fingerprint::Fingerprint;
 
 const FOOTPRINT: Footprint = Footprint {
     band: 0,
