A test of a machine that is suspended, failing

The clock reads a source of time that a program can put in place of the machine's own; the lab's stand-in takes the time during which a process was stopped from its steady clock, as a suspended machine does. Nothing else changes: ages are still read on the steady clock. Seen: after 3 s of suspension a request with a key that was removed meanwhile runs, with 2.5 s allowed.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod soak;
 #[path = "../../platform/standin.rs"]
 pub mod standin;
+pub mod suspension;
 pub mod usage;
 pub mod web;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,7 +14,7 @@
 use violetline_lab::scenario::{scenario_options, ScenarioOptions};
 use violetline_lab::soak::{soak_options, SoakOptions};
 use violetline_lab::{
-    capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario, soak,
+    capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario, soak, suspension,
 };
 
 /// Stand-ins, load tool and experiments for violetline
@@ -110,6 +110,8 @@
                 .block_on(platform::run(settings))
                 .map(|()| ExitCode::SUCCESS)
         }
-        Command::Product { args } => Ok(violetline::cli::main_with(&args)),
+        Command::Product { args } => {
+            Ok(violetline::cli::main_with(&args, suspension::clock(&args)))
+        }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,7 @@
 use tracing_appender::non_blocking::NonBlockingBuilder;
 
 use crate::bundle::Bundle;
+use crate::clock::Clock;
 use crate::direct;
 use crate::direct::decision::DecisionLog;
 use crate::direct::settings::DirectSettings;
@@ -126,13 +127,13 @@
 
 /// Runs the binary with the process's own arguments.
 pub fn main() -> ExitCode {
-    report(dispatch(options().run()))
+    report(dispatch(options().run(), Clock::system()))
 }
 
-/// Runs the binary with the given arguments, for programs that contain it.
-pub fn main_with(args: &[String]) -> ExitCode {
+/// Runs the binary with the given arguments on a clock, for programs that contain it.
+pub fn main_with(args: &[String], clock: Clock) -> ExitCode {
     match options().run_inner(args) {
-        Ok(options) => report(dispatch(options)),
+        Ok(options) => report(dispatch(options, clock)),
         Err(failure) => {
             failure.print_message(100);
             ExitCode::from(failure.exit_code().unsigned_abs().min(255) as u8)
@@ -150,7 +151,7 @@
     }
 }
 
-fn dispatch(options: Options) -> anyhow::Result<()> {
+fn dispatch(options: Options, clock: Clock) -> anyhow::Result<()> {
     // A direct entry writes its log to standard output.
     if !matches!(options.command, Command::Direct { .. }) {
         start_log(options.log, options.level);
@@ -158,12 +159,12 @@
     match options.command {
         Command::Entry { settings } => {
             let settings = load::<EntrySettings>(&settings)?;
-            actix_rt::System::new().block_on(entry::run(settings))
+            actix_rt::System::new().block_on(entry::run(settings, clock))
         }
-        Command::Direct { settings } => run_direct(&settings, options.level),
+        Command::Direct { settings } => run_direct(&settings, options.level, clock),
         Command::Sidecar { settings } => {
             let settings = load::<SidecarSettings>(&settings)?;
-            actix_rt::System::new().block_on(sidecar::run(settings))
+            actix_rt::System::new().block_on(sidecar::run(settings, clock))
         }
         Command::Check {
             bundle,
@@ -200,7 +201,7 @@
 
 /// Runs a direct entry; all its lines go to standard output through a writer that drops lines
 /// rather than block.
-fn run_direct(path: &Path, level: tracing::Level) -> anyhow::Result<()> {
+fn run_direct(path: &Path, level: tracing::Level, clock: Clock) -> anyhow::Result<()> {
     let settings = load::<DirectSettings>(path)?;
     let (lines, _guard) = NonBlockingBuilder::default()
         .lossy(true)
@@ -216,8 +217,9 @@
         eprintln!("log lines are not written: {err}");
     }
     let count = Box::new(move || dropped.dropped_lines() as u64);
-    let log = |clock| DecisionLog::new(clock, Box::new(lines), count);
-    let run = direct::process::run(settings, Some(path.into()), Rc::new(Platform), log);
+    let log = DecisionLog::new(clock.clone(), Box::new(lines), count);
+    let path = Some(path.into());
+    let run = direct::process::run(settings, path, Rc::new(Platform), clock, log);
     actix_rt::System::new().block_on(run)
 }
 
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -43,10 +43,9 @@
     settings: DirectSettings,
     path: Option<PathBuf>,
     dialect: Rc<dyn Dialect>,
-    log: impl FnOnce(Clock) -> DecisionLog,
+    clock: Clock,
+    log: DecisionLog,
 ) -> anyhow::Result<()> {
-    let clock = Clock::system();
-    let log = log(clock.clone());
     let callers = TcpListener::bind(settings.callers).await?;
     let readiness = TcpListener::bind(settings.readiness).await?;
     let admin = TcpListener::bind(settings.admin).await?;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -228,11 +228,11 @@
 }
 
 /// Runs an entry until a planned stop has ended.
-pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
+pub async fn run(settings: EntrySettings, clock: Clock) -> anyhow::Result<()> {
     let callers = TcpListener::bind(settings.callers).await?;
     let peers = TcpListener::bind(settings.node.listen).await?;
     let admin_listener = TcpListener::bind(settings.node.admin).await?;
-    let node = Node::new(settings.node.clone(), Clock::system());
+    let node = Node::new(settings.node.clone(), clock);
     let addresses = [
         ("callers", &callers),
         ("listen", &peers),
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -391,9 +391,9 @@
 }
 
 /// Runs a sidecar until a planned stop has ended.
-pub async fn run(settings: SidecarSettings) -> anyhow::Result<()> {
+pub async fn run(settings: SidecarSettings, clock: Clock) -> anyhow::Result<()> {
     let listener = hold_place(&settings).await?;
-    let node = Node::new(settings.node.clone(), Clock::system());
+    let node = Node::new(settings.node.clone(), clock);
     let admin_listener = TcpListener::bind(settings.node.admin).await?;
     node::announce(
         "sidecar",
