Ages and deadlines are measured on the clock that goes on while the machine is suspended

Cause: the steady clock stands still while a machine is suspended, so a proof of freshness, a lease, a key, a cordon or a kept connection was younger than it looked, and the runtime's timers end too late by the same time. The time of day is no way out: it jumps by itself.

Clock::now reads CLOCK_BOOTTIME. Clock::sleep_until and timeout_at set their timers anew once Clock::look, four times a second, sees that the two clocks have drifted apart; requests, their last words, the search for a slot and planned stops use them, and take what has arrived before the time is called over. After a suspension the store is asked on a new connection.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::clock::Millis;
 use crate::entry::Entry;
@@ -99,12 +99,14 @@
     tried: &mut Vec<String>,
 ) -> Result<Box<Reserved>, Box<Placed>> {
     let max_wait = search::longest_wait(job);
+    let clock = &entry.node.clock;
+    let until = clock.now() + max_wait + GRACE;
     let mut search = Search::new(entry, job);
-    let outcome = match timeout((max_wait + GRACE).duration(), search.run(tried)).await {
-        Ok(Found::Reserved(reserved)) => return Ok(reserved),
-        Ok(Found::Replay(answer)) => return Err(Box::new(Placed::Replay(answer))),
-        Ok(Found::Ended(outcome)) => outcome,
-        Err(_) => Outcome::not_run(NotRunReason::DeadlinePassed, NO_ENDPOINT),
+    let outcome = match clock.timeout_at(until, search.run(tried)).await {
+        Some(Found::Reserved(reserved)) => return Ok(reserved),
+        Some(Found::Replay(answer)) => return Err(Box::new(Placed::Replay(answer))),
+        Some(Found::Ended(outcome)) => outcome,
+        None => Outcome::not_run(NotRunReason::DeadlinePassed, NO_ENDPOINT),
     };
     let spoken = search.home_spoke;
     Err(Box::new(Placed::Ended(honest_for_key(
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,12 +2,15 @@
 
 use std::cell::Cell;
 use std::fmt::Debug;
+use std::future::Future;
 use std::ops::{Add, Sub};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::ClockId;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// A point in time or a length of time, in milliseconds.
 #[derive(
@@ -74,14 +77,34 @@
     clock.now().map(Duration::from).unwrap_or_default()
 }
 
+/// Least suspension that is noticed: longer than the time between the readings of two clocks.
+const NOTICED: Duration = Duration::from_millis(50);
+
 /// Where a process reads the time; a manual clock makes whole sessions repeatable in tests.
+///
+/// Ages and deadlines are measured on the clock that goes on while the machine is suspended: on the steady one a
+/// proof, a lease or a key would be younger than it looks. The runtime's timers stand still meanwhile; those of
+/// [`Clock::sleep_until`] are set anew once [`Clock::look`] has seen that.
 #[derive(Debug, Clone)]
-pub struct Clock(Rc<Source>);
+pub struct Clock(Rc<State>);
+
+#[derive(Debug)]
+struct State {
+    source: Source,
+    /// Wakes timers after a suspension.
+    resumed: Notify,
+}
 
 #[derive(Debug)]
 enum Source {
-    /// A machine's clocks, counted from the given start.
-    Machine(Box<dyn TimeSource>, Duration),
+    /// A machine's clocks.
+    Machine {
+        source: Box<dyn TimeSource>,
+        /// When this clock was made.
+        start: Duration,
+        /// Time for which the machine had been suspended at the last look.
+        suspended: Cell<Duration>,
+    },
     /// A clock that stands still until it is moved.
     Manual(Cell<u64>),
 }
@@ -94,20 +117,32 @@
 
     /// A clock on a source of time.
     pub fn on(source: Box<dyn TimeSource>) -> Self {
-        let start = source.steady();
-        Self(Rc::new(Source::Machine(source, start)))
+        let start = source.boot();
+        let suspended = Cell::new(start.saturating_sub(source.steady()));
+        Self::of(Source::Machine {
+            source,
+            start,
+            suspended,
+        })
     }
 
     /// A clock that starts at `at` and moves only by [`Clock::advance`].
     pub fn manual(at: Millis) -> Self {
-        Self(Rc::new(Source::Manual(Cell::new(at.0))))
+        Self::of(Source::Manual(Cell::new(at.0)))
     }
 
-    /// Monotonic time since the process started; it goes on while the process is frozen.
+    fn of(source: Source) -> Self {
+        Self(Rc::new(State {
+            source,
+            resumed: Notify::new(),
+        }))
+    }
+
+    /// Monotonic time since the process started; it goes on while the process is frozen or its machine suspended.
     pub fn now(&self) -> Millis {
-        match &*self.0 {
-            Source::Machine(source, start) => {
-                let since = source.steady().saturating_sub(*start);
+        match &self.0.source {
+            Source::Machine { source, start, .. } => {
+                let since = source.boot().saturating_sub(*start);
                 Millis(since.as_millis() as u64)
             }
             Source::Manual(at) => Millis(at.get()),
@@ -116,8 +151,8 @@
 
     /// Wall time since the Unix epoch.
     pub fn wall(&self) -> Millis {
-        match &*self.0 {
-            Source::Machine(..) => {
+        match &self.0.source {
+            Source::Machine { .. } => {
                 let since = SystemTime::now().duration_since(UNIX_EPOCH);
                 Millis(since.unwrap_or_default().as_millis() as u64)
             }
@@ -125,10 +160,55 @@
         }
     }
 
-    /// Moves a manual clock on; a system clock is left alone.
+    /// Waits until a point in time; at once where that is over.
+    pub async fn sleep_until(&self, at: Millis) {
+        loop {
+            let resumed = self.0.resumed.notified();
+            let left = at - self.now();
+            if left == Millis(0) {
+                return;
+            }
+            tokio::select! {
+                () = sleep(left.duration()) => {}
+                () = resumed => {}
+            }
+        }
+    }
+
+    /// What `work` results in; `None` where it has not by a point in time.
+    pub async fn timeout_at<T>(&self, at: Millis, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            result = work => Some(result),
+            () = self.sleep_until(at) => None,
+        }
+    }
+
+    /// Looks whether the machine was suspended since the last look, and sets timers anew if so. Returns for how long.
+    pub fn look(&self) -> Option<Millis> {
+        let Source::Machine {
+            source, suspended, ..
+        } = &self.0.source
+        else {
+            return None;
+        };
+        // Read in this order, a pause between the two readings counts as none.
+        let boot = source.boot();
+        let now = boot.saturating_sub(source.steady());
+        let time = now.saturating_sub(suspended.get());
+        if time < NOTICED {
+            return None;
+        }
+        suspended.set(now);
+        self.0.resumed.notify_waiters();
+        Some(Millis(time.as_millis() as u64))
+    }
+
+    /// Moves a manual clock on, and sets timers anew; a system clock is left alone.
     pub fn advance(&self, by: Millis) {
-        if let Source::Manual(at) = &*self.0 {
+        if let Source::Manual(at) = &self.0.source {
             at.set(at.get() + by.0);
+            self.0.resumed.notify_waiters();
         }
     }
 }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -222,6 +222,14 @@
         });
     }
 
+    /// The machine was suspended for a time, while the runtime's timers stood still: whatever waits for the store may wait
+    /// for an answer that was lost meanwhile.
+    pub fn resumed(&self, time: Millis) {
+        let note = format!("after {} ms in which the machine was suspended", time.0);
+        self.log_process("resumed", &note);
+        self.watch_again.notify_one();
+    }
+
     /// Begins a planned stop; a second call changes nothing.
     pub fn stop(&self, why: &str) {
         if self.life() == Life::Serving {
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -1,7 +1,6 @@
 //! An endpoint's answer: judged by its head, relayed to the caller, accounted to the endpoint.
 
 use actix_http::StatusCode;
-use tokio::time::timeout;
 
 use super::{Attempt, Job};
 use crate::clock::Millis;
@@ -64,9 +63,12 @@
                 self.relay_events(answerer, answered, &verdict).await
             }
         };
-        timeout(self.rest(now).duration(), relaying)
-            .await
-            .unwrap_or(Attempt::TimeOver)
+        let ended = self
+            .entry
+            .clock
+            .timeout_at(self.last_word(), relaying)
+            .await;
+        ended.unwrap_or(Attempt::TimeOver)
     }
 
     /// Takes note of what the endpoint tells of itself.
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -148,9 +148,9 @@
         priority.unwrap_or(self.route().priority)
     }
 
-    /// Time that is left for the endpoint's last word, somewhat beyond the request's own.
-    fn rest(&self, now: Millis) -> Millis {
-        (self.end + OVERTIME) - now
+    /// Until when the endpoint's last word is waited for, somewhat beyond the request's own time.
+    fn last_word(&self) -> Millis {
+        self.end + OVERTIME
     }
 
     fn has_attempts(&self) -> bool {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -4,7 +4,6 @@
 use std::pin::pin;
 
 use actix_http::{RequestHead, ResponseHead};
-use tokio::time::{sleep, timeout};
 
 use super::answer::Answered;
 use super::{Attempt, Job};
@@ -189,22 +188,24 @@
     ) -> Result<Result<Reply, Failure>, Attempt> {
         let mut sending = pin!(sending);
         let silent = Millis(self.route().target.0 * SILENT_TARGETS).max(SILENT_LEAST);
-        let left = self.rest(sent_at);
-        tokio::select! {
-            reply = &mut sending => return Ok(reply),
-            () = sleep(silent.min(left).duration()) => {}
+        let clock = &self.entry.clock;
+        let silent_at = sent_at + silent;
+        let last_word = self.last_word();
+        if let Some(reply) = clock
+            .timeout_at(silent_at.min(last_word), &mut sending)
+            .await
+        {
+            return Ok(reply);
         }
-        if !self.was_heard(key, sent_at) && silent < left {
+        if !self.was_heard(key, sent_at) && silent_at < last_word {
             self.entry.endpoint_failed(key, Fault::Contact, "silent");
             if self.may_repeat() && self.has_attempts() {
                 self.log_failed(key, "silent", true);
                 return Err(Attempt::Lost(key));
             }
         }
-        let rest = self.rest(self.entry.clock.now());
-        timeout(rest.duration(), sending)
-            .await
-            .map_err(|_| Attempt::TimeOver)
+        let reply = clock.timeout_at(last_word, sending).await;
+        reply.ok_or(Attempt::TimeOver)
     }
 
     /// Whether anything was heard of an endpoint since a time.
--- a/src/direct/job/turn.rs
+++ b/src/direct/job/turn.rs
@@ -1,8 +1,6 @@
 //! Turns of requests under suspicion: copies of one run one after the other, and none once enough endpoints
 //! have ended under them.
 
-use tokio::time::sleep;
-
 use super::Job;
 use crate::clock::Millis;
 use crate::direct::decision::RefusedWhy;
@@ -37,11 +35,9 @@
                 let is_refused = ends >= ENDS_TO_TURN_AWAY;
                 return is_refused.then(|| self.ends_endpoints(ends, until));
             }
-            let wait = until.min(wait_until) - now;
-            tokio::select! {
-                () = changed => {}
-                () = sleep(wait.duration()) => {}
-            }
+            let wait = until.min(wait_until);
+            // Whether something changed or the time is over, it looks again.
+            let _ = self.entry.clock.timeout_at(wait, changed).await;
         }
     }
 
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -128,6 +128,9 @@
     let mut rounds = 0;
     loop {
         sleep(HOUSEKEEPING).await;
+        if let Some(time) = entry.clock.look() {
+            entry.resumed(time);
+        }
         entry.expire();
         rounds += 1;
         if rounds % ROUNDS_A_SECOND == 0 {
@@ -193,7 +196,7 @@
         }
     }
     let begun = entry.clock.now();
-    sleep(LINGER.duration()).await;
+    entry.clock.sleep_until(begun + LINGER).await;
     entry.end_work();
     let grace = entry.settings.borrow().bounds.stop_grace_ms;
     let end = begun + Millis((grace as f64 * STOP_PART) as u64);
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,6 +27,8 @@
 
 /// Time after which a fresh process no longer waits for a bundle that a peer told of.
 const CATCH_UP_GRACE: Millis = Millis(10_000);
+/// Time between two looks whether the machine was suspended.
+const CLOCK_LOOK: Duration = Duration::from_millis(250);
 /// Time between two looks at whether a fresh process is ready.
 const READY_LOOK: Duration = Duration::from_millis(20);
 
@@ -155,6 +157,8 @@
         Rc::new(HttpSource::new(&urls.bundle_url, &urls.members_url));
     let cx = Rc::clone(node);
     supervisor.child("signals", move || watch_signals(Rc::clone(&cx)));
+    let clock = node.clock.clone();
+    supervisor.child("clock", move || watch_clock(clock.clone()));
     let cx = Rc::clone(node);
     supervisor.child("platform", move || {
         source::keep_reading(Rc::clone(&cx), Rc::clone(&platform))
@@ -163,6 +167,16 @@
     supervisor.child("gossip", move || gossip::keep_partners(Rc::clone(&cx)));
 }
 
+/// Sets timers anew whenever the machine was suspended.
+async fn watch_clock(clock: Clock) -> anyhow::Result<()> {
+    loop {
+        sleep(CLOCK_LOOK).await;
+        if let Some(time) = clock.look() {
+            tracing::warn!(ms = time.0, "the machine was suspended");
+        }
+    }
+}
+
 /// Begins a planned stop at SIGTERM or SIGINT; further signals change nothing.
 pub async fn watch_signals(node: Rc<Node>) -> anyhow::Result<()> {
     use tokio::signal::unix::{signal, SignalKind};
