--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -261,6 +261,8 @@
     /// Opens an account for each endpoint that has none.
     pub(super) fn open_accounts(&self) {
         let directory = self.directory.borrow();
+        let count = directory.iter().count();
+        self.quarantine.borrow_mut().set_endpoints(count);
         let mut accounts = self.accounts.borrow_mut();
         for (key, endpoint) in directory.iter() {
             if !accounts.contains_key(key) {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -28,7 +28,10 @@
 const ZONE_PLACED: usize = 24;
 
 /// Time in which what is to be told at once is gathered: an endpoint that ends loses dozens of runs.
-const GATHER: Duration = Duration::from_millis(5);
+const GATHER: Millis = Millis(5);
+/// Of 256 rounds, those in which what is alarming is told again: with each round, entries of a fleet of thirty
+/// spent up to 62 KB a second.
+const REPEATS: u8 = 48;
 
 /// Tells some peers each round.
 pub async fn tell(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
@@ -43,13 +46,14 @@
             }
         }
         let now = entry.clock.now();
-        let notices = notices(&entry);
+        let repeats = rand::random::<u8>() < REPEATS;
         let round = entry.peers.borrow_mut().round(entry.is_watching(), now);
         for tell in round {
             let hello = hello_for(&entry, tell, now);
             let bytes = send(&socket, tell.to, &hello).await;
             entry.peers.borrow_mut().sent_bytes(tell.covers, bytes);
-            send_notices(&socket, tell.to, &notices).await;
+            let since = entry.peers.borrow().notices_since(tell.covers, now);
+            send_notices(&entry, &socket, tell.to, since, repeats).await;
         }
         rounds += 1;
         if rounds % ASK_ROUNDS == 0 {
@@ -61,23 +65,31 @@
 /// Tells some peers between two rounds of requests under suspicion: what ends an endpoint within 0.1 s comes again
 /// before the next round.
 async fn tell_at_once(entry: &Entry, socket: &UdpSocket) {
-    sleep(GATHER).await;
-    let notices = notices(entry);
+    sleep(GATHER.duration()).await;
+    let since = entry.clock.now() - Millis(GATHER.0 * 2);
     let peers = entry.peers.borrow_mut().at_once();
     for peer in peers {
-        send_notices(socket, peer, &notices).await;
+        send_notices(entry, socket, peer, since, false).await;
     }
 }
 
-/// What is to be told of requests under suspicion now.
-fn notices(entry: &Entry) -> Vec<Notice> {
+/// Tells a peer what was learned of requests under suspicion.
+async fn send_notices(
+    entry: &Entry,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    since: Millis,
+    repeats: bool,
+) {
     let now = entry.clock.now();
-    let since = entry.peers.borrow().notices_since(now);
-    let quarantine = entry.quarantine.borrow();
-    quarantine.notices_since(since, MOST_NOTICES, now)
+    let notices = entry
+        .quarantine
+        .borrow()
+        .notices_since(since, repeats, MOST_NOTICES, now);
+    send_alert(socket, to, &notices).await;
 }
 
-async fn send_notices(socket: &UdpSocket, to: SocketAddr, notices: &[Notice]) {
+async fn send_alert(socket: &UdpSocket, to: SocketAddr, notices: &[Notice]) {
     let Some(bytes) = peers::encode_notices(notices) else {
         return;
     };
@@ -136,7 +148,7 @@
                     if is_new {
                         let now = entry.clock.now();
                         let refused = entry.quarantine.borrow().refused_notices(MOST_NOTICES, now);
-                        send_notices(&socket, from, &refused).await;
+                        send_alert(&socket, from, &refused).await;
                     }
                     // A peer that is not known learns the zone of this entry at once, and so whom it
                     // tells in turn.
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -105,11 +105,14 @@
         now - Millis(turn.0 * PLACED_TURNS)
     }
 
-    /// Time since which what was learned of requests under suspicion is told: some turns, so that lost datagrams are made
-    /// up for, and every peer passes it on in its own.
-    pub fn notices_since(&self, now: Millis) -> Millis {
-        let turn = self.near_cycle() + self.zone_interval(now) + ROUND;
-        now - Millis(turn.0 * NOTICE_TURNS)
+    /// Time since which what was learned of requests under suspicion is told in a round: two turns, so that a lost datagram
+    /// is made up for. Peers pass it on in theirs.
+    pub fn notices_since(&self, covers: Covers, now: Millis) -> Millis {
+        let turn = match covers {
+            Covers::Sender | Covers::Nothing => self.near_cycle(),
+            Covers::Zone => self.near_cycle() + self.zone_interval(now),
+        };
+        now - Millis(turn.0.max(ROUND.0) * NOTICE_TURNS)
     }
 
     /// The peers to tell at once, between two rounds.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -4,7 +4,7 @@
 //! proves nothing, since dozens of requests are lost with an endpoint, and endpoints end for reasons of their own. So an end
 //! counts against a request only if that run had begun after the last counted end: several copies that are lost at once, or
 //! a rack that goes, count as one. A run that an endpoint finishes clears the request. From the third end in a
-//! row on it is refused.
+//! row on it is refused, or from the fourth or fifth where so many endpoints end under others that chance would do.
 //!
 //! Whether a request is under suspicion also decides how many of its copies run: one at a time, over all entries as far
 //! as they hear each other.
@@ -13,7 +13,7 @@
 
 mod notices;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -21,10 +21,20 @@
 use crate::clock::Millis;
 use crate::fingerprint::Fingerprint;
 
-/// Ends in a row from which on a request is refused. With two, innocent requests would be refused where engines end
-/// one after the other: one that runs for 0.7 s on nine engines of which one ends each second is lost
-/// with each of two runs in 6 of 1,000 cases, with each of three in 5 of 10,000 (computed).
+/// Ends in a row from which on a request may be refused. With two, innocent requests would be where engines end one after
+/// the other: one that runs for 0.7 s on nine engines of which one ends each second is lost with each of two
+/// runs in 6 of 1,000 cases, with each of three in 5 of 10,000 (computed).
 pub const ENDS_TO_REFUSE: usize = 3;
+/// Ends in a row from which on it is refused however many other endpoints end meanwhile.
+const ENDS_AT_MOST: usize = 5;
+/// Chance that an innocent request would have been at as many ends, up to which it is refused: three of three that
+/// end are enough among eight endpoints. On a simulated day on which two of nine engines ended each second and racks
+/// besides, two of 226 innocent requests that were lost would have been refused at the third end.
+const CHANCE: f64 = 0.002;
+/// Time for which an endpoint that ended is taken to be down.
+const DOWN_TIME: Millis = Millis(3_000);
+/// Ends of endpoints that are remembered, the newest ones.
+const MOST_LIVES: usize = 512;
 /// First time for which it is refused; it doubles with each further end.
 const REFUSED_LEAST: Millis = Millis::from_secs(600);
 /// Longest time for which it is refused, so that engines of a newer version get it to try.
@@ -174,16 +184,22 @@
 
 impl Case {
     /// Ends in a row: runs that began after the end of the one before.
-    fn in_a_row(&self) -> usize {
-        let mut count = 0;
-        let mut last = None;
+    fn row(&self) -> Vec<End> {
+        let mut row: Vec<End> = Vec::with_capacity(self.ends.len());
         for end in &self.ends {
-            if last.is_none_or(|last: Millis| end.began + DATING >= last) {
-                count += 1;
-                last = Some(end.ended);
+            if row
+                .last()
+                .is_none_or(|last| end.began + DATING >= last.ended)
+            {
+                row.push(*end);
             }
         }
-        count
+        row
+    }
+
+    /// Their number.
+    fn in_a_row(&self) -> usize {
+        self.row().len()
     }
 
     fn last_end(&self) -> Option<Millis> {
@@ -205,7 +221,7 @@
         true
     }
 
-    /// Until when it is refused; `None` below [`ENDS_TO_REFUSE`].
+    /// Until when it is refused where it is the cause; `None` below [`ENDS_TO_REFUSE`].
     fn refused_until(&self) -> Option<Millis> {
         let beyond = self.in_a_row().checked_sub(ENDS_TO_REFUSE)?;
         let time = Millis(REFUSED_LEAST.0 << beyond.min(MOST_ENDS)).min(REFUSED_MOST);
@@ -230,6 +246,10 @@
     cases: HashMap<Fingerprint, Case>,
     /// What peers are told.
     recent: RecentNotices,
+    /// Endpoints' lives that ended under any request, the newest last.
+    lives: VecDeque<(Millis, LifeDigest)>,
+    /// Endpoints that there are.
+    endpoints: usize,
 }
 
 impl Quarantine {
@@ -242,7 +262,7 @@
         if ends == 0 {
             return Standing::Clear;
         }
-        if let Some(until) = case.refused_until().filter(|until| now < *until) {
+        if let Some(until) = self.refused_until(case).filter(|until| now < *until) {
             return Standing::Refused { ends, until };
         }
         // A run that began before the last end is that one, or was lost with it.
@@ -260,6 +280,7 @@
     /// An endpoint ended under a request.
     pub fn ended(&mut self, request: Fingerprint, end: End, now: Millis) -> Change {
         self.make_room(request, now);
+        self.note_life(&end);
         let case = self.cases.entry(request).or_default();
         if !case.add(end) {
             return Change::None;
@@ -269,12 +290,65 @@
         for end in &case.ends {
             self.recent.add(told(request, end, now), ends, now);
         }
-        match case.refused_until() {
-            Some(until) if now < until => Change::Refused { ends, until },
+        match self.standing(request, now) {
+            Standing::Refused { ends, until } => Change::Refused { ends, until },
             _ => Change::Suspected { ends },
         }
     }
 
+    /// Tells how many endpoints there are.
+    pub fn set_endpoints(&mut self, count: usize) {
+        self.endpoints = count;
+    }
+
+    /// Until when a request is refused; `None` where it is not taken for the cause.
+    fn refused_until(&self, case: &Case) -> Option<Millis> {
+        let until = case.refused_until()?;
+        self.is_cause(case).then_some(until)
+    }
+
+    /// Whether ends in a row are taken for the work of the request: an innocent one would hardly have been at each of
+    /// them, of all endpoints that ended from its first run to its last one.
+    fn is_cause(&self, case: &Case) -> bool {
+        let row = case.row();
+        let (Some(first), Some(last)) = (row.first(), row.last()) else {
+            return false;
+        };
+        if row.len() >= ENDS_AT_MOST || self.endpoints == 0 {
+            return row.len() >= ENDS_TO_REFUSE;
+        }
+        let others = self.lives.iter().filter(|(at, life)| {
+            let meanwhile = *at >= first.began && *at <= last.ended + DATING;
+            meanwhile && case.ends.iter().all(|end| end.endpoint != *life)
+        });
+        let all = row.len() + others.count();
+        let ways = (0..row.len()).map(|i| (all - i) as f64 / (i + 1) as f64);
+        let at_each = row.iter().map(|end| 1.0 / self.up_before(end) as f64);
+        let chance = ways.product::<f64>() * at_each.product::<f64>();
+        row.len() >= ENDS_TO_REFUSE && chance <= CHANCE
+    }
+
+    /// Endpoints that were up before an end, as far as is known: one of them has ended.
+    fn up_before(&self, end: &End) -> usize {
+        let from = end.ended - DOWN_TIME;
+        let down = self
+            .lives
+            .iter()
+            .filter(|(at, life)| *at >= from && *at <= end.ended && *life != end.endpoint);
+        self.endpoints.saturating_sub(down.count()).max(1)
+    }
+
+    /// Remembers that an endpoint ended.
+    fn note_life(&mut self, end: &End) {
+        if self.lives.iter().any(|(_, life)| *life == end.endpoint) {
+            return;
+        }
+        if self.lives.len() == MOST_LIVES {
+            self.lives.pop_front();
+        }
+        self.lives.push_back((end.ended, end.endpoint));
+    }
+
     /// A request under suspicion was sent to an endpoint.
     pub fn began(&mut self, request: Fingerprint, at: Millis, now: Millis) -> Change {
         let Some(case) = self.cases.get_mut(&request) else {
@@ -334,9 +408,16 @@
         }
     }
 
-    /// What is to be told to peers: what was learned since `from`, and for longer what is alarming; at most `most`.
-    pub fn notices_since(&self, from: Millis, most: usize, now: Millis) -> Vec<Notice> {
-        self.recent.since(from, most, now)
+    /// What is to be told to peers: what was learned since `from`, and with `repeats` what is alarming and somewhat
+    /// older; at most `most`.
+    pub fn notices_since(
+        &self,
+        from: Millis,
+        repeats: bool,
+        most: usize,
+        now: Millis,
+    ) -> Vec<Notice> {
+        self.recent.since(from, repeats, most, now)
     }
 
     /// What a peer must know that was not heard for a while: the newest of what is refused.
@@ -357,7 +438,7 @@
     /// The requests that are refused now, the newest first.
     pub fn refused(&self, now: Millis) -> Vec<Fingerprint> {
         let refused = self.cases.iter().filter(|(_, case)| {
-            let until = case.refused_until();
+            let until = self.refused_until(case);
             until.is_some_and(|until| now < until)
         });
         let mut refused: Vec<_> = refused.map(|(key, case)| (case.touched(), *key)).collect();
--- a/src/quarantine/notices.rs
+++ b/src/quarantine/notices.rs
@@ -8,7 +8,8 @@
 
 /// Notices that are remembered, the newest ones.
 const MOST_RECENT: usize = 256;
-/// Ends in a row from which on all notices of a request are told first, and longer: few innocent requests get there.
+/// Ends in a row from which on the notices of a request are told first, and again for longer: few innocent requests get
+/// there.
 const ALARMING: usize = 2;
 /// Time for which those are told: longer than most cuts between entries, after which a peer that was lost for
 /// longer is told all that is refused.
@@ -45,13 +46,19 @@
         self.0.retain(|recent| recent.notice.request() != request);
     }
 
-    /// At most `most` of those to be told now, of which those that are not alarming were learned since `from`; ages as
-    /// of `now`.
-    pub(super) fn since(&self, from: Millis, most: usize, now: Millis) -> Vec<Notice> {
-        let is_due = |recent: &&Recent| match recent.is_alarming {
-            true => recent.learned + ALARMING_TIME >= now,
-            false => recent.learned >= from,
+    /// At most `most` of those to be told now: learned since `from`, and with `repeats` the alarming ones of longer ago;
+    /// ages as of `now`.
+    pub(super) fn since(
+        &self,
+        from: Millis,
+        repeats: bool,
+        most: usize,
+        now: Millis,
+    ) -> Vec<Notice> {
+        let is_repeated = |recent: &Recent| {
+            repeats && recent.is_alarming && recent.learned + ALARMING_TIME >= now
         };
+        let is_due = |recent: &&Recent| recent.learned >= from || is_repeated(recent);
         let newest = || self.0.iter().rev().filter(is_due);
         let alarming = newest().filter(|recent| recent.is_alarming);
         let others = newest().filter(|recent| !recent.is_alarming);
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -57,6 +57,32 @@
     assert!(is_refused(&again, 1_400));
 }
 
+/// Where endpoints end under many requests, three runs are lost by chance; the fifth end tells all the same.
+#[test]
+fn many_end() {
+    let long = [1, 2, 3, 4, 5].map(|i| end(i, u64::from(i) * 1_000 - 900, u64::from(i) * 1_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.set_endpoints(9);
+    for i in 0..20 {
+        let other = end(100 + i, 0, u64::from(i) * 100);
+        quarantine.ended(Fingerprint(50), other, Millis(2_000));
+    }
+    for (i, end) in long.iter().enumerate() {
+        assert!(!is_refused(&quarantine, end.ended.0), "{i} ends");
+        quarantine.ended(REQUEST, *end, end.ended);
+    }
+    assert!(is_refused(&quarantine, 5_100));
+    // Where nothing else ends meanwhile the third one tells.
+    let mut alone = quarantine;
+    for i in 0..3 {
+        let at = 20_000 + i * 500;
+        let end = end(30 + i as u32, at, at + 40);
+        alone.ended(Fingerprint(9), end, Millis(at + 40));
+    }
+    let standing = alone.standing(Fingerprint(9), Millis(21_100));
+    assert!(matches!(standing, Standing::Refused { ends: 3, .. }));
+}
+
 /// The end of one life counts once, whoever saw it, in whatever order.
 #[test]
 fn one_life_once() {
