The soak plays a request that ends engines, and suspended machines

One caller sends the same work again and again, to any entry, and ends each engine that begins to run it; engines come back under another id. Machines are suspended like they are frozen, with the time taken from their steady clock. Checked besides: at most 12 engines end in a seed, and no other request is told to stay away. Entries are killed and started meanwhile and forget what they knew, and relays hide that nothing listens any more, so that ends are seen by the list alone.

--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -26,6 +26,8 @@
     "/resume/events",
     "/resume/cut",
 ];
+/// Path of the work that ends engines; streams may run once.
+pub(super) const CRASH: &str = "/stream/crash";
 /// Wait of a caller that leaves early, which one of [`LEAVES`] does: before most answers are whole.
 const SHORT_PATIENCE: Duration = Duration::from_millis(40);
 /// One of so many requests is left early.
@@ -71,6 +73,25 @@
     timeout(patience, site::read_answer(stream)).await.ok()
 }
 
+/// A caller whose one piece of work ends each engine that begins to run it; it comes again and again, at any entry.
+pub(super) async fn crash_on(soak: Rc<Soak>, mut rng: SmallRng) {
+    let mut number = 0;
+    while !soak.ended.get() {
+        sleep(Duration::from_millis(rng.gen_range(100..500))).await;
+        number += 1;
+        let id = format!("crash-{number}");
+        let entry = &soak.entries[rng.gen_range(0..soak.entries.len())];
+        let Ok(mut stream) = TcpStream::connect(entry.callers.get()).await else {
+            continue;
+        };
+        soak.note_sent(&id, CRASH, KEYS[0]);
+        let request = site::request_with(CRASH, &id, KEYS[0], "the same work");
+        if let Some(answer) = exchange(&mut stream, &request, &mut rng).await {
+            soak.note_answer(&id, answer);
+        }
+    }
+}
+
 impl Soak {
     fn note_sent(&self, id: &str, path: &'static str, key: &'static str) {
         let issue = Issue {
--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -5,10 +5,16 @@
 
 use tokio::time::Instant;
 
+use super::callers::CRASH;
 use super::{Issue, Report, Soak};
 use crate::site::{self, Answer};
 use crate::standin::EVENTS;
 
+/// Engines that one request may end in a seed: three to five for each time that all entries that know of it are ended.
+const MOST_CRASHES: usize = 12;
+/// Seconds from which on an advice to come back is one to stay away.
+const LONG_REFUSAL_S: f64 = 60.0;
+
 impl Soak {
     /// Checks all requests.
     pub(super) fn report(&self) -> Report {
@@ -28,9 +34,22 @@
                 .findings
                 .extend(broken.map(|why| format!("{id} {}: {why}", issue.path)));
         }
+        report.crashes = self.crashes();
+        if report.crashes > MOST_CRASHES {
+            let finding = format!("{} engines ended under one request", report.crashes);
+            report.findings.push(finding);
+        }
         report
     }
 
+    /// Lives of engines that the one request has ended.
+    fn crashes(&self) -> usize {
+        let gone = self.gone.borrow();
+        let engines = self.engines.borrow();
+        let all = engines.iter().chain(gone.iter());
+        all.map(|relayed| relayed.engine.crashes().len()).sum()
+    }
+
     /// How often engines worked on each request, by its id.
     fn runs(&self) -> HashMap<String, usize> {
         let mut runs: HashMap<String, usize> = HashMap::new();
@@ -44,6 +63,12 @@
     }
 }
 
+/// Whether a refusal tells a caller to stay away, as is told of requests that end endpoints.
+fn is_for_long(answer: &Answer) -> bool {
+    let seconds = answer.header("retry-after").and_then(|t| t.parse().ok());
+    seconds.is_some_and(|seconds: f64| seconds > LONG_REFUSAL_S)
+}
+
 /// Whether the promises were kept for one request; else why not.
 fn check(id: &str, issue: &Issue, runs: usize, removed: Option<Instant>) -> Option<String> {
     let repeatable = issue.path.starts_with("/safe") || issue.path.starts_with("/resume");
@@ -55,6 +80,9 @@
         return Some(format!("ran with {} after it was removed", issue.key));
     }
     let answer = issue.answer.as_ref()?;
+    if answer.status == 503 && issue.path != CRASH && is_for_long(answer) {
+        return Some("turned away for long, though it is innocent".into());
+    }
     match answer.status {
         503 if !repeatable && runs > 0 => Some("told as not run, but ran".into()),
         200 if issue.path.ends_with("events") || issue.path.ends_with("cut") => {
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! The faults of the soak: what happens to entries, engines, the store and the ways between them.
 
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +15,8 @@
 use super::{RunningEntry, Soak, KEYS};
 use crate::relay::Relay;
 use crate::site;
-use crate::standin::Condition;
+use crate::standin::{Condition, Engine};
+use crate::suspension;
 
 /// Rates of a narrow link, in bytes a second: the largest configuration takes 0.5 to 6 s.
 const NARROW: Range<u64> = 100 << 10..1 << 20;
@@ -29,7 +31,7 @@
         let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
         let time = Duration::from_millis(rng.gen_range(100..3_000));
         let engine = rng.gen_range(0..self.engines.borrow().len());
-        match rng.gen_range(0..16) {
+        match rng.gen_range(0..17) {
             0 => restart(entry, End::Kill, time),
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
@@ -45,6 +47,7 @@
             12 => self.replace_engine(engine).await?,
             13 => narrow(entry.to_store.clone(), rng.gen_range(NARROW), time),
             14 => self.grow(rng),
+            15 => suspend(entry, time),
             _ => self.change_keys(rng),
         }
         Ok(())
@@ -98,6 +101,29 @@
         site.configure(&kept);
     }
 
+    /// Starts engines again that a request has ended, as their operators do.
+    pub(super) async fn revive_engines(self: Rc<Self>, mut rng: SmallRng) {
+        while !self.ended.get() {
+            sleep(Duration::from_millis(rng.gen_range(100..900))).await;
+            for (engine, address) in self.engines_down() {
+                let store = Rc::clone(&self.site.borrow().store);
+                store.unlist(&engine);
+                match engine.start_again().await {
+                    Ok(()) => store.list_at(&engine, address, "s1", "ready"),
+                    Err(err) => eprintln!("an engine does not start again: {err}"),
+                }
+            }
+        }
+    }
+
+    /// Engines that have ended, with their relays' addresses.
+    fn engines_down(&self) -> Vec<(Rc<Engine>, SocketAddr)> {
+        let engines = self.engines.borrow();
+        let down = engines.iter().filter(|relayed| relayed.engine.is_down());
+        down.map(|relayed| (Rc::clone(&relayed.engine), relayed.relay.addr))
+            .collect()
+    }
+
     /// Ends all faults that last.
     pub(super) fn lift(&self) {
         self.site.borrow().store.set_condition(Condition::Up);
@@ -144,6 +170,9 @@
         }
         entry.process.borrow_mut().kill();
         sleep(pause / 3).await;
+        if let Err(err) = suspension::forget(&entry.settings) {
+            eprintln!("a suspension is not forgotten: {err}");
+        }
         let process = site::start_entry(&entry.settings);
         entry.callers.set(process.addr("callers"));
         entry.process.replace(process).kill();
@@ -163,6 +192,27 @@
     });
 }
 
+/// Suspends the machine of a process for a time.
+fn suspend(entry: Rc<RunningEntry>, time: Duration) {
+    if entry.restarting.get() || entry.suspended.replace(true) {
+        return;
+    }
+    let id = entry.process.borrow().id();
+    entry.process.borrow().freeze();
+    actix_rt::spawn(async move {
+        let begun = Instant::now();
+        sleep(time).await;
+        entry.suspended.set(false);
+        // Another process has its place by now, which was not suspended.
+        if entry.process.borrow().id() == id {
+            if let Err(err) = suspension::add(&entry.settings, begun.elapsed()) {
+                eprintln!("the suspension is not told: {err}");
+            }
+        }
+        entry.process.borrow().thaw();
+    });
+}
+
 /// Changes the settings file and sends SIGHUP.
 fn hang_up(entry: &RunningEntry, rng: &mut SmallRng) -> anyhow::Result<()> {
     let text = std::fs::read_to_string(&entry.settings)?;
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -64,8 +64,8 @@
     for seed in options.first..options.first + options.seeds {
         let report = play(seed, &options).await?;
         println!(
-            "seed {seed}: {} requests, {:?}",
-            report.requests, report.statuses
+            "seed {seed}: {} requests, {:?}, {} engines ended under one",
+            report.requests, report.statuses, report.crashes
         );
         for finding in &report.findings {
             println!("  BROKEN: {finding}");
@@ -87,6 +87,8 @@
     pub requests: usize,
     /// Answers by status; 0 for none.
     pub statuses: BTreeMap<u16, usize>,
+    /// Lives of engines that one request ended, which came again and again.
+    pub crashes: usize,
     /// Broken promises.
     pub findings: Vec<String>,
 }
@@ -109,6 +111,8 @@
     callers: Cell<SocketAddr>,
     /// Whether the process is being ended and started again.
     restarting: Cell<bool>,
+    /// Whether its machine is suspended.
+    suspended: Cell<bool>,
 }
 
 /// One engine behind its relay.
@@ -144,6 +148,10 @@
         let calling = callers::call_on(Rc::clone(&soak), i, rng);
         callers.push(actix_rt::spawn(calling));
     }
+    let crashing = callers::crash_on(Rc::clone(&soak), SmallRng::seed_from_u64(seed + 500));
+    callers.push(actix_rt::spawn(crashing));
+    let reviving = Rc::clone(&soak).revive_engines(SmallRng::seed_from_u64(seed + 501));
+    callers.push(actix_rt::spawn(reviving));
     let mut rng = SmallRng::seed_from_u64(seed);
     let until = Instant::now() + Duration::from_secs(options.seconds);
     while Instant::now() < until {
@@ -248,6 +256,7 @@
             settings: path,
             callers,
             restarting: Cell::new(false),
+            suspended: Cell::new(false),
         })
     }
 }
--- a/lab/src/suspension.rs
+++ b/lab/src/suspension.rs
@@ -49,7 +49,23 @@
     Clock::on(Box::new(SuspendedMachine { suspended }))
 }
 
+/// Takes time from the steady clock of the process with these settings; it must stand still meanwhile.
+pub fn add(settings: &Path, time: Duration) -> std::io::Result<()> {
+    let path = file(settings);
+    let before = std::fs::read_to_string(&path).ok();
+    let before: u128 = before.and_then(|text| text.parse().ok()).unwrap_or(0);
+    std::fs::write(path, (before + time.as_millis()).to_string())
+}
+
+/// A fresh process begins on a machine that was never suspended, as far as its clocks tell.
+pub fn forget(settings: &Path) -> std::io::Result<()> {
+    match std::fs::remove_file(file(settings)) {
+        Err(err) if err.kind() != std::io::ErrorKind::NotFound => Err(err),
+        _ => Ok(()),
+    }
+}
+
 /// The file beside a settings file that tells how long its process's machine has been suspended, in ms.
-pub fn file(settings: &Path) -> PathBuf {
+fn file(settings: &Path) -> PathBuf {
     settings.with_extension("suspended")
 }
