--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -31,6 +31,10 @@
 const KEPT_SEQUENCES: usize = 16;
 /// Sleep of a frozen or full engine between two looks.
 const LOOK: Duration = Duration::from_millis(5);
+/// What a prompt holds that ends each engine that begins to run it.
+pub const CRASHES: &str = "ends the engine";
+/// Time after which it does so.
+const CRASH_AFTER: Duration = Duration::from_millis(30);
 const WORDS: [&str; 16] = [
     "ledger", "crate", "beam", "label", "layout", "proof", "shift", "press", "plate", "channel",
     "trace", "ink", "batch", "summary", "query", "note",
@@ -229,6 +233,10 @@
         return web::status(StatusCode::BAD_REQUEST);
     };
     let prompt = prompt_of(&body);
+    if prompt.contains(CRASHES) {
+        sleep(CRASH_AFTER).await;
+        std::process::exit(1);
+    }
     let tokens = body["lab"]["tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
     if !resumed {
         let id = body["lab"]["id"].as_str().unwrap_or_default().to_owned();
