Behind sidecars, too, work under which three endpoints ended in a row is refused

A sidecar whose endpoint broke a run asks whether it still listens; if not, that life's end counts against the run, and the sidecar tells the entry before it tells the end of the run, and its partners over gossip. Entries refuse such work before they place it, and don't send it on; with a key the key's home is asked first, as before any refusal of an entry's own. Copies that are under way at once are not held back here, as they are on the direct way.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::rerun;
 use crate::search::{self, Found, Search, MAX_DISAGREEMENTS, NO_ENDPOINT};
+use crate::suspicion;
 use crate::wire::{Answer, FromSidecar, Offer, Start, ToSidecar};
 
 /// Time for a sidecar to confirm a start before repeatable work goes elsewhere.
@@ -60,7 +61,8 @@
             Ok(placed) => return placed,
             Err(outcome) => outcome,
         };
-        if !may_try_again(entry, job, &outcome).await {
+        let is_refused = suspicion::refusal(entry, job).is_some();
+        if is_refused || !may_try_again(entry, job, &outcome).await {
             return Placed::Ended(outcome);
         }
     }
@@ -144,7 +146,7 @@
         return Err(lost);
     }
     let confirmed = tokio::select! {
-        message = reader.next::<FromSidecar>() => message,
+        message = suspicion::next_message(entry, &mut reader) => message,
         () = sleep(START_REPLY), if !job.once => {
             let now = entry.node.clock.now();
             entry.router.borrow_mut().failed(now, &instance.id);
@@ -160,7 +162,7 @@
         }
         _ => return Err(lost),
     }
-    match reader.next::<FromSidecar>().await {
+    match suspicion::next_message(entry, &mut reader).await {
         Ok(Some(FromSidecar::End {
             request, outcome, ..
         })) if !outcome.is_completed() => Err(if request == job.request {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -12,8 +12,8 @@
 use crate::direct::entry::{Entry, Fetch, Life};
 use crate::direct::fetch;
 use crate::direct::load::{Load, Teller, Work};
-use crate::direct::peers::{self, Covers, Hello, Tell, FAR_BYTES, MOST_BYTES, MOST_NOTICES, ROUND};
-use crate::quarantine::Notice;
+use crate::direct::peers::{self, Covers, Hello, Tell, FAR_BYTES, MOST_BYTES, ROUND};
+use crate::quarantine::{Notice, MOST_NOTICES};
 
 /// Pause after an error of the socket.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/src/direct/peers/alert.rs
+++ b/src/direct/peers/alert.rs
@@ -1,14 +1,12 @@
 //! What an entry tells peers of requests under suspicion, in datagrams of their own: there are none on most days, and
 //! entries that don't know them drop them.
 
-use crate::quarantine::Notice;
+use crate::quarantine::{Notice, MOST_NOTICES};
 
 use super::MOST_BYTES;
 
 /// First byte of such a datagram; no [`super::Hello`] begins with it, since bincode never writes it first in a number.
 const MARK: u8 = 0xff;
-/// Notices in one datagram at most: with 17 bytes each it stays within one packet on any path.
-pub const MOST_NOTICES: usize = 72;
 
 /// Writes a datagram; `None` where there is nothing to tell.
 pub fn encode_notices(notices: &[Notice]) -> Option<Vec<u8>> {
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-pub use self::alert::{decode_notices, encode_notices, MOST_NOTICES};
+pub use self::alert::{decode_notices, encode_notices};
 pub use self::hello::{decode, encode, encode_within, Covers, Hello, PeerId, MOST_BYTES};
 pub use self::placements::{PlacedPrompt, RecentPlacements};
 pub use self::rounds::{Tell, FAR_BYTES, FAR_PER_ROUND, PER_ROUND, ROUND, ROUND_BYTES};
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! Endpoints as a sidecar sees them: a trait at the process's edge, and HTTP behind it.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use actix_http::error::PayloadError;
@@ -9,6 +10,8 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
 use futures_util::{FutureExt, Stream, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::bundle::PoolKind;
 use crate::ids::{Incarnation, RequestId};
@@ -78,6 +81,8 @@
     fn call(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, EndpointError>>;
     /// Stops a run; returns once the endpoint has confirmed or can't be reached.
     fn cancel(&self, run: RequestId) -> LocalBoxFuture<'_, bool>;
+    /// Whether nothing listens any more at its address: its process has ended.
+    fn is_gone(&self) -> LocalBoxFuture<'_, bool>;
     /// Shuts out orders and ends runs of earlier incarnations.
     fn fence(&self, incarnation: Incarnation) -> LocalBoxFuture<'_, bool>;
 }
@@ -144,6 +149,15 @@
         Ok(reply(res))
     }
 
+    /// Whether a connection is refused at once; one that hangs tells nothing.
+    async fn refuses_connections(&self) -> bool {
+        let Some(address) = self.base.strip_prefix("http://") else {
+            return false;
+        };
+        let connected = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
+    }
+
     async fn order(&self, path: String, incarnation: Option<Incarnation>) -> bool {
         let mut req = self
             .client
@@ -170,6 +184,10 @@
         }
     }
 
+    fn is_gone(&self) -> LocalBoxFuture<'_, bool> {
+        self.refuses_connections().boxed_local()
+    }
+
     fn fence(&self, incarnation: Incarnation) -> LocalBoxFuture<'_, bool> {
         match self.kind {
             PoolKind::Model => self
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,6 +36,7 @@
 use crate::schedule::spread;
 use crate::settings::EntrySettings;
 use crate::supervisor::Supervisor;
+use crate::suspicion;
 use crate::wire::{GOSSIP_PATH, QUOTA_PATH};
 
 /// Advice to come back to another entry while this one stops or starts.
@@ -288,7 +289,11 @@
         .reruns
         .borrow_mut()
         .deposit(job.policy.bundle.limits.retry_percent);
-    if let Err(refusal) = entry.admit(&mut job) {
+    let admitted = match suspicion::refusal(&entry, &job) {
+        Some(refusal) => Err(refusal),
+        None => entry.admit(&mut job),
+    };
+    if let Err(refusal) = admitted {
         let outcome = attempt::confirm_refusal(&entry, &mut job, refusal).await;
         entry
             .node
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -13,6 +13,7 @@
 use crate::link::LinkError;
 use crate::outcome::{FailReason, NotRunReason, Outcome, UnknownReason};
 use crate::rerun;
+use crate::suspicion;
 use crate::wire::FromSidecar;
 
 /// Times that one stream is taken up again.
@@ -68,7 +69,7 @@
         loop {
             let message = match self.first.take() {
                 Some(first) => Ok(Some(first)),
-                None => self.running.reader.next().await,
+                None => suspicion::next_message(&self.entry, &mut self.running.reader).await,
             };
             let outcome = match self.read(message) {
                 Step::End(outcome) => outcome,
@@ -125,7 +126,8 @@
             }
             _ => false,
         };
-        broke_off && self.job.is_resumable() && self.resumes < MAX_RESUMES
+        let is_refused = || suspicion::refusal(&self.entry, &self.job).is_some();
+        broke_off && self.job.is_resumable() && self.resumes < MAX_RESUMES && !is_refused()
     }
 
     /// Places the rest of the stream at another endpoint; how the last search ended when none takes it.
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -13,7 +13,9 @@
 use crate::link::{Incoming, Link, LinkError, Reader, Writer};
 use crate::node::Node;
 use crate::overlay;
+use crate::quarantine::{Notice, MOST_NOTICES};
 use crate::replica::Stamps;
+use crate::suspicion;
 use crate::wire::{Gossip, GOSSIP_PATH};
 
 /// Time between two digests on a quiet link.
@@ -80,7 +82,12 @@
     peer: String,
 ) -> Result<(), LinkError> {
     let mut changed = node.replica.subscribe();
+    let mut suspicions = node.suspicions.subscribe();
     send_digest(&mut writer, *changed.borrow_and_update()).await?;
+    let now = node.clock.now();
+    let refused = node.quarantine.borrow().refused_notices(MOST_NOTICES, now);
+    send_notices(&mut writer, refused).await?;
+    let mut told_up_to = now;
     let mut beat = Box::pin(sleep(HEARTBEAT));
     let mut inbox = Box::pin(next_message(&mut reader));
     loop {
@@ -94,6 +101,15 @@
                 let stamps = *changed.borrow_and_update();
                 send_digest(&mut writer, stamps).await?;
             }
+            _ = suspicions.changed() => {
+                let now = node.clock.now();
+                let notices = node
+                    .quarantine
+                    .borrow()
+                    .notices_since(told_up_to, false, MOST_NOTICES, now);
+                told_up_to = now;
+                send_notices(&mut writer, notices).await?;
+            }
             () = &mut beat => {
                 let stamps = *changed.borrow();
                 send_digest(&mut writer, stamps).await?;
@@ -140,7 +156,18 @@
             }
             Ok(())
         }
+        Gossip::Notices(notices) => {
+            suspicion::take(node, &notices);
+            Ok(())
+        }
+    }
+}
+
+async fn send_notices(writer: &mut Writer, notices: Vec<Notice>) -> Result<(), LinkError> {
+    if notices.is_empty() {
+        return Ok(());
     }
+    writer.send(&Gossip::Notices(notices)).await
 }
 
 async fn ask_for_newer(node: &Node, writer: &mut Writer, theirs: Stamps) -> Result<(), LinkError> {
@@ -200,6 +227,8 @@
     loop {
         open.retain(|_, ended| !*ended.borrow());
         reviews += 1;
+        let now = node.clock.now();
+        node.quarantine.borrow_mut().expire(now);
         for (peer, addr) in wanted_partners(&node, &mut open, reviews) {
             let ended = spawn_partner(Rc::clone(&node), peer.clone(), addr);
             open.insert(peer, ended);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,4 +77,5 @@
 pub mod source;
 pub mod sse;
 pub mod supervisor;
+pub mod suspicion;
 pub mod wire;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! What every process of the system has: clock, replica, gossip, metrics, audit trail, state.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +13,9 @@
 use crate::clock::{Clock, Millis};
 use crate::gossip::{self, Exchange};
 use crate::ids::Incarnation;
+use crate::members::Role;
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::replica::Replica;
 use crate::seal::Trust;
 use crate::settings::NodeSettings;
@@ -58,6 +60,10 @@
     pub metrics: Rc<Metrics>,
     /// Trail of changes.
     pub audit: Rc<Audit>,
+    /// Requests under which endpoints ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Counts changes of these.
+    pub suspicions: watch::Sender<u64>,
     was_ready: Cell<bool>,
     life: watch::Sender<Life>,
 }
@@ -83,6 +89,8 @@
             exchange: Exchange::default(),
             metrics,
             audit,
+            quarantine: RefCell::default(),
+            suspicions: watch::Sender::new(0),
             was_ready: Cell::new(false),
             life: watch::Sender::new(Life::Serving),
         })
@@ -107,6 +115,13 @@
         self.replica.policy().is_some() && heard && caught_up
     }
 
+    /// Tells how many endpoints there are, by the instance list.
+    pub fn count_endpoints(&self) {
+        let members = self.replica.members();
+        let sidecars = members.instances.iter().filter(|i| i.role == Role::Sidecar);
+        self.quarantine.borrow_mut().set_endpoints(sidecars.count());
+    }
+
     /// Where the process is in its life.
     pub fn life(&self) -> Life {
         *self.life.borrow()
--- a/src/offer.rs
+++ b/src/offer.rs
@@ -11,6 +11,7 @@
 use crate::link::{Reader, Writer};
 use crate::members::Instance;
 use crate::outcome::Outcome;
+use crate::suspicion;
 use crate::wire::{Answer, FromSidecar, Offer, ToSidecar, REQUEST_PATH};
 
 /// Time for a sidecar to answer an offer, be it only that the request waits.
@@ -146,6 +147,7 @@
                 entry.router.borrow_mut().heard(now, &instance.id, load);
                 return (ended == request).then_some(Reply::Ended(outcome));
             }
+            FromSidecar::Notices(notices) => suspicion::take(&entry.node, &notices),
             FromSidecar::Started | FromSidecar::Head { .. } | FromSidecar::Chunk { .. } => {
                 return None
             }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -40,6 +40,8 @@
     Stopping,
     /// This entry is not yet ready.
     NotReady,
+    /// Endpoints ended in a row under the same work.
+    EndsEndpoints,
 }
 
 /// Why nothing can be said about whether a request ran.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -48,6 +48,8 @@
 const MOST_CASES: usize = 4_096;
 /// Ends that are remembered of one request, the newest ones.
 const MOST_ENDS: usize = 8;
+/// Notices in one message at most: with 17 bytes each they fit one packet on any path.
+pub const MOST_NOTICES: usize = 72;
 /// How much the times that two processes tell of one moment may differ: the way of a datagram.
 const DATING: Millis = Millis(20);
 
--- a/src/run.rs
+++ b/src/run.rs
@@ -32,7 +32,7 @@
     /// What the entry asked for.
     pub offer: &'a Offer,
     /// The work.
-    pub start: Start,
+    pub start: &'a Start,
     /// Its ticket, which holds a slot.
     pub ticket: TicketKey,
     /// The class's urgency.
--- a/src/session.rs
+++ b/src/session.rs
@@ -15,6 +15,7 @@
 use crate::run::{self, Ran};
 use crate::schedule::{Ask, TicketKey};
 use crate::sidecar::{Listing, Sidecar, Turn};
+use crate::suspicion;
 use crate::wire::{Answer, FromSidecar, Offer, Start, ToSidecar};
 
 /// Time for an entry to send its offer once the stream is open.
@@ -113,12 +114,19 @@
     };
     let job = run::Job {
         offer,
-        start,
+        start: &start,
         ticket,
         priority: admitted.priority,
         stall: admitted.stall,
     };
+    suspicion::before_run(sidecar).await;
+    let began = sidecar.node.clock.now();
     let ran = run::execute(sidecar, job, &mut turns, writer).await;
+    let notices = suspicion::after_run(sidecar, offer, &start, began, &ran).await;
+    if !notices.is_empty() {
+        // An entry that has gone hears it from its peers.
+        let _ = writer.send(&FromSidecar::Notices(notices)).await;
+    }
     sidecar.finish(ticket, ran.tokens());
     match ran {
         Ran::NeverStarted(outcome) => {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -30,6 +30,7 @@
 use crate::session;
 use crate::settings::SidecarSettings;
 use crate::supervisor::Supervisor;
+use crate::suspicion::Lives;
 use crate::wire::{Load, GOSSIP_PATH, REQUEST_PATH};
 
 /// Time between two ticks of the scheduler.
@@ -98,6 +99,8 @@
     rehoming: Cell<Option<Rehoming>>,
     applied: Cell<Option<(Stamps, Life)>>,
     kind: PoolKind,
+    /// Lives of the endpoint.
+    pub lives: Cell<Lives>,
 }
 
 impl std::fmt::Debug for Sidecar {
@@ -130,6 +133,7 @@
             rehoming: Cell::new(None),
             applied: Cell::new(None),
             kind,
+            lives: Cell::default(),
         })
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -11,6 +11,7 @@
 use crate::document::{DocumentKind, Stamp, Update, MAX_DOCUMENT_BYTES};
 use crate::ids::{GrantId, RequestId};
 use crate::outcome::Outcome;
+use crate::quarantine::Notice;
 
 /// Path of a stream that carries one attempt at one request.
 pub const REQUEST_PATH: &str = "/vl1/request";
@@ -115,6 +116,8 @@
         /// The sidecar's load.
         load: Load,
     },
+    /// What the sidecar has seen of requests under which endpoints ended; told before the end.
+    Notices(Vec<Notice>),
 }
 
 /// A whole answer of a plain service.
@@ -160,6 +163,8 @@
         /// Stamp of the asker's own; the zero stamp asks for the whole.
         have: Stamp,
     },
+    /// What is known of requests under which endpoints ended.
+    Notices(Vec<Notice>),
 }
 
 /// Why a frame could not be read.
--- a/tests/quarantine_fleet.rs
+++ b/tests/quarantine_fleet.rs
@@ -7,11 +7,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::peers::{
-    self, Covers, Hello, PeerBook, PeerId, ZoneId, MOST_NOTICES, ROUND,
-};
+use violetline::direct::peers::{self, Covers, Hello, PeerBook, PeerId, ZoneId, ROUND};
 use violetline::fingerprint::Fingerprint;
-use violetline::quarantine::{Change, End, Notice, Quarantine, Standing};
+use violetline::quarantine::{Change, End, Notice, Quarantine, Standing, MOST_NOTICES};
 
 /// Time of a datagram on its way.
 const WAY: u64 = 2;
