Ends that another request explains speak against nobody, and an endpoint that takes a connection has not ended

Causes: a run lost by a reset was held against the endpoint's later end although the endpoint had taken a connection in between; and what was lost together with a request that is known as the cause was counted all the same. Both are mended, each with a test that fails without. The soak's relay also hid that nothing listened behind it; it follows its engine now.

--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -8,7 +8,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::{watch, Mutex, Notify};
 use tokio::time::sleep;
 
 const LOOK: Duration = Duration::from_millis(10);
@@ -22,6 +22,8 @@
     pub addr: SocketAddr,
     cut: Rc<Notify>,
     refusing: Rc<Cell<bool>>,
+    /// Whether anything listens at its address.
+    listening: Rc<watch::Sender<bool>>,
     swallow: Rc<Cell<bool>>,
     /// Bytes a second from the far side over all connections together; `None` for no bound.
     rate: Rc<Cell<Option<u64>>>,
@@ -42,19 +44,45 @@
             addr: listener.local_addr()?,
             cut: Rc::default(),
             refusing: Rc::default(),
+            listening: Rc::new(watch::Sender::new(true)),
             swallow: Rc::default(),
             rate: Rc::default(),
             link: Rc::default(),
         };
-        let cx = relay.clone();
-        actix_rt::spawn(async move {
-            while let Ok((tcp, _)) = listener.accept().await {
-                if !cx.refusing.get() {
-                    actix_rt::spawn(cx.clone().carry(tcp, to));
+        actix_rt::spawn(relay.clone().accept(listener, to));
+        Ok(relay)
+    }
+
+    /// Takes connections while it listens.
+    async fn accept(self, mut listener: TcpListener, to: SocketAddr) {
+        let mut listening = self.listening.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((tcp, _)) = accepted else { return };
+                    if !self.refusing.get() {
+                        actix_rt::spawn(self.clone().carry(tcp, to));
+                    }
+                }
+                _ = listening.changed() => {
+                    if *listening.borrow_and_update() {
+                        continue;
+                    }
+                    drop(listener);
+                    // The sender lives in this relay.
+                    let _ = listening.wait_for(|listens| *listens).await;
+                    let Ok(again) = TcpListener::bind(self.addr).await else {
+                        return;
+                    };
+                    listener = again;
                 }
             }
-        });
-        Ok(relay)
+        }
+    }
+
+    /// Lets nothing listen at its address, or listens again, like a process that has ended or started.
+    pub fn listen(&self, listens: bool) {
+        self.listening.send_replace(listens);
     }
 
     /// Cuts all connections that are open now.
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -205,9 +205,8 @@
         entry.suspended.set(false);
         // Another process has its place by now, which was not suspended.
         if entry.process.borrow().id() == id {
-            if let Err(err) = suspension::add(&entry.settings, begun.elapsed()) {
-                eprintln!("the suspension is not told: {err}");
-            }
+            // It can't be told once the seed is over and its folder gone.
+            let _ = suspension::add(&entry.settings, begun.elapsed());
         }
         entry.process.borrow().thaw();
     });
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -215,6 +215,7 @@
             .borrow()
             .store
             .list_at(&engine, relay.addr, "s1", "ready");
+        actix_rt::spawn(follow_engine(Rc::clone(&engine), relay.clone()));
         let added = RelayedEngine { engine, relay };
         self.engines.borrow_mut().push(added);
         Ok(())
@@ -242,6 +243,17 @@
     }
 }
 
+/// Keeps a relay as its engine is: nothing listens, and connections end, when that has ended.
+async fn follow_engine(engine: Rc<Engine>, relay: Relay) {
+    loop {
+        engine.changes().await;
+        relay.listen(!engine.is_down());
+        if engine.is_down() {
+            relay.cut();
+        }
+    }
+}
+
 impl RunningEntry {
     /// Starts an entry that reaches the store through a relay.
     async fn start(store: SocketAddr, mut settings: Value, path: PathBuf) -> anyhow::Result<Self> {
--- a/src/direct/ends.rs
+++ b/src/direct/ends.rs
@@ -93,6 +93,12 @@
         self.runs.retain(|run| now - run.lost < READ_LATE);
     }
 
+    /// The endpoint took a connection that was begun at a time: what was lost there by then did not end it.
+    pub fn connected(&mut self, begun: Millis) {
+        self.ended = None;
+        self.runs.retain(|run| run.lost > begun);
+    }
+
     /// The endpoint's life is over. Returns the runs that were lost with it; none when that was known.
     ///
     /// A frozen or cut-off endpoint is silent as well, and its entry lapses: there only broken
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -58,6 +58,11 @@
         self.lost.heard(now);
     }
 
+    /// It took a connection that was begun at a time.
+    pub(super) fn connected(&mut self, begun: Millis) {
+        self.lost.connected(begun);
+    }
+
     /// Whether it is being found out whether the endpoint has ended.
     pub fn is_checked(&self) -> bool {
         self.is_checked
--- a/src/direct/entry/suspicion.rs
+++ b/src/direct/entry/suspicion.rs
@@ -107,11 +107,15 @@
             return;
         }
         let entry = Rc::clone(self);
+        let begun = self.clock.now();
         actix_rt::spawn(async move {
             match Channel::connect(address).await {
                 Err(Failure::Refused) => entry.endpoint_ended(key, EndSign::Refused),
                 Err(_) => {}
-                Ok(channel) => entry.keep_channel(key, channel),
+                Ok(channel) => {
+                    entry.account(key, |account| account.connected(begun));
+                    entry.keep_channel(key, channel);
+                }
             }
             entry.account(key, Account::end_check);
             entry.quarantine_changed.notify_waiters();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -31,6 +31,8 @@
 /// end are enough among eight endpoints. On a simulated day on which two of nine engines ended each second and racks
 /// besides, two of 226 innocent requests that were lost would have been refused at the third end.
 const CHANCE: f64 = 0.002;
+/// Time within which the same end is seen under several requests, by several entries.
+const SEEN_TOGETHER: Millis = Millis(200);
 /// Time for which an endpoint that ended is taken to be down.
 const DOWN_TIME: Millis = Millis(3_000);
 /// Ends of endpoints that are remembered, the newest ones.
@@ -182,13 +184,20 @@
     finished: Option<Millis>,
     /// When the newest run of it under suspicion began.
     began: Option<Millis>,
+    /// The end at which it was taken for the cause.
+    cause_since: Option<Millis>,
 }
 
 impl Case {
     /// Ends in a row: runs that began after the end of the one before.
     fn row(&self) -> Vec<End> {
+        self.row_of(|_| true)
+    }
+
+    /// The same of those that count.
+    fn row_of(&self, counts: impl Fn(&End) -> bool) -> Vec<End> {
         let mut row: Vec<End> = Vec::with_capacity(self.ends.len());
-        for end in &self.ends {
+        for end in self.ends.iter().filter(|end| counts(end)) {
             if row
                 .last()
                 .is_none_or(|last| end.began + DATING >= last.ended)
@@ -264,7 +273,10 @@
         if ends == 0 {
             return Standing::Clear;
         }
-        if let Some(until) = self.refused_until(case).filter(|until| now < *until) {
+        if let Some(until) = self
+            .refused_until(request, case)
+            .filter(|until| now < *until)
+        {
             return Standing::Refused { ends, until };
         }
         // A run that began before the last end is that one, or was lost with it.
@@ -293,26 +305,50 @@
             self.recent.add(told(request, end, now), ends, now);
         }
         match self.standing(request, now) {
-            Standing::Refused { ends, until } => Change::Refused { ends, until },
+            Standing::Refused { ends, until } => {
+                self.note_cause(request);
+                Change::Refused { ends, until }
+            }
             _ => Change::Suspected { ends },
         }
     }
 
+    /// A request is taken for the cause: its ends speak against no other one from now on.
+    fn note_cause(&mut self, request: Fingerprint) {
+        if let Some(case) = self.cases.get_mut(&request) {
+            let since = case.cause_since.or(case.last_end());
+            case.cause_since = since;
+        }
+    }
+
+    /// Whether an end was the work of a request other than this one, which was found out some time before `at`.
+    fn is_explained(&self, request: Fingerprint, end: &End, at: Millis) -> bool {
+        self.cases.iter().any(|(other, case)| {
+            let was_known = case
+                .cause_since
+                .is_some_and(|since| since + SEEN_TOGETHER < at);
+            let was_there = || case.ends.iter().any(|e| e.endpoint == end.endpoint);
+            *other != request && was_known && was_there()
+        })
+    }
+
     /// Tells how many endpoints there are.
     pub fn set_endpoints(&mut self, count: usize) {
         self.endpoints = count;
     }
 
     /// Until when a request is refused; `None` where it is not taken for the cause.
-    fn refused_until(&self, case: &Case) -> Option<Millis> {
+    fn refused_until(&self, request: Fingerprint, case: &Case) -> Option<Millis> {
         let until = case.refused_until()?;
-        self.is_cause(case).then_some(until)
+        let is_cause = case.cause_since.is_some() || self.is_cause(request, case);
+        is_cause.then_some(until)
     }
 
     /// Whether ends in a row are taken for the work of the request: an innocent one would hardly have been at each of
     /// them, of all endpoints that ended from its first run to its last one.
-    fn is_cause(&self, case: &Case) -> bool {
-        let row = case.row();
+    fn is_cause(&self, request: Fingerprint, case: &Case) -> bool {
+        let newest = case.last_end().unwrap_or_default();
+        let row = case.row_of(|end| !self.is_explained(request, end, newest));
         let (Some(first), Some(last)) = (row.first(), row.last()) else {
             return false;
         };
@@ -376,6 +412,7 @@
         let before = case.ends.len();
         case.ends.retain(|end| end.ended > at);
         case.finished = case.finished.max(Some(at));
+        case.cause_since = None;
         if case.ends.len() == before {
             return Change::None;
         }
@@ -439,8 +476,8 @@
 
     /// The requests that are refused now, the newest first.
     pub fn refused(&self, now: Millis) -> Vec<Fingerprint> {
-        let refused = self.cases.iter().filter(|(_, case)| {
-            let until = self.refused_until(case);
+        let refused = self.cases.iter().filter(|(request, case)| {
+            let until = self.refused_until(**request, case);
             until.is_some_and(|until| now < until)
         });
         let mut refused: Vec<_> = refused.map(|(key, case)| (case.touched(), *key)).collect();
--- a/tests/ended_endpoints.rs
+++ b/tests/ended_endpoints.rs
@@ -53,6 +53,16 @@
     assert_eq!(requests(&ended), [2]);
 }
 
+/// It takes a connection just after it broke one: it only answers that request so.
+#[test]
+fn connected_afterwards() {
+    let mut runs = LostRuns::default();
+    runs.lost(lost(1, 100, LostHow::Broken));
+    runs.connected(Millis(100));
+    runs.lost(lost(2, 101, LostHow::Broken));
+    assert_eq!(requests(&runs.ended(EndSign::Refused, Millis(110))), [2]);
+}
+
 #[test]
 fn lost_long_before() {
     let mut runs = LostRuns::default();
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -83,6 +83,26 @@
     assert!(matches!(standing, Standing::Refused { ends: 3, .. }));
 }
 
+/// What was lost with the ends of a request that is refused by now is not suspected for those.
+#[test]
+fn explained_ends() {
+    let mut quarantine = seen(&[end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)]);
+    let other = Fingerprint(9);
+    for end in [end(1, 0, 101), end(2, 150, 301), end(30, 900, 1_000)] {
+        quarantine.ended(other, end, end.ended);
+    }
+    let standing = quarantine.standing(other, Millis(1_100));
+    assert_eq!(standing, Standing::Suspect { ends: 3 });
+    assert!(is_refused(&quarantine, 1_100));
+    // One that was at all three ends can't be told from it.
+    let mut both = seen(&[end(1, 0, 100), end(2, 200, 300)]);
+    for end in [end(1, 0, 101), end(2, 200, 301), end(3, 400, 501)] {
+        both.ended(other, end, end.ended);
+    }
+    both.ended(REQUEST, end(3, 400, 500), Millis(502));
+    assert!(is_refused(&both, 600));
+}
+
 /// The end of one life counts once, whoever saw it, in whatever order.
 #[test]
 fn one_life_once() {
