explain leads from a refused repeat to the ends that speak against it

Lines that name the same digest are told however long before they were written and whichever endpoint they are about; a test with an end a minute before the refusal.

--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use crate::clock::Millis;
-use crate::direct::decision::{Decision, Line};
+use crate::direct::decision::{Decision, Line, RefusedWhy};
 
 /// How long before a request changes of belief may bear on it: some reads of the store.
 const BEFORE: Millis = Millis(5_000);
@@ -35,12 +35,13 @@
     let first = lines.iter().find(about)?.up;
     let last = lines.iter().rev().find(about)?.up;
     let endpoints: BTreeSet<&str> = lines.iter().filter(about).filter_map(endpoint).collect();
+    let asked: BTreeSet<String> = lines.iter().filter(about).filter_map(fingerprint).collect();
     let mut text = String::new();
     for line in &lines {
         let is_own = about(&line);
         let is_near = line.up >= first - BEFORE && line.up <= last;
         let bears = line.request.is_none() && is_near && bears_on(&line.decision, &endpoints);
-        if is_own || bears {
+        if is_own || bears || speaks_of(&line.decision, &asked) {
             let mark = if is_own { "*" } else { " " };
             let at = line.up.0 as i64 - first.0 as i64;
             // Writing to a string does not fail.
@@ -66,13 +67,36 @@
     }
 }
 
+/// Digest of what the request of a line asks for, where the line tells it.
+fn fingerprint(line: &Line) -> Option<String> {
+    match &line.decision {
+        Decision::AttemptFailed { fingerprint, .. } if !fingerprint.is_empty() => {
+            Some(fingerprint.clone())
+        }
+        Decision::Refused {
+            why: RefusedWhy::EndsEndpoints { fingerprint, .. },
+            ..
+        } => Some(fingerprint.to_string()),
+        _ => None,
+    }
+}
+
+/// Whether a line tells that endpoints ended under what was asked for, however long before.
+fn speaks_of(decision: &Decision, asked: &BTreeSet<String>) -> bool {
+    match decision {
+        Decision::EndpointEnded { lost, .. } => lost.iter().any(|digest| asked.contains(digest)),
+        Decision::RequestRefused { fingerprint, .. } => asked.contains(fingerprint),
+        _ => false,
+    }
+}
+
 /// Whether a change of belief may be a cause for a request at these endpoints.
 fn bears_on(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
         Decision::EndpointListed { endpoint, .. }
         | Decision::EndpointHealth { endpoint, .. }
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
-        Decision::Peer { .. } => false,
+        Decision::Peer { .. } | Decision::RequestRefused { .. } => false,
         _ => true,
     }
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -6,8 +6,10 @@
 
 use violetline::clock::{Clock, Millis};
 use violetline::direct::decision::{Decision, DecisionLog, EndedHow, RefusedWhy};
+use violetline::direct::ends::EndSign;
 use violetline::direct::explain::explain;
 use violetline::direct::resolve::Denied;
+use violetline::fingerprint::Fingerprint;
 
 #[derive(Clone, Default)]
 struct Memory(Rc<RefCell<Vec<u8>>>);
@@ -143,3 +145,39 @@
     log.request(b"9c41", refused);
     insta::assert_snapshot!(explain(&memory.text(), "9c41").unwrap().text);
 }
+
+/// From the id of a repeat to the ends that speak against it, however long ago, at whatever endpoint.
+#[test]
+fn cause_of_ends() {
+    let (clock, memory, log) = log();
+    let work = Fingerprint(0xbd89);
+    let end = |endpoint: &str, lost: &[Fingerprint]| Decision::EndpointEnded {
+        endpoint: endpoint.into(),
+        sign: EndSign::Refused,
+        lost: lost.iter().map(ToString::to_string).collect(),
+    };
+    log.belief(end("i-1", &[Fingerprint(1), work]));
+    log.belief(end("i-2", &[Fingerprint(1)]));
+    clock.advance(Millis(300));
+    log.belief(Decision::RequestRefused {
+        fingerprint: work.to_string(),
+        ends: 3,
+        for_ms: 600_000,
+    });
+    clock.advance(Millis(60_000));
+    let refused = Decision::Refused {
+        why: RefusedWhy::EndsEndpoints {
+            fingerprint: work,
+            ends: 3,
+            come_back_ms: 540_000,
+        },
+        target: "ficu95.example/lohu930/2f".into(),
+        catalog: 7,
+        proof_age_ms: Some(200),
+        held_ms: 0,
+    };
+    log.request(b"9c41", refused);
+    let text = explain(&memory.text(), "9c41").unwrap().text;
+    assert_eq!(text.lines().count(), 3, "{text}");
+    assert!(text.contains("endpoint=i-1") && !text.contains("endpoint=i-2"));
+}
