A process that has just started judges no request by ends from before it

Cause, from its log: it was told the ends that are alarming, but not what else had ended meanwhile, and had no endpoint listed, where three ends were taken as enough. Peers tell their verdict now, which a fresh process takes over; by itself it judges only runs that began after its start. Test judged_by_peers fails without. The lab keeps its processes' lines where LAB_KEEP names a folder; that showed the cause.

--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::ffi::OsStr;
-use std::io::{BufRead, BufReader, Read};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -71,9 +72,9 @@
             .into_iter()
             .filter_map(|(k, v)| Some((k, v.parse().ok()?)))
             .collect();
-        std::thread::spawn(move || {
-            let _ = reader.read_to_end(&mut Vec::new());
-        });
+        let mut kept = kept_output(self.child.id());
+        // A child must not block on a full pipe, whatever becomes of its lines.
+        std::thread::spawn(move || std::io::copy(&mut reader, &mut kept));
         Ok(())
     }
 
@@ -136,6 +137,16 @@
     }
 }
 
+/// Where a child's lines go: a file named by its id in the folder that `LAB_KEEP` names, or nowhere.
+fn kept_output(id: u32) -> Box<dyn Write + Send> {
+    let folder = std::env::var_os("LAB_KEEP").map(PathBuf::from);
+    let file = folder.and_then(|folder| File::create(folder.join(format!("{id}.log"))).ok());
+    match file {
+        Some(file) => Box::new(file),
+        None => Box::new(std::io::sink()),
+    }
+}
+
 /// This crate's binary: the running program, or the one beside a test program.
 fn program() -> anyhow::Result<PathBuf> {
     let current = std::env::current_exe()?;
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -144,7 +144,7 @@
             placements: RefCell::default(),
             zone_placements: RefCell::default(),
             retries: RefCell::default(),
-            quarantine: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::started_at(clock.now())),
             quarantine_changed: Notify::new(),
             tell_now: Notify::new(),
             list_again: Notify::new(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -81,6 +81,7 @@
             &settings.id,
             format!("{:x}", incarnation.0),
         ));
+        let quarantine = RefCell::new(Quarantine::started_at(clock.now()));
         Rc::new(Self {
             clock,
             settings,
@@ -89,7 +90,7 @@
             exchange: Exchange::default(),
             metrics,
             audit,
-            quarantine: RefCell::default(),
+            quarantine,
             suspicions: watch::Sender::new(0),
             was_ready: Cell::new(false),
             life: watch::Sender::new(Life::Serving),
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -90,6 +90,13 @@
         /// Age of the run's beginning.
         began: u32,
     },
+    /// It is taken for the cause of ends: who has just started can't judge that, not knowing what else ended.
+    Refused {
+        /// The request.
+        request: Fingerprint,
+        /// Age of the end that told.
+        since: u32,
+    },
     /// It was under suspicion, and an endpoint has finished it.
     Finished {
         /// The request.
@@ -105,6 +112,7 @@
         match self {
             Self::Ended { request, .. }
             | Self::Began { request, .. }
+            | Self::Refused { request, .. }
             | Self::Finished { request, .. } => *request,
         }
     }
@@ -118,6 +126,7 @@
                 grow(ended);
             }
             Self::Began { began, .. } => grow(began),
+            Self::Refused { since, .. } => grow(since),
             Self::Finished { finished, .. } => grow(finished),
         }
         self
@@ -234,14 +243,19 @@
 
     /// Until when it is refused where it is the cause; `None` below [`ENDS_TO_REFUSE`].
     fn refused_until(&self) -> Option<Millis> {
-        let beyond = self.in_a_row().checked_sub(ENDS_TO_REFUSE)?;
+        let beyond = match self.cause_since {
+            Some(_) => self.in_a_row().saturating_sub(ENDS_TO_REFUSE),
+            None => self.in_a_row().checked_sub(ENDS_TO_REFUSE)?,
+        };
         let time = Millis(REFUSED_LEAST.0 << beyond.min(MOST_ENDS)).min(REFUSED_MOST);
-        self.last_end().map(|at| at + time)
+        let from = self.last_end().max(self.cause_since);
+        from.map(|at| at + time)
     }
 
     /// When the newest thing known of it happened.
     fn touched(&self) -> Millis {
         let newest = self.last_end().max(self.finished).max(self.began);
+        let newest = newest.max(self.cause_since);
         newest.unwrap_or_default()
     }
 
@@ -261,16 +275,26 @@
     lives: VecDeque<(Millis, LifeDigest)>,
     /// Endpoints that there are.
     endpoints: usize,
+    /// When this process started, where ends from before may be told to it.
+    started: Option<Millis>,
 }
 
 impl Quarantine {
+    /// That of a process that starts now: of ends from before it knows only what peers tell.
+    pub fn started_at(now: Millis) -> Self {
+        Self {
+            started: Some(now),
+            ..Self::default()
+        }
+    }
+
     /// Whether a request may be sent at `now`.
     pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
         let Some(case) = self.cases.get(&request) else {
             return Standing::Clear;
         };
         let ends = case.in_a_row();
-        if ends == 0 {
+        if ends == 0 && case.cause_since.is_none() {
             return Standing::Clear;
         }
         if let Some(until) = self
@@ -306,7 +330,7 @@
         }
         match self.standing(request, now) {
             Standing::Refused { ends, until } => {
-                self.note_cause(request);
+                self.note_cause(request, now);
                 Change::Refused { ends, until }
             }
             _ => Change::Suspected { ends },
@@ -314,11 +338,30 @@
     }
 
     /// A request is taken for the cause: its ends speak against no other one from now on.
-    fn note_cause(&mut self, request: Fingerprint) {
-        if let Some(case) = self.cases.get_mut(&request) {
-            let since = case.cause_since.or(case.last_end());
-            case.cause_since = since;
+    fn note_cause(&mut self, request: Fingerprint, now: Millis) {
+        let Some(case) = self.cases.get_mut(&request) else {
+            return;
+        };
+        let since = case.cause_since.or(case.last_end()).unwrap_or(now);
+        case.cause_since = Some(since);
+        let notice = refused(request, since, now);
+        self.recent.add(notice, case.in_a_row(), now);
+    }
+
+    /// A peer takes a request for the cause.
+    fn told_refused(&mut self, request: Fingerprint, since: Millis, now: Millis) -> Change {
+        self.make_room(request, now);
+        let case = self.cases.entry(request).or_default();
+        let is_settled = case.finished.is_some_and(|at| since <= at);
+        if case.cause_since.is_some() || is_settled {
+            return Change::None;
         }
+        case.cause_since = Some(since);
+        let ends = case.in_a_row();
+        let until = case.refused_until().unwrap_or(now);
+        self.recent
+            .add(refused(request, since, now), ENDS_TO_REFUSE, now);
+        Change::Refused { ends, until }
     }
 
     /// Whether an end was the work of a request other than this one, which was found out some time before `at`.
@@ -352,8 +395,12 @@
         let (Some(first), Some(last)) = (row.first(), row.last()) else {
             return false;
         };
-        if row.len() >= ENDS_AT_MOST || self.endpoints == 0 {
-            return row.len() >= ENDS_TO_REFUSE;
+        if row.len() >= ENDS_AT_MOST {
+            return true;
+        }
+        let is_from_before = self.started.is_some_and(|at| first.began <= at);
+        if self.endpoints == 0 || is_from_before {
+            return false;
         }
         let others = self.lives.iter().filter(|(at, life)| {
             let meanwhile = *at >= first.began && *at <= last.ended + DATING;
@@ -412,8 +459,8 @@
         let before = case.ends.len();
         case.ends.retain(|end| end.ended > at);
         case.finished = case.finished.max(Some(at));
-        case.cause_since = None;
-        if case.ends.len() == before {
+        let was_refused = case.cause_since.take_if(|since| *since <= at).is_some();
+        if case.ends.len() == before && !was_refused {
             return Change::None;
         }
         let notice = Notice::Finished {
@@ -443,6 +490,7 @@
                 self.ended(request, end, now)
             }
             Notice::Began { request, began } => self.began(request, at(began), now),
+            Notice::Refused { request, since } => self.told_refused(request, at(since), now),
             Notice::Finished { request, finished } => self.finished(request, at(finished), now),
         }
     }
@@ -461,10 +509,14 @@
 
     /// What a peer must know that was not heard for a while: the newest of what is refused.
     pub fn refused_notices(&self, most: usize, now: Millis) -> Vec<Notice> {
-        let refused = self.refused(now).into_iter();
-        let all = refused.flat_map(|request| {
-            let ends = self.cases.get(&request).map_or(&[][..], |case| &case.ends);
-            ends.iter().map(move |end| told(request, end, now))
+        let requests = self.refused(now).into_iter();
+        let all = requests.flat_map(|request| {
+            let case = self.cases.get(&request);
+            let ends = case.map_or(&[][..], |case| &case.ends);
+            let since = case.and_then(|case| case.cause_since.or(case.last_end()));
+            let verdict = since.map(|since| refused(request, since, now));
+            let ends = ends.iter().map(move |end| told(request, end, now));
+            verdict.into_iter().chain(ends)
         });
         all.take(most).collect()
     }
@@ -518,6 +570,12 @@
     }
 }
 
+/// What is told of a request that is taken for the cause.
+fn refused(request: Fingerprint, since: Millis, now: Millis) -> Notice {
+    let since = (now - since).as_u32();
+    Notice::Refused { request, since }
+}
+
 /// An end as it is told now.
 fn told(request: Fingerprint, end: &End, now: Millis) -> Notice {
     Notice::Ended {
--- a/src/quarantine/notices.rs
+++ b/src/quarantine/notices.rs
@@ -76,6 +76,7 @@
     match (one, other) {
         (Notice::Ended { endpoint: a, .. }, Notice::Ended { endpoint: b, .. }) => a == b,
         (Notice::Began { .. }, Notice::Began { .. }) => true,
+        (Notice::Refused { .. }, Notice::Refused { .. }) => true,
         (Notice::Finished { .. }, Notice::Finished { .. }) => true,
         _ => false,
     }
--- a/tests/quarantine_fleet.rs
+++ b/tests/quarantine_fleet.rs
@@ -530,7 +530,7 @@
     let told = fleet.members[1]
         .quarantine
         .refused_notices(MOST_NOTICES, now);
-    let mut fresh = Quarantine::default();
+    let mut fresh = Quarantine::started_at(now);
     told.iter().for_each(|notice: &Notice| {
         fresh.take(notice, now);
     });
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -14,9 +14,10 @@
     }
 }
 
-/// A quarantine in which these ends were seen as they happened.
+/// A quarantine before twelve endpoints in which these ends were seen as they happened.
 fn seen(ends: &[End]) -> Quarantine {
     let mut quarantine = Quarantine::default();
+    quarantine.set_endpoints(12);
     for end in ends {
         quarantine.ended(REQUEST, *end, end.ended);
     }
@@ -103,6 +104,35 @@
     assert!(is_refused(&both, 600));
 }
 
+/// A process that has just started does not know what else ended meanwhile. It refuses what its peers refuse, and nothing
+/// because of the ends alone that they tell.
+#[test]
+fn judged_by_peers() {
+    let now = Millis(10);
+    let ended = |endpoint, age| Notice::Ended {
+        request: REQUEST,
+        endpoint,
+        began: age,
+        ended: age - 80,
+    };
+    let mut fresh = Quarantine::started_at(Millis(0));
+    for (endpoint, age) in [(1, 3_000), (2, 2_500), (3, 2_000), (4, 1_500)] {
+        fresh.take(&ended(endpoint, age), now);
+    }
+    assert!(!is_refused(&fresh, 20), "no endpoint is listed yet");
+    fresh.set_endpoints(12);
+    assert!(!is_refused(&fresh, 20), "from before it started");
+    let refused = Notice::Refused {
+        request: REQUEST,
+        since: 1_400,
+    };
+    let change = fresh.take(&refused, now);
+    assert!(matches!(change, Change::Refused { .. }));
+    assert!(is_refused(&fresh, 20));
+    let change = fresh.finished(REQUEST, Millis(30), Millis(30));
+    assert_eq!(change, Change::Cleared);
+}
+
 /// The end of one life counts once, whoever saw it, in whatever order.
 #[test]
 fn one_life_once() {
@@ -123,6 +153,7 @@
     let now = Millis(1_000);
     for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]] {
         let mut quarantine = Quarantine::default();
+        quarantine.set_endpoints(12);
         for i in order {
             let told = Notice::Ended {
                 request: REQUEST,
