--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,8 @@
 //! Whether a request is sent at all is decided by [`admission`], and how many an endpoint that has just started
 //! gets by [`warmup`]. For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
+//! Runs that an endpoint did not finish are kept by [`ends`] until it is known whether the endpoint itself has ended; then
+//! [`crate::quarantine`] counts that against what they asked for.
 //! What the platform says of endpoints and zones is [`listed`]. What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints, with the [`cordons`] of their zones), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
 //! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers), which pass on what is in
