--- a/src/cli.rs
+++ b/src/cli.rs
@@ -164,7 +164,7 @@
         Command::Direct { settings } => run_direct(&settings, options.level, clock),
         Command::Sidecar { settings } => {
             let settings = load::<SidecarSettings>(&settings)?;
-            actix_rt::System::new().block_on(sidecar::run(settings, clock))
+            actix_rt::System::new().block_on(sidecar::process::run(settings, clock))
         }
         Command::Check {
             bundle,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -12,6 +12,9 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+/// Least suspension that is noticed: longer than the time between the readings of two clocks.
+const NOTICED: Duration = Duration::from_millis(50);
+
 /// A point in time or a length of time, in milliseconds.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -77,9 +80,6 @@
     clock.now().map(Duration::from).unwrap_or_default()
 }
 
-/// Least suspension that is noticed: longer than the time between the readings of two clocks.
-const NOTICED: Duration = Duration::from_millis(50);
-
 /// Where a process reads the time; a manual clock makes whole sessions repeatable in tests.
 ///
 /// Ages and deadlines are measured on the clock that goes on while the machine is suspended: on the steady one a
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -315,8 +315,9 @@
 enum RunEnd {
     /// The endpoint gave its whole answer.
     Answered,
-    /// The endpoint did not run it, or answered with an error, which may tell that its time was over before.
-    NotRun,
+    /// The endpoint did not run it, or answered with an error, which may tell that its time was over before: nothing
+    /// follows for what it asks for.
+    Undecided,
     /// Neither.
     Lost(LostHow),
 }
@@ -337,8 +338,8 @@
     }
 
     /// The endpoint did not run it, or answered with an error.
-    pub fn not_run(&self) {
-        self.end.set(RunEnd::NotRun);
+    pub fn undecided(&self) {
+        self.end.set(RunEnd::Undecided);
     }
 
     /// Its connection broke.
@@ -355,7 +356,7 @@
             .account(self.key, |account| account.load.end(footprint));
         match self.end.get() {
             RunEnd::Answered => self.entry.run_finished(self.request),
-            RunEnd::NotRun => {}
+            RunEnd::Undecided => {}
             RunEnd::Lost(how) => {
                 let run = LostRun {
                     request: self.request,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -85,7 +85,8 @@
     let notices = entry
         .quarantine
         .borrow()
-        .notices_since(since, repeats, MOST_NOTICES, now);
+        .recent()
+        .since(since, repeats, MOST_NOTICES, now);
     send_alert(socket, to, &notices).await;
 }
 
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -44,16 +44,16 @@
             .verdict(&answered.reply.head, &self.ask.id);
         self.heard(key, &verdict, now);
         if verdict.misdirected {
-            answered.placed.not_run();
+            answered.placed.undecided();
             return self.misdirected(key);
         }
         if verdict.not_run {
-            answered.placed.not_run();
+            answered.placed.undecided();
             return self.not_run(key, answered.reply, &verdict).await;
         }
         let status = answered.reply.head.status;
         if let Some(why) = self.fault(status, &verdict) {
-            answered.placed.not_run();
+            answered.placed.undecided();
             return self.failed(key, Fault::Answer, why);
         }
         let relaying = async {
@@ -154,7 +154,7 @@
         };
         let status = answered.reply.head.status;
         match status.is_server_error() {
-            true => answered.placed.not_run(),
+            true => answered.placed.undecided(),
             false => answered.placed.answered(),
         }
         self.began(&answered.choice, answered.placed, answered.sent_at);
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -113,7 +113,7 @@
         let reply = match self.wait(sending, key, now).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(Failure::Refused | Failure::Connect | Failure::NotSent)) => {
-                placed.not_run();
+                placed.undecided();
                 self.attempts -= 1;
                 self.log_failed(key, "connection failed before sending", false);
                 return Attempt::NotSent(key);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -106,7 +106,7 @@
                 let notices = node
                     .quarantine
                     .borrow()
-                    .notices_since(told_up_to, false, MOST_NOTICES, now);
+                    .recent().since(told_up_to, false, MOST_NOTICES, now);
                 told_up_to = now;
                 send_notices(&mut writer, notices).await?;
             }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -11,13 +11,17 @@
 //!
 //! What entries tell each other ([`Notice`]) is a set: the same notice twice, or in another order, changes nothing.
 
+mod case;
+mod lives;
+mod notice;
 mod notices;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
-use self::notices::RecentNotices;
+use self::case::Case;
+use self::lives::Lives;
+pub use self::notice::Notice;
+pub use self::notices::RecentNotices;
 use crate::clock::Millis;
 use crate::fingerprint::Fingerprint;
 
@@ -28,32 +32,18 @@
 /// Ends in a row from which on it is refused however many other endpoints end meanwhile.
 const ENDS_AT_MOST: usize = 5;
 /// Chance that an innocent request would have been at as many ends, up to which it is refused: three of three that
-/// end are enough among eight endpoints. On a simulated day on which two of nine engines ended each second and racks
+/// end are enough among nine endpoints. On a simulated day on which two of nine engines ended each second and racks
 /// besides, two of 226 innocent requests that were lost would have been refused at the third end.
 const CHANCE: f64 = 0.002;
 /// Time within which the same end is seen under several requests, by several entries.
 const SEEN_TOGETHER: Millis = Millis(200);
-/// Time for which an endpoint that ended is taken to be down.
-const DOWN_TIME: Millis = Millis(3_000);
-/// Ends of endpoints that are remembered, the newest ones.
-const MOST_LIVES: usize = 512;
-/// First time for which it is refused; it doubles with each further end.
-const REFUSED_LEAST: Millis = Millis::from_secs(600);
-/// Longest time for which it is refused, so that engines of a newer version get it to try.
-const REFUSED_MOST: Millis = Millis::from_secs(3_600);
-/// Time for which ends below [`ENDS_TO_REFUSE`] are remembered.
-const KEPT: Millis = Millis::from_secs(600);
 /// Time after which one more copy may run although the last one has not ended: it is no longer taken for the
 /// cause of an end that comes.
 const TRIAL_TIME: Millis = Millis(1_500);
-/// Requests that are remembered; some 100 bytes each.
+/// Requests that are remembered; a full table takes 1.1 MB.
 const MOST_CASES: usize = 4_096;
-/// Ends that are remembered of one request, the newest ones.
-const MOST_ENDS: usize = 8;
 /// Notices in one message at most: with 17 bytes each they fit one packet on any path.
 pub const MOST_NOTICES: usize = 72;
-/// How much the times that two processes tell of one moment may differ: the way of a datagram.
-const DATING: Millis = Millis(20);
 
 /// One life of an endpoint, as a digest that all entries compute alike.
 pub type LifeDigest = u32;
@@ -69,70 +59,6 @@
     pub ended: Millis,
 }
 
-/// What entries tell each other of one request; times are ages in ms, so that no two clocks are compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Notice {
-    /// An endpoint ended under it.
-    Ended {
-        /// The request.
-        request: Fingerprint,
-        /// The endpoint's life.
-        endpoint: LifeDigest,
-        /// Age of the run's beginning.
-        began: u32,
-        /// Age of its end.
-        ended: u32,
-    },
-    /// It is under suspicion and was sent to an endpoint.
-    Began {
-        /// The request.
-        request: Fingerprint,
-        /// Age of the run's beginning.
-        began: u32,
-    },
-    /// It is taken for the cause of ends: who has just started can't judge that, not knowing what else ended.
-    Refused {
-        /// The request.
-        request: Fingerprint,
-        /// Age of the end that told.
-        since: u32,
-    },
-    /// It was under suspicion, and an endpoint has finished it.
-    Finished {
-        /// The request.
-        request: Fingerprint,
-        /// Age of that.
-        finished: u32,
-    },
-}
-
-impl Notice {
-    /// The request that it is about.
-    pub const fn request(&self) -> Fingerprint {
-        match self {
-            Self::Ended { request, .. }
-            | Self::Began { request, .. }
-            | Self::Refused { request, .. }
-            | Self::Finished { request, .. } => *request,
-        }
-    }
-
-    /// The same some time later.
-    pub fn older_by(mut self, time: Millis) -> Self {
-        let grow = |age: &mut u32| *age = age.saturating_add(time.as_u32());
-        match &mut self {
-            Self::Ended { began, ended, .. } => {
-                grow(began);
-                grow(ended);
-            }
-            Self::Began { began, .. } => grow(began),
-            Self::Refused { since, .. } => grow(since),
-            Self::Finished { finished, .. } => grow(finished),
-        }
-        self
-    }
-}
-
 /// Whether a request may be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -184,97 +110,14 @@
     Cleared,
 }
 
-/// What is known of one request.
-#[derive(Debug, Clone, Default)]
-struct Case {
-    /// Ends under it since it was finished last, the oldest first.
-    ends: Vec<End>,
-    /// When an endpoint finished it last.
-    finished: Option<Millis>,
-    /// When the newest run of it under suspicion began.
-    began: Option<Millis>,
-    /// The end at which it was taken for the cause.
-    cause_since: Option<Millis>,
-}
-
-impl Case {
-    /// Ends in a row: runs that began after the end of the one before.
-    fn row(&self) -> Vec<End> {
-        self.row_of(|_| true)
-    }
-
-    /// The same of those that count.
-    fn row_of(&self, counts: impl Fn(&End) -> bool) -> Vec<End> {
-        let mut row: Vec<End> = Vec::with_capacity(self.ends.len());
-        for end in self.ends.iter().filter(|end| counts(end)) {
-            if row
-                .last()
-                .is_none_or(|last| end.began + DATING >= last.ended)
-            {
-                row.push(*end);
-            }
-        }
-        row
-    }
-
-    /// Their number.
-    fn in_a_row(&self) -> usize {
-        self.row().len()
-    }
-
-    fn last_end(&self) -> Option<Millis> {
-        self.ends.last().map(|end| end.ended)
-    }
-
-    /// Adds an end; false where it changes nothing.
-    fn add(&mut self, end: End) -> bool {
-        let is_known = self.ends.iter().any(|e| e.endpoint == end.endpoint);
-        let is_settled = self.finished.is_some_and(|at| end.ended <= at);
-        if is_known || is_settled {
-            return false;
-        }
-        let at = self.ends.partition_point(|e| e.ended <= end.ended);
-        self.ends.insert(at, end);
-        if self.ends.len() > MOST_ENDS {
-            self.ends.remove(0);
-        }
-        true
-    }
-
-    /// Until when it is refused where it is the cause; `None` below [`ENDS_TO_REFUSE`].
-    fn refused_until(&self) -> Option<Millis> {
-        let beyond = match self.cause_since {
-            Some(_) => self.in_a_row().saturating_sub(ENDS_TO_REFUSE),
-            None => self.in_a_row().checked_sub(ENDS_TO_REFUSE)?,
-        };
-        let time = Millis(REFUSED_LEAST.0 << beyond.min(MOST_ENDS)).min(REFUSED_MOST);
-        let from = self.last_end().max(self.cause_since);
-        from.map(|at| at + time)
-    }
-
-    /// When the newest thing known of it happened.
-    fn touched(&self) -> Millis {
-        let newest = self.last_end().max(self.finished).max(self.began);
-        let newest = newest.max(self.cause_since);
-        newest.unwrap_or_default()
-    }
-
-    fn is_over(&self, now: Millis) -> bool {
-        let kept = self.refused_until().unwrap_or_default();
-        now >= (self.touched() + KEPT).max(kept + KEPT)
-    }
-}
-
 /// All requests under which endpoints ended, as one entry knows them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     cases: HashMap<Fingerprint, Case>,
     /// What peers are told.
     recent: RecentNotices,
-    /// Endpoints' lives that ended under any request, the newest last.
-    lives: VecDeque<(Millis, LifeDigest)>,
-    /// Endpoints that there are.
-    endpoints: usize,
+    /// Endpoints that ended under any request.
+    lives: Lives,
     /// When this process started, where ends from before may be told to it.
     started: Option<Millis>,
 }
@@ -318,7 +161,7 @@
     /// An endpoint ended under a request.
     pub fn ended(&mut self, request: Fingerprint, end: End, now: Millis) -> Change {
         self.make_room(request, now);
-        self.note_life(&end);
+        self.lives.note(&end);
         let case = self.cases.entry(request).or_default();
         if !case.add(end) {
             return Change::None;
@@ -326,7 +169,8 @@
         let ends = case.in_a_row();
         // A peer that missed an earlier end can't count them.
         for end in &case.ends {
-            self.recent.add(told(request, end, now), ends, now);
+            self.recent
+                .add(Notice::of_end(request, end, now), ends, now);
         }
         match self.standing(request, now) {
             Standing::Refused { ends, until } => {
@@ -344,7 +188,7 @@
         };
         let since = case.cause_since.or(case.last_end()).unwrap_or(now);
         case.cause_since = Some(since);
-        let notice = refused(request, since, now);
+        let notice = Notice::of_cause(request, since, now);
         self.recent.add(notice, case.in_a_row(), now);
     }
 
@@ -360,7 +204,7 @@
         let ends = case.in_a_row();
         let until = case.refused_until().unwrap_or(now);
         self.recent
-            .add(refused(request, since, now), ENDS_TO_REFUSE, now);
+            .add(Notice::of_cause(request, since, now), ENDS_TO_REFUSE, now);
         Change::Refused { ends, until }
     }
 
@@ -377,7 +221,7 @@
 
     /// Tells how many endpoints there are.
     pub fn set_endpoints(&mut self, count: usize) {
-        self.endpoints = count;
+        self.lives.endpoints = count;
     }
 
     /// Until when a request is refused; `None` where it is not taken for the cause.
@@ -388,50 +232,19 @@
     }
 
     /// Whether ends in a row are taken for the work of the request: an innocent one would hardly have been at each of
-    /// them, of all endpoints that ended from its first run to its last one.
+    /// them.
     fn is_cause(&self, request: Fingerprint, case: &Case) -> bool {
         let newest = case.last_end().unwrap_or_default();
         let row = case.row_of(|end| !self.is_explained(request, end, newest));
-        let (Some(first), Some(last)) = (row.first(), row.last()) else {
-            return false;
-        };
         if row.len() >= ENDS_AT_MOST {
             return true;
         }
-        let is_from_before = self.started.is_some_and(|at| first.began <= at);
-        if self.endpoints == 0 || is_from_before {
+        let began = row.first().map(|end| end.began);
+        let is_from_before = self.started.is_some_and(|at| began <= Some(at));
+        if self.lives.endpoints == 0 || is_from_before {
             return false;
         }
-        let others = self.lives.iter().filter(|(at, life)| {
-            let meanwhile = *at >= first.began && *at <= last.ended + DATING;
-            meanwhile && case.ends.iter().all(|end| end.endpoint != *life)
-        });
-        let all = row.len() + others.count();
-        let ways = (0..row.len()).map(|i| (all - i) as f64 / (i + 1) as f64);
-        let at_each = row.iter().map(|end| 1.0 / self.up_before(end) as f64);
-        let chance = ways.product::<f64>() * at_each.product::<f64>();
-        row.len() >= ENDS_TO_REFUSE && chance <= CHANCE
-    }
-
-    /// Endpoints that were up before an end, as far as is known: one of them has ended.
-    fn up_before(&self, end: &End) -> usize {
-        let from = end.ended - DOWN_TIME;
-        let down = self
-            .lives
-            .iter()
-            .filter(|(at, life)| *at >= from && *at <= end.ended && *life != end.endpoint);
-        self.endpoints.saturating_sub(down.count()).max(1)
-    }
-
-    /// Remembers that an endpoint ended.
-    fn note_life(&mut self, end: &End) {
-        if self.lives.iter().any(|(_, life)| *life == end.endpoint) {
-            return;
-        }
-        if self.lives.len() == MOST_LIVES {
-            self.lives.pop_front();
-        }
-        self.lives.push_back((end.ended, end.endpoint));
+        row.len() >= ENDS_TO_REFUSE && self.lives.chance(&row, &case.ends) <= CHANCE
     }
 
     /// A request under suspicion was sent to an endpoint.
@@ -495,16 +308,9 @@
         }
     }
 
-    /// What is to be told to peers: what was learned since `from`, and with `repeats` what is alarming and somewhat
-    /// older; at most `most`.
-    pub fn notices_since(
-        &self,
-        from: Millis,
-        repeats: bool,
-        most: usize,
-        now: Millis,
-    ) -> Vec<Notice> {
-        self.recent.since(from, repeats, most, now)
+    /// What is to be told to peers.
+    pub fn recent(&self) -> &RecentNotices {
+        &self.recent
     }
 
     /// What a peer must know that was not heard for a while: the newest of what is refused.
@@ -514,8 +320,10 @@
             let case = self.cases.get(&request);
             let ends = case.map_or(&[][..], |case| &case.ends);
             let since = case.and_then(|case| case.cause_since.or(case.last_end()));
-            let verdict = since.map(|since| refused(request, since, now));
-            let ends = ends.iter().map(move |end| told(request, end, now));
+            let verdict = since.map(|since| Notice::of_cause(request, since, now));
+            let ends = ends
+                .iter()
+                .map(move |end| Notice::of_end(request, end, now));
             verdict.into_iter().chain(ends)
         });
         all.take(most).collect()
@@ -569,19 +377,3 @@
         }
     }
 }
-
-/// What is told of a request that is taken for the cause.
-fn refused(request: Fingerprint, since: Millis, now: Millis) -> Notice {
-    let since = (now - since).as_u32();
-    Notice::Refused { request, since }
-}
-
-/// An end as it is told now.
-fn told(request: Fingerprint, end: &End, now: Millis) -> Notice {
-    Notice::Ended {
-        request,
-        endpoint: end.endpoint,
-        began: (now - end.began).as_u32(),
-        ended: (now - end.ended).as_u32(),
-    }
-}
--- a/src/quarantine/notices.rs
+++ b/src/quarantine/notices.rs
@@ -25,7 +25,7 @@
 
 /// The newest notices, one of a kind and request.
 #[derive(Debug, Default)]
-pub(super) struct RecentNotices(VecDeque<Recent>);
+pub struct RecentNotices(VecDeque<Recent>);
 
 impl RecentNotices {
     /// Something was learned of a request with so many ends in a row.
@@ -48,13 +48,7 @@
 
     /// At most `most` of those to be told now: learned since `from`, and with `repeats` the alarming ones of longer ago;
     /// ages as of `now`.
-    pub(super) fn since(
-        &self,
-        from: Millis,
-        repeats: bool,
-        most: usize,
-        now: Millis,
-    ) -> Vec<Notice> {
+    pub fn since(&self, from: Millis, repeats: bool, most: usize, now: Millis) -> Vec<Notice> {
         let is_repeated = |recent: &Recent| {
             repeats && recent.is_alarming && recent.learned + ALARMING_TIME >= now
         };
--- a/src/suspicion.rs
+++ b/src/suspicion.rs
@@ -19,12 +19,12 @@
 
 /// The lives of a sidecar's endpoint, as the sidecar counts them.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Lives {
+pub struct EndpointLives {
     number: u32,
     is_over: bool,
 }
 
-impl Lives {
+impl EndpointLives {
     /// A digest of the life that goes on, or ended last; no other sidecar's or incarnation's is the same.
     fn digest(self, instance: &str, incarnation: Incarnation) -> LifeDigest {
         let mut hasher = blake3::Hasher::new();
@@ -56,9 +56,9 @@
     }
 }
 
-fn begin_life(lives: &Cell<Lives>) {
-    let Lives { number, is_over } = lives.get();
-    lives.set(Lives {
+fn begin_life(lives: &Cell<EndpointLives>) {
+    let EndpointLives { number, is_over } = lives.get();
+    lives.set(EndpointLives {
         number: number + u32::from(is_over),
         is_over: false,
     });
@@ -119,7 +119,9 @@
     node.suspicions.send_modify(|changes| *changes += 1);
     let now = node.clock.now();
     let quarantine = node.quarantine.borrow();
-    let recent = quarantine.notices_since(Millis(0), false, MOST_NOTICES, now);
+    let recent = quarantine
+        .recent()
+        .since(Millis(0), false, MOST_NOTICES, now);
     let of_request = recent.into_iter().filter(|n| n.request() == request);
     of_request.collect()
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use violetline::direct::decision::DecisionLog;
 use violetline::direct::directory::Listed;
 use violetline::direct::entry::Entry;
+use violetline::direct::peers::{Covers, Hello, PeerId};
 use violetline::direct::settings::{Bounds, DirectSettings};
 use violetline::platform::Platform;
 
@@ -93,3 +94,28 @@
     let entry = Entry::new(settings, Rc::new(Platform), clock.clone(), log);
     (clock, entry)
 }
+
+/// A datagram of an entry that tells nothing but itself.
+pub fn hello(from: u64, number: u64, echo: Option<u64>) -> Hello {
+    Hello {
+        from: PeerId(from),
+        number,
+        echo,
+        version: 1,
+        proof_age_ms: None,
+        revision: 0,
+        changes_after: 0,
+        catalog_revision: 0,
+        leaving: false,
+        watches: false,
+        reads_large: false,
+        link_mbps: 0,
+        zone: None,
+        zone_entries: 1,
+        asks: false,
+        others: Vec::new(),
+        covers: Covers::Sender,
+        work: Vec::new(),
+        placed: Vec::new(),
+    }
+}
