Two tests of the quarantine see their mechanism

Taken out, two mechanisms had left their tests green: explained_ends (chance alone kept the other request from being refused among twelve endpoints) and judged_by_peers (its first look had taken the request off the list of those to be judged).

--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -92,6 +92,7 @@
 fn explained_ends() {
     let mut quarantine = seen(&[end(1, 0, 100), end(2, 200, 300), end(3, 400, 500)]);
     assert!(is_refused(&mut quarantine, 600));
+    quarantine.set_endpoints(56);
     let other = Fingerprint(9);
     for end in [end(1, 0, 101), end(2, 150, 301), end(30, 900, 1_000)] {
         quarantine.ended(other, end, end.ended);
@@ -132,12 +133,16 @@
         began: age,
         ended: age - 80,
     };
-    let mut fresh = Quarantine::started_at(Millis(0));
-    for (endpoint, age) in [(1, 3_000), (2, 2_500), (3, 2_000), (4, 1_500)] {
-        fresh.take(&ended(endpoint, age), now);
-    }
-    assert!(!is_refused(&mut fresh, 20), "no endpoint is listed yet");
-    fresh.set_endpoints(12);
+    let fresh_before = |endpoints| {
+        let mut fresh = Quarantine::started_at(Millis(0));
+        fresh.set_endpoints(endpoints);
+        for (endpoint, age) in [(1, 3_000), (2, 2_500), (3, 2_000), (4, 1_500)] {
+            fresh.take(&ended(endpoint, age), now);
+        }
+        fresh
+    };
+    assert!(!is_refused(&mut fresh_before(0), 20), "none is listed yet");
+    let mut fresh = fresh_before(56);
     assert!(!is_refused(&mut fresh, 20), "from before it started");
     let refused = Notice::Refused {
         request: REQUEST,
