Sight: what endpoints announce in their answers, requests sent against it, callers refused with room

The adapter decodes that an endpoint leaves (header of any answer) and the time of rest that a 503 asks for (seconds, fractions, a date by the answer's own clock). Nothing acts on it yet. A line endpoint_announced (endpoint, what, for how long, in answer to which request), against in placed, free_endpoints in refused, counters direct_announced, direct_sent_against and direct_refused_with_room; explain shows the line for requests at that endpoint.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::{Clock, Millis};
+use crate::direct::announced::Unwilling;
 use crate::direct::ends::EndSign;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
@@ -119,6 +120,9 @@
         proof_age_ms: Option<u64>,
         /// Time left, in ms.
         left_ms: u64,
+        /// Why the endpoint had announced that it wants no requests.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        against: Option<Unwilling>,
         /// Endpoint that keeps a copy of the run's memory.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         copy: Option<String>,
@@ -138,6 +142,9 @@
         proof_age_ms: Option<u64>,
         /// Time since it was read, in ms.
         held_ms: u64,
+        /// Endpoints that had a free slot and had announced nothing against requests, by this entry's knowledge.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        free_endpoints: Option<usize>,
     },
     /// An attempt ended without an answer for the caller.
     AttemptFailed {
@@ -207,6 +214,18 @@
         /// What is wrong with it.
         why: String,
     },
+    /// An endpoint announced something of itself in an answer.
+    EndpointAnnounced {
+        /// Endpoint.
+        endpoint: String,
+        /// What.
+        announces: Unwilling,
+        /// For how long, in ms; `None` where it is told no end.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        for_ms: Option<u64>,
+        /// The caller's id of the request that it answered.
+        in_answer_to: String,
+    },
     /// An endpoint was set aside or taken back.
     EndpointHealth {
         /// Endpoint.
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -8,6 +8,7 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 
 use crate::clock::Millis;
+use crate::direct::announced::Announcement;
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::Cordon;
 use crate::direct::directory::{Change, Listing, Revision};
@@ -71,6 +72,8 @@
     pub report: Option<Report>,
     /// Time that the endpoint keeps an idle connection.
     pub idle_time: Option<Millis>,
+    /// What the endpoint announces of itself.
+    pub announcement: Announcement,
 }
 
 /// Why a caller gets an answer of our own.
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -7,6 +7,7 @@
 
 use super::Entry;
 use crate::clock::Millis;
+use crate::direct::announced::{Announced, Announcement, Unwilling};
 use crate::direct::channel::Channel;
 use crate::direct::decision::Decision;
 use crate::direct::directory::{Endpoint, EndpointKey, Standing};
@@ -38,6 +39,8 @@
     pub record: Record,
     /// When anything last came from it.
     pub heard: Millis,
+    /// What it has announced of itself in its answers.
+    pub announced: Announced,
     /// Requests that were sent to it lately.
     pub sends: RecentSends,
     /// Runs that it did not finish.
@@ -152,6 +155,47 @@
         self.fleet.set(fleet);
     }
 
+    /// An endpoint announced something of itself in an answer to a request.
+    pub fn endpoint_announced(&self, key: EndpointKey, announcement: Announcement, request: &[u8]) {
+        if announcement.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let longest = Millis(self.settings.borrow().bounds.longest_rest_ms);
+        let mut endpoint = String::new();
+        let mut before = Announced::default();
+        self.account(key, |account| {
+            before = account.announced;
+            account.announced.take(announcement, now, longest);
+            endpoint.clone_from(&account.id);
+        });
+        if announcement.leaves && !before.leaves {
+            self.gauges.announced(Unwilling::Leaves);
+            self.log_announced(request, &endpoint, Unwilling::Leaves, None);
+        }
+        if let Some(rest) = announcement.rest {
+            self.gauges.announced(Unwilling::Rests);
+            self.log_announced(request, &endpoint, Unwilling::Rests, Some(rest));
+        }
+    }
+
+    fn log_announced(&self, request: &[u8], endpoint: &str, what: Unwilling, time: Option<Millis>) {
+        let announced = Decision::EndpointAnnounced {
+            endpoint: endpoint.into(),
+            announces: what,
+            for_ms: time.map(|time| time.0),
+            in_answer_to: String::from_utf8_lossy(request).into_owned(),
+        };
+        self.log.belief(announced);
+    }
+
+    /// Why an endpoint wants no requests now, by its own announcements.
+    pub fn unwilling(&self, key: EndpointKey) -> Option<Unwilling> {
+        let now = self.clock.now();
+        let accounts = self.accounts.borrow();
+        accounts.get(key)?.announced.standing(now)
+    }
+
     /// An endpoint failed a request.
     pub fn endpoint_failed(&self, key: EndpointKey, fault: Fault, why: &str) {
         let now = self.clock.now();
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -95,6 +95,7 @@
     match decision {
         Decision::EndpointListed { endpoint, .. }
         | Decision::EndpointHealth { endpoint, .. }
+        | Decision::EndpointAnnounced { endpoint, .. }
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
         Decision::Peer { .. } | Decision::RequestRefused { .. } => false,
         _ => true,
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::direct::announced::Unwilling;
 use crate::direct::ends::EndSign;
 
 /// Bounds of the latency buckets, in ms: around the targets of today's classes.
@@ -27,6 +28,9 @@
     connections: Counter<u64>,
     unreadable: Counter<u64>,
     runs_ended: Counter<u64>,
+    announced: Counter<u64>,
+    sent_against: Counter<u64>,
+    refused_with_room: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -60,6 +64,9 @@
             connections: meter.u64_counter("direct_endpoint_connections").build(),
             unreadable: meter.u64_counter("direct_unreadable_entries").build(),
             runs_ended: meter.u64_counter("direct_runs_ended_with_endpoint").build(),
+            announced: meter.u64_counter("direct_announced").build(),
+            sent_against: meter.u64_counter("direct_sent_against").build(),
+            refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -124,6 +131,24 @@
         self.runs_ended.add(runs, &labels);
     }
 
+    /// An endpoint announced that it wants no requests.
+    pub fn announced(&self, what: Unwilling) {
+        let labels = [KeyValue::new("what", what.label())];
+        self.announced.add(1, &labels);
+    }
+
+    /// A request was sent to an endpoint against what that had announced.
+    pub fn sent_against(&self, what: Unwilling) {
+        let labels = [KeyValue::new("what", what.label())];
+        self.sent_against.add(1, &labels);
+    }
+
+    /// A request was refused while endpoints of its pool had free slots.
+    pub fn refused_with_room(&self, pool: &str) {
+        let labels = [KeyValue::new("pool", pool.to_owned())];
+        self.refused_with_room.add(1, &labels);
+    }
+
     /// Sets a gauge, such as the version in force or the number of peers.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -26,7 +26,7 @@
     };
     progress.borrow_mut().id = ask.id.as_bytes().to_vec();
     if entry.life() == Life::Stopping {
-        refuse::log(entry, &ask, incoming, RefusedWhy::Stopping);
+        refuse::log(entry, &ask, incoming, RefusedWhy::Stopping, None);
         let refusal = Refusal::NotRun(COME_BACK_ELSEWHERE);
         return refuse::write(entry, answerer, refusal, Some(&ask)).await;
     }
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -43,6 +43,8 @@
             .dialect
             .verdict(&answered.reply.head, &self.ask.id);
         self.heard(key, &verdict, now);
+        self.entry
+            .endpoint_announced(key, verdict.announcement, self.ask.id.as_bytes());
         if verdict.misdirected {
             answered.placed.undecided();
             return self.misdirected(key);
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -7,6 +7,7 @@
 use crate::direct::answerer::Answerer;
 use crate::direct::decision::{EndedHow, RefusedWhy};
 use crate::direct::dialect::Refusal;
+use crate::direct::directory::EndpointKey;
 use crate::direct::refuse;
 
 /// Advice when to come back after a refusal, before its random addition.
@@ -20,7 +21,11 @@
         if self.position.get().begun {
             return self.broken();
         }
-        refuse::log(self.entry, self.ask, self.incoming, why);
+        let free = self.free_endpoints();
+        if free > 0 {
+            self.entry.gauges.refused_with_room(&self.pool);
+        }
+        refuse::log(self.entry, self.ask, self.incoming, why, Some(free));
         let outcome = match why {
             RefusedWhy::Overload { .. } => "turned_away",
             RefusedWhy::EndsEndpoints { .. } => "ends_endpoints",
@@ -36,6 +41,21 @@
         refuse::write(self.entry, answerer, refusal, Some(self.ask)).await
     }
 
+    /// Endpoints of the pool that have a free slot and announced nothing against requests.
+    fn free_endpoints(&self) -> usize {
+        let now = self.entry.clock.now();
+        let directory = self.entry.directory();
+        let accounts = self.entry.accounts();
+        let is_free = |key: EndpointKey, slots: u32| {
+            accounts.get(key).is_some_and(|account| {
+                account.announced.standing(now).is_none() && account.load.present(now) < slots
+            })
+        };
+        let open = directory.of_pool(&self.pool);
+        open.filter(|(key, endpoint)| is_free(*key, endpoint.listed.slots))
+            .count()
+    }
+
     /// It may have run.
     pub(super) async fn lost(&self, answerer: &mut Answerer) -> bool {
         if self.position.get().begun {
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -14,6 +14,10 @@
         self.entry.account(choice.key, |account| {
             running = account.load.total(now).running;
         });
+        let against = self.entry.unwilling(choice.key);
+        if let Some(what) = against {
+            self.entry.gauges.sent_against(what);
+        }
         let placed = Decision::Placed {
             route: self.route().name.clone(),
             endpoint: endpoint.into(),
@@ -27,6 +31,7 @@
             catalog: self.catalog.version,
             proof_age_ms: self.entry.proof_age().map(|age| age.0),
             left_ms: (self.end - now).0,
+            against,
             copy: self.copy_id(),
             takes_over: self.takes_over,
         };
--- a/src/direct/refuse.rs
+++ b/src/direct/refuse.rs
@@ -21,7 +21,7 @@
     incoming: &Incoming,
     denied: Denied,
 ) -> bool {
-    log(entry, ask, incoming, RefusedWhy::Denied(denied));
+    log(entry, ask, incoming, RefusedWhy::Denied(denied), None);
     let refusal = match denied {
         Denied::NoRoute => Refusal::NoRoute,
         Denied::NoKey => Refusal::NoKey,
@@ -43,14 +43,21 @@
     written.is_ok() && answerer.is_kept()
 }
 
-/// Logs a refusal.
-pub fn log(entry: &Entry, ask: &Ask, incoming: &Incoming, why: RefusedWhy) {
+/// Logs a refusal, with the endpoints that had room where it is of a request that was allowed.
+pub fn log(
+    entry: &Entry,
+    ask: &Ask,
+    incoming: &Incoming,
+    why: RefusedWhy,
+    free_endpoints: Option<usize>,
+) {
     let refused = Decision::Refused {
         why,
         target: format!("{}{}", ask.host, ask.path),
         catalog: entry.version(),
         proof_age_ms: entry.proof_age().map(|age| age.0),
         held_ms: (entry.clock.now() - incoming.at).0,
+        free_endpoints,
     };
     entry.log.request(ask.id.as_bytes(), refused);
 }
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -15,6 +15,9 @@
 /// request from its caller to this process.
 const KEY_REMOVAL_SLACK: Millis = Millis(250);
 
+/// Most that [`Bounds::longest_rest_ms`] may be: a day.
+const MOST_REST_MS: u64 = 86_400_000;
+
 /// Settings of one direct entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,6 +69,9 @@
     pub warm_up_ratio: f64,
     /// Requests in any second besides.
     pub warm_up_extra: f64,
+    /// Longest time for which an endpoint is left alone at its own word, in ms. One that asks for more is tried again
+    /// then, so that a garbled answer does not take it away for good.
+    pub longest_rest_ms: u64,
 }
 
 impl Default for Bounds {
@@ -79,6 +85,7 @@
             retry_extra: 20.0,
             warm_up_ratio: 1.0,
             warm_up_extra: 0.0,
+            longest_rest_ms: 300_000,
         }
     }
 }
@@ -133,5 +140,7 @@
         findings.require(ratio, "bounds.warm_up_ratio", "must be from 0 to 100");
         let extra = bounds.warm_up_extra >= 0.0 && bounds.warm_up_extra.is_finite();
         findings.require(extra, "bounds.warm_up_extra", "must be 0 or more");
+        let rest = (1..=MOST_REST_MS).contains(&bounds.longest_rest_ms);
+        findings.require(rest, "bounds.longest_rest_ms", "must be from 1 to 86400000");
     }
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use violetline::clock::{Clock, Millis};
+use violetline::direct::announced::Unwilling;
 use violetline::direct::decision::{Decision, DecisionLog, EndedHow, RefusedWhy};
 use violetline::direct::ends::EndSign;
 use violetline::direct::explain::explain;
@@ -52,6 +53,7 @@
         catalog: 7,
         proof_age_ms: Some(900),
         left_ms: 3_990,
+        against: None,
         copy: None,
         takes_over: false,
     }
@@ -141,6 +143,7 @@
         catalog: 7,
         proof_age_ms: Some(4_800),
         held_ms: 0,
+        free_endpoints: None,
     };
     log.request(b"9c41", refused);
     insta::assert_snapshot!(explain(&memory.text(), "9c41").unwrap().text);
@@ -175,9 +178,30 @@
         catalog: 7,
         proof_age_ms: Some(200),
         held_ms: 0,
+        free_endpoints: None,
     };
     log.request(b"9c41", refused);
     let text = explain(&memory.text(), "9c41").unwrap().text;
     assert_eq!(text.lines().count(), 3, "{text}");
     assert!(text.contains("endpoint=i-1") && !text.contains("endpoint=i-2"));
 }
+
+/// From the id of a request to what its endpoint had announced before.
+#[test]
+fn cause_of_rest() {
+    let (clock, memory, log) = log();
+    for endpoint in ["i-1", "i-2"] {
+        log.belief(Decision::EndpointAnnounced {
+            endpoint: endpoint.into(),
+            announces: Unwilling::Rests,
+            for_ms: Some(3_000),
+            in_answer_to: "9c40".into(),
+        });
+    }
+    clock.advance(Millis(350));
+    log.request(b"9c41", placed("i-1"));
+    let text = explain(&memory.text(), "9c41").unwrap().text;
+    assert!(text.contains("announces=rests"), "{text}");
+    assert!(text.contains("in_answer_to=9c40"), "{text}");
+    assert!(!text.contains("endpoint=i-2"), "{text}");
+}
