--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -18,7 +18,9 @@
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::sleep;
-use violetline::endpoint::{INCARNATION_HEADER, PRIORITY_HEADER, RESUME_HEADER, RUN_HEADER};
+use violetline::endpoint::{
+    INCARNATION_HEADER, LEAVING_HEADER, PRIORITY_HEADER, RESUME_HEADER, RUN_HEADER,
+};
 use violetline::listener;
 
 use crate::web;
@@ -87,6 +89,10 @@
     pub frozen: bool,
     /// Goes on with a run whose connection has ended, as some engines do.
     pub keeps_orphans: bool,
+    /// Says in all its answers that it leaves.
+    pub leaving: bool,
+    /// Turns every call away and asks for so much rest, in ms; 0 where it takes calls.
+    pub rest_ms: u64,
 }
 
 /// What an engine has done.
@@ -106,6 +112,8 @@
     pub running: usize,
     /// Prompts whose prefix was in memory.
     pub prefix_hits: u64,
+    /// Calls turned away for rest.
+    pub rested: u64,
 }
 
 #[derive(Debug)]
@@ -220,6 +228,10 @@
     if faults.failing {
         return web::status(StatusCode::INTERNAL_SERVER_ERROR);
     }
+    if faults.rest_ms > 0 {
+        engine.stats.borrow_mut().rested += 1;
+        return rest(faults.rest_ms);
+    }
     let incarnation = number(&req, INCARNATION_HEADER);
     if incarnation < engine.fence.get() {
         engine.stats.borrow_mut().fenced += 1;
@@ -261,12 +273,23 @@
     let body = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
     let mut builder = Response::build(StatusCode::OK);
     builder.insert_header(("content-type", "text/event-stream"));
+    if faults.leaving {
+        builder.insert_header((LEAVING_HEADER, "1"));
+    }
     if resumed {
         builder.insert_header((RESUME_HEADER, from_shown.to_string()));
     }
     builder.body(BodyStream::new(body)).map_into_boxed_body()
 }
 
+/// Turns a call away and asks for rest.
+fn rest(ms: u64) -> Response<BoxBody> {
+    let seconds = ms as f64 / 1_000.0;
+    let mut builder = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+    builder.insert_header(("retry-after", seconds.to_string()));
+    builder.body("").map_into_boxed_body()
+}
+
 fn prompt_of(body: &Value) -> String {
     let messages = body["messages"].as_array().cloned().unwrap_or_default();
     messages
--- a/lab/tests/direct_path.rs
+++ b/lab/tests/direct_path.rs
@@ -66,6 +66,17 @@
     assert_eq!(site.runs(), 0);
 }
 
+/// A pool has fewer endpoints than the route allows attempts, and each says that it did not run the request: nothing ran
+/// anywhere, and the caller is told so. It got 502, as if something might have run.
+#[actix_rt::test]
+async fn refused_by_only() {
+    let site = Site::with_entry(1).await;
+    site.engines[0].set_shedding(true);
+    let answer = site.ask("/once/ok", "r1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
 #[actix_rt::test]
 async fn lost_once() {
     let site = Site::with_entry(2).await;
--- /dev/null
+++ b/lab/tests/unwilling_grant.rs
@@ -0,0 +1,80 @@
+//! An engine behind a sidecar that answered 503 and asked for 2 s of rest got two more calls at once (3 turned away where 1 was
+//! due), and one that said in an answer that it leaves got every call that came after. The sidecar read the status of an
+//! answer, its content type and the seam of a resumed stream, and no other header; its breaker took the refusals for
+//! failures, and needs three in a row.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+use tokio::time::{sleep, Instant};
+use violetline_lab::client::{End, Reply};
+use violetline_lab::fleet::Fleet;
+
+/// Chats after the word.
+const LATER: usize = 4;
+
+async fn ask(fleet: &Fleet, id: &str) -> Reply {
+    let chat = chat(id, "annotation", 4);
+    fleet.caller.chat(fleet.callers(0), &chat).await
+}
+
+/// Calls that the only engine has turned away.
+async fn rested(fleet: &Fleet) -> u64 {
+    let slot = &fleet.slots[position(fleet, MODEL_POOL, 0)];
+    let address = slot.endpoint.addr("listen");
+    let stats = fleet.caller.get(address, "/lab/stats").await.unwrap();
+    stats["rested"].as_u64().unwrap()
+}
+
+/// Nothing reaches the engine in its time of rest; each caller is told that nothing ran. Then it is used again.
+#[actix_rt::test]
+async fn left_alone() {
+    let fleet = fleet(1, 1).await;
+    let slot = position(&fleet, MODEL_POOL, 0);
+    fleet
+        .fault(&fleet.slots[slot].endpoint, json!({"rest_ms": 2_000}))
+        .await
+        .unwrap();
+    let asked = Instant::now();
+    assert_ne!(ask(&fleet, "first").await.end, End::Complete);
+    for i in 0..LATER {
+        let end = ask(&fleet, &format!("within-{i}")).await.end;
+        assert!(
+            matches!(&end, End::Refused(kind, _) if kind == "not_run"),
+            "{end:?}"
+        );
+    }
+    assert_eq!(rested(&fleet).await, 1);
+    fleet
+        .fault(&fleet.slots[slot].endpoint, json!({}))
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(2_100).saturating_sub(asked.elapsed())).await;
+    assert_eq!(ask(&fleet, "after").await.end, End::Complete);
+    fleet.close();
+}
+
+/// Nothing reaches an engine after it said that it leaves.
+#[actix_rt::test]
+async fn leaves() {
+    let fleet = fleet(1, 1).await;
+    let slot = position(&fleet, MODEL_POOL, 0);
+    fleet
+        .fault(&fleet.slots[slot].endpoint, json!({"leaving": true}))
+        .await
+        .unwrap();
+    assert_eq!(ask(&fleet, "told").await.end, End::Complete);
+    for i in 0..LATER {
+        let id = format!("later-{i}");
+        let end = ask(&fleet, &id).await.end;
+        assert!(
+            matches!(&end, End::Refused(kind, _) if kind == "not_run"),
+            "{end:?}"
+        );
+        assert_eq!(fleet.runs(&id).await, 0);
+    }
+    fleet.close();
+}
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -29,6 +29,9 @@
 /// Header with the count of tokens to go on after.
 pub const RESUME_HEADER: &str = "x-resume-from";
 
+/// Header of an answer that says, as `1`, that the endpoint leaves.
+pub const LEAVING_HEADER: &str = "x-endpoint-leaving";
+
 /// One order to run something.
 #[derive(Debug, Clone)]
 pub struct Call {
