What endpoints announce of themselves goes before the list

Cause: answers were passed on with what they said of the endpoint unread; only the list, and a count of failures, could take one out of the choice. Now an endpoint that said it leaves takes no more requests in that life, and one that asked for rest none until its time is over (300 s at most, a setting). It is looked at in the choice, for copies and take-overs, and again just before the first byte leaves; what the list says, a whole listing, an entry that lapses and comes back, does not undo it, another life does. A request whose endpoint withdraws after the choice goes on to another without counting as one that can't reach any, and its connection is kept (it was dropped).

--- a/src/direct/announced.rs
+++ b/src/announced.rs
@@ -1,7 +1,12 @@
 //! What endpoints announce of themselves in their answers: that they leave, or that they want no requests for a time.
 
+use std::collections::HashMap;
+
 use crate::clock::Millis;
 
+/// Lives that are remembered after their entries went: more than the endpoints of the largest fleet, 3,500.
+const MOST_FORMER: usize = 4_096;
+
 /// What the head of one answer announces.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Announcement {
@@ -71,3 +76,65 @@
         }
     }
 }
+
+/// What endpoints had announced whose entries went from the list. An entry that lapsed and is written again is of the same
+/// life, and what that announced still holds.
+#[derive(Debug, Default)]
+pub struct FormerLives {
+    by_id: HashMap<String, Former>,
+    /// Lives that were kept so far.
+    kept: u64,
+}
+
+/// One life that is remembered.
+#[derive(Debug)]
+struct Former {
+    /// When it began, in ms of Unix time; `None` where that was not told.
+    born: Option<u64>,
+    announced: Announced,
+    /// Its place in the order in which lives were kept.
+    number: u64,
+}
+
+impl FormerLives {
+    /// Remembers what a life has announced, if anything of it still holds.
+    pub fn keep(&mut self, id: &str, born: Option<u64>, announced: Announced, now: Millis) {
+        if announced.standing(now).is_none() {
+            return;
+        }
+        if self.by_id.len() >= MOST_FORMER {
+            self.drop_oldest();
+        }
+        self.kept += 1;
+        let former = Former {
+            born,
+            announced,
+            number: self.kept,
+        };
+        self.by_id.insert(id.to_owned(), former);
+    }
+
+    /// What an endpoint that is listed (again) has announced; nothing where that was another life of it.
+    pub fn take(&mut self, id: &str, born: Option<u64>) -> Announced {
+        match self.by_id.remove(id) {
+            Some(former) if !is_other_life(former.born, born) => former.announced,
+            _ => Announced::default(),
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.by_id.iter().min_by_key(|(_, former)| former.number);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.by_id.remove(&id);
+        }
+    }
+}
+
+/// Whether an entry is of another life of an endpoint; one that does not tell when it began is taken for
+/// the life that is known.
+pub fn is_other_life(known: Option<u64>, told: Option<u64>) -> bool {
+    match (known, told) {
+        (Some(known), Some(told)) => known != told,
+        (None, _) | (_, None) => false,
+    }
+}
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::announced::Unwilling;
 use crate::clock::{Clock, Millis};
-use crate::direct::announced::Unwilling;
 use crate::direct::ends::EndSign;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -7,8 +7,8 @@
 use actix_http::header::HeaderValue;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 
+use crate::announced::Announcement;
 use crate::clock::Millis;
-use crate::direct::announced::Announcement;
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::Cordon;
 use crate::direct::directory::{Change, Listing, Revision};
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -9,6 +9,7 @@
 
 use slotmap::{new_key_type, SlotMap};
 
+use crate::announced::{is_other_life, Announced, Announcement, FormerLives};
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
 pub use crate::direct::listed::{Change, Cordon, Listed, Listing, Revision};
@@ -42,6 +43,9 @@
     pub standing: Standing,
     /// Digest of this life of it, for messages between entries.
     pub digest: u32,
+    /// What it has announced of itself. No word of the list takes that back: the list hears later than the callers
+    /// of the endpoint, and not at all while the store is away.
+    pub announced: Announced,
     /// Until when it warms up by its entries, counted from when they were taken; 0 where none said so.
     told_warm_at: Millis,
     /// When something showed that it may have begun to warm up since its newest entry.
@@ -91,6 +95,7 @@
     arena: SlotMap<EndpointKey, Endpoint>,
     by_id: HashMap<String, EndpointKey>,
     by_digest: HashMap<u32, EndpointKey>,
+    former: FormerLives,
     cordons: Cordons,
     /// Whether the list can't be read now.
     away: bool,
@@ -207,7 +212,7 @@
             return Vec::new();
         }
         for key in &over {
-            self.remove(*key);
+            self.remove(*key, now);
         }
         over
     }
@@ -218,8 +223,23 @@
     }
 
     /// Whether an endpoint may be given new work now.
-    pub fn takes_work(&self, key: EndpointKey) -> bool {
-        self.get(key).is_some_and(|e| self.is_open(e))
+    pub fn takes_work(&self, key: EndpointKey, now: Millis) -> bool {
+        self.get(key).is_some_and(|e| self.is_open(e, now))
+    }
+
+    /// An endpoint announced something of itself, of which a time is believed for `longest` at most; what it had
+    /// announced before.
+    pub fn announce(
+        &mut self,
+        key: EndpointKey,
+        announcement: Announcement,
+        now: Millis,
+        longest: Millis,
+    ) -> Option<Announced> {
+        let endpoint = self.arena.get_mut(key)?;
+        let before = endpoint.announced;
+        endpoint.announced.take(announcement, now, longest);
+        Some(before)
     }
 
     /// Whether nothing new is sent to the endpoints of an availability zone.
@@ -238,9 +258,10 @@
     pub fn of_pool<'a>(
         &'a self,
         pool: &'a str,
+        now: Millis,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + 'a {
         let all = self.arena.iter();
-        all.filter(move |(_, e)| e.listed.pool == pool && self.is_open(e))
+        all.filter(move |(_, e)| e.listed.pool == pool && self.is_open(e, now))
     }
 
     /// All endpoints.
@@ -258,9 +279,11 @@
         self.by_digest.get(&digest).copied()
     }
 
-    /// Whether an endpoint takes new work, and its availability zone is not cordoned.
-    fn is_open(&self, endpoint: &Endpoint) -> bool {
-        endpoint.standing != Standing::Draining && !self.cordons.holds(&endpoint.listed.zone)
+    /// Whether an endpoint takes new work by the list and by its own word, and its availability zone is not cordoned.
+    fn is_open(&self, endpoint: &Endpoint, now: Millis) -> bool {
+        let is_willing = endpoint.announced.standing(now).is_none();
+        let is_listed = endpoint.standing != Standing::Draining;
+        is_willing && is_listed && !self.cordons.holds(&endpoint.listed.zone)
     }
 
     /// The endpoints of a zone that takes work again may have to warm up.
@@ -284,7 +307,7 @@
             return None;
         }
         if is_other_life(endpoint.listed.born, listed.born) {
-            self.remove(key);
+            self.remove(key, now);
             self.insert(listed, now);
             return Some(key);
         }
@@ -303,6 +326,7 @@
         let mut endpoint = Endpoint {
             digest,
             standing: standing_of(&listed),
+            announced: self.former.take(&id, listed.born),
             listed,
             told_warm_at: Millis(0),
             doubted: None,
@@ -327,20 +351,22 @@
             _ => None,
         };
         match lapsed {
-            Some(until) if endpoint.standing == Standing::Ready => {
+            Some(until) if endpoint.standing == Standing::Ready && !endpoint.announced.leaves => {
                 endpoint.standing = Standing::Lapsed(until);
                 None
             }
             _ => {
-                self.remove(key);
+                self.remove(key, now);
                 Some(key)
             }
         }
     }
 
-    fn remove(&mut self, key: EndpointKey) {
+    fn remove(&mut self, key: EndpointKey, now: Millis) {
         if let Some(endpoint) = self.arena.remove(key) {
-            self.by_id.remove(&endpoint.listed.id);
+            let Listed { id, born, .. } = &endpoint.listed;
+            self.former.keep(id, *born, endpoint.announced, now);
+            self.by_id.remove(id);
             self.by_digest.remove(&endpoint.digest);
         }
     }
@@ -353,12 +379,3 @@
         Standing::Ready
     }
 }
-
-/// Whether an entry is of another life of an endpoint; one that does not tell when it began is taken for
-/// the life that is known.
-fn is_other_life(known: Option<u64>, told: Option<u64>) -> bool {
-    match (known, told) {
-        (Some(known), Some(told)) => known != told,
-        (None, _) | (_, None) => false,
-    }
-}
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -6,8 +6,8 @@
 use slotmap::SecondaryMap;
 
 use super::Entry;
+use crate::announced::{Announcement, Unwilling};
 use crate::clock::Millis;
-use crate::direct::announced::{Announced, Announcement, Unwilling};
 use crate::direct::channel::Channel;
 use crate::direct::decision::Decision;
 use crate::direct::directory::{Endpoint, EndpointKey, Standing};
@@ -39,8 +39,6 @@
     pub record: Record,
     /// When anything last came from it.
     pub heard: Millis,
-    /// What it has announced of itself in its answers.
-    pub announced: Announced,
     /// Requests that were sent to it lately.
     pub sends: RecentSends,
     /// Runs that it did not finish.
@@ -162,13 +160,13 @@
         }
         let now = self.clock.now();
         let longest = Millis(self.settings.borrow().bounds.longest_rest_ms);
+        let mut directory = self.directory.borrow_mut();
+        let Some(before) = directory.announce(key, announcement, now, longest) else {
+            return;
+        };
+        drop(directory);
         let mut endpoint = String::new();
-        let mut before = Announced::default();
-        self.account(key, |account| {
-            before = account.announced;
-            account.announced.take(announcement, now, longest);
-            endpoint.clone_from(&account.id);
-        });
+        self.account(key, |account| endpoint.clone_from(&account.id));
         if announcement.leaves && !before.leaves {
             self.gauges.announced(Unwilling::Leaves);
             self.log_announced(request, &endpoint, Unwilling::Leaves, None);
@@ -192,8 +190,7 @@
     /// Why an endpoint wants no requests now, by its own announcements.
     pub fn unwilling(&self, key: EndpointKey) -> Option<Unwilling> {
         let now = self.clock.now();
-        let accounts = self.accounts.borrow();
-        accounts.get(key)?.announced.standing(now)
+        self.directory().get(key)?.announced.standing(now)
     }
 
     /// An endpoint failed a request.
@@ -267,7 +264,8 @@
         let Some(endpoint) = directory.get(key) else {
             return false;
         };
-        endpoint.standing != Standing::Draining && !endpoint.is_told_warming(now)
+        let leaves = endpoint.standing == Standing::Draining || endpoint.announced.leaves;
+        !leaves && !endpoint.is_told_warming(now)
     }
 
     /// The life of an endpoint is over.
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -7,7 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::direct::announced::Unwilling;
+use crate::announced::Unwilling;
 use crate::direct::ends::EndSign;
 
 /// Bounds of the latency buckets, in ms: around the targets of today's classes.
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -33,7 +33,7 @@
         let warm_up = self.warm_up();
         let warming_time = warm_up.map_or(Millis(0), |warm_up| warm_up.time);
         let candidates = directory
-            .of_pool(&self.pool)
+            .of_pool(&self.pool, now)
             .filter(|(key, endpoint)| is_candidate(*key) && self.may_run_at(endpoint, &settings))
             .filter_map(|(key, endpoint)| {
                 let account = accounts.get(key)?;
@@ -101,7 +101,7 @@
         let sends = accounts.get(key).map(|account| &account.sends);
         let allows = |share| sends.is_some_and(|sends| sends.allows(share, now));
         let may_run = self.may_run_at(endpoint, &self.entry.settings.borrow());
-        directory.takes_work(key) && may_run && share.is_none_or(allows)
+        directory.takes_work(key, now) && may_run && share.is_none_or(allows)
     }
 
     /// Whether an endpoint lies where requests of this route and team may run.
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -50,7 +50,8 @@
             return false;
         };
         let has_events = self.position.get().last_event.is_some();
-        if !has_events || self.takes_over || !self.entry.directory().takes_work(copy) {
+        let now = self.entry.clock.now();
+        if !has_events || self.takes_over || !self.entry.directory().takes_work(copy, now) {
             return false;
         }
         if !self.is_gone().await {
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -47,11 +47,10 @@
         let directory = self.entry.directory();
         let accounts = self.entry.accounts();
         let is_free = |key: EndpointKey, slots: u32| {
-            accounts.get(key).is_some_and(|account| {
-                account.announced.standing(now).is_none() && account.load.present(now) < slots
-            })
+            let account = accounts.get(key);
+            account.is_some_and(|account| account.load.present(now) < slots)
         };
-        let open = directory.of_pool(&self.pool);
+        let open = directory.of_pool(&self.pool, now);
         open.filter(|(key, endpoint)| is_free(*key, endpoint.listed.slots))
             .count()
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -40,6 +40,8 @@
     Over(bool),
     /// Nothing was sent to this endpoint.
     NotSent(EndpointKey),
+    /// Since it was chosen, the endpoint has turned out to take no more requests for now; nothing was sent.
+    Withdrawn(EndpointKey),
     /// The endpoint did not run it.
     NotRun(EndpointKey),
     /// It may have run.
@@ -195,6 +197,8 @@
                         return self.give_up(answerer, RefusedWhy::NoEndpoint).await;
                     }
                 }
+                // It is no sign that others can't be reached, so it does not count as one.
+                Attempt::Withdrawn(key) => self.tried.push(key),
                 Attempt::NotRun(key) => {
                     self.tried.push(key);
                     if !self.may_go_on() {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -48,7 +48,8 @@
             return Attempt::TimeOver;
         }
         if !self.may_send(key, now) {
-            return Attempt::NotSent(key);
+            self.entry.keep_channel(key, channel);
+            return Attempt::Withdrawn(key);
         }
         match self.entry.allow(self.ask) {
             Ok(allowed) if self.renew(allowed) => {}
@@ -143,7 +144,8 @@
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key)?;
         self.log_placed(choice, &endpoint.listed.id, now);
-        let copy = self.copy.and_then(|key| directory.get(key));
+        let copy = self.copy.filter(|key| directory.takes_work(*key, now));
+        let copy = copy.and_then(|key| directory.get(key));
         let copy = copy.map(|e| e.listed.address);
         let fetch_from = choice.supply.from.and_then(|key| directory.get(key));
         let fetch_from = fetch_from.map(|e| e.listed.address);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 )]
 
 pub mod admin;
+pub mod announced;
 pub mod answer;
 pub mod attempt;
 pub mod audit;
--- /dev/null
+++ b/tests/announced_lives.rs
@@ -0,0 +1,119 @@
+//! What endpoints announce of themselves: it goes before what the list says, and holds for the life that said it.
+
+mod common;
+
+use common::listed;
+use violetline::announced::{Announced, Announcement, FormerLives};
+use violetline::clock::Millis;
+use violetline::direct::directory::{Change, Directory, Listed, LAPSE_GRACE};
+
+const LONGEST: Millis = Millis(300_000);
+const LEAVES: Announcement = Announcement {
+    leaves: true,
+    rest: None,
+};
+
+fn rest(ms: u64) -> Announcement {
+    Announcement {
+        leaves: false,
+        rest: Some(Millis(ms)),
+    }
+}
+
+/// The endpoint `a` as listed, of a life that began at `born`.
+fn life(born: Option<u64>, revision: u64) -> Listed {
+    Listed {
+        born,
+        ..listed("a", revision)
+    }
+}
+
+fn removed(revision: u64) -> Change {
+    Change::Removed {
+        id: "a".into(),
+        revision,
+    }
+}
+
+/// A directory that holds `a`, which announced something at 0.
+fn announced(born: Option<u64>, announcement: Announcement) -> Directory {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(life(born, 1)), Millis(0));
+    let key = directory.key("a").unwrap();
+    directory.announce(key, announcement, Millis(0), LONGEST);
+    directory
+}
+
+fn takes_work(directory: &Directory, now: u64) -> bool {
+    let key = directory.key("a");
+    key.is_some_and(|key| directory.takes_work(key, Millis(now)))
+}
+
+#[test]
+fn leaving_life() {
+    let mut directory = announced(Some(100), LEAVES);
+    assert!(!takes_work(&directory, 0));
+    directory.apply(Change::Put(life(Some(100), 2)), Millis(10));
+    assert!(!takes_work(&directory, 10), "another entry of it");
+    directory.replace(vec![life(Some(100), 2)], 3, Millis(20));
+    assert!(!takes_work(&directory, 20), "a whole listing");
+    directory.apply(removed(4), Millis(30));
+    directory.apply(Change::Put(life(Some(100), 5)), Millis(40));
+    assert!(!takes_work(&directory, 40), "its entry went and came");
+    directory.apply(Change::Put(life(Some(200), 6)), Millis(50));
+    assert!(takes_work(&directory, 50), "another life");
+}
+
+/// Whoever says that it leaves does not get the grace of an entry that lapsed while the list was away.
+#[test]
+fn no_grace() {
+    let mut directory = announced(None, LEAVES);
+    directory.list_away();
+    assert!(directory.apply(removed(2), Millis(10)).is_some());
+    let mut directory = announced(None, rest(60_000));
+    directory.list_away();
+    assert!(directory.apply(removed(2), Millis(10)).is_none());
+    assert!(!takes_work(&directory, 20), "lapsed, and resting");
+}
+
+#[test]
+fn resting_life() {
+    let mut directory = announced(Some(100), rest(10_000));
+    assert!(!takes_work(&directory, 9_999));
+    assert!(takes_work(&directory, 10_000));
+    let gone = directory.apply(removed(2), Millis(100) + LAPSE_GRACE);
+    assert!(gone.is_some());
+    directory.apply(Change::Put(life(Some(100), 3)), Millis(5_000));
+    assert!(!takes_work(&directory, 5_000), "its entry went and came");
+    directory.apply(Change::Put(life(Some(200), 4)), Millis(6_000));
+    assert!(takes_work(&directory, 6_000), "another life");
+}
+
+#[test]
+fn latest_end() {
+    let mut announced = Announced::default();
+    announced.take(rest(5_000), Millis(0), LONGEST);
+    announced.take(rest(500), Millis(100), LONGEST);
+    assert_eq!(announced.rests_until, Millis(5_000));
+    announced.take(rest(u64::MAX), Millis(200), LONGEST);
+    assert_eq!(announced.rests_until, Millis(200) + LONGEST);
+}
+
+/// The memory of lives whose entries went is bounded: the oldest is dropped.
+#[test]
+fn bounded_memory() {
+    let mut former = FormerLives::default();
+    let leaves = Announced {
+        leaves: true,
+        ..Announced::default()
+    };
+    for i in 0..5_000 {
+        former.keep(&format!("i-{i}"), None, leaves, Millis(0));
+    }
+    assert_eq!(former.take("i-0", None), Announced::default());
+    assert_eq!(former.take("i-4999", None), leaves);
+    let kept = (0..4_999).filter(|i| former.take(&format!("i-{i}"), None).leaves);
+    assert_eq!(kept.count(), 4_095);
+    former.keep("over", None, Announced::default(), Millis(0));
+    assert_eq!(former.take("over", None), Announced::default());
+}
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -4,8 +4,8 @@
 use std::io::{self, Write};
 use std::rc::Rc;
 
+use violetline::announced::Unwilling;
 use violetline::clock::{Clock, Millis};
-use violetline::direct::announced::Unwilling;
 use violetline::direct::decision::{Decision, DecisionLog, EndedHow, RefusedWhy};
 use violetline::direct::ends::EndSign;
 use violetline::direct::explain::explain;
--- a/tests/direct_directory.rs
+++ b/tests/direct_directory.rs
@@ -41,8 +41,8 @@
     };
     directory.apply(Change::Put(draining), Millis(10));
     let key = directory.key("a").unwrap();
-    assert!(!directory.takes_work(key));
-    assert_eq!(directory.of_pool("pool").count(), 0);
+    assert!(!directory.takes_work(key, Millis(100)));
+    assert_eq!(directory.of_pool("pool", Millis(100)).count(), 0);
 }
 
 #[test]
@@ -51,7 +51,7 @@
     directory.list_away();
     assert!(directory.apply(removed("a", 2), Millis(100)).is_none());
     let key = directory.key("a").unwrap();
-    assert!(directory.takes_work(key));
+    assert!(directory.takes_work(key, Millis(100)));
     // The grace runs from the return, however long the list was away.
     assert!(directory.expire(Millis(60_000)).is_empty());
     directory.list_answers(Millis(60_000));
--- a/tests/zone_cordons.rs
+++ b/tests/zone_cordons.rs
@@ -28,7 +28,7 @@
 }
 
 fn takes_work(directory: &Directory, id: &str) -> bool {
-    directory.takes_work(directory.key(id).unwrap())
+    directory.takes_work(directory.key(id).unwrap(), Millis(100))
 }
 
 #[test]
@@ -40,7 +40,7 @@
         "checked when a request is sent"
     );
     assert!(takes_work(&directory, "b"));
-    assert_eq!(directory.of_pool("pool").count(), 1);
+    assert_eq!(directory.of_pool("pool", Millis(100)).count(), 1);
     directory.apply(Change::Uncordoned(cordon(4)), Millis(20));
     assert!(takes_work(&directory, "a"));
 }
