A request that no endpoint ran is never told as one that may have run

Cause: an attempt marked the request as sent for good, also when the endpoint said that it did not run it; with no endpoint left but attempts allowed its caller got 502. Once every endpoint has turned away, it gets 503 with a time to come back. direct_path::refused_by_only: 502 before, 503 now; listed_again and no_time pass with it. What has attempts behind it is still not turned away by admission, as before.

--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -87,7 +87,6 @@
     fn misdirected(&mut self, key: EndpointKey) -> Attempt {
         let why = "another endpoint has its address";
         self.attempts -= 1;
-        self.sent = self.attempts > 0;
         self.entry.endpoint_ended(key, EndSign::Replaced);
         self.entry.endpoint_failed(key, Fault::Contact, why);
         self.log_failed(key, why, false);
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -54,7 +54,7 @@
     pub(super) fn turned_away(&self, choice: &Choice) -> Option<RefusedWhy> {
         let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
         let is_admitted = match is_plain {
-            _ if self.sent => true,
+            _ if self.attempts > 0 => true,
             true => self.plain_outlook(choice).is_admitted(),
             false => self.outlook(choice).is_admitted(),
         };
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -83,7 +83,7 @@
     tried: Vec<EndpointKey>,
     /// Attempts that count: sent, or about to be.
     attempts: u32,
-    /// Whether an endpoint may have any of it.
+    /// Whether an endpoint may have run any of it.
     sent: bool,
     /// Where it was sent last.
     sent_to: Option<SocketAddr>,
@@ -184,6 +184,7 @@
         self.count_first();
         let mut unreachable = 0;
         loop {
+            let sent_before = self.sent;
             match self.attempt(answerer).await {
                 Attempt::Over(kept) => return kept,
                 Attempt::CallerGone => {
@@ -200,6 +201,8 @@
                 // It is no sign that others can't be reached, so it does not count as one.
                 Attempt::Withdrawn(key) => self.tried.push(key),
                 Attempt::NotRun(key) => {
+                    // Its caller would be told 502 otherwise, as if it might have run, once no endpoint is left.
+                    self.sent = sent_before;
                     self.tried.push(key);
                     if !self.may_go_on() {
                         return self.give_up(answerer, RefusedWhy::EndpointRefused).await;
