After a rest an endpoint is tried with one request, and refused callers come back after it

A rest is no failure, so the count of failures does not hear of it; whether the endpoint takes requests again is found out with one, and one that asks again at its trial is left for longer, up to 6 s.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -32,6 +32,11 @@
     Denied(Denied),
     /// No endpoint of the pool can be reached.
     NoEndpoint,
+    /// All endpoints of the pool that would take work have asked for rest.
+    EndpointsRest {
+        /// Time until the first has rested, in ms.
+        first_back_ms: u64,
+    },
     /// It would wait too long in a pool that is overloaded.
     Overload {
         /// Time until its first event at the best endpoint, by estimate, in ms.
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -9,7 +9,7 @@
 
 use slotmap::{new_key_type, SlotMap};
 
-use crate::announced::{is_other_life, Announced, Announcement, FormerLives};
+use crate::announced::{is_other_life, Announced, Announcement, FormerLives, Unwilling};
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
 pub use crate::direct::listed::{Change, Cordon, Listed, Listing, Revision};
@@ -264,6 +264,14 @@
         all.filter(move |(_, e)| e.listed.pool == pool && self.is_open(e, now))
     }
 
+    /// When the first endpoint of a pool has rested that would take work otherwise; `None` where none rests.
+    pub fn first_rested(&self, pool: &str, now: Millis) -> Option<Millis> {
+        let of_pool = self.arena.values().filter(|e| e.listed.pool == pool);
+        let resting = of_pool.filter(|e| e.announced.standing(now) == Some(Unwilling::Rests));
+        let resting = resting.filter(|e| self.is_open(e, e.announced.rests_until));
+        resting.map(|e| e.announced.rests_until).min()
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.arena.iter()
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -166,7 +166,13 @@
         };
         drop(directory);
         let mut endpoint = String::new();
-        self.account(key, |account| endpoint.clone_from(&account.id));
+        self.account(key, |account| {
+            endpoint.clone_from(&account.id);
+            if let Some(rest) = announcement.rest {
+                let until = now + rest.min(longest);
+                account.record.asked_for_rest(now, until);
+            }
+        });
         if announcement.leaves && !before.leaves {
             self.gauges.announced(Unwilling::Leaves);
             self.log_announced(request, &endpoint, Unwilling::Leaves, None);
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -36,12 +36,14 @@
     let last = lines.iter().rev().find(about)?.up;
     let endpoints: BTreeSet<&str> = lines.iter().filter(about).filter_map(endpoint).collect();
     let asked: BTreeSet<String> = lines.iter().filter(about).filter_map(fingerprint).collect();
+    let without = lines.iter().filter(about).any(is_without_endpoint);
     let mut text = String::new();
     for line in &lines {
         let is_own = about(&line);
         let is_near = line.up >= first - BEFORE && line.up <= last;
         let bears = line.request.is_none() && is_near && bears_on(&line.decision, &endpoints);
-        if is_own || bears || speaks_of(&line.decision, &asked) {
+        let speaks = speaks_of(&line.decision, &asked);
+        if is_own || bears || speaks || (line.up <= last && announces(line, &endpoints, without)) {
             let mark = if is_own { "*" } else { " " };
             let at = line.up.0 as i64 - first.0 as i64;
             // Writing to a string does not fail.
@@ -90,14 +92,37 @@
     }
 }
 
+/// Whether a request found no endpoint that takes requests.
+fn is_without_endpoint(line: &Line) -> bool {
+    match &line.decision {
+        Decision::Refused { why, .. } => matches!(
+            why,
+            RefusedWhy::NoEndpoint | RefusedWhy::EndpointsRest { .. }
+        ),
+        _ => false,
+    }
+}
+
+/// Whether a line tells that one of these endpoints wants no requests, however long before; of a request that found none,
+/// any endpoint.
+fn announces(line: &Line, endpoints: &BTreeSet<&str>, any: bool) -> bool {
+    match &line.decision {
+        Decision::EndpointAnnounced { endpoint, .. } => {
+            any || endpoints.contains(endpoint.as_str())
+        }
+        _ => false,
+    }
+}
+
 /// Whether a change of belief may be a cause for a request at these endpoints.
 fn bears_on(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
         Decision::EndpointListed { endpoint, .. }
         | Decision::EndpointHealth { endpoint, .. }
-        | Decision::EndpointAnnounced { endpoint, .. }
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
-        Decision::Peer { .. } | Decision::RequestRefused { .. } => false,
+        Decision::Peer { .. }
+        | Decision::RequestRefused { .. }
+        | Decision::EndpointAnnounced { .. } => false,
         _ => true,
     }
 }
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -115,6 +115,19 @@
         !was_aside
     }
 
+    /// The endpoint asked for rest until a time. It is well, but whether it takes requests again then is found out with one,
+    /// not with all that come first: it has nothing to do by that time, and so looks like the best. One that asks
+    /// again at its trial is left for longer each time.
+    pub fn asked_for_rest(&mut self, now: Millis, until: Millis) {
+        let mut aside_until = until;
+        if self.grade(now) == Grade::Trial {
+            self.aside = Millis(self.aside.0 * 2).min(ASIDE_MOST);
+            aside_until = aside_until.max(now + self.aside);
+        }
+        let known = self.aside_until.unwrap_or_default();
+        self.aside_until = Some(known.max(aside_until));
+    }
+
     /// An answer began after `seen` where `expected` was estimated for an endpoint of usual speed, in ms.
     pub fn began(&mut self, now: Millis, seen: Millis, expected: f64) {
         let ratio = seen.0 as f64 / expected.max(1.0);
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -111,7 +111,7 @@
         if relay::whole(&mut reply).await.is_ok() {
             self.keep(key, reply, verdict);
         }
-        if !self.is_busy(key) {
+        if verdict.announcement.rest.is_none() && !self.is_busy(key) {
             let why = "refuses although it has room";
             self.entry.endpoint_failed(key, Fault::Answer, why);
         }
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -8,19 +8,37 @@
 use crate::direct::decision::{EndedHow, RefusedWhy};
 use crate::direct::dialect::Refusal;
 use crate::direct::directory::EndpointKey;
+use crate::direct::load::{self, BANDS};
 use crate::direct::refuse;
 
 /// Advice when to come back after a refusal, before its random addition.
 const COME_BACK: Millis = Millis(150);
+/// Longest wait that is advised while all endpoints of a pool rest: others may join it before.
+const LONGEST_WAIT: Millis = Millis(10_000);
 /// Random addition, so that callers don't come back at the same instant.
 const COME_BACK_SPREAD_MS: u64 = 250;
 
+/// When a caller comes back whose pool rests for a time, by the band of its urgency and a number drawn from 0 to 1: all that
+/// were refused meanwhile come in a time that grows with the rest, the more urgent ones first.
+fn after_rest(rest: Millis, band: usize, draw: f64) -> Millis {
+    let wait = rest.min(LONGEST_WAIT);
+    let spread = Millis(wait.0 / 2).max(Millis(COME_BACK_SPREAD_MS));
+    let part = (band as f64 + draw) / BANDS as f64;
+    wait + Millis((spread.0 as f64 * part) as u64)
+}
+
 impl Job<'_> {
     /// Nothing ran anywhere, and nothing will.
     pub(super) async fn give_up(&self, answerer: &mut Answerer, why: RefusedWhy) -> bool {
         if self.position.get().begun {
             return self.broken();
         }
+        let why = match (why, self.rest_left()) {
+            (RefusedWhy::NoEndpoint, Some(rest)) => RefusedWhy::EndpointsRest {
+                first_back_ms: rest.0,
+            },
+            (why, _) => why,
+        };
         let free = self.free_endpoints();
         if free > 0 {
             self.entry.gauges.refused_with_room(&self.pool);
@@ -29,18 +47,36 @@
         let outcome = match why {
             RefusedWhy::Overload { .. } => "turned_away",
             RefusedWhy::EndsEndpoints { .. } => "ends_endpoints",
+            RefusedWhy::EndpointsRest { .. } => "endpoints_rest",
             _ => "not_run",
         };
         self.entry.gauges.request(&self.pool, outcome);
-        let spread = rand::thread_rng().gen_range(0..COME_BACK_SPREAD_MS);
-        let come_back = match why {
-            RefusedWhy::EndsEndpoints { come_back_ms, .. } => Millis(come_back_ms),
-            _ => COME_BACK,
-        };
-        let refusal = Refusal::NotRun(come_back + Millis(spread));
+        let refusal = Refusal::NotRun(self.come_back(why));
         refuse::write(self.entry, answerer, refusal, Some(self.ask)).await
     }
 
+    /// When the caller is to come back.
+    fn come_back(&self, why: RefusedWhy) -> Millis {
+        let mut random = rand::thread_rng();
+        let spread = random.gen_range(0..COME_BACK_SPREAD_MS);
+        match (why, self.rest_left()) {
+            (RefusedWhy::EndsEndpoints { come_back_ms, .. }, _) => Millis(come_back_ms + spread),
+            (_, Some(rest)) => after_rest(rest, load::band(self.priority()), random.gen()),
+            (_, None) => COME_BACK + Millis(spread),
+        }
+    }
+
+    /// Time until the first endpoint of the pool has rested; `None` where one takes requests, or none rests.
+    fn rest_left(&self) -> Option<Millis> {
+        let now = self.entry.clock.now();
+        let directory = self.entry.directory();
+        if directory.of_pool(&self.pool, now).next().is_some() {
+            return None;
+        }
+        let first = directory.first_rested(&self.pool, now)?;
+        Some(first - now)
+    }
+
     /// Endpoints of the pool that have a free slot and announced nothing against requests.
     fn free_endpoints(&self) -> usize {
         let now = self.entry.clock.now();
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -198,10 +198,24 @@
             in_answer_to: "9c40".into(),
         });
     }
-    clock.advance(Millis(350));
+    clock.advance(Millis(20_000));
     log.request(b"9c41", placed("i-1"));
     let text = explain(&memory.text(), "9c41").unwrap().text;
     assert!(text.contains("announces=rests"), "{text}");
     assert!(text.contains("in_answer_to=9c40"), "{text}");
     assert!(!text.contains("endpoint=i-2"), "{text}");
+    let refused = Decision::Refused {
+        why: RefusedWhy::EndpointsRest { first_back_ms: 400 },
+        target: "ficu95.example/lohu930/2f".into(),
+        catalog: 7,
+        proof_age_ms: Some(200),
+        held_ms: 0,
+        free_endpoints: Some(0),
+    };
+    log.request(b"9c42", refused);
+    let text = explain(&memory.text(), "9c42").unwrap().text;
+    assert!(
+        text.contains("endpoint=i-1") && text.contains("endpoint=i-2"),
+        "{text}"
+    );
 }
--- a/tests/direct_health.rs
+++ b/tests/direct_health.rs
@@ -68,3 +68,33 @@
     assert!(record.slowness(Millis(5_000)) < 3.1);
     assert!(record.slowness(Millis(60_000)) < 1.1);
 }
+
+/// After its time of rest an endpoint is tried with one request; one that asks again at each trial is left for longer.
+#[test]
+fn tried_after_rest() {
+    let mut record = Record::default();
+    record.asked_for_rest(Millis(0), Millis(3_000));
+    assert_eq!(record.grade(Millis(2_999)), Grade::Poor);
+    assert_eq!(record.grade(Millis(3_000)), Grade::Trial);
+    record.succeeded();
+    assert_eq!(record.grade(Millis(3_001)), Grade::Good);
+    let mut now = Millis(10_000);
+    let mut last = Millis(0);
+    for _ in 0..6 {
+        record.asked_for_rest(now, now + Millis(100));
+        let trial = (now.0..).find(|at| record.grade(Millis(*at)) == Grade::Trial);
+        let aside = Millis(trial.unwrap()) - now;
+        assert!(aside >= last && aside >= Millis(100), "{aside:?}");
+        (now, last) = (now + aside, aside);
+    }
+    assert_eq!(last, Millis(6_000));
+}
+
+/// A rest that ends sooner, asked for by an answer that was under way, does not end an earlier one.
+#[test]
+fn later_rest_counts() {
+    let mut record = Record::default();
+    record.asked_for_rest(Millis(0), Millis(3_000));
+    record.asked_for_rest(Millis(50), Millis(1_000));
+    assert_eq!(record.grade(Millis(2_999)), Grade::Poor);
+}
