Behind sidecars, too, an endpoint that leaves or rests gets no calls

Same cause there: a sidecar read the status, the content type and the seam of an answer. Now it grants no slot while the endpoint rests, one afterwards, and none once it leaves, until its next life listens (or 300 s are over); a run that was granted before is handed back as not run. Retry-After is read in one place for both ways.

--- a/lab/tests/unwilling_grant.rs
+++ b/lab/tests/unwilling_grant.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, Instant};
 use violetline_lab::client::{End, Reply};
 use violetline_lab::fleet::Fleet;
+use violetline_lab::process::Process;
 
 /// Chats after the word.
 const LATER: usize = 4;
@@ -78,3 +79,28 @@
     }
     fleet.close();
 }
+
+/// The next life of the engine, at its address, is used again.
+#[actix_rt::test]
+async fn next_life() {
+    let mut fleet = fleet(1, 1).await;
+    let slot = position(&fleet, MODEL_POOL, 0);
+    fleet
+        .fault(&fleet.slots[slot].endpoint, json!({"leaving": true}))
+        .await
+        .unwrap();
+    assert_eq!(ask(&fleet, "told").await.end, End::Complete);
+    assert_ne!(ask(&fleet, "later").await.end, End::Complete);
+    let port = fleet.slots[slot].endpoint.addr("listen").port();
+    fleet.slots[slot].endpoint.kill();
+    sleep(Duration::from_millis(500)).await;
+    let settings = json!({"port": port}).to_string();
+    let engine = Process::start(&["engine", "--settings", &settings]).unwrap();
+    fleet.slots[slot].endpoint = engine;
+    let until = Instant::now() + LONG;
+    while ask(&fleet, "again").await.end != End::Complete {
+        assert!(Instant::now() < until, "the next life is not used");
+        sleep(Duration::from_millis(50)).await;
+    }
+    fleet.close();
+}
--- a/src/announced.rs
+++ b/src/announced.rs
@@ -23,6 +23,26 @@
     }
 }
 
+/// The time in a `Retry-After`: seconds, with or without a fraction, or a date, counted from the `Date` of the same answer
+/// (RFC 9110, 10.2.3). `None` for what is no time ahead.
+pub fn retry_after(told: &str, answered: Option<&str>) -> Option<Millis> {
+    let told = told.trim();
+    let time = match told.parse::<f64>() {
+        Ok(seconds) if seconds.is_finite() => Millis((seconds * 1_000.0).ceil() as u64),
+        Ok(_) => return None,
+        Err(_) => until_date(told, answered?)?,
+    };
+    (time > Millis(0)).then_some(time)
+}
+
+/// The time from one date to a later one.
+fn until_date(told: &str, answered: &str) -> Option<Millis> {
+    let until = httpdate::parse_http_date(told).ok()?;
+    let answered = httpdate::parse_http_date(answered).ok()?;
+    let time = until.duration_since(answered).ok()?;
+    Some(Millis(time.as_millis() as u64))
+}
+
 /// What an endpoint has announced so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Announced {
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -5,6 +5,8 @@
 
 use actix_http::error::PayloadError;
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::header::{DATE, RETRY_AFTER};
+use awc::http::StatusCode;
 use awc::{Client, ClientResponse, Connector};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -13,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::announced::{self, Announcement};
 use crate::bundle::PoolKind;
 use crate::ids::{Incarnation, RequestId};
 
@@ -66,6 +69,8 @@
     pub content_type: String,
     /// Position that a resumed stream goes on after, if the endpoint says so.
     pub resumed_at: Option<u64>,
+    /// What the endpoint announces of itself.
+    pub announcement: Announcement,
     /// Body in pieces.
     pub body: LocalBoxStream<'static, Result<Bytes, EndpointError>>,
 }
@@ -219,8 +224,16 @@
         let value = res.headers().get(name).and_then(|v| v.to_str().ok());
         value.map(str::to_owned)
     };
+    let rest =
+        header(RETRY_AFTER.as_str()).filter(|_| res.status() == StatusCode::SERVICE_UNAVAILABLE);
+    let answered = header(DATE.as_str());
+    let announcement = Announcement {
+        leaves: header(LEAVING_HEADER).as_deref() == Some("1"),
+        rest: rest.and_then(|told| announced::retry_after(&told, answered.as_deref())),
+    };
     Reply {
         status: res.status().as_u16(),
+        announcement,
         content_type: header("content-type").unwrap_or_default(),
         resumed_at: header(RESUME_HEADER).and_then(|v| v.parse().ok()),
         body: res
--- a/src/health.rs
+++ b/src/health.rs
@@ -26,6 +26,8 @@
     health: Health,
     failures: u32,
     aside: Millis,
+    /// Until when the endpoint has asked for rest.
+    rests_until: Millis,
 }
 
 impl Default for Breaker {
@@ -34,6 +36,7 @@
             health: Health::Good,
             failures: 0,
             aside: ASIDE_LEAST,
+            rests_until: Millis(0),
         }
     }
 }
@@ -49,7 +52,28 @@
 
     /// The endpoint answered.
     pub fn succeeded(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            rests_until: self.rests_until,
+            ..Self::default()
+        };
+    }
+
+    /// The endpoint asked for rest until a time. It has not failed, but is tried with one request then.
+    pub fn asked_for_rest(&mut self, until: Millis) {
+        self.rests_until = self.rests_until.max(until);
+        if self.health == Health::Good {
+            self.health = Health::Trial;
+        }
+    }
+
+    /// Time of rest that is left; `None` where the endpoint takes requests.
+    pub fn rest_left(&self, now: Millis) -> Option<Millis> {
+        (now < self.rests_until).then(|| self.rests_until - now)
+    }
+
+    /// Another life of the endpoint has begun, which has asked for nothing.
+    pub fn begin_life(&mut self) {
+        self.rests_until = Millis(0);
     }
 
     /// The endpoint failed.
@@ -65,6 +89,9 @@
 
     /// Slots that may be used out of `slots`, and how long none may be.
     pub fn allowance(&mut self, now: Millis, slots: u32) -> (u32, Millis) {
+        if let Some(left) = self.rest_left(now) {
+            return (0, left);
+        }
         match self.health(now) {
             Health::Good => (slots, Millis(0)),
             Health::Trial => (1, Millis(0)),
--- a/src/run.rs
+++ b/src/run.rs
@@ -115,6 +115,10 @@
         resumed: resume_from > 0,
         sent: false,
     };
+    // It may have announced that since the slot was granted.
+    if let Some(wait) = sidecar.unwilling() {
+        return Ran::NeverStarted(Outcome::not_run(NotRunReason::EndpointFailing, wait));
+    }
     if entry_gone && !run.outlives_entry() {
         return Ran::NeverStarted(Outcome::not_run(NotRunReason::GrantLapsed, UNREACHABLE));
     }
@@ -169,6 +173,7 @@
         match called {
             Ok(Ok(reply)) => {
                 self.sent = true;
+                self.sidecar.announced(reply.announcement);
                 Ok(reply)
             }
             Ok(Err(EndpointError::NotSent)) => {
@@ -187,7 +192,7 @@
         let first = !self.resumed;
         let reply = self.send().await?;
         if reply.status >= 500 {
-            self.sidecar.note_health(false);
+            self.note_error(&reply);
             return Err(self.lost().await);
         }
         if reply.status >= 400 {
@@ -363,14 +368,26 @@
             Ok(reply) => reply,
             Err(ran) => return ran,
         };
+        if reply.status >= 500 {
+            self.note_error(&reply);
+        }
         let Some(answer) = self.collect_whole(reply).await else {
             self.sidecar.note_health(false);
             return self.lost().await;
         };
-        self.sidecar.note_health(answer.status < 500);
+        if answer.status < 500 {
+            self.sidecar.note_health(true);
+        }
         self.hand_over(answer).await
     }
 
+    /// The endpoint answered with an error of its own; one that asks for rest has not failed.
+    fn note_error(&self, reply: &Reply) {
+        if reply.announcement.rest.is_none() {
+            self.sidecar.note_health(false);
+        }
+    }
+
     /// The whole body; `None` when it was cut, stalled or too long.
     async fn collect_whole(&self, reply: Reply) -> Option<Answer> {
         let Reply {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,9 +8,11 @@
 use serde_json::{json, Value};
 use slotmap::SecondaryMap;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 use uuid::Uuid;
 
 use crate::admin::Report;
+use crate::announced::Announcement;
 use crate::bundle::{Policy, Pool, PoolKind};
 use crate::clock::Millis;
 use crate::endpoint::{Endpoint, HttpEndpoint};
@@ -30,6 +32,11 @@
 /// the 7 s in which a bundle is in force everywhere, and a margin.
 const REHOME_GRACE: Millis = Millis(10_000);
 
+/// Longest time for which the word of an endpoint that it wants no requests is believed; it is tried again then.
+const LONGEST_REST: Millis = Millis(300_000);
+/// Advice to come back to an endpoint that leaves: another one may have begun in its place.
+const LEAVING_WAIT: Millis = Millis(1_000);
+
 /// What the scheduler says to one session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -82,6 +89,8 @@
     rehoming: Cell<Option<Rehoming>>,
     applied: Cell<Option<(Stamps, Life)>>,
     kind: PoolKind,
+    /// Whether the endpoint has announced that it leaves.
+    leaving: watch::Sender<bool>,
     /// Lives of the endpoint.
     pub lives: Cell<EndpointLives>,
 }
@@ -116,6 +125,7 @@
             rehoming: Cell::new(None),
             applied: Cell::new(None),
             kind,
+            leaving: watch::Sender::new(false),
             lives: Cell::default(),
         })
     }
@@ -176,6 +186,46 @@
         }
     }
 
+    /// Takes what the endpoint announces in an answer.
+    pub fn announced(&self, announcement: Announcement) {
+        let now = self.node.clock.now();
+        if let Some(rest) = announcement.rest {
+            let until = now + rest.min(LONGEST_REST);
+            self.breaker.borrow_mut().asked_for_rest(until);
+            tracing::info!(rest_ms = rest.0, "the endpoint asks for rest");
+            self.tick();
+        }
+        if announcement.leaves && !self.leaving.send_replace(true) {
+            tracing::info!("the endpoint announces that it leaves");
+            self.apply_draining();
+        }
+    }
+
+    /// How long the endpoint wants no requests, by its own word; `None` where it takes them.
+    pub fn unwilling(&self) -> Option<Millis> {
+        if *self.leaving.borrow() {
+            return Some(LEAVING_WAIT);
+        }
+        let now = self.node.clock.now();
+        self.breaker.borrow().rest_left(now)
+    }
+
+    /// Waits until the endpoint announces that it leaves.
+    pub async fn leaves(&self) {
+        let mut leaving = self.leaving.subscribe();
+        // The sender lives as long as this.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+    }
+
+    /// Another life of the endpoint has begun: what the one before announced holds no more.
+    pub fn life_begun(&self) {
+        self.breaker.borrow_mut().begin_life();
+        if self.leaving.send_replace(false) {
+            tracing::info!("the endpoint has begun another life");
+            self.apply_draining();
+        }
+    }
+
     /// The load to tell entries.
     pub fn load(&self) -> Load {
         self.with(|scheduler| scheduler.load()).unwrap_or_default()
@@ -258,7 +308,14 @@
         if listing != self.listing.replace(listing) {
             tracing::info!(?listing, "duty");
         }
-        let draining = listing != Listing::Live || self.node.life() == Life::Draining;
+        self.apply_draining();
+    }
+
+    /// Takes no new work while this process or its endpoint leaves.
+    fn apply_draining(&self) {
+        let is_listed = self.listing.get() == Listing::Live;
+        let stops = self.node.life() == Life::Draining;
+        let draining = !is_listed || stops || *self.leaving.borrow();
         let now = self.node.clock.now();
         self.with(|scheduler| scheduler.set_draining(now, draining));
         self.dispatch();
--- a/src/suspicion.rs
+++ b/src/suspicion.rs
@@ -53,6 +53,7 @@
 pub async fn before_run(sidecar: &Sidecar) {
     if sidecar.lives.get().is_over && !sidecar.endpoint.is_gone().await {
         begin_life(&sidecar.lives);
+        sidecar.life_begun();
     }
 }
 
--- /dev/null
+++ b/tests/endpoint_rest.rs
@@ -0,0 +1,39 @@
+//! An endpoint behind a sidecar that asks for rest.
+
+use violetline::clock::Millis;
+use violetline::health::Breaker;
+
+const SLOTS: u32 = 8;
+
+#[test]
+fn nothing_meanwhile() {
+    let mut breaker = Breaker::default();
+    breaker.asked_for_rest(Millis(3_000));
+    assert_eq!(breaker.allowance(Millis(500), SLOTS), (0, Millis(2_500)));
+    // Answers that were under way end it no sooner, nor does a shorter time.
+    breaker.succeeded();
+    breaker.asked_for_rest(Millis(1_000));
+    assert_eq!(breaker.allowance(Millis(2_999), SLOTS).0, 0);
+}
+
+#[test]
+fn one_afterwards() {
+    let mut breaker = Breaker::default();
+    breaker.asked_for_rest(Millis(3_000));
+    assert_eq!(breaker.allowance(Millis(3_000), SLOTS), (1, Millis(0)));
+    breaker.succeeded();
+    assert_eq!(breaker.allowance(Millis(3_001), SLOTS).0, SLOTS);
+}
+
+/// However often it asks, it has not failed; another life has asked for nothing.
+#[test]
+fn no_failure() {
+    let mut breaker = Breaker::default();
+    for at in 0..10 {
+        breaker.asked_for_rest(Millis(at * 100));
+    }
+    assert_eq!(breaker.allowance(Millis(900), SLOTS).0, 1);
+    breaker.asked_for_rest(Millis(60_000));
+    breaker.begin_life();
+    assert_eq!(breaker.allowance(Millis(1_000), SLOTS).0, 1);
+}
