--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -35,36 +35,43 @@
 
 /// One caller: requests one after the other, on a connection that is kept until it ends.
 pub(super) async fn call_on(soak: Rc<Soak>, caller: usize, mut rng: SmallRng) {
-    let mut kept: Option<TcpStream> = None;
+    let mut kept: Option<(usize, TcpStream)> = None;
     let mut number = 0;
     while !soak.ended.get() {
         number += 1;
         let id = format!("c{caller}-{number}");
         let path = PATHS[rng.gen_range(0..PATHS.len())];
         let key = KEYS[rng.gen_range(0..KEYS.len())];
-        let entry = &soak.entries[rng.gen_range(0..soak.entries.len())];
+        let drawn = rng.gen_range(0..soak.entries.len());
         let stream = match kept.take() {
-            Some(stream) => Some(stream),
-            None => TcpStream::connect(entry.callers.get()).await.ok(),
+            Some(kept) => Some(kept),
+            None => connect(&soak, drawn).await,
         };
-        let Some(mut stream) = stream else {
+        let Some((at, mut stream)) = stream else {
             sleep(Duration::from_millis(30)).await;
             continue;
         };
-        soak.note_sent(&id, path, key);
+        soak.note_sent(&id, path, key, at);
         let request = site::request(path, &id, key);
         let Some(answer) = exchange(&mut stream, &request, &mut rng).await else {
             continue;
         };
         let closes = answer.header("connection") == Some("close");
         if !answer.is_cut && !closes && rng.gen_ratio(3, 4) {
-            kept = Some(stream);
+            kept = Some((at, stream));
         }
         soak.note_answer(&id, answer);
         sleep(Duration::from_millis(rng.gen_range(0..40))).await;
     }
 }
 
+/// A new connection to an entry.
+async fn connect(soak: &Soak, entry: usize) -> Option<(usize, TcpStream)> {
+    let address = soak.entries[entry].callers.get();
+    let stream = TcpStream::connect(address).await.ok()?;
+    Some((entry, stream))
+}
+
 /// Sends a request and reads its answer; `None` when the caller left or couldn't send.
 async fn exchange(stream: &mut TcpStream, request: &[u8], rng: &mut SmallRng) -> Option<Answer> {
     stream.write_all(request).await.ok()?;
@@ -80,11 +87,11 @@
         sleep(Duration::from_millis(rng.gen_range(100..500))).await;
         number += 1;
         let id = format!("crash-{number}");
-        let entry = &soak.entries[rng.gen_range(0..soak.entries.len())];
-        let Ok(mut stream) = TcpStream::connect(entry.callers.get()).await else {
+        let drawn = rng.gen_range(0..soak.entries.len());
+        let Some((at, mut stream)) = connect(&soak, drawn).await else {
             continue;
         };
-        soak.note_sent(&id, CRASH, KEYS[0]);
+        soak.note_sent(&id, CRASH, KEYS[0], at);
         let request = site::request_with(CRASH, &id, KEYS[0], "the same work");
         if let Some(answer) = exchange(&mut stream, &request, &mut rng).await {
             soak.note_answer(&id, answer);
@@ -93,11 +100,13 @@
 }
 
 impl Soak {
-    fn note_sent(&self, id: &str, path: &'static str, key: &'static str) {
+    fn note_sent(&self, id: &str, path: &'static str, key: &'static str, entry: usize) {
         let issue = Issue {
             path,
             key,
             sent: Instant::now(),
+            entry,
+            answered: None,
             answer: None,
         };
         self.issues.borrow_mut().insert(id.to_owned(), issue);
@@ -106,6 +115,7 @@
     fn note_answer(&self, id: &str, answer: Answer) {
         if let Some(issue) = self.issues.borrow_mut().get_mut(id) {
             issue.answer = Some(answer);
+            issue.answered = Some(Instant::now());
         }
     }
 }
--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -34,6 +34,7 @@
                 .findings
                 .extend(broken.map(|why| format!("{id} {}: {why}", issue.path)));
         }
+        report.findings.extend(self.check_unwilling());
         report.crashes = self.crashes();
         if report.crashes > MOST_CRASHES {
             let finding = format!("{} engines ended under one request", report.crashes);
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -12,7 +12,7 @@
 use serde_json::{json, Value};
 use tokio::time::{sleep, Instant};
 
-use super::{RunningEntry, Soak, KEYS};
+use super::{RelayedEngine, RunningEntry, Soak, KEYS};
 use crate::relay::Relay;
 use crate::site;
 use crate::standin::{Condition, Engine};
@@ -31,7 +31,7 @@
         let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
         let time = Duration::from_millis(rng.gen_range(100..3_000));
         let engine = rng.gen_range(0..self.engines.borrow().len());
-        match rng.gen_range(0..17) {
+        match rng.gen_range(0..20) {
             0 => restart(entry, End::Kill, time),
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
@@ -41,13 +41,15 @@
             6 => self.site.borrow().store.forget(),
             7 => entry.to_store.cut(),
             8 => one_way(entry.to_store.clone(), time),
-            9 => self.engines.borrow()[engine].relay.cut(),
-            10 => one_way(self.engines.borrow()[engine].relay.clone(), time),
-            11 => refuse(self.engines.borrow()[engine].relay.clone(), time),
+            9 => self.engines.borrow()[engine].cut(),
+            10 => self.engines.borrow()[engine].one_way(time),
+            11 => self.engines.borrow()[engine].refuse(time),
             12 => self.replace_engine(engine).await?,
             13 => narrow(entry.to_store.clone(), rng.gen_range(NARROW), time),
             14 => self.grow(rng),
             15 => suspend(entry, time),
+            16 => self.leave_unlisted(engine, time).await?,
+            17 | 18 => self.rest(engine, rng),
             _ => self.change_keys(rng),
         }
         Ok(())
@@ -147,6 +149,26 @@
     }
 }
 
+impl RelayedEngine {
+    /// Ends its connections.
+    fn cut(&self) {
+        self.harmed.set(Instant::now());
+        self.relay.cut();
+    }
+
+    /// Lets requests through for a time, but no answers.
+    fn one_way(&self, time: Duration) {
+        self.harmed.set(Instant::now() + time);
+        one_way(self.relay.clone(), time);
+    }
+
+    /// Refuses connections for a time.
+    fn refuse(&self, time: Duration) {
+        self.harmed.set(Instant::now() + time);
+        refuse(self.relay.clone(), time);
+    }
+}
+
 /// How a process is ended.
 #[derive(Debug, Clone, Copy)]
 enum End {
@@ -159,6 +181,7 @@
     if entry.restarting.replace(true) {
         return;
     }
+    entry.disturbed.set(Instant::now());
     actix_rt::spawn(async move {
         let until = Instant::now() + STOP_TIME;
         match end {
@@ -177,6 +200,7 @@
         entry.callers.set(process.addr("callers"));
         entry.process.replace(process).kill();
         entry.restarting.set(false);
+        entry.disturbed.set(Instant::now());
     });
 }
 
@@ -186,6 +210,7 @@
         return;
     }
     entry.process.borrow().freeze();
+    entry.disturbed.set(Instant::now() + time);
     actix_rt::spawn(async move {
         sleep(time).await;
         entry.process.borrow().thaw();
@@ -198,6 +223,7 @@
         return;
     }
     let id = entry.process.borrow().id();
+    entry.disturbed.set(Instant::now() + time);
     entry.process.borrow().freeze();
     actix_rt::spawn(async move {
         let begun = Instant::now();
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod faults;
+mod unwilling;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -99,6 +100,10 @@
     path: &'static str,
     key: &'static str,
     sent: Instant,
+    /// The entry that it was sent to.
+    entry: usize,
+    /// When its answer was whole.
+    answered: Option<Instant>,
     /// `None` while there is none, and for good where the caller left.
     answer: Option<Answer>,
 }
@@ -113,12 +118,16 @@
     restarting: Cell<bool>,
     /// Whether its machine is suspended.
     suspended: Cell<bool>,
+    /// When its process was last ended, started, frozen or suspended: what it had heard may be gone or late.
+    disturbed: Cell<Instant>,
 }
 
 /// One engine behind its relay.
 struct RelayedEngine {
     engine: Rc<Engine>,
     relay: Relay,
+    /// When the way to it was last harmed: its answers may not have come.
+    harmed: Rc<Cell<Instant>>,
 }
 
 /// One seed that is being played.
@@ -216,7 +225,11 @@
             .store
             .list_at(&engine, relay.addr, "s1", "ready");
         actix_rt::spawn(follow_engine(Rc::clone(&engine), relay.clone()));
-        let added = RelayedEngine { engine, relay };
+        let added = RelayedEngine {
+            engine,
+            relay,
+            harmed: Rc::new(Cell::new(Instant::now())),
+        };
         self.engines.borrow_mut().push(added);
         Ok(())
     }
@@ -269,6 +282,7 @@
             callers,
             restarting: Cell::new(false),
             suspended: Cell::new(false),
+            disturbed: Cell::new(Instant::now()),
         })
     }
 }
--- /dev/null
+++ b/lab/src/soak/unwilling.rs
@@ -0,0 +1,141 @@
+//! Engines of the soak that leave or ask for rest in their answers, and what reached them all the same.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use tokio::time::{sleep, Instant};
+
+use super::{Issue, RelayedEngine, Soak};
+use crate::standin::{Announcing, Arrival};
+
+/// Time after which an entry that passed on an answer of an engine that leaves sends it nothing more. What it was sent
+/// before may still be on its way; the platform's bound is 2 s and more.
+const LEAVING_SLACK: Duration = Duration::from_millis(500);
+/// Time after which an entry that was asked for rest sends nothing more, as the platform has it.
+const REST_SLACK: Duration = Duration::from_millis(500);
+/// Requests that may reach an engine in the rest of that time.
+const MOST_IN_REST: usize = 2;
+/// Times of rest, as engines write them.
+const RESTS: [&str; 5] = ["0.3", "1", "1.5", "3", "soon"];
+
+impl Soak {
+    /// An engine says in its answers that it leaves; another one comes, and the store hears of neither for a time.
+    pub(super) async fn leave_unlisted(&self, engine: usize, time: Duration) -> anyhow::Result<()> {
+        self.add_engine().await?;
+        let old = self.engines.borrow_mut().remove(engine);
+        old.engine.set_leaving(true);
+        let store = Rc::clone(&self.site.borrow().store);
+        let leaving = Rc::clone(&old.engine);
+        self.gone.borrow_mut().push(old);
+        actix_rt::spawn(async move {
+            sleep(time).await;
+            store.unlist(&leaving);
+        });
+        Ok(())
+    }
+
+    /// An engine turns everything away and asks for rest, and takes requests again before or after that time.
+    pub(super) fn rest(&self, engine: usize, rng: &mut SmallRng) {
+        let engine = Rc::clone(&self.engines.borrow()[engine].engine);
+        engine.set_resting(Some(RESTS[rng.gen_range(0..RESTS.len())]));
+        let time = Duration::from_millis(rng.gen_range(100..3_000));
+        actix_rt::spawn(async move {
+            sleep(time).await;
+            engine.set_resting(None);
+        });
+    }
+
+    /// What reached engines against what they had announced to the same entry.
+    pub(super) fn check_unwilling(&self) -> Vec<String> {
+        let issues = self.issues.borrow();
+        let gone = self.gone.borrow();
+        let engines = self.engines.borrow();
+        let mut findings = Vec::new();
+        for relayed in engines.iter().chain(gone.iter()) {
+            let arrivals = relayed.engine.arrivals();
+            findings.extend(self.sent_to_leaving(relayed, &arrivals, &issues));
+            findings.extend(self.sent_to_resting(relayed, &arrivals, &issues));
+        }
+        findings
+    }
+
+    /// A request that was sent after its entry had passed on an answer of the engine that said it leaves.
+    fn sent_to_leaving(
+        &self,
+        relayed: &RelayedEngine,
+        arrivals: &[Arrival],
+        issues: &HashMap<String, Issue>,
+    ) -> Option<String> {
+        for told in arrivals.iter().filter(|arrival| arrival.told.leaves) {
+            let Some(issue) = issues.get(told.id()) else {
+                continue;
+            };
+            let heard = issue.answer.as_ref().is_some_and(|answer| {
+                let says = answer.header("server-leaving").is_some();
+                says && answer.header("x-response-seal") == Some(&told.seal())
+            });
+            let Some(passed_on) = issue.answered.filter(|_| heard) else {
+                continue;
+            };
+            let is_late = |arrival: &&Arrival| {
+                let late = issues.get(arrival.id());
+                let late = late.is_some_and(|late| {
+                    late.entry == issue.entry && late.sent > passed_on + LEAVING_SLACK
+                });
+                late && arrival.life == told.life && !self.is_disturbed(issue.entry, passed_on)
+            };
+            if let Some(late) = arrivals.iter().find(is_late) {
+                let (engine, told, late) = (relayed.engine.id(), told.id(), late.id());
+                return Some(format!(
+                    "{late} reached {engine}, which leaves by its answer to {told}"
+                ));
+            }
+        }
+        None
+    }
+
+    /// Requests that reached an engine within the time of rest that it had asked the same entry for.
+    fn sent_to_resting(
+        &self,
+        relayed: &RelayedEngine,
+        arrivals: &[Arrival],
+        issues: &HashMap<String, Issue>,
+    ) -> Option<String> {
+        let entry_of = |arrival: &Arrival| issues.get(arrival.id()).map(|issue| issue.entry);
+        for asked in arrivals {
+            let Some(rest) = rest_of(&asked.told) else {
+                continue;
+            };
+            let is_excused = entry_of(asked).is_none_or(|entry| self.is_disturbed(entry, asked.at));
+            if is_excused || relayed.harmed.get() + REST_SLACK > asked.at {
+                continue;
+            }
+            let within = asked.at + REST_SLACK..asked.at + rest;
+            let is_within = |arrival: &&Arrival| {
+                arrival.life == asked.life
+                    && within.contains(&arrival.at)
+                    && entry_of(arrival) == entry_of(asked)
+            };
+            let count = arrivals.iter().filter(is_within).count();
+            if count > MOST_IN_REST {
+                let (engine, id) = (relayed.engine.id(), asked.id());
+                return Some(format!("{count} requests reached {engine} in the rest that it asked for in its answer to {id}"));
+            }
+        }
+        None
+    }
+
+    /// Whether an entry was ended, started, frozen or suspended since a time.
+    fn is_disturbed(&self, entry: usize, since: Instant) -> bool {
+        self.entries[entry].disturbed.get() >= since
+    }
+}
+
+/// The rest that an answer asked for.
+fn rest_of(told: &Announcing) -> Option<Duration> {
+    let seconds: f64 = told.rest.as_ref()?.parse().ok()?;
+    Some(Duration::from_secs_f64(seconds))
+}
