--- a/lab/tests/leaving_endpoint.rs
+++ b/lab/tests/leaving_endpoint.rs
@@ -46,6 +46,19 @@
     }
 }
 
+/// Said in an answer to an earlier request that comes late, it holds as well.
+#[actix_rt::test]
+async fn said_late() {
+    let site = Site::with_entry(1).await;
+    site.engines[0].set_leaving(true);
+    let answer = site.ask("/safe/late", "told").await;
+    assert_eq!(
+        (answer.status, answer.header("server-leaving")),
+        (200, None)
+    );
+    assert_eq!(ask_later(&site, "/safe/ok").await.0, 0);
+}
+
 /// Said in a refusal, it holds as well, and the others serve.
 #[actix_rt::test]
 async fn said_in_refusal() {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -109,7 +109,7 @@
         };
         self.note_placement(&choice);
         let placed = self.entry.place(key, choice.footprint, self.request);
-        let is_own = |head: &ResponseHead| self.entry.dialect.verdict(head, &self.ask.id).is_own;
+        let is_own = |head: &ResponseHead| self.is_own(key, head);
         let sending = channel.send(head, &self.incoming.body, is_own);
         let reply = match self.wait(sending, key, now).await {
             Ok(Ok(reply)) => reply,
@@ -139,6 +139,17 @@
         self.answered(answerer, answered).await
     }
 
+    /// Whether an answer is to this request. One to an earlier request that comes late is skipped, but what the
+    /// endpoint announces in it holds all the same.
+    fn is_own(&self, key: EndpointKey, head: &ResponseHead) -> bool {
+        let verdict = self.entry.dialect.verdict(head, &self.ask.id);
+        if !verdict.is_own {
+            self.entry
+                .endpoint_announced(key, verdict.announcement, self.ask.id.as_bytes());
+        }
+        verdict.is_own
+    }
+
     /// The head that the endpoint gets; `None` when it has left the list.
     fn order(&self, choice: &Choice, now: Millis) -> Option<RequestHead> {
         let directory = self.entry.directory();
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -91,6 +91,7 @@
                 "pool": e.listed.pool,
                 "zone": e.listed.zone,
                 "standing": format!("{:?}", e.standing),
+                "announced": e.announced.standing(now),
             })
         })
         .collect();
