Endpoints are told the urgency of the kind of request before that of its team

Slots, copies and memory were suspected before; urgency in the placed lines showed one route under two numbers.

Tests urgency_told. Admission and the choice go by the team's urgency as before.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -105,6 +105,9 @@
         endpoint: String,
         /// Which attempt, from 1.
         attempt: u32,
+        /// Urgency that the endpoint is told, 0 first.
+        #[serde(default)]
+        priority: u8,
         /// Time until the first event, by estimate, in ms.
         expected_ms: u64,
         /// Prompt tokens that the endpoint is taken to keep.
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -5,6 +5,7 @@
 use crate::direct::choose::Choice;
 use crate::direct::decision::{Decision, EndedHow};
 use crate::direct::directory::EndpointKey;
+use crate::direct::load;
 
 impl Job<'_> {
     /// Logs that the request is about to be sent to `endpoint`.
@@ -22,6 +23,7 @@
             route: self.route().name.clone(),
             endpoint: endpoint.into(),
             attempt: self.attempts,
+            priority: load::urgency_at_endpoint(self.route().priority, self.priority()),
             expected_ms: choice.expected_ms as u64,
             cached: choice.supply.kept,
             moved: choice.supply.moved,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -16,6 +16,7 @@
 use crate::direct::directory::EndpointKey;
 use crate::direct::ends::EndSign;
 use crate::direct::health::Fault;
+use crate::direct::load;
 use crate::direct::peers::PlacedPrompt;
 use crate::direct::resolve::{Allowed, Denied};
 
@@ -165,7 +166,10 @@
             endpoint: &endpoint.listed.id,
             time_left: self.end - now,
             team: team.map(|team| team.name.as_str()),
-            priority: Some(self.priority()),
+            priority: Some(load::urgency_at_endpoint(
+                self.route().priority,
+                self.priority(),
+            )),
             last_event: self.position.get().last_event,
             fetch_from: fetch_from.filter(|_| !self.takes_over),
             copy_to: copy.filter(|_| !self.takes_over),
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -8,6 +8,12 @@
 
 /// Bands of urgency in which tokens to read are counted: 0, 1, and all others.
 pub const BANDS: usize = 3;
+/// Least urgent number that an endpoint is told.
+const LEAST_URGENT: u8 = 9;
+/// Routes from this urgency on are told alike.
+const TOLD_ROUTES: u8 = 3;
+/// Urgencies of teams that are told apart within a route.
+const TOLD_TEAMS: u8 = 3;
 /// Pressure below which it is forgotten, in tokens: reading as many takes some milliseconds.
 const LEAST_PRESSURE: u32 = 256;
 /// Age after which the endpoint's own word on its load no longer counts.
@@ -26,6 +32,15 @@
     usize::from(priority).min(BANDS - 1)
 }
 
+/// Urgency that an endpoint is told, 0 to 9, of a request on a route of urgency `route` whose own, by its team, is `own`.
+///
+/// The kind of request goes first: what an endpoint preempts for want of memory is under way, and the team's word alone let
+/// 31 to 223 streams of the most urgent route be preempted in one burst while summaries of favoured teams ran on; none so.
+pub fn urgency_at_endpoint(route: u8, own: u8) -> u8 {
+    let of_route = route.min(TOLD_ROUTES) * TOLD_TEAMS;
+    (of_route + own.min(TOLD_TEAMS - 1)).min(LEAST_URGENT)
+}
+
 /// Work of one entry at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Work {
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -44,6 +44,7 @@
         route: "r-1".into(),
         endpoint: endpoint.into(),
         attempt: 1,
+        priority: 2,
         expected_ms: 40,
         cached: 6_300,
         moved: 0,
--- /dev/null
+++ b/tests/urgency_told.rs
@@ -0,0 +1,33 @@
+//! In a burst 31 to 223 streams of the most urgent route were preempted at endpoints while long summaries ran on there. Each
+//! endpoint had been told the team's urgency in place of the route's: `placed` lines of one route had `"priority":0` and
+//! `"priority":1`, by the team alone, so the streams of one team went before the summaries of another.
+
+use violetline::direct::load::urgency_at_endpoint;
+
+#[test]
+fn route_first() {
+    for own in 0..=9 {
+        for other in 0..=9 {
+            for route in 0..3 {
+                let urgent = urgency_at_endpoint(route, own);
+                let less_urgent = urgency_at_endpoint(route + 1, other);
+                assert!(urgent < less_urgent, "{route}: {own}, {other}");
+            }
+        }
+    }
+}
+
+#[test]
+fn team_within_route() {
+    for route in 0..3 {
+        let told: Vec<u8> = (0..3).map(|own| urgency_at_endpoint(route, own)).collect();
+        assert!(told[0] < told[1] && told[1] < told[2], "{told:?}");
+    }
+}
+
+#[test]
+fn within_bounds() {
+    for route in 0..=u8::MAX {
+        assert!(urgency_at_endpoint(route, route) <= 9);
+    }
+}
