--- /dev/null
+++ b/src/direct/entry/announcements.rs
@@ -0,0 +1,55 @@
+//! What endpoints announce of themselves to this entry: taken, logged and counted.
+
+use super::Entry;
+use crate::announced::{Announcement, Unwilling};
+use crate::clock::Millis;
+use crate::direct::decision::Decision;
+use crate::direct::directory::EndpointKey;
+
+impl Entry {
+    /// An endpoint announced something of itself in an answer to a request.
+    pub fn endpoint_announced(&self, key: EndpointKey, announcement: Announcement, request: &[u8]) {
+        if announcement.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let longest = Millis(self.settings.borrow().bounds.longest_rest_ms);
+        let mut directory = self.directory.borrow_mut();
+        let Some(before) = directory.announce(key, announcement, now, longest) else {
+            return;
+        };
+        drop(directory);
+        let mut endpoint = String::new();
+        self.account(key, |account| {
+            endpoint.clone_from(&account.id);
+            if let Some(rest) = announcement.rest {
+                let until = now + rest.min(longest);
+                account.record.asked_for_rest(now, until);
+            }
+        });
+        if announcement.leaves && !before.leaves {
+            self.gauges.announced(Unwilling::Leaves);
+            self.log_announced(request, &endpoint, Unwilling::Leaves, None);
+        }
+        if let Some(rest) = announcement.rest {
+            self.gauges.announced(Unwilling::Rests);
+            self.log_announced(request, &endpoint, Unwilling::Rests, Some(rest));
+        }
+    }
+
+    fn log_announced(&self, request: &[u8], endpoint: &str, what: Unwilling, time: Option<Millis>) {
+        let announced = Decision::EndpointAnnounced {
+            endpoint: endpoint.into(),
+            announces: what,
+            for_ms: time.map(|time| time.0),
+            in_answer_to: String::from_utf8_lossy(request).into_owned(),
+        };
+        self.log.belief(announced);
+    }
+
+    /// Why an endpoint wants no requests now, by its own announcements.
+    pub fn unwilling(&self, key: EndpointKey) -> Option<Unwilling> {
+        let now = self.clock.now();
+        self.directory().get(key)?.announced.standing(now)
+    }
+}
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The state of a direct entry that its tasks share, and where it is in its life.
 
 mod accounts;
+mod announcements;
 mod beliefs;
 mod store;
 mod suspicion;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,5 +1,6 @@
 //! The process in the slot beside an endpoint: owns its run slots and orders what waits. [`process`] starts and ends it.
 
+mod announcements;
 pub mod process;
 
 use std::cell::{Cell, RefCell};
@@ -12,7 +13,6 @@
 use uuid::Uuid;
 
 use crate::admin::Report;
-use crate::announced::Announcement;
 use crate::bundle::{Policy, Pool, PoolKind};
 use crate::clock::Millis;
 use crate::endpoint::{Endpoint, HttpEndpoint};
@@ -32,11 +32,6 @@
 /// the 7 s in which a bundle is in force everywhere, and a margin.
 const REHOME_GRACE: Millis = Millis(10_000);
 
-/// Longest time for which the word of an endpoint that it wants no requests is believed; it is tried again then.
-const LONGEST_REST: Millis = Millis(300_000);
-/// Advice to come back to an endpoint that leaves: another one may have begun in its place.
-const LEAVING_WAIT: Millis = Millis(1_000);
-
 /// What the scheduler says to one session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -186,46 +181,6 @@
         }
     }
 
-    /// Takes what the endpoint announces in an answer.
-    pub fn announced(&self, announcement: Announcement) {
-        let now = self.node.clock.now();
-        if let Some(rest) = announcement.rest {
-            let until = now + rest.min(LONGEST_REST);
-            self.breaker.borrow_mut().asked_for_rest(until);
-            tracing::info!(rest_ms = rest.0, "the endpoint asks for rest");
-            self.tick();
-        }
-        if announcement.leaves && !self.leaving.send_replace(true) {
-            tracing::info!("the endpoint announces that it leaves");
-            self.apply_draining();
-        }
-    }
-
-    /// How long the endpoint wants no requests, by its own word; `None` where it takes them.
-    pub fn unwilling(&self) -> Option<Millis> {
-        if *self.leaving.borrow() {
-            return Some(LEAVING_WAIT);
-        }
-        let now = self.node.clock.now();
-        self.breaker.borrow().rest_left(now)
-    }
-
-    /// Waits until the endpoint announces that it leaves.
-    pub async fn leaves(&self) {
-        let mut leaving = self.leaving.subscribe();
-        // The sender lives as long as this.
-        let _ = leaving.wait_for(|leaving| *leaving).await;
-    }
-
-    /// Another life of the endpoint has begun: what the one before announced holds no more.
-    pub fn life_begun(&self) {
-        self.breaker.borrow_mut().begin_life();
-        if self.leaving.send_replace(false) {
-            tracing::info!("the endpoint has begun another life");
-            self.apply_draining();
-        }
-    }
-
     /// The load to tell entries.
     pub fn load(&self) -> Load {
         self.with(|scheduler| scheduler.load()).unwrap_or_default()
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::{Sidecar, LONGEST_REST};
+use super::{announcements, Sidecar};
 use crate::admin;
 use crate::audit::{Change, What};
 use crate::clock::{Clock, Millis};
@@ -27,8 +27,6 @@
 const FLUSH: Duration = Duration::from_millis(300);
 /// Time between two trims of the key memory.
 const TRIM_EVERY: Duration = Duration::from_secs(5);
-/// Time between two looks whether an endpoint that leaves has ended: shorter than it takes to start again.
-const LOOK_AT_ENDPOINT: Duration = Duration::from_millis(100);
 /// Paths that a sidecar serves on links.
 const PATHS: [&str; 2] = [REQUEST_PATH, GOSSIP_PATH];
 
@@ -103,7 +101,9 @@
     let cx = Rc::clone(sidecar);
     supervisor.child("documents", move || keep_applying(Rc::clone(&cx)));
     let cx = Rc::clone(sidecar);
-    supervisor.child("endpoint", move || follow_endpoint(Rc::clone(&cx)));
+    supervisor.child("endpoint", move || {
+        announcements::follow_endpoint(Rc::clone(&cx))
+    });
     let cx = Rc::clone(sidecar);
     supervisor.child("keys", move || keep_trimming(Rc::clone(&cx)));
 }
@@ -127,27 +127,6 @@
     }
 }
 
-/// Waits for the next life of an endpoint that leaves. One that begins between two looks is not seen, so the endpoint is
-/// tried again in any case after the longest time for which its word is believed.
-async fn follow_endpoint(sidecar: Rc<Sidecar>) -> anyhow::Result<()> {
-    loop {
-        sidecar.leaves().await;
-        // Whether it was seen or the time is over, it is tried again.
-        let _ = timeout(LONGEST_REST.duration(), next_life(&sidecar)).await;
-        sidecar.life_begun();
-    }
-}
-
-/// Waits until the endpoint has ended and listens again.
-async fn next_life(sidecar: &Sidecar) {
-    while !sidecar.endpoint.is_gone().await {
-        sleep(LOOK_AT_ENDPOINT).await;
-    }
-    while sidecar.endpoint.is_gone().await {
-        sleep(LOOK_AT_ENDPOINT).await;
-    }
-}
-
 async fn keep_trimming(sidecar: Rc<Sidecar>) -> anyhow::Result<()> {
     loop {
         sleep(TRIM_EVERY).await;
