A lapsed entry whose address another endpoint has been listed at is no longer used

Such an entry has left for good. Tests address_taken, address_taken_before, written_again in direct_directory.

--- a/lab/src/soak/unwilling.rs
+++ b/lab/src/soak/unwilling.rs
@@ -106,7 +106,9 @@
     ) -> Option<String> {
         let entry_of = |arrival: &Arrival| issues.get(arrival.id()).map(|issue| issue.entry);
         for asked in arrivals {
-            let Some(rest) = rest_of(&asked.told) else {
+            // What is refused as misdirected is not asked for rest.
+            let rest = rest_of(&asked.told).filter(|_| is_meant_for(asked, &asked.life));
+            let Some(rest) = rest else {
                 continue;
             };
             let is_excused = entry_of(asked).is_none_or(|entry| self.is_disturbed(entry, asked.at));
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -6,6 +6,7 @@
 //! They are told apart by whether the list was away shortly before.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 
 use slotmap::{new_key_type, SlotMap};
 
@@ -32,6 +33,18 @@
     Draining,
     /// Its entry disappeared while the list was away; it counts as ready until then.
     Lapsed(Millis),
+    /// The same, and another endpoint has been listed at its address since: it has left for good.
+    Displaced,
+}
+
+impl Standing {
+    /// Whether an endpoint that stands so takes new work.
+    const fn is_open(self) -> bool {
+        match self {
+            Self::Ready | Self::Lapsed(_) => true,
+            Self::Draining | Self::Displaced => false,
+        }
+    }
 }
 
 /// An endpoint and what follows from its entries.
@@ -126,8 +139,16 @@
     /// Takes a change; returns the key of an endpoint that left for good, or whose life is over.
     pub fn apply(&mut self, change: Change, now: Millis) -> Option<EndpointKey> {
         match change {
-            Change::Put(listed) => self.put(listed, now),
-            Change::Removed { id, revision } => self.removed(&id, revision, now),
+            Change::Put(listed) => {
+                let gone = self.put(listed, now);
+                self.displace();
+                gone
+            }
+            Change::Removed { id, revision } => {
+                let gone = self.removed(&id, revision, now);
+                self.displace();
+                gone
+            }
             Change::Cordoned(cordon) => {
                 self.cordons.cordon(cordon);
                 None
@@ -165,6 +186,7 @@
             .collect();
         let left = missing.iter();
         gone.extend(left.filter_map(|id| self.removed(id, revision, now)));
+        self.displace();
         self.replace_cordons(all.cordons, revision, now);
         gone
     }
@@ -200,12 +222,36 @@
         endpoints.chain(cordons).collect()
     }
 
+    /// Finds lapsed entries whose address another endpoint has been listed at since. What is sent for them reaches that
+    /// one, though it may rest, and is refused there: up to 6 requests into one rest, in a run with engines that start again.
+    fn displace(&mut self) {
+        let is_lapsed = |e: &Endpoint| matches!(e.standing, Standing::Lapsed(_));
+        if !self.arena.values().any(is_lapsed) {
+            return;
+        }
+        let mut listed: HashMap<SocketAddr, Revision> = HashMap::new();
+        for endpoint in self.arena.values().filter(|e| !is_lapsed(e)) {
+            let newest = listed.entry(endpoint.listed.address).or_default();
+            *newest = endpoint.listed.revision.max(*newest);
+        }
+        for endpoint in self.arena.values_mut().filter(|e| is_lapsed(e)) {
+            let newest = listed.get(&endpoint.listed.address);
+            if newest.is_some_and(|newest| *newest > endpoint.listed.revision) {
+                endpoint.standing = Standing::Displaced;
+            }
+        }
+    }
+
     /// Ends the grace of lapsed entries; returns those that left for good.
     pub fn expire(&mut self, now: Millis) -> Vec<EndpointKey> {
         let over: Vec<EndpointKey> = self
             .arena
             .iter()
-            .filter(|(_, e)| matches!(e.standing, Standing::Lapsed(until) if now >= until))
+            .filter(|(_, e)| match e.standing {
+                Standing::Lapsed(until) => now >= until,
+                Standing::Displaced => true,
+                Standing::Ready | Standing::Draining => false,
+            })
             .map(|(key, _)| key)
             .collect();
         if self.away {
@@ -290,8 +336,7 @@
     /// Whether an endpoint takes new work by the list and by its own word, and its availability zone is not cordoned.
     fn is_open(&self, endpoint: &Endpoint, now: Millis) -> bool {
         let is_willing = endpoint.announced.standing(now).is_none();
-        let is_listed = endpoint.standing != Standing::Draining;
-        is_willing && is_listed && !self.cordons.holds(&endpoint.listed.zone)
+        is_willing && endpoint.standing.is_open() && !self.cordons.holds(&endpoint.listed.zone)
     }
 
     /// The endpoints of a zone that takes work again may have to warm up.
@@ -350,7 +395,8 @@
     fn removed(&mut self, id: &str, revision: Revision, now: Millis) -> Option<EndpointKey> {
         let key = *self.by_id.get(id)?;
         let endpoint = self.arena.get_mut(key)?;
-        if endpoint.listed.revision > revision || matches!(endpoint.standing, Standing::Lapsed(_)) {
+        let was_removed = matches!(endpoint.standing, Standing::Lapsed(_) | Standing::Displaced);
+        if endpoint.listed.revision > revision || was_removed {
             return None;
         }
         let lapsed = match self.returned {
--- a/tests/direct_directory.rs
+++ b/tests/direct_directory.rs
@@ -118,3 +118,46 @@
         .is_empty());
     assert_eq!(standing(&directory, "b"), Some(Standing::Ready));
 }
+
+/// Engines that had ended started again while the store was away, at the same address and under another id. The entries of
+/// their earlier lives had lapsed and counted as ready, so six requests meant for such a life reached the next one within
+/// 1.5 s of rest that it had asked for, each answered 421.
+#[test]
+fn address_taken() {
+    let mut directory = Directory::default();
+    directory.list_answers(Millis(0));
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    let key = directory.key("a").unwrap();
+    directory.list_away();
+    assert_eq!(directory.apply(removed("a", 2), Millis(100)), None);
+    assert!(directory.takes_work(key, Millis(100)), "bridged");
+    directory.apply(Change::Put(listed("b", 3)), Millis(200));
+    assert_eq!(standing(&directory, "a"), Some(Standing::Displaced));
+    assert!(!directory.takes_work(key, Millis(200)));
+    directory.list_answers(Millis(300));
+    assert_eq!(directory.expire(Millis(300)), [key]);
+}
+
+/// The other order: the next life is listed before the entry of the earlier one goes.
+#[test]
+fn address_taken_before() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    directory.apply(Change::Put(listed("b", 3)), Millis(0));
+    assert_eq!(standing(&directory, "a"), Some(Standing::Ready));
+    directory.list_away();
+    assert_eq!(directory.apply(removed("a", 4), Millis(100)), None);
+    assert_eq!(standing(&directory, "a"), Some(Standing::Displaced));
+}
+
+/// An endpoint whose entry lapsed and is written again is ready, whoever was listed at its address meanwhile.
+#[test]
+fn written_again() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    directory.list_away();
+    directory.apply(removed("a", 2), Millis(100));
+    directory.apply(Change::Put(listed("b", 3)), Millis(200));
+    directory.apply(Change::Put(listed("a", 4)), Millis(300));
+    assert_eq!(standing(&directory, "a"), Some(Standing::Ready));
+}
