--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -34,8 +34,8 @@
 
 /// Urgency that an endpoint is told, 0 to 9, of a request on a route of urgency `route` whose own, by its team, is `own`.
 ///
-/// The kind of request goes first: what an endpoint preempts for want of memory is under way, and the team's word alone let
-/// 31 to 223 streams of the most urgent route be preempted in one burst while summaries of favoured teams ran on; none so.
+/// The kind of request goes first. Told the team's urgency alone, endpoints preempted 31 to 223 requests in one burst while
+/// less urgent kinds ran on there; told both, the route first, none in eight plays.
 pub fn urgency_at_endpoint(route: u8, own: u8) -> u8 {
     let of_route = route.min(TOLD_ROUTES) * TOLD_TEAMS;
     (of_route + own.min(TOLD_TEAMS - 1)).min(LEAST_URGENT)
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -9,7 +9,8 @@
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! Runs that an endpoint did not finish are kept by [`ends`] until it is known whether the endpoint itself has ended; then
 //! [`crate::quarantine`] counts that against what they asked for.
-//! What the platform says of endpoints and zones is [`listed`], what endpoints say of themselves in their answers [`crate::announced`]. What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
+//! What the platform says of endpoints and zones is [`listed`], what endpoints say of themselves in their answers
+//! [`crate::announced`]. What a process believes is kept by [`catalog`] (routes, pools, teams), [`directory`]
 //! (endpoints, with the [`cordons`] of their zones), [`freshness`] (how old that knowledge is) and [`peers`] (other entries), fed by
 //! [`sync`] (the store), and by [`gossip`] and [`fetch`] (peers), which pass on what is in
 //! [`changes`] and [`versions`] (a [`patch`] each). All decisions are state machines
--- a/tests/urgency_told.rs
+++ b/tests/urgency_told.rs
@@ -1,6 +1,6 @@
-//! In a burst 31 to 223 streams of the most urgent route were preempted at endpoints while long summaries ran on there. Each
-//! endpoint had been told the team's urgency in place of the route's: `placed` lines of one route had `"priority":0` and
-//! `"priority":1`, by the team alone, so the streams of one team went before the summaries of another.
+//! In a burst 31 to 223 requests were preempted at endpoints while less urgent kinds ran on there, streams of the most urgent
+//! route among them. Each endpoint had been told the team's urgency in place of the route's: `placed` lines of every route had
+//! `"priority":0` and `"priority":1`, by the team alone, so a stream of one team gave way to a summary of another.
 
 use violetline::direct::load::urgency_at_endpoint;
 
