--- a/lab/tests/unwilling_fleet.rs
+++ b/lab/tests/unwilling_fleet.rs
@@ -1,5 +1,6 @@
 //! Three entries before six engines, of which two turn everything away and ask for rest and one leaves by its own word
-//! alone. Each entry learns it from answers of its own; the others serve.
+//! alone. While that was not read, of 776 requests 168 reached the engine that leaves and 12 one in its rest, and 14 callers were
+//! refused with three engines free. Each entry learns it from answers of its own; the others serve.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/lab/tests/unwilling_grant.rs
+++ b/lab/tests/unwilling_grant.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::*;
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::time::{sleep, Instant};
 use violetline_lab::client::{End, Reply};
 use violetline_lab::fleet::Fleet;
@@ -22,6 +22,21 @@
     fleet.caller.chat(fleet.callers(0), &chat).await
 }
 
+/// Asks, and is told that nothing ran.
+async fn refused(fleet: &Fleet, id: &str) {
+    let end = ask(fleet, id).await.end;
+    assert!(
+        matches!(&end, End::Refused(kind, _) if kind == "not_run"),
+        "{end:?}"
+    );
+}
+
+/// Sets what the only engine announces.
+async fn announce(fleet: &Fleet, faults: Value) {
+    let slot = &fleet.slots[position(fleet, MODEL_POOL, 0)];
+    fleet.fault(&slot.endpoint, faults).await.unwrap();
+}
+
 /// Calls that the only engine has turned away.
 async fn rested(fleet: &Fleet) -> u64 {
     let slot = &fleet.slots[position(fleet, MODEL_POOL, 0)];
@@ -34,25 +49,14 @@
 #[actix_rt::test]
 async fn left_alone() {
     let fleet = fleet(1, 1).await;
-    let slot = position(&fleet, MODEL_POOL, 0);
-    fleet
-        .fault(&fleet.slots[slot].endpoint, json!({"rest_ms": 2_000}))
-        .await
-        .unwrap();
+    announce(&fleet, json!({"rest_ms": 2_000})).await;
     let asked = Instant::now();
     assert_ne!(ask(&fleet, "first").await.end, End::Complete);
     for i in 0..LATER {
-        let end = ask(&fleet, &format!("within-{i}")).await.end;
-        assert!(
-            matches!(&end, End::Refused(kind, _) if kind == "not_run"),
-            "{end:?}"
-        );
+        refused(&fleet, &format!("within-{i}")).await;
     }
     assert_eq!(rested(&fleet).await, 1);
-    fleet
-        .fault(&fleet.slots[slot].endpoint, json!({}))
-        .await
-        .unwrap();
+    announce(&fleet, json!({})).await;
     sleep(Duration::from_millis(2_100).saturating_sub(asked.elapsed())).await;
     assert_eq!(ask(&fleet, "after").await.end, End::Complete);
     fleet.close();
@@ -62,19 +66,11 @@
 #[actix_rt::test]
 async fn leaves() {
     let fleet = fleet(1, 1).await;
-    let slot = position(&fleet, MODEL_POOL, 0);
-    fleet
-        .fault(&fleet.slots[slot].endpoint, json!({"leaving": true}))
-        .await
-        .unwrap();
+    announce(&fleet, json!({"leaving": true})).await;
     assert_eq!(ask(&fleet, "told").await.end, End::Complete);
     for i in 0..LATER {
         let id = format!("later-{i}");
-        let end = ask(&fleet, &id).await.end;
-        assert!(
-            matches!(&end, End::Refused(kind, _) if kind == "not_run"),
-            "{end:?}"
-        );
+        refused(&fleet, &id).await;
         assert_eq!(fleet.runs(&id).await, 0);
     }
     fleet.close();
@@ -85,10 +81,7 @@
 async fn next_life() {
     let mut fleet = fleet(1, 1).await;
     let slot = position(&fleet, MODEL_POOL, 0);
-    fleet
-        .fault(&fleet.slots[slot].endpoint, json!({"leaving": true}))
-        .await
-        .unwrap();
+    announce(&fleet, json!({"leaving": true})).await;
     assert_eq!(ask(&fleet, "told").await.end, End::Complete);
     assert_ne!(ask(&fleet, "later").await.end, End::Complete);
     let port = fleet.slots[slot].endpoint.addr("listen").port();
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -273,69 +273,6 @@
     assert!(!unsaid.not_run);
 }
 
-/// What an endpoint announces in the head of any answer.
-#[test]
-fn announcements_read() {
-    let id = HeaderValue::from_static("9");
-    let announced = |status, headers: &[(&str, &str)]| {
-        Platform
-            .verdict(&response(status, headers), &id)
-            .announcement
-    };
-    for status in [200, 400, 429, 500, 503, 504] {
-        assert!(
-            announced(status, &[("server-leaving", "1")]).leaves,
-            "{status}"
-        );
-    }
-    for headers in [
-        &[("server-leaving", "0")][..],
-        &[("server-leaving", "")],
-        &[],
-    ] {
-        assert!(announced(200, headers).is_empty(), "{headers:?}");
-    }
-    let other = announced(421, &[("server-leaving", "1")]);
-    assert!(!other.leaves, "another endpoint than the one meant says it");
-}
-
-/// For how long an endpoint wants no requests: whole seconds, a fraction, a date by its own clock, and what is none.
-#[test]
-fn rest_read() {
-    let id = HeaderValue::from_static("9");
-    let rest = |status, told: &str| {
-        let headers = [
-            ("retry-after", told),
-            ("date", "Wed, 02 Dec 2026 08:00:00 GMT"),
-        ];
-        let rest = Platform
-            .verdict(&response(status, &headers), &id)
-            .announcement
-            .rest;
-        rest.map(|rest| rest.0)
-    };
-    assert_eq!(rest(503, "3"), Some(3_000));
-    assert_eq!(rest(503, " 0.2504 "), Some(251));
-    assert_eq!(rest(503, "604800"), Some(604_800_000));
-    assert_eq!(rest(503, "Wed, 02 Dec 2026 08:00:07 GMT"), Some(7_000));
-    for none in [
-        "0",
-        "-1",
-        "soon",
-        "",
-        "inf",
-        "NaN",
-        "Wed, 02 Dec 2026 07:59:59 GMT",
-    ] {
-        assert_eq!(rest(503, none), None, "{none}");
-    }
-    for status in [200, 429, 500, 502, 421] {
-        assert_eq!(rest(status, "3"), None, "{status}");
-    }
-    let undated = response(503, &[("retry-after", "Wed, 02 Dec 2026 08:00:07 GMT")]);
-    assert_eq!(Platform.verdict(&undated, &id).announcement.rest, None);
-}
-
 #[test]
 fn refusals_written() {
     let id = HeaderValue::from_static("9");
