Sight: the limits that endpoints name in their answers are read, logged and counted

Whether an entry knows of an endpoint's limit for all instances together could not be told from its output: nothing read the word. A line endpoint_limited tells each change with the request that brought it, placed lines carry limit_per_s, the state page and the gauge limited_endpoints show what is known, direct_sent_to_limited counts what is sent there all the same, and explain shows the line. Answers come in another order than they are made: a lower limit counts at once, a higher one or none only where its request was sent after the lower one was heard. Nothing else follows from it yet. Three tests of the order, one of the wire.

--- a/src/announced.rs
+++ b/src/announced.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::rate::Rate;
 
 /// Lives that are remembered after their entries went: more than the endpoints of the largest fleet, 3,500.
 const MOST_FORMER: usize = 4_096;
@@ -14,10 +15,37 @@
     pub leaves: bool,
     /// For how long it wants no requests from this instance.
     pub rest: Option<Millis>,
+    /// The requests a second that it takes from all instances together.
+    pub limit: NamedLimit,
+}
+
+/// What an answer says of a limit for all instances together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// It names none: there is none, or none any more.
+    #[default]
+    None,
+    /// What it names can't be read: it says nothing.
+    Unreadable,
+    /// This.
+    Rate(Rate),
+}
+
+impl NamedLimit {
+    /// Reads the texts in which an answer names a limit, one after the other or as a list: the lowest that can be read.
+    pub fn read<'a>(told: impl Iterator<Item = &'a str>) -> Self {
+        let texts: Vec<&str> = told.flat_map(|text| text.split(',')).collect();
+        let rates = texts.iter().filter_map(|text| Rate::parse(text));
+        match rates.min() {
+            Some(rate) => Self::Rate(rate),
+            None if texts.is_empty() => Self::None,
+            None => Self::Unreadable,
+        }
+    }
 }
 
 impl Announcement {
-    /// Whether it announces nothing.
+    /// Whether it announces nothing against requests.
     pub const fn is_empty(&self) -> bool {
         !self.leaves && self.rest.is_none()
     }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -131,6 +131,9 @@
         /// Why the endpoint had announced that it wants no requests.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         against: Option<Unwilling>,
+        /// The limit that the endpoint had named for all instances together, in requests a second.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        limit_per_s: Option<f64>,
         /// Endpoint that keeps a copy of the run's memory.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         copy: Option<String>,
@@ -234,6 +237,15 @@
         /// The caller's id of the request that it answered.
         in_answer_to: String,
     },
+    /// An endpoint named another limit for all instances together, or none any more.
+    EndpointLimited {
+        /// Endpoint.
+        endpoint: String,
+        /// Requests a second; `None` where it has no limit any more.
+        per_s: Option<f64>,
+        /// The caller's id of the request that it answered.
+        in_answer_to: String,
+    },
     /// An endpoint was set aside or taken back.
     EndpointHealth {
         /// Endpoint.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod announcements;
 mod beliefs;
+mod limited;
 mod store;
 mod suspicion;
 
@@ -24,6 +25,7 @@
 use crate::direct::directory::{Directory, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::Gauges;
+use crate::direct::limits::Limits;
 use crate::direct::peers::{PeerBook, PeerId, RecentPlacements};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
@@ -74,6 +76,8 @@
     pub placements: RefCell<RecentPlacements>,
     /// Prompts placed lately in the own availability zone, for other zones.
     pub zone_placements: RefCell<RecentPlacements>,
+    /// Limits that endpoints named for all instances together.
+    pub limits: RefCell<Limits>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Requests under which endpoints ended.
@@ -144,6 +148,7 @@
             prefixes: RefCell::default(),
             placements: RefCell::default(),
             zone_placements: RefCell::default(),
+            limits: RefCell::default(),
             retries: RefCell::default(),
             quarantine: RefCell::new(Quarantine::started_at(clock.now())),
             quarantine_changed: Notify::new(),
@@ -273,6 +278,7 @@
         let quarantine = self.quarantine.borrow();
         gauges.set("requests_suspected", quarantine.len() as u64);
         gauges.set("requests_refused", quarantine.refused(now).len() as u64);
+        gauges.set("limited_endpoints", self.limits.borrow().count() as u64);
         gauges.set("endpoints", self.directory.borrow().iter().count() as u64);
     }
 }
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -107,7 +107,8 @@
 /// any endpoint.
 fn announces(line: &Line, endpoints: &BTreeSet<&str>, any: bool) -> bool {
     match &line.decision {
-        Decision::EndpointAnnounced { endpoint, .. } => {
+        Decision::EndpointAnnounced { endpoint, .. }
+        | Decision::EndpointLimited { endpoint, .. } => {
             any || endpoints.contains(endpoint.as_str())
         }
         _ => false,
@@ -122,7 +123,8 @@
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
         Decision::Peer { .. }
         | Decision::RequestRefused { .. }
-        | Decision::EndpointAnnounced { .. } => false,
+        | Decision::EndpointAnnounced { .. }
+        | Decision::EndpointLimited { .. } => false,
         _ => true,
     }
 }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -30,6 +30,7 @@
     runs_ended: Counter<u64>,
     announced: Counter<u64>,
     sent_against: Counter<u64>,
+    sent_to_limited: Counter<u64>,
     refused_with_room: Counter<u64>,
     state: Gauge<u64>,
 }
@@ -66,6 +67,7 @@
             runs_ended: meter.u64_counter("direct_runs_ended_with_endpoint").build(),
             announced: meter.u64_counter("direct_announced").build(),
             sent_against: meter.u64_counter("direct_sent_against").build(),
+            sent_to_limited: meter.u64_counter("direct_sent_to_limited").build(),
             refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
@@ -143,6 +145,11 @@
         self.sent_against.add(1, &labels);
     }
 
+    /// A request was sent to an endpoint that had named a limit.
+    pub fn sent_to_limited(&self) {
+        self.sent_to_limited.add(1, &[]);
+    }
+
     /// A request was refused while endpoints of its pool had free slots.
     pub fn refused_with_room(&self, pool: &str) {
         let labels = [KeyValue::new("pool", pool.to_owned())];
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -43,8 +43,10 @@
             .dialect
             .verdict(&answered.reply.head, &self.ask.id);
         self.heard(key, &verdict, now);
+        let (announcement, id) = (verdict.announcement, self.ask.id.as_bytes());
+        self.entry.endpoint_announced(key, announcement, id);
         self.entry
-            .endpoint_announced(key, verdict.announcement, self.ask.id.as_bytes());
+            .endpoint_limited(key, announcement.limit, answered.sent_at, id);
         if verdict.misdirected {
             answered.placed.undecided();
             return self.misdirected(key);
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -6,6 +6,7 @@
 use crate::direct::decision::{Decision, EndedHow};
 use crate::direct::directory::EndpointKey;
 use crate::direct::load;
+use crate::rate::Rate;
 
 impl Job<'_> {
     /// Logs that the request is about to be sent to `endpoint`.
@@ -19,6 +20,10 @@
         if let Some(what) = against {
             self.entry.gauges.sent_against(what);
         }
+        let limit = self.entry.limit(choice.key);
+        if limit.is_some() {
+            self.entry.gauges.sent_to_limited();
+        }
         let placed = Decision::Placed {
             route: self.route().name.clone(),
             endpoint: endpoint.into(),
@@ -34,6 +39,7 @@
             proof_age_ms: self.entry.proof_age().map(|age| age.0),
             left_ms: (self.end - now).0,
             against,
+            limit_per_s: limit.map(Rate::per_s),
             copy: self.copy_id(),
             takes_over: self.takes_over,
         };
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -145,8 +145,11 @@
     fn is_own(&self, key: EndpointKey, head: &ResponseHead) -> bool {
         let verdict = self.entry.dialect.verdict(head, &self.ask.id);
         if !verdict.is_own {
+            let (announcement, id) = (verdict.announcement, self.ask.id.as_bytes());
+            self.entry.endpoint_announced(key, announcement, id);
+            let sent = Millis(0);
             self.entry
-                .endpoint_announced(key, verdict.announcement, self.ask.id.as_bytes());
+                .endpoint_limited(key, announcement.limit, sent, id);
         }
         verdict.is_own
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -44,6 +44,7 @@
 pub mod intake;
 pub mod job;
 pub mod lanes;
+pub mod limits;
 pub mod listed;
 pub mod load;
 pub mod moves;
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -11,6 +11,7 @@
 use crate::direct::directory::Revision;
 use crate::direct::entry::Entry;
 use crate::listener;
+use crate::rate::Rate;
 
 /// Path of the metrics, as Prometheus text.
 const METRICS_PATH: &str = "/metrics";
@@ -85,13 +86,14 @@
     let directory = entry.directory();
     let endpoints: Vec<serde_json::Value> = directory
         .iter()
-        .map(|(_, e)| {
+        .map(|(key, e)| {
             serde_json::json!({
                 "id": e.listed.id,
                 "pool": e.listed.pool,
                 "zone": e.listed.zone,
                 "standing": format!("{:?}", e.standing),
                 "announced": e.announced.standing(now),
+                "limit_per_s": entry.limit(key).map(Rate::per_s),
             })
         })
         .collect();
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::announced::{self, Announcement};
+use crate::announced::{self, Announcement, NamedLimit};
 use crate::bundle::PoolKind;
 use crate::ids::{Incarnation, RequestId};
 
@@ -34,6 +34,8 @@
 
 /// Header of an answer that says, as `1`, that the endpoint leaves.
 pub const LEAVING_HEADER: &str = "x-endpoint-leaving";
+/// Header of an answer: the requests a second that the endpoint takes at most, as a decimal number.
+pub const LIMIT_HEADER: &str = "x-endpoint-limit";
 
 /// One order to run something.
 #[derive(Debug, Clone)]
@@ -206,6 +208,13 @@
     }
 }
 
+/// The limit that an answer names.
+fn limit<S>(res: &ClientResponse<S>) -> NamedLimit {
+    let named = res.headers().get_all(LIMIT_HEADER);
+    // What is no text can't be read as a limit either.
+    NamedLimit::read(named.map(|value| value.to_str().unwrap_or_default()))
+}
+
 /// Whether an error shows that nothing was sent. awc also says `Connect(Disconnected)` when the
 /// endpoint closes the connection after the work was written.
 fn classify(err: &SendRequestError) -> EndpointError {
@@ -230,6 +239,7 @@
     let announcement = Announcement {
         leaves: header(LEAVING_HEADER).as_deref() == Some("1"),
         rest: rest.and_then(|told| announced::retry_after(&told, answered.as_deref())),
+        limit: limit(&res),
     };
     Reply {
         status: res.status().as_u16(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod rate;
 pub mod replica;
 pub mod rerun;
 pub mod route;
--- a/tests/announced_lives.rs
+++ b/tests/announced_lives.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::listed;
-use violetline::announced::{Announced, Announcement, FormerLives};
+use violetline::announced::{Announced, Announcement, FormerLives, NamedLimit};
 use violetline::clock::Millis;
 use violetline::direct::directory::{Change, Directory, Listed, LAPSE_GRACE};
 
@@ -11,12 +11,14 @@
 const LEAVES: Announcement = Announcement {
     leaves: true,
     rest: None,
+    limit: NamedLimit::None,
 };
 
 fn rest(ms: u64) -> Announcement {
     Announcement {
         leaves: false,
         rest: Some(Millis(ms)),
+        limit: NamedLimit::None,
     }
 }
 
--- /dev/null
+++ b/tests/limit_words.rs
@@ -0,0 +1,60 @@
+//! Which of two answers counts that name another limit, or none.
+
+use violetline::announced::NamedLimit;
+use violetline::clock::Millis;
+use violetline::direct::limits::Limits;
+use violetline::rate::Rate;
+
+const ENDPOINT: u32 = 7;
+
+/// An answer names a limit, in thousandths of a request a second.
+fn named(limit: u32) -> NamedLimit {
+    NamedLimit::Rate(Rate(limit))
+}
+
+/// The limit in force after some answers: what each names, when its request was sent, and when it came.
+fn after(answers: &[(NamedLimit, u64, u64)]) -> Option<Rate> {
+    let mut limits = Limits::default();
+    for (named, sent, heard) in answers {
+        limits.hear(ENDPOINT, *named, Millis(*sent), Millis(*heard));
+    }
+    limits.limit(ENDPOINT)
+}
+
+/// Lower at once, higher and none only where the request was sent after the lower one was heard.
+#[test]
+fn lower_first() {
+    let (ten, one, none) = (named(10_000), named(1_000), NamedLimit::None);
+    assert_eq!(after(&[(ten, 10, 20), (one, 5, 30)]), Some(Rate(1_000)));
+    assert_eq!(after(&[(one, 10, 20), (ten, 15, 30)]), Some(Rate(1_000)));
+    assert_eq!(after(&[(one, 10, 20), (ten, 20, 30)]), Some(Rate(10_000)));
+    assert_eq!(after(&[(one, 10, 20), (none, 19, 30)]), Some(Rate(1_000)));
+    assert_eq!(after(&[(one, 10, 20), (none, 20, 30)]), None);
+    assert_eq!(
+        after(&[(one, 10, 20), (none, 20, 30), (one, 10, 31)]),
+        Some(Rate(1_000))
+    );
+}
+
+/// An answer that was given before a limit ended, and comes after, does not bring it back; nor does one to a request that
+/// nobody knows the time of end it.
+#[test]
+fn late_answers() {
+    let (one, none) = (named(1_000), NamedLimit::None);
+    assert_eq!(after(&[(one, 10, 20), (none, 40, 50), (one, 30, 35)]), None);
+    assert_eq!(after(&[(one, 10, 20), (none, 0, 50)]), Some(Rate(1_000)));
+}
+
+/// What can't be read changes nothing, and an endpoint that never named a limit has none.
+#[test]
+fn nothing_said() {
+    let unreadable = NamedLimit::Unreadable;
+    assert_eq!(
+        after(&[(unreadable, 10, 20), (NamedLimit::None, 30, 40)]),
+        None
+    );
+    assert_eq!(
+        after(&[(named(1_000), 10, 20), (unreadable, 30, 40)]),
+        Some(Rate(1_000))
+    );
+}
--- a/tests/platform_announcements.rs
+++ b/tests/platform_announcements.rs
@@ -2,9 +2,10 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
-use violetline::announced::Announcement;
+use violetline::announced::{Announcement, NamedLimit};
 use violetline::direct::dialect::Dialect;
 use violetline::platform::Platform;
+use violetline::rate::Rate;
 
 /// What an answer with a status and headers announces.
 fn announced(status: u16, headers: &[(&str, &str)]) -> Announcement {
@@ -69,3 +70,27 @@
     let undated = announced(503, &[("retry-after", "Wed, 02 Dec 2026 08:00:07 GMT")]);
     assert_eq!(undated.rest, None);
 }
+
+/// The limit that an endpoint names: a decimal number, the lowest of several. An answer that names none says that there is
+/// none only with the endpoint's seal.
+#[test]
+fn limit_read() {
+    let sealed = ("x-response-seal", "s");
+    let limit = |told: &str| announced(200, &[("server-limit", told), sealed]).limit;
+    assert_eq!(limit("3.3"), NamedLimit::Rate(Rate(3_300)));
+    assert_eq!(limit(" 50 "), NamedLimit::Rate(Rate(50_000)));
+    assert_eq!(limit("0"), NamedLimit::Rate(Rate(0)));
+    assert_eq!(limit("0.0004"), NamedLimit::Rate(Rate(0)));
+    assert_eq!(limit("99999999999"), NamedLimit::Rate(Rate(u32::MAX)));
+    assert_eq!(limit("4, 2, 3"), NamedLimit::Rate(Rate(2_000)));
+    assert_eq!(limit("soon, 2"), NamedLimit::Rate(Rate(2_000)));
+    for unreadable in ["", "-1", "NaN", "inf", "1e9", "1.2.3", "few", "."] {
+        assert_eq!(limit(unreadable), NamedLimit::Unreadable, "{unreadable}");
+    }
+    let twice = announced(503, &[("server-limit", "2"), ("server-limit", "1.5")]);
+    assert_eq!(twice.limit, NamedLimit::Rate(Rate(1_500)));
+    let other = announced(421, &[("server-limit", "2"), sealed]);
+    assert_eq!(other.limit, NamedLimit::Unreadable);
+    assert_eq!(announced(200, &[sealed]).limit, NamedLimit::None);
+    assert_eq!(announced(200, &[]).limit, NamedLimit::Unreadable);
+}
