--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fleet;
+pub mod limited;
 pub mod load;
 pub mod plain;
 pub mod platform;
