Test of an engine behind a sidecar that names a limit, failing

89 calls in 4 s reach an engine that takes one a second, where 11 are allowed: the same cause on the granted way.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::sleep;
 use violetline::endpoint::{
-    INCARNATION_HEADER, LEAVING_HEADER, PRIORITY_HEADER, RESUME_HEADER, RUN_HEADER,
+    INCARNATION_HEADER, LEAVING_HEADER, LIMIT_HEADER, PRIORITY_HEADER, RESUME_HEADER, RUN_HEADER,
 };
 use violetline::listener;
 
@@ -91,6 +91,8 @@
     pub keeps_orphans: bool,
     /// Says in all its answers that it leaves.
     pub leaving: bool,
+    /// Names a limit in all its answers, in thousandths of a call a second; 0 for none.
+    pub limit: u32,
     /// Turns every call away and asks for so much rest, in ms; 0 where it takes calls.
     pub rest_ms: u64,
 }
@@ -276,6 +278,10 @@
     if faults.leaving {
         builder.insert_header((LEAVING_HEADER, "1"));
     }
+    if faults.limit > 0 {
+        let per_s = f64::from(faults.limit) / 1_000.0;
+        builder.insert_header((LIMIT_HEADER, per_s.to_string()));
+    }
     if resumed {
         builder.insert_header((RESUME_HEADER, from_shown.to_string()));
     }
