Behind sidecars, too, an endpoint's limit is kept

Callers saw nothing of it; an engine behind a sidecar that named one call a second got 89 in 4 s where 11 are allowed, since the sidecar read no limit in its answers. All calls to an endpoint pass its sidecar, so that keeps the limit by itself: first calls without a permit are told at once that nothing ran and when to come back, runs that go on wait for theirs.

--- a/src/run.rs
+++ b/src/run.rs
@@ -119,6 +119,10 @@
     if let Some(wait) = sidecar.unwilling() {
         return Ran::NeverStarted(Outcome::not_run(NotRunReason::EndpointFailing, wait));
     }
+    // Callers come back, or go elsewhere: what waited here would keep slots from others.
+    if let Err(wait) = sidecar.take_call(run.job.priority) {
+        return Ran::NeverStarted(Outcome::not_run(NotRunReason::EndpointFailing, wait));
+    }
     if entry_gone && !run.outlives_entry() {
         return Ran::NeverStarted(Outcome::not_run(NotRunReason::GrantLapsed, UNREACHABLE));
     }
@@ -160,20 +164,31 @@
                     if !self.wait_for_resume().await {
                         return self.failed(FailReason::SlowCaller).await;
                     }
+                    self.wait_for_call().await;
                     self.resumed = true;
                 }
             }
         }
     }
 
+    /// Waits until a run that goes on may call the endpoint again within its limit.
+    async fn wait_for_call(&self) {
+        while let Err(wait) = self.sidecar.take_call(self.job.priority) {
+            let clock = &self.sidecar.node.clock;
+            clock.sleep_until(clock.now() + wait).await;
+        }
+    }
+
     /// Sends the call; the head of the answer, or how the run ended without one.
     async fn send(&mut self) -> Result<Reply, Ran> {
         let bound = self.job.stall.duration();
+        let sent = self.sidecar.node.clock.now();
         let called = timeout(bound, self.sidecar.endpoint.call(self.call())).await;
         match called {
             Ok(Ok(reply)) => {
                 self.sent = true;
                 self.sidecar.announced(reply.announcement);
+                self.sidecar.limited(reply.announcement.limit, sent);
                 Ok(reply)
             }
             Ok(Err(EndpointError::NotSent)) => {
--- a/src/sidecar/announcements.rs
+++ b/src/sidecar/announcements.rs
@@ -51,6 +51,7 @@
     /// Another life of the endpoint has begun: what the one before announced holds no more.
     pub fn life_begun(&self) {
         self.breaker.borrow_mut().begin_life();
+        self.forget_limit();
         if self.leaving.send_replace(false) {
             tracing::info!("the endpoint has begun another life");
             self.apply_draining();
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process in the slot beside an endpoint: owns its run slots and orders what waits. [`process`] starts and ends it.
 
 mod announcements;
+mod limited;
 pub mod process;
 
 use std::cell::{Cell, RefCell};
@@ -12,6 +13,7 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
+use self::limited::Limited;
 use crate::admin::Report;
 use crate::bundle::{Policy, Pool, PoolKind};
 use crate::clock::Millis;
@@ -86,6 +88,8 @@
     kind: PoolKind,
     /// Whether the endpoint has announced that it leaves.
     leaving: watch::Sender<bool>,
+    /// The limit that the endpoint has named, and what may be called within it.
+    limited: RefCell<Option<Limited>>,
     /// Lives of the endpoint.
     pub lives: Cell<EndpointLives>,
 }
@@ -121,6 +125,7 @@
             applied: Cell::new(None),
             kind,
             leaving: watch::Sender::new(false),
+            limited: RefCell::default(),
             lives: Cell::default(),
         })
     }
