Soak: engines name limits, and what reaches them is counted

Engines name limits of 0 to 20 a second, or one that can't be read, for 2 to 8 s; per life of an engine the requests of entries that had passed on an answer with the limit half a second before are counted in each span of 4 s against one and a half times the limit and five. Entries that were ended, started, frozen or suspended, and ways that were harmed, are left out within the span before.

--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -31,7 +31,7 @@
         let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
         let time = Duration::from_millis(rng.gen_range(100..3_000));
         let engine = rng.gen_range(0..self.engines.borrow().len());
-        match rng.gen_range(0..20) {
+        match rng.gen_range(0..22) {
             0 => restart(entry, End::Kill, time),
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
@@ -50,6 +50,7 @@
             15 => suspend(entry, time),
             16 => self.leave_unlisted(engine, time).await?,
             17 | 18 => self.rest(engine, rng),
+            19 | 20 => self.name_limit(engine, rng),
             _ => self.change_keys(rng),
         }
         Ok(())
--- a/lab/src/soak/unwilling.rs
+++ b/lab/src/soak/unwilling.rs
@@ -1,6 +1,6 @@
-//! Engines of the soak that leave or ask for rest in their answers, and what reached them all the same.
+//! Engines of the soak that leave, ask for rest or name limits in their answers, and what reached them all the same.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, Instant};
 
 use super::{Issue, RelayedEngine, Soak};
+use crate::limited::{self, Sent};
 use crate::standin::{Announcing, Arrival};
 
 /// Time after which an entry that passed on an answer of an engine that leaves sends it nothing more. What it was sent
@@ -21,6 +22,9 @@
 /// Times of rest, as engines write them.
 const RESTS: [&str; 5] = ["0.3", "1", "1.5", "3", "soon"];
 
+/// Limits, as engines write them.
+const LIMITS: [&str; 7] = ["0", "0.5", "1", "3.3", "3.3", "20", "few"];
+
 impl Soak {
     /// An engine says in its answers that it leaves; another one comes, and the store hears of neither for a time.
     pub(super) async fn leave_unlisted(&self, engine: usize, time: Duration) -> anyhow::Result<()> {
@@ -48,6 +52,17 @@
         });
     }
 
+    /// An engine names a limit in its answers for a time.
+    pub(super) fn name_limit(&self, engine: usize, rng: &mut SmallRng) {
+        let engine = Rc::clone(&self.engines.borrow()[engine].engine);
+        engine.set_limit(Some(LIMITS[rng.gen_range(0..LIMITS.len())]));
+        let time = Duration::from_millis(rng.gen_range(2_000..8_000));
+        actix_rt::spawn(async move {
+            sleep(time).await;
+            engine.set_limit(None);
+        });
+    }
+
     /// What reached engines against what they had announced to the same entry.
     pub(super) fn check_unwilling(&self) -> Vec<String> {
         let issues = self.issues.borrow();
@@ -58,6 +73,7 @@
             let arrivals = relayed.engine.arrivals();
             findings.extend(self.sent_to_leaving(&arrivals, &issues));
             findings.extend(self.sent_to_resting(relayed, &arrivals, &issues));
+            findings.extend(self.sent_beyond_limit(relayed, &arrivals, &issues));
         }
         findings
     }
@@ -130,6 +146,44 @@
         None
     }
 
+    /// More requests in a span than an engine allows all entries together that had passed on its limit.
+    fn sent_beyond_limit(
+        &self,
+        relayed: &RelayedEngine,
+        arrivals: &[Arrival],
+        issues: &HashMap<String, Issue>,
+    ) -> Option<String> {
+        let lives: BTreeSet<&String> = arrivals.iter().map(|arrival| &arrival.life).collect();
+        for life in lives {
+            let meant = arrivals.iter().filter(|a| is_meant_for(a, life));
+            let sent = meant.filter_map(|arrival| {
+                let issue = issues.get(arrival.id())?;
+                let answer = issue.answer.as_ref();
+                let named = answer.is_some_and(|a| a.header("server-limit").is_some());
+                Some(Sent {
+                    entry: issue.entry,
+                    at: arrival.at,
+                    limit: arrival.told.limit_per_s(),
+                    passed_on: issue.answered.filter(|_| named),
+                })
+            });
+            let sent: Vec<Sent> = sent.collect();
+            // What a harmed way holds up comes later than it was sent, and together.
+            let is_excused = |entry: usize, since: Instant| {
+                let before = since - limited::SPAN;
+                relayed.harmed.get() >= before || self.is_disturbed(entry, before)
+            };
+            let worst = limited::worst(&sent, is_excused).filter(limited::Count::is_over);
+            if let Some(count) = worst {
+                let (requests, allowed) = (count.requests, count.allowed);
+                return Some(format!(
+                    "{requests} requests reached {life} in 4 s, its limit allows {allowed}"
+                ));
+            }
+        }
+        None
+    }
+
     /// Whether an entry was ended, started, frozen or suspended since a time.
     fn is_disturbed(&self, entry: usize, since: Instant) -> bool {
         self.entries[entry].disturbed.get() >= since
