--- a/src/direct/job/permit.rs
+++ b/src/direct/job/permit.rs
@@ -93,9 +93,11 @@
             .min()
     }
 
-    /// The permit for an attempt is used.
+    /// The permit for an attempt is used; another attempt waits for its own.
     pub(super) fn use_permit(&mut self) {
         self.permit = None;
+        self.permit_by = None;
+        self.refusals = 0;
     }
 
     fn has_permit(&self, key: EndpointKey) -> bool {
--- a/src/direct/limits/mod.rs
+++ b/src/direct/limits/mod.rs
@@ -44,8 +44,8 @@
 const KEPT: Millis = Millis(100);
 /// Time for which a peer that did not answer is not asked.
 const UNANSWERED: Millis = Millis(1_000);
-/// Questions to peers in a second: some 3 KB with as many answers, beside what rounds take.
-const ASKS_PER_S: f64 = 120.0;
+/// Questions to peers in a second, which take some 5 KB beside the rounds.
+const ASKS_PER_S: f64 = 200.0;
 /// Time after which an endpoint is forgotten of which nothing was heard, and that has no limit.
 const FORGET: Millis = Millis(60_000);
 
