--- a/lab/src/limited.rs
+++ b/lab/src/limited.rs
@@ -51,24 +51,30 @@
     (limit * RATIO * SPAN.as_secs_f64() + EXTRA).floor() as usize
 }
 
-/// The worst span at one engine. Entries that `is_excused` since a time count with nothing that they send later in the span.
-pub fn worst(sent: &[Sent], is_excused: impl Fn(usize, Instant) -> bool) -> Option<Count> {
+/// The worst span at one engine. An entry knows of the limit by answers that it passed on since its last trouble, of which
+/// `last_trouble` tells before a time; spans that `is_excused` don't count.
+pub fn worst(
+    sent: &[Sent],
+    last_trouble: impl Fn(usize, Instant) -> Option<Instant>,
+    is_excused: impl Fn(Instant) -> bool,
+) -> Option<Count> {
     let told: Vec<&Sent> = sent.iter().filter(|s| s.limit.is_some()).collect();
     let knew = |s: &Sent| {
+        let since = last_trouble(s.entry, s.at);
         let earlier = told.iter().filter(|other| other.entry == s.entry);
         let mut passed_on = earlier.filter_map(|other| other.passed_on);
-        passed_on.any(|at| at + SLACK <= s.at)
+        passed_on.any(|at| at + SLACK <= s.at && since.is_none_or(|since| since < at))
     };
     let known: Vec<&Sent> = told.iter().copied().filter(|s| knew(s)).collect();
-    let spans = known.iter().map(|first| {
+    let spans = known.iter().filter(|first| !is_excused(first.at));
+    let counts = spans.map(|first| {
         let within = first.at..first.at + SPAN;
         let counted = known.iter().filter(|s| within.contains(&s.at));
-        let counted = counted.filter(|s| !is_excused(s.entry, first.at));
         let limits = counted.clone().filter_map(|s| s.limit);
         Count {
             requests: counted.count(),
             allowed: allowed(limits.fold(0.0, f64::max)),
         }
     });
-    spans.max_by_key(Count::excess)
+    counts.max_by_key(Count::excess)
 }
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -153,19 +153,19 @@
 impl RelayedEngine {
     /// Ends its connections.
     fn cut(&self) {
-        self.harmed.set(Instant::now());
+        self.harmed.now();
         self.relay.cut();
     }
 
     /// Lets requests through for a time, but no answers.
     fn one_way(&self, time: Duration) {
-        self.harmed.set(Instant::now() + time);
+        self.harmed.until(Instant::now() + time);
         one_way(self.relay.clone(), time);
     }
 
     /// Refuses connections for a time.
     fn refuse(&self, time: Duration) {
-        self.harmed.set(Instant::now() + time);
+        self.harmed.until(Instant::now() + time);
         refuse(self.relay.clone(), time);
     }
 }
@@ -182,7 +182,7 @@
     if entry.restarting.replace(true) {
         return;
     }
-    entry.disturbed.set(Instant::now());
+    entry.disturbed.now();
     actix_rt::spawn(async move {
         let until = Instant::now() + STOP_TIME;
         match end {
@@ -201,7 +201,7 @@
         entry.callers.set(process.addr("callers"));
         entry.process.replace(process).kill();
         entry.restarting.set(false);
-        entry.disturbed.set(Instant::now());
+        entry.disturbed.now();
     });
 }
 
@@ -211,7 +211,7 @@
         return;
     }
     entry.process.borrow().freeze();
-    entry.disturbed.set(Instant::now() + time);
+    entry.disturbed.until(Instant::now() + time);
     actix_rt::spawn(async move {
         sleep(time).await;
         entry.process.borrow().thaw();
@@ -224,7 +224,7 @@
         return;
     }
     let id = entry.process.borrow().id();
-    entry.disturbed.set(Instant::now() + time);
+    entry.disturbed.until(Instant::now() + time);
     entry.process.borrow().freeze();
     actix_rt::spawn(async move {
         let begun = Instant::now();
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod faults;
+mod troubles;
 mod unwilling;
 
 use std::cell::{Cell, RefCell};
@@ -24,6 +25,7 @@
 use serde_json::{json, Value};
 use tokio::time::{sleep, timeout, Instant};
 
+use self::troubles::Troubles;
 use crate::process::Process;
 use crate::relay::Relay;
 use crate::site::{self, Answer, Site};
@@ -118,16 +120,16 @@
     restarting: Cell<bool>,
     /// Whether its machine is suspended.
     suspended: Cell<bool>,
-    /// When its process was last ended, started, frozen or suspended: what it had heard may be gone or late.
-    disturbed: Cell<Instant>,
+    /// When its process was ended, started, frozen or suspended: what it had heard may be gone or late.
+    disturbed: Troubles,
 }
 
 /// One engine behind its relay.
 struct RelayedEngine {
     engine: Rc<Engine>,
     relay: Relay,
-    /// When the way to it was last harmed: its answers may not have come.
-    harmed: Rc<Cell<Instant>>,
+    /// When the way to it was harmed: its answers may not have come.
+    harmed: Troubles,
 }
 
 /// One seed that is being played.
@@ -228,7 +230,7 @@
         let added = RelayedEngine {
             engine,
             relay,
-            harmed: Rc::new(Cell::new(Instant::now())),
+            harmed: Troubles::default(),
         };
         self.engines.borrow_mut().push(added);
         Ok(())
@@ -282,7 +284,7 @@
             callers,
             restarting: Cell::new(false),
             suspended: Cell::new(false),
-            disturbed: Cell::new(Instant::now()),
+            disturbed: Troubles::default(),
         })
     }
 }
--- a/lab/src/soak/unwilling.rs
+++ b/lab/src/soak/unwilling.rs
@@ -128,7 +128,7 @@
                 continue;
             };
             let is_excused = entry_of(asked).is_none_or(|entry| self.is_disturbed(entry, asked.at));
-            if is_excused || relayed.harmed.get() + REST_SLACK > asked.at {
+            if is_excused || relayed.harmed.any_since(asked.at - REST_SLACK) {
                 continue;
             }
             let within = asked.at + REST_SLACK..asked.at + rest;
@@ -168,12 +168,14 @@
                 })
             });
             let sent: Vec<Sent> = sent.collect();
+            let last_trouble = |entry: usize, at| self.entries[entry].disturbed.last_before(at);
             // What a harmed way holds up comes later than it was sent, and together.
-            let is_excused = |entry: usize, since: Instant| {
-                let before = since - limited::SPAN;
-                relayed.harmed.get() >= before || self.is_disturbed(entry, before)
+            let is_excused = |start: Instant| {
+                let harmed = &relayed.harmed;
+                harmed.touch(start - limited::SLACK, start + limited::SPAN)
             };
-            let worst = limited::worst(&sent, is_excused).filter(limited::Count::is_over);
+            let worst = limited::worst(&sent, last_trouble, is_excused);
+            let worst = worst.filter(limited::Count::is_over);
             if let Some(count) = worst {
                 let (requests, allowed) = (count.requests, count.allowed);
                 return Some(format!(
@@ -186,7 +188,7 @@
 
     /// Whether an entry was ended, started, frozen or suspended since a time.
     fn is_disturbed(&self, entry: usize, since: Instant) -> bool {
-        self.entries[entry].disturbed.get() >= since
+        self.entries[entry].disturbed.any_since(since)
     }
 }
 
--- a/lab/tests/limited_endpoint.rs
+++ b/lab/tests/limited_endpoint.rs
@@ -48,7 +48,7 @@
             })
         });
         let sent: Vec<Sent> = sent.collect();
-        limited::worst(&sent, |_, _| false).unwrap()
+        limited::worst(&sent, |_, _| None, |_| false).unwrap()
     }
 }
 
