--- a/lab/tests/crashing_request.rs
+++ b/lab/tests/crashing_request.rs
@@ -19,21 +19,6 @@
 /// their way by then.
 const MOST_ENDED: usize = 6;
 
-/// A site of some entries that know each other.
-async fn site(entries: u8, engines: usize) -> Site {
-    let mut site = Site::start(engines).await;
-    let ips: Vec<String> = (2..2 + entries).map(|i| format!("127.0.0.{i}")).collect();
-    let names: Vec<&str> = ips.iter().map(String::as_str).collect();
-    let (link, admin) = (common_port(&names), common_port(&names));
-    let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
-    let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
-    for ip in &names {
-        let settings = site.settings(ip, link, admin, &seeds);
-        site.add_entry(&settings).await;
-    }
-    site
-}
-
 /// Sends one piece of work again and again, to one entry after the other; the statuses that came.
 async fn repeat(site: &Site, path: &str, times: usize) -> Vec<u16> {
     let mut statuses = Vec::new();
@@ -55,7 +40,7 @@
         "/resume/crash",
         "/safe/crash",
     ] {
-        let site = site(3, 6).await;
+        let site = Site::with_entries(3, 6).await;
         site.revive_engines(BACK);
         let statuses = repeat(&site, path, REPEATS).await;
         let ended = site.crashes();
--- a/lab/tests/limited_endpoint.rs
+++ b/lab/tests/limited_endpoint.rs
@@ -52,21 +52,6 @@
     }
 }
 
-/// A site with some entries and engines.
-async fn site(entries: u8, engines: usize) -> Rc<Site> {
-    let mut site = Site::start(engines).await;
-    let ips: Vec<String> = (2..2 + entries).map(|i| format!("127.0.0.{i}")).collect();
-    let ips: Vec<&str> = ips.iter().map(String::as_str).collect();
-    let (link, admin) = (common_port(&ips), common_port(&ips));
-    let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
-    let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
-    for ip in ips {
-        let settings = site.settings(ip, link, admin, &seeds);
-        site.add_entry(&settings).await;
-    }
-    Rc::new(site)
-}
-
 /// Calls one entry until the time is over.
 async fn call(site: Rc<Site>, caller: usize, entry: usize, paths: &[&str]) -> Vec<Call> {
     let mut calls = Vec::new();
@@ -108,7 +93,7 @@
 /// Three entries with as many callers each keep the limit together, and no caller is refused beside a free engine.
 #[actix_rt::test]
 async fn kept_together() {
-    let site = site(3, 2).await;
+    let site = Rc::new(Site::with_entries(3, 2).await);
     site.engines[0].set_limit(Some("1"));
     let seen = play(&site, &[0, 1, 2, 0, 1, 2], &PATHS).await;
     let worst = seen.worst(&site, 0);
@@ -119,7 +104,7 @@
 /// Second attempts count as well: those to another engine, and those after an error.
 #[actix_rt::test]
 async fn second_attempts() {
-    let site = site(3, 2).await;
+    let site = Rc::new(Site::with_entries(3, 2).await);
     for engine in &site.engines {
         engine.set_limit(Some("0.5"));
     }
@@ -139,7 +124,7 @@
 /// than all.
 #[actix_rt::test]
 async fn used_uneven() {
-    let site = site(3, 1).await;
+    let site = Rc::new(Site::with_entries(3, 1).await);
     site.engines[0].set_limit(Some("5"));
     let seen = play(&site, &[1, 1, 1], &PATHS).await;
     let worst = seen.worst(&site, 0);
@@ -156,7 +141,7 @@
 /// A limit that is no longer named ends.
 #[actix_rt::test]
 async fn ends() {
-    let site = site(3, 1).await;
+    let site = Rc::new(Site::with_entries(3, 1).await);
     site.engines[0].set_limit(Some("0"));
     assert_eq!(site.ask("/safe/ok", "told").await.status, 200);
     site.engines[0].set_limit(None);
--- a/lab/tests/unwilling_fleet.rs
+++ b/lab/tests/unwilling_fleet.rs
@@ -33,19 +33,6 @@
     to_resting: usize,
 }
 
-async fn site() -> Site {
-    let mut site = Site::start(6).await;
-    let ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"];
-    let (link, admin) = (common_port(&ips), common_port(&ips));
-    let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
-    let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
-    for ip in ips {
-        let settings = site.settings(ip, link, admin, &seeds);
-        site.add_entry(&settings).await;
-    }
-    site
-}
-
 /// Calls one entry until the time is over; requests and refusals.
 async fn call(site: Rc<Site>, caller: usize) -> (usize, usize) {
     let entry = caller % site.entries.len();
@@ -77,7 +64,7 @@
 }
 
 async fn play() -> Seen {
-    let site = Rc::new(site().await);
+    let site = Rc::new(Site::with_entries(3, 6).await);
     site.engines[0].set_leaving(true);
     let rest = REST.to_string();
     site.engines[1].set_resting(Some(&rest));
--- a/src/direct/limits/mod.rs
+++ b/src/direct/limits/mod.rs
@@ -6,6 +6,7 @@
 //! reached nothing is sent; where entries disagree on who it is, each gives out less than the limit, see [`Allowance`].
 
 mod allowance;
+mod limited;
 mod message;
 mod word;
 
@@ -13,6 +14,7 @@
 use std::net::SocketAddr;
 
 pub use self::allowance::Allowance;
+use self::limited::Limited;
 pub use self::message::{
     decode, encode, Given, Message, PermitAnswer, PermitAsk, ToldWord, MOST_TOLD,
 };
@@ -25,19 +27,10 @@
 
 /// Endpoints whose limits are remembered: more than those of the largest fleet, 3,500.
 const MOST_REMEMBERED: usize = 4_096;
-/// Time for which a peer's word on a limit counts after it came: one answer that is garbled or forged can't close an endpoint
-/// to the fleet for longer. What an endpoint said to this entry counts until it says otherwise.
-const TOLD_LASTS: Millis = Millis(30_000);
-/// Time after entries have changed from which on a new coordinator gives out permits: the one before it has heard of the
-/// change by then.
-const HANDOVER: Millis = Millis(1_000);
 /// Time without a round after which this process stood still, and others may decide in its place.
 const STOOD_STILL: Millis = Millis(1_000);
 /// Time after which one asks again that does not know whom to ask, or got no answer.
 const ASK_AGAIN: Millis = Millis(200);
-/// Time between two questions of one entry for an endpoint where the first is not answered yet: requests that wait together
-/// would all ask for the same permit.
-const BETWEEN_ASKS: Millis = Millis(10);
 /// Permits that are asked for at once, at most.
 const MOST_WANTED: u32 = 8;
 /// Time for which a permit that was asked for beside another one is kept for the next request.
@@ -83,86 +76,6 @@
     round: Millis,
 }
 
-/// What is known of one endpoint's limit.
-#[derive(Debug, Default)]
-struct Limited {
-    zone: Option<ZoneId>,
-    /// The word of an answer to this entry.
-    own: Option<Word>,
-    /// When that named another limit than the one before.
-    changed: Millis,
-    /// A peer's word, and when it came.
-    told: Option<(Word, Millis)>,
-    /// When a permit may be asked for, by band.
-    ask_at: [Millis; BANDS],
-    /// When the last question was asked that is not answered yet.
-    asking: Option<Millis>,
-    /// Permits that are kept for the next requests, and until when.
-    kept: (u32, Millis),
-    /// What this entry gives out, as its coordinator.
-    allowance: Option<Allowance>,
-    /// When anything was heard of it.
-    heard: Millis,
-}
-
-impl Limited {
-    /// The word that counts now.
-    fn word(&self, now: Millis) -> Option<Word> {
-        let lasts = |(word, at): &(Word, Millis)| word.limit.is_none() || now < *at + TOLD_LASTS;
-        let told = self.told.filter(lasts);
-        match (self.own, told) {
-            (Some(own), Some((told, _))) if told.replaces(&own) => Some(told),
-            (Some(own), _) => Some(own),
-            (None, told) => told.map(|(word, _)| word),
-        }
-    }
-
-    fn limit(&self, now: Millis) -> Option<Rate> {
-        self.word(now)?.limit
-    }
-
-    /// When a permit for a request of a band may be asked for.
-    fn ask_at(&self, band: usize) -> Millis {
-        let asked = self.asking.map_or(Millis(0), |at| at + BETWEEN_ASKS);
-        self.ask_at[band].max(asked)
-    }
-
-    /// Nothing is asked before a time, for requests of a band and of less urgent ones.
-    fn wait(&mut self, band: usize, until: Millis) {
-        for at in &mut self.ask_at[band..] {
-            *at = until.max(*at);
-        }
-    }
-
-    /// Uses a permit that is kept.
-    fn use_kept(&mut self, now: Millis) -> bool {
-        let (left, until) = self.kept;
-        let is_kept = left > 0 && now < until;
-        if is_kept {
-            self.kept.0 -= 1;
-        }
-        is_kept
-    }
-
-    /// Takes permits as the coordinator.
-    fn take(
-        &mut self,
-        part: f64,
-        is_settled: bool,
-        band: usize,
-        wanted: u32,
-        now: Millis,
-    ) -> Result<u32, Millis> {
-        let limit = self.limit(now).unwrap_or_default();
-        let begin = || match is_settled {
-            true => Allowance::begin_with_one(now),
-            false => Allowance::begin(now + HANDOVER),
-        };
-        let allowance = self.allowance.get_or_insert_with(begin);
-        allowance.take(limit, part, band, wanted, now)
-    }
-}
-
 impl Limits {
     /// An answer to a request came that was sent at a time; the limit in force, where that has changed.
     pub fn hear(
