--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -223,7 +223,7 @@
     }
 
     /// Finds lapsed entries whose address another endpoint has been listed at since. What is sent for them reaches that
-    /// one, though it may rest, and is refused there: up to 6 requests into one rest, in a run with engines that start again.
+    /// one, though it may rest, and is refused there.
     fn displace(&mut self) {
         let is_lapsed = |e: &Endpoint| matches!(e.standing, Standing::Lapsed(_));
         if !self.arena.values().any(is_lapsed) {
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -16,8 +16,7 @@
 const COPY_RATIO: u64 = 8;
 
 /// Silence, in pauses that the route allows, after which an endpoint is asked whether it is there.
-/// At half a pause, engines that were only busy lost their streams: 0.740 against 0.776 of the worth of
-/// a day with bursts.
+/// Within less, engines that are only busy would lose their streams.
 const SILENT_PAUSES: u64 = 2;
 
 impl Job<'_> {
--- a/src/direct/lanes.rs
+++ b/src/direct/lanes.rs
@@ -17,12 +17,9 @@
 /// Part of its time that an endpoint is meant to spend reading prompts.
 const READING_PART: f64 = 0.5;
 /// Part of the endpoints up to which delicate streams are kept apart. Beyond it the long prompts, put
-/// together on what is left, make more streams late than they would spread over all: where streams
-/// need a third of the endpoints, 0.615 of the mean worth of three days with bursts with lanes,
-/// 0.684 with this bound; where they need a tenth, 0.826 with lanes and 0.814 without.
+/// together on what is left, make more streams late than they would spread over all.
 const MOST_WRITING: f64 = 0.12;
-/// The same in a pool of [`MANY_ENDPOINTS`], whose long prompts find room on what is left: with 0.12 there,
-/// a day with a cold start in a doubled load and a third of the engines lost was worth 0.692, with this 0.736.
+/// The same in a pool of [`MANY_ENDPOINTS`], whose long prompts find room on what is left.
 const MOST_WRITING_OF_MANY: f64 = 0.3;
 /// Endpoints up to which [`MOST_WRITING`] holds.
 const FEW_ENDPOINTS: f64 = 55.0;
--- a/src/direct/moves.rs
+++ b/src/direct/moves.rs
@@ -1,10 +1,8 @@
 //! Where the tokens of a prompt come from at an endpoint: its own memory, another endpoint's, or the
 //! prompt itself.
 //!
-//! Moving kept parts takes a small part of the time of reading them (on engines with 0.3 MB of
-//! memory a token, 25 ms against 150 ms for 6,300 tokens), so any endpoint may serve a prompt whose
-//! parts are kept somewhere. Of the mean worth of three days with bursts it brings 0.731 against 0.694
-//! (two seeds, nine engines).
+//! Moving kept parts takes a small part of the time of reading them, so any endpoint may serve a prompt whose
+//! parts are kept somewhere, also one that others don't crowd in a burst.
 
 use std::cmp::Reverse;
 
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -92,8 +92,7 @@
     }
 
     /// Time since which placements are told: some turns, so that lost datagrams are made up for. In a
-    /// fleet of one cell all that are remembered: nobody passes them on, and 0.3 s of them cost 0.03 of the mean
-    /// worth of four days before nine engines (0.681 against 0.708).
+    /// fleet of one cell all that are remembered: nobody passes them on, and parts of prompts would be read again.
     pub fn placed_since(&self, covers: Covers, now: Millis) -> Millis {
         if self.far_count == 0 {
             return Millis(0);
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -25,21 +25,19 @@
 /// before one that is late apart from them, and no request waits past its target where its parts are kept.
 const LATE: f64 = 6.0;
 /// Weight of the time that reading a prompt takes from each delicate stream beside it. Without it and
-/// [`HARM_BEYOND`], prompts are read beside streams and make them late: 0.731 against 0.618. With 0.25 and 2
-/// beyond 103 entries reached 0.706, with 1 and 4 (and more lanes) 0.737; nine engines 0.845 and 0.857 (three
-/// days, one seed).
+/// [`HARM_BEYOND`], prompts are read beside streams and make them late.
 const HARM: f64 = 1.0;
 /// Part of the tightest pause that reading beside a delicate stream may fill without harm.
 const PAUSE_PART: f64 = 0.35;
 /// Weight of the reading time beyond that, for each delicate stream: it comes late then.
 const HARM_BEYOND: f64 = 4.0;
-/// Weight of the reading that a delicate stream must expect beside it, where others' choices are seen:
-/// 0.731 against 0.703. It gathers streams on few engines, so it falls with the square of [`unseen`]: unchanged,
-/// a hundred entries put up to 50 streams on some engines while most were idle, 0.649 against 0.706.
+/// Weight of the reading that a delicate stream must expect beside it, where others' choices are seen. It gathers
+/// streams on few engines, so it falls with the square of [`unseen`]: a hundred entries would fill some engines while most
+/// are idle.
 const EXPOSURE: f64 = 0.4;
-/// Price of a full batch where others' choices are seen, in ms; it grows with the square of the part in use. At 400
-/// and 800 ms streams leave engines with room for ones that read: on 55 engines 0.705 against 0.684 and
-/// 0.664. It grows with the square of [`unseen`]: entries that don't see each other overfill an engine together.
+/// Price of a full batch where others' choices are seen, in ms; it grows with the square of the part in use. With
+/// more, streams leave engines with room for ones that read. It grows with the square of [`unseen`]: entries that don't see
+/// each other overfill an engine together.
 const FULL_BATCH_MS: f64 = 200.0;
 /// Time for which others' choices stay unseen up to which streams may be gathered, in ms: that of
 /// thirty entries.
@@ -49,18 +47,14 @@
 /// Price of each request beyond that, in ms: a stream's length over the slots of its engine.
 const OVERFULL_MS: f64 = 25.0;
 /// Weight of shared tokens that are read again by a coarse request, beyond the time that this takes: it is
-/// work done twice, also for those who wait behind it, and the part is then kept at two places. In a day with bursts
-/// before 180 engines, 25 million tokens were read again at 8 (0.629) and 17 at 12 (0.683); with less
-/// exposure 13 at 20 (0.721) and 8 at 40 (0.712); as it is now 11 at 30 (0.702) and 7 at 60 (0.710).
+/// work done twice, also for those who wait behind it, and the part is then kept at two places.
 const READ_AGAIN: f64 = 60.0;
-/// The same at the home of the tokens: 0.692 against 0.679 with [`READ_AGAIN`], which is noise.
+/// The same at the home of the tokens, where they are to be kept.
 const READ_AGAIN_HOME: f64 = 8.0;
-/// The same for a delicate stream, whose prompt is short and whose place matters more. No gain was measured:
-/// 0.816 of its worth with 40 for all, and with this beside 60.
+/// The same for a delicate stream, whose prompt is short and whose place matters more.
 const READ_AGAIN_DELICATE: f64 = 8.0;
 /// Price of moving a token, in ms: links and memory are shared, and a prompt stays where its parts are
-/// unless that is busy. At a quarter of it, 1.6 times as much was moved and 1.4 times as much read
-/// again, since copies drive other parts out of memory (12 days, by what the platform priced).
+/// unless that is busy. With less, more is moved and more read again, since copies drive other parts out of memory.
 const MOVED_MS: f64 = 0.06;
 /// Memory in use above which an engine may have to preempt.
 const MEMORY_FULL: f64 = 0.88;
@@ -71,7 +65,7 @@
 /// one kind spills over.
 const OTHER_LANE_MS: f64 = 100.0;
 /// Most of the random addition to a price, in ms, besides [`SPREAD_READ`]. It parts the choices of many
-/// entries: with thirty of them 0.718 against 0.674, with five nothing.
+/// entries that know the same.
 const SPREAD_MS: f64 = 20.0;
 /// Most of the random addition to a price by the time that reading takes.
 const SPREAD_READ: f64 = 1.0;
@@ -128,8 +122,7 @@
 }
 
 /// Price of the request's own time: a delay that leaves it in time costs its caller little, and the
-/// more the nearer its target comes. It leaves room to spare the streams beside it: 0.727 against
-/// 0.709 without lanes, 0.731 against 0.726 with them.
+/// more the nearer its target comes. It leaves room to spare the streams beside it.
 fn own_ms(demand: &Demand<'_>, expected: f64) -> f64 {
     let target = demand.target.0 as f64;
     if expected < target {
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -32,7 +32,7 @@
 const RETRY_PAUSE_MS: u64 = 150;
 
 /// Calls a second that all entries together make while the store is away or turns them down. With pauses
-/// that don't grow with the fleet each entry asks seven times a second: 720 of 103 entries (computed).
+/// that don't grow with the fleet a large one would press upon the store for as long as it is away.
 const FLEET_CALLS_PER_S: u64 = 100;
 /// Longest pause between two calls: the store's return is noticed while lapsed endpoints are waited for.
 const LONGEST_PAUSE: Millis = Millis(2_000);
--- a/src/direct/warmup.rs
+++ b/src/direct/warmup.rs
@@ -29,8 +29,7 @@
 /// Span over which requests are counted: a second, and what the way to the endpoint may shorten it by.
 const SPAN: Millis = Millis(1_100);
 /// Time after its warm-up over which entries, one by one, take an endpoint for like any other. It is idle and empty
-/// then: without this up to 62 requests of 31 entries went to one within 0.1 s, each seeing at most 15 there, and
-/// of the most urgent streams at engines with under 8 running 76 of 177 came late; with it 26 of 138.
+/// then: all at once would rush to it, and its most urgent streams come late.
 const PHASE_IN: Millis = Millis(1_500);
 /// Sends that are remembered for one endpoint; a share is never larger.
 const MOST_SENDS: usize = 32;
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -26,14 +26,12 @@
 use crate::fingerprint::Fingerprint;
 
 /// Ends in a row from which on a request may be refused. With two, innocent requests would be where engines end one after
-/// the other: one that runs for 0.7 s on nine engines of which one ends each second is lost with each of two
-/// runs in 6 of 1,000 cases, with each of three in 5 of 10,000 (computed).
+/// the other.
 pub const ENDS_TO_REFUSE: usize = 3;
 /// Ends in a row from which on it is refused however many other endpoints end meanwhile.
 const ENDS_AT_MOST: usize = 5;
 /// Chance that an innocent request would have been at as many ends, up to which it is refused: three of three that
-/// end are enough among nine endpoints. On a simulated day on which two of nine engines ended each second and racks
-/// besides, two of 226 innocent requests that were lost would have been refused at the third end.
+/// end are enough among nine endpoints.
 const CHANCE: f64 = 0.002;
 /// Time within which the same end is seen under several requests, by several entries.
 const SEEN_TOGETHER: Millis = Millis(200);
