--- a/tests/limited/mod.rs
+++ b/tests/limited/mod.rs
@@ -1,5 +1,8 @@
 //! A fleet of entries in simulated time before engines that name limits, with their rounds and datagrams.
 
+mod day;
+mod figures;
+
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 
@@ -11,6 +14,7 @@
 use violetline::direct::peers::{Coordinator, Covers, Hello, PeerBook, ZoneId, ROUND};
 use violetline::rate::Rate;
 
+pub use self::day::{Day, Traffic, Trouble};
 use crate::common;
 
 /// Time of a datagram, and of a request, on its way.
@@ -27,8 +31,6 @@
 const HELLO_BYTES: [usize; 2] = [600, 1_000];
 /// Time after which an entry that passed on a limit is bound by it.
 const SLACK: u64 = 500;
-/// Span in which requests are counted.
-const SPAN: u64 = 4_000;
 /// Time for which an entry that stops is still there.
 const STOPS: u64 = 2_500;
 /// Time after which one that ended is back.
@@ -36,94 +38,6 @@
 /// Largest number of seeds in the settings.
 const SEEDS: usize = 3;
 
-/// Who gets the callers' requests.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Traffic {
-    /// All entries alike.
-    Even,
-    /// One entry nearly all.
-    One,
-    /// The entries of one zone nearly all, another zone every five seconds.
-    Moving,
-}
-
-/// What happens to entries, one after the other.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Trouble {
-    None,
-    /// A planned stop and a start.
-    Rolls,
-    /// An end without a word and a start.
-    Kills,
-    /// No datagrams to and from an entry for three seconds; it reaches the engines.
-    Cuts,
-    /// The zones hear each other no more; all reach the engines.
-    Split,
-    /// An entry stands still for three seconds.
-    Freezes,
-    /// All of these in turn.
-    Mixed,
-}
-
-impl Trouble {
-    /// All that happens.
-    pub const ALL: [Self; 6] = [
-        Self::Rolls,
-        Self::Kills,
-        Self::Cuts,
-        Self::Split,
-        Self::Freezes,
-        Self::Mixed,
-    ];
-}
-
-/// What a day is made of.
-#[derive(Debug, Clone, Copy)]
-pub struct Day {
-    pub entries: usize,
-    pub zones: usize,
-    /// Engines that name a limit.
-    pub limited: usize,
-    /// Engines that don't.
-    pub free: usize,
-    /// The limit, in thousandths of a request a second.
-    pub limit: u32,
-    /// Callers' requests a second.
-    pub rate: u64,
-    pub traffic: Traffic,
-    pub trouble: Trouble,
-    /// Time between two troubles.
-    pub every: u64,
-    pub seconds: u64,
-    pub seed: u64,
-    /// Whether entries keep limits at all.
-    pub keeps: bool,
-}
-
-impl Day {
-    /// A day before one engine with a limit of two a second, with more work than it takes.
-    pub fn new(entries: usize) -> Self {
-        Self {
-            entries,
-            zones: match entries {
-                0..=30 => 3,
-                31..=100 => 5,
-                _ => 12,
-            },
-            limited: 6,
-            free: 0,
-            limit: 2_000,
-            rate: 60,
-            traffic: Traffic::Even,
-            trouble: Trouble::None,
-            every: 1_500,
-            seconds: 40,
-            seed: 1,
-            keeps: true,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Asked {
     entry: usize,
@@ -605,46 +519,6 @@
             Trouble::None | Trouble::Mixed => {}
         }
     }
-
-    /// The most requests of entries that knew of the limit in a span, at any engine; and what is allowed.
-    pub fn worst(&self) -> (usize, usize) {
-        let limited = self.arrivals[..self.day.limited].iter();
-        let worst = limited.map(|arrivals| {
-            let knew: Vec<u64> = arrivals.iter().filter(|a| a.knew).map(|a| a.at).collect();
-            let spans = knew.iter().enumerate();
-            let counts = spans.map(|(n, first)| {
-                let within = knew[n..].iter().take_while(|at| **at < first + SPAN);
-                within.count()
-            });
-            counts.max().unwrap_or(0)
-        });
-        let allowed = 1.5 * SPAN as f64 * f64::from(self.day.limit) / 1_000_000.0 + 5.0;
-        (worst.max().unwrap_or(0), allowed as usize)
-    }
-
-    /// The part of the limits that was used after the first seconds.
-    pub fn used(&self) -> f64 {
-        const FROM: u64 = 6_000;
-        let limited = self.arrivals[..self.day.limited].iter();
-        let count: usize = limited
-            .map(|arrivals| arrivals.iter().filter(|a| a.at >= FROM).count())
-            .sum();
-        let time = (self.now - FROM) as f64 / 1_000.0;
-        let offered = f64::from(self.day.limit) / 1_000.0 * time * self.day.limited as f64;
-        count as f64 / offered
-    }
-
-    /// Bytes a second on limits, as those of rounds are counted, without the headers of packets: the most at any entry in any second, and the mean.
-    pub fn bytes(&self) -> (u64, u64) {
-        let all = self.members.iter().flat_map(|m| m.bytes.values());
-        let (most, sum) = all.fold((0, 0), |(most, sum), bytes| {
-            (*bytes.max(&most), sum + bytes)
-        });
-        (
-            most,
-            sum / self.day.entries as u64 / (self.now / 1_000).max(1),
-        )
-    }
 }
 
 /// An entry; the first life knows all others, later ones only the seeds.
