--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -30,5 +30,7 @@
 #[path = "../../platform/standin.rs"]
 pub mod standin;
 pub mod suspension;
+pub mod tiers;
+pub mod urgency;
 pub mod usage;
 pub mod web;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,8 +13,10 @@
 use violetline_lab::rollout::{rollout_options, RolloutOptions};
 use violetline_lab::scenario::{scenario_options, ScenarioOptions};
 use violetline_lab::soak::{soak_options, SoakOptions};
+use violetline_lab::urgency::{urgency_options, UrgencyOptions};
 use violetline_lab::{
     capacity, chaos, demo, engine, plain, platform, proofs, rollout, scenario, soak, suspension,
+    urgency,
 };
 
 /// Stand-ins, load tool and experiments for violetline
@@ -33,6 +35,9 @@
     /// Runs direct entries under random faults and checks what callers and engines see
     #[bpaf(command)]
     Soak(#[bpaf(external(soak_options))] SoakOptions),
+    /// Lets a less urgent kind burst beyond what engines take, and counts the urgent that get nothing
+    #[bpaf(command)]
+    Urgency(#[bpaf(external(urgency_options))] UrgencyOptions),
     /// Measures slopes of processes and the path against a direct call
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
@@ -89,6 +94,7 @@
         Command::Scenarios(options) => system().block_on(scenario::run(options)),
         Command::Chaos(options) => system().block_on(chaos::run(options)),
         Command::Soak(options) => system().block_on(soak::run(options)),
+        Command::Urgency(options) => system().block_on(urgency::run(options)),
         Command::Capacity(options) => system().block_on(capacity::run(options)),
         Command::Rollout(options) => system().block_on(rollout::run(options)),
         Command::Proofs(options) => proofs::run(&options),
