Sight: what each urgency got, and what an entry knew of an endpoint that turned a request away

Neither lines nor metrics told the urgency of a request that got nothing, nor whether its endpoint was known to be full, and the many failures of less urgent requests pushed the lines of urgent ones out. Now: `urgency` in refused, attempt_failed and ended lines and as a label of direct_requests_total and direct_attempts_total (with `sent`), `running` and `slots` in attempt_failed, and lines about failures of the most urgent routes have a bound of their own.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -19,10 +19,13 @@
 /// Lines a second about requests that went well. A full entry serves some hundred requests a
 /// second; a line takes about 10 microseconds.
 const SERVED_LINES: u32 = 300;
-/// Lines a second about requests that failed; kept apart, so that success can't push them out.
+/// Lines a second about requests that failed; kept apart, so that success can't push them out. As many for the most
+/// urgent ones.
 const FAILED_LINES: u32 = 120;
 /// Lines a second about changes of belief.
 const BELIEF_LINES: u32 = 80;
+/// Number of [`Kind`]s.
+const KINDS: usize = 4;
 
 /// Why a request was refused without being sent anywhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -158,6 +161,9 @@
         proof_age_ms: Option<u64>,
         /// Time since it was read, in ms.
         held_ms: u64,
+        /// Urgency of its route, 0 first; `None` where it is not allowed on any.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        urgency: Option<u8>,
         /// Endpoints that had a free slot and had announced nothing against requests, by this entry's knowledge.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         free_endpoints: Option<usize>,
@@ -174,6 +180,15 @@
         may_have_run: bool,
         /// Attempts that the route still allows.
         attempts_left: u32,
+        /// Urgency of its route, 0 first.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        urgency: Option<u8>,
+        /// Requests at the endpoint without this one, of all entries as far as known.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        running: Option<u32>,
+        /// Slots of the endpoint.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        slots: Option<u32>,
         /// Digest of what was asked for; the same for every repeat of it.
         #[serde(skip_serializing_if = "String::is_empty", default)]
         fingerprint: String,
@@ -186,6 +201,9 @@
         endpoint: String,
         /// How.
         how: EndedHow,
+        /// Urgency of its route, 0 first.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        urgency: Option<u8>,
         /// Status that the caller got; 0 when none.
         status: u16,
         /// Time until the first byte of the answer left, in ms.
@@ -337,6 +355,8 @@
 enum Kind {
     Served,
     Failed,
+    /// A failure of the most urgent requests, apart from those of others, which are many while the urgent fail.
+    UrgentFailed,
     Belief,
 }
 
@@ -345,7 +365,12 @@
         match self {
             Self::Placed { .. } => Kind::Served,
             Self::Ended { how, .. } if *how == EndedHow::Served => Kind::Served,
-            Self::Refused { .. } | Self::AttemptFailed { .. } | Self::Ended { .. } => Kind::Failed,
+            Self::Refused { urgency, .. }
+            | Self::AttemptFailed { urgency, .. }
+            | Self::Ended { urgency, .. } => match urgency {
+                Some(0) => Kind::UrgentFailed,
+                _ => Kind::Failed,
+            },
             _ => Kind::Belief,
         }
     }
@@ -380,9 +405,9 @@
 #[derive(Debug, Default)]
 struct Second {
     /// Lines written, by [`Kind`].
-    written: [Cell<u32>; 3],
+    written: [Cell<u32>; KINDS],
     /// Lines that the bound dropped, by [`Kind`].
-    dropped: [Cell<u64>; 3],
+    dropped: [Cell<u64>; KINDS],
 }
 
 /// The log of one process.
@@ -425,11 +450,11 @@
         for written in &self.second.written {
             written.set(0);
         }
-        let [served, failed, beliefs] = self.second.dropped.each_ref().map(Cell::take);
-        if served + failed + beliefs > 0 {
+        let [served, failed, urgent, beliefs] = self.second.dropped.each_ref().map(Cell::take);
+        if served + failed + urgent + beliefs > 0 {
             self.belief(Decision::Dropped {
                 served,
-                failed,
+                failed: failed + urgent,
                 beliefs,
                 writer: (self.writer_dropped)(),
             });
@@ -440,7 +465,8 @@
         let (place, most) = match decision.kind() {
             Kind::Served => (0, SERVED_LINES),
             Kind::Failed => (1, FAILED_LINES),
-            Kind::Belief => (2, BELIEF_LINES),
+            Kind::UrgentFailed => (2, FAILED_LINES),
+            Kind::Belief => (3, BELIEF_LINES),
         };
         let written = &self.second.written[place];
         if written.get() >= most {
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -78,22 +78,15 @@
         }
     }
 
-    /// A request of a pool ended.
-    pub fn request(&self, pool: &str, outcome: &'static str) {
-        let labels = [
-            KeyValue::new("pool", pool.to_owned()),
-            KeyValue::new("outcome", outcome),
-        ];
-        self.requests.add(1, &labels);
+    /// A request of a pool ended, on a route of an urgency.
+    pub fn request(&self, pool: &str, urgency: Option<u8>, outcome: &'static str) {
+        self.requests.add(1, &outcome_of(pool, urgency, outcome));
     }
 
-    /// A request was sent to an endpoint of a pool.
-    pub fn attempt(&self, pool: &str, outcome: &'static str) {
-        let labels = [
-            KeyValue::new("pool", pool.to_owned()),
-            KeyValue::new("outcome", outcome),
-        ];
-        self.attempts.add(1, &labels);
+    /// A request was sent to an endpoint of a pool, or an attempt ended without an answer.
+    pub fn attempt(&self, pool: &str, urgency: u8, outcome: &'static str) {
+        self.attempts
+            .add(1, &outcome_of(pool, Some(urgency), outcome));
     }
 
     /// The first byte of an answer left for the caller.
@@ -185,6 +178,16 @@
     }
 }
 
+/// Labels of an outcome in a pool; requests that no route allows have an empty urgency.
+fn outcome_of(pool: &str, urgency: Option<u8>, outcome: &'static str) -> [KeyValue; 3] {
+    let urgency = urgency.map_or(String::new(), |urgency| urgency.to_string());
+    [
+        KeyValue::new("pool", pool.to_owned()),
+        KeyValue::new("urgency", urgency),
+        KeyValue::new("outcome", outcome),
+    ]
+}
+
 impl Default for Gauges {
     fn default() -> Self {
         Self::new()
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -118,7 +118,8 @@
             self.entry.endpoint_failed(key, Fault::Answer, why);
         }
         self.log_failed(key, &format!("not run, status {}", status.as_u16()), false);
-        self.entry.gauges.attempt(&self.pool, "not_run");
+        let urgency = self.route().priority;
+        self.entry.gauges.attempt(&self.pool, urgency, "not_run");
         Attempt::NotRun(key)
     }
 
@@ -139,7 +140,8 @@
     pub(super) fn failed(&self, key: EndpointKey, fault: Fault, why: &str) -> Attempt {
         self.entry.endpoint_failed(key, fault, why);
         self.log_failed(key, why, true);
-        self.entry.gauges.attempt(&self.pool, "lost");
+        let urgency = self.route().priority;
+        self.entry.gauges.attempt(&self.pool, urgency, "lost");
         Attempt::Lost(key)
     }
 
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -9,7 +9,7 @@
 use crate::direct::dialect::Refusal;
 use crate::direct::directory::EndpointKey;
 use crate::direct::load::{self, BANDS};
-use crate::direct::refuse;
+use crate::direct::refuse::{self, AllowedRequest};
 
 /// Advice when to come back after a refusal, before its random addition.
 const COME_BACK: Millis = Millis(150);
@@ -41,7 +41,12 @@
         if free > 0 {
             self.entry.gauges.refused_with_room(&self.pool);
         }
-        refuse::log(self.entry, self.ask, self.incoming, why, Some(free));
+        let urgency = self.route().priority;
+        let noted = AllowedRequest {
+            urgency,
+            free_endpoints: free,
+        };
+        refuse::log(self.entry, self.ask, self.incoming, why, Some(noted));
         let outcome = match why {
             RefusedWhy::Overload { .. } => "turned_away",
             RefusedWhy::EndsEndpoints { .. } => "ends_endpoints",
@@ -49,7 +54,9 @@
             RefusedWhy::EndpointsLimited { .. } => "endpoints_limited",
             _ => "not_run",
         };
-        self.entry.gauges.request(&self.pool, outcome);
+        self.entry
+            .gauges
+            .request(&self.pool, Some(urgency), outcome);
         let refusal = Refusal::NotRun(self.come_back(why));
         refuse::write(self.entry, answerer, refusal, Some(self.ask)).await
     }
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -44,6 +44,8 @@
             takes_over: self.takes_over,
         };
         self.entry.log.request(self.ask.id.as_bytes(), placed);
+        let urgency = self.route().priority;
+        self.entry.gauges.attempt(&self.pool, urgency, "sent");
     }
 
     /// Identity of the endpoint that parts of the prompt are taken from.
@@ -55,14 +57,21 @@
 
     /// Logs that an attempt failed.
     pub(super) fn log_failed(&self, key: EndpointKey, failure: &str, may_have_run: bool) {
+        let now = self.entry.clock.now();
         let directory = self.entry.directory();
-        let endpoint = directory.get(key).map(|e| e.listed.id.clone());
+        let listed = directory.get(key).map(|e| &e.listed);
+        let endpoint = listed.map(|listed| listed.id.clone());
+        let accounts = self.entry.accounts();
+        let account = accounts.get(key);
         let failed = Decision::AttemptFailed {
             endpoint: endpoint.unwrap_or_else(|| self.progress.borrow().endpoint.clone()),
             attempt: self.attempts,
             failure: failure.into(),
             may_have_run,
             attempts_left: self.route().max_attempts.saturating_sub(self.attempts),
+            urgency: Some(self.route().priority),
+            running: account.map(|account| account.load.total(now).running.saturating_sub(1)),
+            slots: listed.map(|listed| listed.slots),
             fingerprint: if may_have_run {
                 self.request.to_string()
             } else {
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -124,6 +124,7 @@
         let mut noted = progress.borrow_mut();
         noted.route.clone_from(&route.name);
         noted.pool.clone_from(&pool);
+        noted.urgency = Some(route.priority);
         drop(noted);
         Self {
             entry,
--- a/src/direct/progress.rs
+++ b/src/direct/progress.rs
@@ -14,6 +14,8 @@
     pub route: String,
     /// Name of the pool that it is sent to.
     pub pool: String,
+    /// Urgency of its route.
+    pub urgency: Option<u8>,
     /// Id of the endpoint that it was last sent to.
     pub endpoint: String,
     /// When the first byte of its answer left.
@@ -39,12 +41,13 @@
             route: self.route.clone(),
             endpoint: self.endpoint.clone(),
             how,
+            urgency: self.urgency,
             status,
             first_ms: self.first.map(|at| (at - incoming.at).0),
             pause_ms: self.longest_pause.map(|pause| pause.0),
             total_ms: (now - incoming.at).0,
         };
         entry.log.request(&self.id, ended);
-        entry.gauges.request(&self.pool, how.label());
+        entry.gauges.request(&self.pool, self.urgency, how.label());
     }
 }
--- a/src/direct/refuse.rs
+++ b/src/direct/refuse.rs
@@ -43,13 +43,22 @@
     written.is_ok() && answerer.is_kept()
 }
 
-/// Logs a refusal, with the endpoints that had room where it is of a request that was allowed.
+/// What is told of a refused request that was allowed.
+#[derive(Debug, Clone, Copy)]
+pub struct AllowedRequest {
+    /// Urgency of its route.
+    pub urgency: u8,
+    /// Endpoints that had room.
+    pub free_endpoints: usize,
+}
+
+/// Logs a refusal, `of` a request that was allowed or not.
 pub fn log(
     entry: &Entry,
     ask: &Ask,
     incoming: &Incoming,
     why: RefusedWhy,
-    free_endpoints: Option<usize>,
+    of: Option<AllowedRequest>,
 ) {
     let refused = Decision::Refused {
         why,
@@ -57,7 +66,8 @@
         catalog: entry.version(),
         proof_age_ms: entry.proof_age().map(|age| age.0),
         held_ms: (entry.clock.now() - incoming.at).0,
-        free_endpoints,
+        urgency: of.map(|of| of.urgency),
+        free_endpoints: of.map(|of| of.free_endpoints),
     };
     entry.log.request(ask.id.as_bytes(), refused);
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -66,6 +66,7 @@
         route: "r-1".into(),
         endpoint: endpoint.into(),
         how,
+        urgency: None,
         status: if how == EndedHow::Served { 200 } else { 502 },
         first_ms: None,
         pause_ms: None,
@@ -120,6 +121,9 @@
         may_have_run: true,
         fingerprint: String::new(),
         attempts_left: 0,
+        urgency: None,
+        running: None,
+        slots: None,
     };
     log.request(b"9c41", failed);
     log.request(b"9c41", ended("i-1", EndedHow::Unknown));
@@ -145,6 +149,7 @@
         catalog: 7,
         proof_age_ms: Some(4_800),
         held_ms: 0,
+        urgency: None,
         free_endpoints: None,
     };
     log.request(b"9c41", refused);
@@ -180,6 +185,7 @@
         catalog: 7,
         proof_age_ms: Some(200),
         held_ms: 0,
+        urgency: None,
         free_endpoints: None,
     };
     log.request(b"9c41", refused);
@@ -212,6 +218,7 @@
         catalog: 7,
         proof_age_ms: Some(200),
         held_ms: 0,
+        urgency: None,
         free_endpoints: Some(0),
     };
     log.request(b"9c42", refused);
@@ -221,3 +228,23 @@
         "{text}"
     );
 }
+
+/// Failures of the most urgent requests are told also while others fail by hundreds.
+#[test]
+fn urgent_failures() {
+    let (_, memory, log) = log();
+    let refused = |urgency| Decision::Refused {
+        why: RefusedWhy::EndpointRefused,
+        target: "ficu95.example/lohu930/2f".into(),
+        catalog: 7,
+        proof_age_ms: Some(200),
+        held_ms: 2,
+        urgency: Some(urgency),
+        free_endpoints: Some(3),
+    };
+    for _ in 0..1_000 {
+        log.request(b"less", refused(1));
+    }
+    log.request(b"urgent", refused(0));
+    assert!(memory.text().contains("\"request\":\"urgent\""));
+}
