The kind's urgency decides admission, estimates, permits and returns, as endpoints are told it

Callers of an urgent kind were turned away while less urgent, larger requests were sent: the order that endpoints are told has the kind first and the team second, but admission, the estimate of what is read first, permits and the time to come back went by the team's urgency alone. Where every team has one, all kinds were alike. Everything goes by the kind now; the team orders requests of one kind at endpoints.

--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -7,7 +7,6 @@
 use crate::direct::decision::RefusedWhy;
 use crate::direct::demand::{Candidate, Demand};
 use crate::direct::directory::{Endpoint, EndpointKey};
-use crate::direct::load;
 use crate::direct::residency;
 use crate::direct::settings::DirectSettings;
 use crate::direct::warmup::WarmUp;
@@ -67,7 +66,7 @@
     }
 
     fn outlook(&self, choice: &Choice) -> Outlook {
-        let band = load::band(self.priority());
+        let band = self.band();
         Outlook {
             band,
             expected_ms: choice.expected_ms,
@@ -117,7 +116,7 @@
     fn demand<'a>(&'a self, zone: &'a str, now: Millis) -> Demand<'a> {
         let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
         Demand {
-            band: load::band(self.priority()),
+            band: self.band(),
             parts: &self.ask.parts,
             output_tokens: self.ask.output_tokens,
             target: self.route().target,
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -8,7 +8,7 @@
 use crate::direct::decision::{EndedHow, RefusedWhy};
 use crate::direct::dialect::Refusal;
 use crate::direct::directory::EndpointKey;
-use crate::direct::load::{self, BANDS};
+use crate::direct::load::BANDS;
 use crate::direct::refuse::{self, AllowedRequest};
 
 /// Advice when to come back after a refusal, before its random addition.
@@ -83,9 +83,9 @@
             (RefusedWhy::EndsEndpoints { come_back_ms, .. }, _) => Millis(come_back_ms + spread),
             (RefusedWhy::EndpointsLimited { first_free_ms }, _) => {
                 let wait = Millis(first_free_ms).max(COME_BACK);
-                after_rest(wait, load::band(self.priority()), random.gen())
+                after_rest(wait, self.band(), random.gen())
             }
-            (_, Some(rest)) => after_rest(rest, load::band(self.priority()), random.gen()),
+            (_, Some(rest)) => after_rest(rest, self.band(), random.gen()),
             (_, None) => COME_BACK + Millis(spread),
         }
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -24,6 +24,7 @@
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::Entry;
 use crate::direct::intake::Incoming;
+use crate::direct::load;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
 use crate::direct::relay::Position;
@@ -164,6 +165,12 @@
         priority.unwrap_or(self.route().priority)
     }
 
+    /// Band of urgency that decides what is sent, and which callers come back first: that of its kind, in the same order as
+    /// endpoints are told. By the team's, requests of the most urgent kind were turned away where less urgent kinds were sent.
+    fn band(&self) -> usize {
+        load::band(self.route().priority)
+    }
+
     /// Until when the endpoint's last word is waited for, somewhat beyond the request's own time.
     fn last_word(&self) -> Millis {
         self.end + OVERTIME
--- a/src/direct/job/permit.rs
+++ b/src/direct/job/permit.rs
@@ -4,7 +4,6 @@
 use crate::clock::Millis;
 use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::limits::Step;
-use crate::direct::load;
 
 /// Time in which a permit is to be used: to open a connection takes less, and a process that stood still meanwhile does not
 /// send later what others have got since.
@@ -105,8 +104,4 @@
         let permit = self.permit.filter(|permit| permit.endpoint == key);
         permit.is_some_and(|permit| now < permit.until)
     }
-
-    fn band(&self) -> usize {
-        load::band(self.priority())
-    }
 }
