A less urgent kind may wait 0.6 times as long as a more urgent one

In an overloaded pool a kind of middle urgency was turned away while less urgent, larger requests were sent: both were allowed the same wait, and estimates of it differ by entry and prompt by more than urgency did. Each band of urgency now has 0.6 of the wait of the band above, so that refusals reach the less urgent first; the least urgent of three kinds waits 0.09 of its time in place of 0.15.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -9,18 +9,20 @@
 //! due to its own length, in a pool that is idle, is sent unless it would take most of its time.
 
 use crate::clock::Millis;
+use crate::direct::load::BANDS;
 
 /// Part of the tightest target of a pool up to which its mean backlog counts as calm. Medians of two seconds on one
 /// deployment: 0.1 to 0.3 in calm, 0.3 to 0.8 in a burst that is served, 6 to 9 in a collapse.
 const CALM: f64 = 1.0 / 3.0;
 /// The part from which on the pool counts as overloaded: the most urgent streams would be late behind it.
 const OVERLOADED: f64 = 1.0;
-/// Part of the time that is left which a request may be expected to wait in an overloaded pool. Two days with bursts
-/// and lost engines, two seeds each, were worth 0.681 and 0.354 where everything is sent, 0.800 and 0.645 with this, 0.782
-/// and 0.611 with 0.2.
-const WAIT_PART: f64 = 0.15;
-/// The same for the most urgent.
-const URGENT_WAIT_PART: f64 = 0.1;
+/// Part of the time that is left which a request may be expected to wait in an overloaded pool, by band of urgency. Long
+/// waits of the most urgent make them late.
+const WAIT_PARTS: [f64; BANDS] = [0.1, 0.15, 0.15];
+/// Part of the wait of a more urgent request that a less urgent one may be expected to have. Estimates of entries differ, and
+/// those for short prompts are no shorter than those for long ones, so with equal waits the more urgent kind was turned
+/// away as well.
+const LESS_URGENT_WAIT: f64 = 0.6;
 /// How many times longer it may wait in a calm pool.
 const CALM_WAIT: f64 = 4.0;
 /// Part of its target that a call to a plain service may be expected to take while no slot is free. A service
@@ -65,6 +67,8 @@
     pub left: Millis,
     /// Longest time that the pool's less urgent requests have; 0 where there are none.
     pub less_urgent: Millis,
+    /// Whether the pool has more urgent kinds of requests.
+    pub has_more_urgent: bool,
 }
 
 impl Outlook {
@@ -73,21 +77,24 @@
         self.expected_ms <= self.longest_wait_ms()
     }
 
-    /// Longest time that it may be expected to wait, in ms: no less than any less urgent request may, or a short
-    /// urgent one with little time would be turned away where long ones with more time are sent (66 of 675
-    /// in a burst of one team).
+    /// Longest time that it may be expected to wait, in ms: more than any less urgent request may, or a short
+    /// urgent one with little time would be turned away where long ones with more time are sent.
     fn longest_wait_ms(&self) -> f64 {
-        let part = match self.band {
-            0 => URGENT_WAIT_PART,
-            _ => WAIT_PART,
-        };
         let left = self.left.0 as f64;
-        let own = left * part;
-        let wait = own.max(self.less_urgent.0 as f64 * WAIT_PART);
+        let own = left * self.wait_part();
+        let less_urgent = self.less_urgent.0 as f64 * least_wait_part(self.band);
+        let wait = own.max(less_urgent);
         let calm = 1.0 - self.overload();
         (wait * (1.0 + (CALM_WAIT - 1.0) * calm)).min(left)
     }
 
+    /// Part of its own time that it may be expected to wait.
+    fn wait_part(&self) -> f64 {
+        let is_least = self.band == BANDS - 1 && self.has_more_urgent;
+        let yields = if is_least { LESS_URGENT_WAIT } else { 1.0 };
+        WAIT_PARTS[self.band] * yields
+    }
+
     /// How overloaded the pool is, from 0 to 1.
     fn overload(&self) -> f64 {
         if self.tightest == Millis(0) {
@@ -97,3 +104,10 @@
         ((backlog - CALM) / (OVERLOADED - CALM)).clamp(0.0, 1.0)
     }
 }
+
+/// Part of the time of less urgent requests that one of a band may wait at least.
+fn least_wait_part(band: usize) -> f64 {
+    let steps = BANDS - 1 - band;
+    let least = WAIT_PARTS[BANDS - 1] * LESS_URGENT_WAIT;
+    least / LESS_URGENT_WAIT.powi(steps as i32)
+}
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -74,6 +74,7 @@
             tightest: self.catalog.tightest_target(&self.pool),
             left: self.end - self.entry.clock.now(),
             less_urgent: self.catalog.less_urgent_time(&self.pool, band),
+            has_more_urgent: self.catalog.has_more_urgent(&self.pool, band),
         }
     }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -11,6 +11,7 @@
         tightest: Millis(300),
         left: Millis(4_000),
         less_urgent: Millis(0),
+        has_more_urgent: false,
     }
 }
 
@@ -22,6 +23,7 @@
             let expected = f64::from(ms);
             let less = Outlook {
                 left: Millis(5_000),
+                has_more_urgent: true,
                 ..outlook(backlog, expected)
             };
             let urgent = Outlook {
@@ -47,6 +49,29 @@
     }
 }
 
+/// Entries estimate the wait for a short urgent prompt up to half as long again as for a long one: it is sent all the same
+/// where less urgent ones are, of the two bands below.
+#[test]
+fn urgent_waits_longer() {
+    for backlog in [0.0, 150.0, 300.0, 900.0] {
+        for ms in (0..3_000).step_by(50) {
+            let expected = f64::from(ms);
+            let of_band = |band: usize, factor: f64| Outlook {
+                band,
+                left: Millis([15_000, 3_000, 5_000][band]),
+                less_urgent: Millis([5_000, 5_000, 0][band]),
+                has_more_urgent: band > 0,
+                ..outlook(backlog, (expected * factor).min(2_900.0))
+            };
+            for band in 1..3 {
+                let is_sent = of_band(band, 1.0).is_admitted();
+                let is_urgent_sent = of_band(band - 1, 1.5).is_admitted();
+                assert!(!is_sent || is_urgent_sent, "{band} {backlog} {ms}");
+            }
+        }
+    }
+}
+
 /// A long prompt in a pool that is idle is sent, whatever it takes.
 #[test]
 fn calm_admits() {
--- a/tests/overload_replay.rs
+++ b/tests/overload_replay.rs
@@ -322,6 +322,7 @@
             tightest: Millis(300),
             left: Millis((ask.first_sent + of.patience).saturating_sub(now)),
             less_urgent: Millis([4_000, 4_000, 0][of.band]),
+            has_more_urgent: of.band > 0,
         };
         if self.turns_away && !outlook.is_admitted() {
             self.turned_away += 1;
