An endpoint that turned a request away is taken to be full for a time

It refuses within a millisecond, and by the count of requests it then has less to do than endpoints that work, so the next request went there as well: half of the times that one entry was turned away again by the same engine lay 8 ms or less apart. It now comes after all others for 250 ms, or until a run of this entry ends there.

--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -118,6 +118,7 @@
 /// A trial that is free counts as good, so that it happens; others only when nothing is good.
 fn usable_grade(grade: Grade, candidate: &Candidate<'_>, now: Millis) -> Grade {
     match grade {
+        _ if candidate.load.is_full(now) => Grade::Poor,
         Grade::Trial if candidate.load.own(now).running == 0 => Grade::Good,
         other => other,
     }
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -355,6 +355,10 @@
         let footprint = self.footprint;
         self.entry
             .account(self.key, |account| account.load.end(footprint));
+        if self.end.get() != RunEnd::Undecided {
+            self.entry
+                .account(self.key, |account| account.load.made_room());
+        }
         match self.end.get() {
             RunEnd::Answered => self.entry.run_finished(self.request),
             RunEnd::Undecided => {}
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -113,9 +113,14 @@
         if relay::whole(&mut reply).await.is_ok() {
             self.keep(key, reply, verdict);
         }
-        if verdict.announcement.rest.is_none() && !self.is_busy(key) {
-            let why = "refuses although it has room";
-            self.entry.endpoint_failed(key, Fault::Answer, why);
+        if verdict.announcement.rest.is_none() {
+            let now = self.entry.clock.now();
+            self.entry
+                .account(key, |account| account.load.turned_away(now));
+            if !self.is_busy(key) {
+                let why = "refuses although it has room";
+                self.entry.endpoint_failed(key, Fault::Answer, why);
+            }
         }
         self.log_failed(key, &format!("not run, status {}", status.as_u16()), false);
         let urgency = self.route().priority;
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -16,6 +16,8 @@
 const TOLD_TEAMS: u8 = 3;
 /// Pressure below which it is forgotten, in tokens: reading as many takes some milliseconds.
 const LEAST_PRESSURE: u32 = 256;
+/// Time for which an endpoint that turned a request away is taken to be full, unless a run of this entry ends there before.
+const FULL_WORD: Millis = Millis(250);
 /// Age after which the endpoint's own word on its load no longer counts.
 const REPORT_WORD: Millis = Millis(300);
 
@@ -156,6 +158,8 @@
     told: Vec<Told>,
     /// What the endpoint told last, and when.
     report: Option<(Millis, Report)>,
+    /// Until when it is taken to be full, since it turned a request away.
+    full_until: Millis,
 }
 
 impl Load {
@@ -219,6 +223,22 @@
         self.report = Some((now, report));
     }
 
+    /// The endpoint turned a request away for want of room.
+    pub fn turned_away(&mut self, now: Millis) {
+        self.full_until = now + FULL_WORD;
+    }
+
+    /// A run of this entry there ended, so there is room again.
+    pub fn made_room(&mut self) {
+        self.full_until = Millis(0);
+    }
+
+    /// Whether it is taken to be full by its own word. It refuses at once, so by the count of requests it looks better than
+    /// endpoints that work.
+    pub fn is_full(&self, now: Millis) -> bool {
+        now < self.full_until
+    }
+
     /// This entry's own work there.
     pub fn own(&self, now: Millis) -> Work {
         Work {
