Less urgent requests leave slots free, and entries share out the others where many come

Callers of the urgent kind, with one attempt, got nothing while less urgent requests began: nothing kept room for them, and entries that know each other's work 0.2 s late all went to the endpoint that looked best, 23 requests from twenty entries within 12 ms to one of eight slots. Prices of other matters (reading beside streams) outweighed a full endpoint, so urgent streams filled some endpoints by themselves while others had room.

A request of less urgent kinds now leaves an eighth of each endpoint's slots free, and the square root of what others began unseen; also as a second attempt. An endpoint with a free slot goes before all that have none, whatever the price. Where more less urgent requests come than there are free slots, each entry sends as many as its own requests left and its share of the rest, and draws the endpoint by its free slots. Refused callers come back over a time that grows with their number (room_kept).

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -9,6 +9,7 @@
 use violetline::direct::health::Record;
 use violetline::direct::load::Load;
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const NOW: Millis = Millis(10_000);
 
@@ -64,6 +65,7 @@
         delicate: 44,
         pause: Millis(200),
         blind: Millis(75),
+        room: RoomFor::default(),
         draw: 1,
     };
     bencher.bench_local(|| {
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -10,6 +10,7 @@
 use crate::direct::moves::{Sources, Supply};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::price::{self, READ_TOKENS_PER_MS};
+use crate::direct::room::PoolRoom;
 
 /// Part of the memory that running requests and kept parts have together; a margin for what is not
 /// known yet.
@@ -34,8 +35,15 @@
     pub backlog_ms: f64,
     /// Whether all slots of the endpoint are taken.
     pub is_full: bool,
+    /// Whether it has a slot for the request, beside those that are left free for more urgent ones.
+    pub has_room: bool,
+    /// Part of the less urgent requests that come to the pool which may be sent; 1 or more where all may.
+    pub sent_part: f64,
 }
 
+/// Rank of an endpoint, the least first: how it may be used, whether it has no room, and its price.
+type Rank = (Grade, bool, f64);
+
 /// Chooses among `candidates`; `None` when there is none.
 pub fn choose<'a>(
     demand: Demand<'a>,
@@ -47,15 +55,23 @@
     keep_for_streams(&demand, &mut all);
     mark_home(&demand, &mut all);
     let backlog_ms = price::backlog_ms(&all);
-    let mut best: Option<((Grade, f64), Choice)> = None;
+    let room = demand.room.in_pool(&all);
+    let mut best: Option<(Rank, Choice)> = None;
     let sources = Sources::find(&demand, &all, now);
     for seen in &all {
         let kept = Supply::kept(seen.known);
         let moved = sources.supply(seen);
         for supply in std::iter::once(kept).chain(moved) {
-            let choice = estimate(&demand, seen, supply, now);
-            let price = price::price_ms(&demand, seen, &supply, now);
-            let rank = (usable_grade(choice.grade, &seen.candidate, now), price);
+            let choice = Choice {
+                has_room: has_room(&demand, seen, &room, now),
+                ..estimate(&demand, seen, supply, now)
+            };
+            let price = match choice.has_room && room.is_crowded() && demand.engine.is_some() {
+                true => room.lot(seen, demand.draw_part(!seen.candidate.endpoint.digest)),
+                false => price::price_ms(&demand, seen, &supply, now),
+            };
+            let grade = usable_grade(choice.grade, &seen.candidate, now);
+            let rank = (grade, !choice.has_room, price);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, choice));
             }
@@ -63,6 +79,7 @@
     }
     best.map(|(_, choice)| Choice {
         backlog_ms,
+        sent_part: room.sent_part,
         ..choice
     })
 }
@@ -143,10 +160,21 @@
         grade: candidate.record.grade(now),
         supply,
         backlog_ms: 0.0,
+        has_room: true,
+        sent_part: 1.0,
         is_full: candidate.load.present(now) >= candidate.endpoint.listed.slots,
     }
 }
 
+/// Whether an endpoint has room for the request. Plain services are chosen by their queues alone where all their kinds are
+/// as urgent.
+fn has_room(demand: &Demand<'_>, seen: &Seen<'_>, room: &PoolRoom, now: Millis) -> bool {
+    if demand.engine.is_none() && !demand.room.has_more_urgent {
+        return true;
+    }
+    !seen.candidate.load.is_full(now) && room.free_at(seen) > 0.0
+}
+
 /// The time since which an endpoint keeps unused parts: what runs leaves the rest of its memory to
 /// them, and prompts that are read push the oldest out.
 fn kept_since(demand: &Demand<'_>, total: Work, now: Millis) -> Millis {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -52,6 +52,11 @@
         /// Mean time that the pool's endpoints need to read the prompts that they have, in ms.
         backlog_ms: u64,
     },
+    /// The slots that its endpoints have free are left to more urgent requests, or to others of its kind.
+    RoomKept {
+        /// Of a hundred such requests, those that are sent.
+        sent_percent: u32,
+    },
     /// Endpoints ended in a row under what it asks for.
     EndsEndpoints {
         /// Digest of that.
--- a/src/direct/demand.rs
+++ b/src/direct/demand.rs
@@ -8,6 +8,7 @@
 use crate::direct::health::Record;
 use crate::direct::load::{Load, Work};
 use crate::direct::prefix::Part;
+use crate::direct::room::RoomFor;
 use crate::spread::spread;
 
 /// What is to be placed.
@@ -32,6 +33,8 @@
     pub pause: Millis,
     /// How long other entries' choices stay unseen here; 0 where there are none.
     pub blind: Millis,
+    /// What room at an endpoint is for.
+    pub room: RoomFor,
     /// A random number, so that entries that know the same don't all choose the same endpoint.
     pub draw: u64,
 }
@@ -63,6 +66,11 @@
         hasher.finish()
     }
 
+    /// The same as a number from 0 to 1.
+    pub fn draw_part(&self, digest: u32) -> f64 {
+        self.draw_for(digest) as f64 / u64::MAX as f64
+    }
+
     /// Tokens of memory of an engine of the pool; 0 for plain services.
     pub fn memory_tokens(&self) -> u64 {
         self.engine.map_or(0, |engine| engine.memory_tokens)
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -183,10 +183,14 @@
     pub fn place(
         self: &Rc<Self>,
         key: EndpointKey,
+        pool: &str,
         footprint: Footprint,
         request: Fingerprint,
     ) -> Placed {
         let now = self.clock.now();
+        let mut turnovers = self.turnovers.borrow_mut();
+        turnovers.entry(pool.to_owned()).or_default().begin(now);
+        drop(turnovers);
         self.account(key, |account| {
             account.load.begin(footprint, now);
             account.sends.note(now);
@@ -194,6 +198,7 @@
         Placed {
             entry: Rc::clone(self),
             key,
+            pool: pool.to_owned(),
             footprint,
             is_read: Cell::new(false),
             request,
@@ -304,6 +309,7 @@
 pub struct Placed {
     entry: Rc<Entry>,
     key: EndpointKey,
+    pool: String,
     footprint: Footprint,
     is_read: Cell<bool>,
     request: Fingerprint,
@@ -352,6 +358,10 @@
 impl Drop for Placed {
     fn drop(&mut self) {
         self.read();
+        let now = self.entry.clock.now();
+        let mut turnovers = self.entry.turnovers.borrow_mut();
+        turnovers.entry(self.pool.clone()).or_default().end(now);
+        drop(turnovers);
         let footprint = self.footprint;
         self.entry
             .account(self.key, |account| account.load.end(footprint));
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -31,6 +31,7 @@
 use crate::direct::peers::{PeerBook, PeerId, RecentPlacements};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
+use crate::direct::turnover::Turnover;
 use crate::direct::versions::VersionLog;
 use crate::direct::warmup::FleetSize;
 use crate::quarantine::Quarantine;
@@ -86,6 +87,8 @@
     waiting: Cell<u32>,
     /// Where datagrams to peers leave; set once the process listens.
     pub link: OnceCell<Rc<UdpSocket>>,
+    /// Requests that began and ended lately, by pool.
+    pub turnovers: RefCell<HashMap<String, Turnover>>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Requests under which endpoints ended.
@@ -160,6 +163,7 @@
             questions: Questions::default(),
             waiting: Cell::default(),
             link: OnceCell::new(),
+            turnovers: RefCell::default(),
             retries: RefCell::default(),
             quarantine: RefCell::new(Quarantine::started_at(clock.now())),
             quarantine_changed: Notify::new(),
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -8,7 +8,9 @@
 use crate::direct::demand::{Candidate, Demand};
 use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::residency;
+use crate::direct::room::RoomFor;
 use crate::direct::settings::DirectSettings;
+use crate::direct::turnover::Recent;
 use crate::direct::warmup::WarmUp;
 
 impl Job<'_> {
@@ -53,6 +55,10 @@
 
     /// Why a request that no endpoint has yet is not sent; `None` where it is.
     pub(super) fn turned_away(&self, choice: &Choice) -> Option<RefusedWhy> {
+        if self.leaves_room(choice) {
+            let sent_percent = (choice.sent_part.min(1.0) * 100.0) as u32;
+            return Some(RefusedWhy::RoomKept { sent_percent });
+        }
         let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
         let is_admitted = match is_plain {
             _ if self.attempts > 0 => true,
@@ -65,6 +71,36 @@
         })
     }
 
+    /// Whether a request that no endpoint has begun is not sent, since all slots that are free are left to more urgent ones. A
+    /// second attempt is no reason to begin before them.
+    fn leaves_room(&self, choice: &Choice) -> bool {
+        let has_more_urgent = self.catalog.has_more_urgent(&self.pool, self.band());
+        let is_drawn = rand::random::<f64>() < choice.sent_part;
+        has_more_urgent && !self.sent && !(choice.has_room && is_drawn)
+    }
+
+    /// Counts a request that leaves room for more urgent ones.
+    pub(super) fn note_offer(&self) {
+        if self.catalog.has_more_urgent(&self.pool, self.band()) {
+            let now = self.entry.clock.now();
+            let mut turnovers = self.entry.turnovers.borrow_mut();
+            turnovers.entry(self.pool.clone()).or_default().offer(now);
+        }
+    }
+
+    /// What room at endpoints is for.
+    fn room(&self, now: Millis) -> RoomFor {
+        let peers = self.entry.peers.borrow();
+        let turnovers = self.entry.turnovers.borrow();
+        let turnover = turnovers.get(&self.pool);
+        let blind = peers.blind(now);
+        RoomFor {
+            has_more_urgent: self.catalog.has_more_urgent(&self.pool, self.band()),
+            entries: peers.entries(now),
+            recent: turnover.map_or(Recent::default(), |turnover| turnover.within(blind, now)),
+        }
+    }
+
     fn outlook(&self, choice: &Choice) -> Outlook {
         let band = self.band();
         Outlook {
@@ -126,6 +162,7 @@
             delicate: self.catalog.delicacy(self.route(), &self.pool),
             pause: self.catalog.tightest_pause(&self.pool),
             blind: self.entry.peers.borrow().blind(now),
+            room: self.room(now),
             draw: rand::random(),
         }
     }
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -15,6 +15,8 @@
 const COME_BACK: Millis = Millis(150);
 /// Longest wait that is advised while all endpoints of a pool rest: others may join it before.
 const LONGEST_WAIT: Millis = Millis(10_000);
+/// Part of the time left in which a caller comes back at the latest; callers wait no longer.
+const WAITS_PART: u64 = 4;
 /// Random addition, so that callers don't come back at the same instant.
 const COME_BACK_SPREAD_MS: u64 = 250;
 
@@ -27,6 +29,14 @@
     wait + Millis((spread.0 as f64 * part) as u64)
 }
 
+/// When a caller comes back of whose kind only a part is sent now: all that were refused come in a time that grows with their
+/// number, so that they don't take the room again of those that come meanwhile.
+fn after_crowd(sent_percent: u32, longest: Millis, draw: f64) -> Millis {
+    let spread = COME_BACK_SPREAD_MS * 100 / u64::from(sent_percent.max(1));
+    let spread = Millis(spread).min(longest - COME_BACK);
+    COME_BACK + Millis((spread.0 as f64 * draw) as u64)
+}
+
 impl Job<'_> {
     /// Nothing ran anywhere, and nothing will.
     pub(super) async fn give_up(&self, answerer: &mut Answerer, why: RefusedWhy) -> bool {
@@ -49,6 +59,7 @@
         refuse::log(self.entry, self.ask, self.incoming, why, Some(noted));
         let outcome = match why {
             RefusedWhy::Overload { .. } => "turned_away",
+            RefusedWhy::RoomKept { .. } => "room_kept",
             RefusedWhy::EndsEndpoints { .. } => "ends_endpoints",
             RefusedWhy::EndpointsRest { .. } => "endpoints_rest",
             RefusedWhy::EndpointsLimited { .. } => "endpoints_limited",
@@ -86,6 +97,10 @@
                 after_rest(wait, self.band(), random.gen())
             }
             (_, Some(rest)) => after_rest(rest, self.band(), random.gen()),
+            (RefusedWhy::RoomKept { sent_percent }, None) => {
+                let longest = Millis((self.end - self.entry.clock.now()).0 / WAITS_PART);
+                after_crowd(sent_percent, longest, random.gen())
+            }
             (_, None) => COME_BACK + Millis(spread),
         }
     }
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -31,6 +31,7 @@
         if let Some(why) = self.wait_for_turn().await {
             return Attempt::TurnedAway(why);
         }
+        self.note_offer();
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
@@ -118,7 +119,9 @@
             return Attempt::NotSent(key);
         };
         self.note_placement(&choice);
-        let placed = self.entry.place(key, choice.footprint, self.request);
+        let placed = self
+            .entry
+            .place(key, &self.pool, choice.footprint, self.request);
         let is_own = |head: &ResponseHead| self.is_own(key, head);
         let sending = channel.send(head, &self.incoming.body, is_own);
         let reply = match self.wait(sending, key, now).await {
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -11,6 +11,7 @@
 use violetline::direct::health::{Fault, Grade, Record};
 use violetline::direct::load::{Footprint, Load, Report};
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineShape = EngineShape {
@@ -69,6 +70,7 @@
         delicate: 6,
         pause: Millis(250),
         blind: Millis(0),
+        room: RoomFor::default(),
         draw: 0,
     }
 }
--- a/tests/direct_home.rs
+++ b/tests/direct_home.rs
@@ -15,6 +15,7 @@
 use violetline::direct::load::{Footprint, Load, Teller};
 use violetline::direct::peers::PeerId;
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineShape = EngineShape {
@@ -88,6 +89,7 @@
         delicate: 7,
         pause: Millis(400),
         blind,
+        room: RoomFor::default(),
         draw,
     }
 }
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -12,6 +12,7 @@
 use violetline::direct::lanes::Lanes;
 use violetline::direct::load::{Footprint, Load};
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineShape = EngineShape {
@@ -105,6 +106,7 @@
         delicate: 100,
         pause: Millis(250),
         blind: Millis(300),
+        room: RoomFor::default(),
         draw,
     }
 }
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -11,6 +11,7 @@
 use violetline::direct::health::{Fault, Record};
 use violetline::direct::load::{Footprint, Load};
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const NOW: Millis = Millis(10_000);
 /// Bytes of memory of a token, and a link between engines in Mbit/s: 6,300 tokens move in 22 ms.
@@ -71,6 +72,7 @@
             delicate: 44,
             pause: Millis(200),
             blind: Millis(0),
+            room: RoomFor::default(),
             draw: 0,
         };
         let candidates = ["a", "b", "c"].iter().enumerate().map(|(i, id)| Candidate {
--- a/tests/overload_replay.rs
+++ b/tests/overload_replay.rs
@@ -18,6 +18,7 @@
 use violetline::direct::load::{Footprint, Load, Teller};
 use violetline::direct::peers::PeerId;
 use violetline::direct::prefix::{Part, PrefixMap};
+use violetline::direct::room::RoomFor;
 
 const STEP: Millis = Millis(5);
 const ENGINES: usize = 8;
@@ -360,6 +361,7 @@
             delicate: of.delicate,
             pause: Millis(400),
             blind: Millis(TELL / 2),
+            room: RoomFor::default(),
             draw,
         };
         let entry = &self.entries[at];
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -15,6 +15,7 @@
 use violetline::direct::health::Record;
 use violetline::direct::load::{Load, Report};
 use violetline::direct::prefix::PrefixMap;
+use violetline::direct::room::RoomFor;
 
 const SLOTS: usize = 6;
 /// Calls that the endpoint lets wait; more are rejected.
@@ -120,6 +121,7 @@
         delicate: 0,
         pause: Millis(0),
         blind: Millis(150),
+        room: RoomFor::default(),
         draw: 0,
     }
 }
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -91,7 +91,7 @@
     let (clock, entry) = entry();
     entry.take_listing(vec![life("a", 100, 1)], 1);
     let before = key(&entry.directory());
-    let placed = entry.place(before, FOOTPRINT, Fingerprint(1));
+    let placed = entry.place(before, "pool", FOOTPRINT, Fingerprint(1));
     entry.endpoint_failed(before, Fault::Contact, "test");
     let now = clock.now();
     let parts = [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 9 }];
--- /dev/null
+++ b/tests/room_left.rs
@@ -0,0 +1,217 @@
+//! Slots that are left free for more urgent requests, and how entries that don't see each other share the others.
+
+mod common;
+
+use common::listed;
+use violetline::clock::Millis;
+use violetline::direct::catalog::EngineShape;
+use violetline::direct::choose::{choose, Choice};
+use violetline::direct::demand::{Candidate, Demand};
+use violetline::direct::directory::{Change, Directory, EndpointKey};
+use violetline::direct::health::Record;
+use violetline::direct::load::{Footprint, Load};
+use violetline::direct::prefix::PrefixMap;
+use violetline::direct::room::RoomFor;
+use violetline::direct::turnover::{Recent, Turnover};
+
+const NOW: Millis = Millis(10_000);
+const ENGINE: EngineShape = EngineShape {
+    slots: 8,
+    memory_tokens: 290_000,
+    moves: None,
+};
+const RUN: Footprint = Footprint {
+    band: 1,
+    unread: 0,
+    held: 1_000,
+    delicate: 0,
+};
+const IDS: [&str; 4] = ["a", "b", "c", "d"];
+/// Slots of an endpoint as the tests list it.
+const SLOTS: u32 = 64;
+
+/// Endpoints with as many running as told.
+struct Pool {
+    directory: Directory,
+    loads: Vec<Load>,
+    prefixes: PrefixMap,
+}
+
+impl Pool {
+    fn new(running: [u32; 4]) -> Self {
+        let mut directory = Directory::default();
+        for id in IDS {
+            directory.apply(Change::Put(listed(id, 1)), Millis(0));
+        }
+        let load = |running| {
+            let mut load = Load::default();
+            for _ in 0..running {
+                load.begin(RUN, NOW);
+            }
+            load
+        };
+        Self {
+            directory,
+            loads: running.map(load).into_iter().collect(),
+            prefixes: PrefixMap::default(),
+        }
+    }
+
+    fn key(&self, i: usize) -> EndpointKey {
+        self.directory.key(IDS[i]).unwrap()
+    }
+
+    fn choose(&self, room: RoomFor, draw: u64) -> Choice {
+        let record = Record::default();
+        let candidates = (0..IDS.len()).map(|i| Candidate {
+            key: self.key(i),
+            endpoint: self.directory.get(self.key(i)).unwrap(),
+            load: &self.loads[i],
+            record: &record,
+            warming: false,
+            is_limited: false,
+        });
+        let demand = Demand {
+            band: usize::from(room.has_more_urgent),
+            parts: &[],
+            output_tokens: 100,
+            target: Millis(600),
+            zone: "hall-a",
+            engine: Some(ENGINE),
+            delicate: 0,
+            pause: Millis(0),
+            blind: Millis(0),
+            room,
+            draw,
+        };
+        choose(demand, candidates, &self.prefixes, NOW).unwrap()
+    }
+}
+
+const URGENT: RoomFor = RoomFor {
+    has_more_urgent: false,
+    entries: 1,
+    recent: Recent {
+        offered: 0,
+        begun: 0,
+        ended: 0,
+    },
+};
+const LATER: RoomFor = RoomFor {
+    has_more_urgent: true,
+    ..URGENT
+};
+
+/// An eighth of the slots is left to more urgent requests.
+#[test]
+fn urgent_has_room() {
+    let most = SLOTS - SLOTS / 8;
+    for running in [0, most - 1] {
+        assert!(Pool::new([running; 4]).choose(LATER, 1).has_room);
+    }
+    for running in [most, SLOTS - 1] {
+        let pool = Pool::new([running; 4]);
+        assert!(!pool.choose(LATER, 1).has_room);
+        assert!(pool.choose(URGENT, 1).has_room);
+    }
+    assert!(!Pool::new([SLOTS; 4]).choose(URGENT, 1).has_room);
+}
+
+/// No price outweighs a free slot.
+#[test]
+fn free_slot_first() {
+    let pool = Pool::new([SLOTS, SLOTS - 1, SLOTS, SLOTS + 9]);
+    assert_eq!(pool.choose(URGENT, 1).key, pool.key(1));
+}
+
+/// One that turned a request away is left alone for a time, though it has the least to do by the count, unless a run ends there.
+#[test]
+fn full_avoided() {
+    let mut pool = Pool::new([0, 9, 9, 9]);
+    let best = pool.key(0);
+    assert_eq!(pool.choose(URGENT, 1).key, best);
+    pool.loads[0].turned_away(NOW);
+    assert_ne!(pool.choose(URGENT, 1).key, best);
+    pool.loads[0].made_room();
+    assert_eq!(pool.choose(URGENT, 1).key, best);
+    pool.loads[0].turned_away(NOW - Millis(5_000));
+    assert_eq!(pool.choose(URGENT, 1).key, best);
+    for load in &mut pool.loads {
+        load.turned_away(NOW);
+    }
+    assert_eq!(pool.choose(URGENT, 1).key, best);
+    assert!(!pool.choose(LATER, 1).has_room);
+}
+
+/// Entries that know the same and don't see what others do begin no more than there are free slots and than ended, whoever has
+/// the callers.
+#[test]
+fn shared_out() {
+    let pool = Pool::new([40, 50, 30, 56]);
+    let left =
+        |running: u32| f64::from(SLOTS - SLOTS / 8).max(f64::from(running)) - f64::from(running);
+    let free: f64 = [40, 50, 30, 56].map(left).iter().sum();
+    arbtest::arbtest(|u| {
+        let entries = u.int_in_range(1..=40usize)?;
+        let (mut begun, mut ended, mut offered_in_all) = (0.0, 0, 0);
+        for _ in 0..entries {
+            let offered = u.int_in_range(0..=200)?;
+            let room = RoomFor {
+                entries,
+                recent: Recent {
+                    offered,
+                    begun: 0,
+                    ended: u.int_in_range(0..=20)?,
+                },
+                ..LATER
+            };
+            begun += pool.choose(room, 1).sent_part.min(1.0) * offered as f64;
+            ended += room.recent.ended;
+            offered_in_all += offered;
+        }
+        assert!(begun <= free + ended as f64 + 1e-6, "{begun}");
+        assert!(begun <= offered_in_all as f64 + 1e-6);
+        Ok(())
+    });
+}
+
+/// Where many come at once, entries go to endpoints as these have slots, and not all to the one that looks best.
+#[test]
+fn spread_where_crowded() {
+    let pool = Pool::new([50, 54, 52, 10]);
+    let crowded = RoomFor {
+        entries: 30,
+        recent: Recent {
+            offered: 100,
+            ..Recent::default()
+        },
+        ..LATER
+    };
+    let mut chosen = [0; 4];
+    for draw in 0..4_000 {
+        let choice = pool.choose(crowded, draw);
+        let i = (0..4).position(|i| pool.key(i) == choice.key).unwrap();
+        chosen[i] += 1;
+    }
+    let free = [6, 2, 4, 46];
+    for (chosen, free) in chosen.iter().zip(free) {
+        let due = 4_000 * free / 58;
+        assert!((due / 2..due * 2).contains(chosen), "{chosen} of {due}");
+    }
+}
+
+#[test]
+fn recent_forgotten() {
+    let mut turnover = Turnover::default();
+    for ms in 0..1_000 {
+        turnover.offer(Millis(ms));
+        turnover.begin(Millis(ms));
+    }
+    turnover.end(Millis(990));
+    let recent = turnover.within(Millis(100), Millis(1_000));
+    assert_eq!((recent.offered, recent.begun, recent.ended), (100, 100, 1));
+    assert_eq!(
+        turnover.within(Millis(100), Millis(9_000)),
+        Recent::default()
+    );
+}
