Entries draw lots where few slots are free; room is left for kinds that are seen, and more where endpoints turn away

Entries now draw an endpoint by its free slots as soon as these are fewer than twice what others begin unseen; an entry's share of the free slots follows the requests that it has as well as the number of entries, doubled for clumps; the part that endpoints turned away counts twice as slots to be left free, so engines with less room than they list are learned; and 1.5 deviations of the unseen are left free.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -42,12 +42,19 @@
     pub is_full: bool,
     /// Time within which an answer is in time; 0 where none is told.
     pub target: Millis,
+    /// Whether the pool has more urgent kinds of requests.
+    pub has_more_urgent: bool,
 }
 
 impl PlainOutlook {
     /// Whether the request is sent.
     pub fn is_admitted(&self) -> bool {
-        let in_time = self.expected_ms <= self.target.0 as f64 * PLAIN_PART;
+        let yields = if self.has_more_urgent {
+            LESS_URGENT_WAIT
+        } else {
+            1.0
+        };
+        let in_time = self.expected_ms <= self.target.0 as f64 * PLAIN_PART * yields;
         !self.is_full || self.target == Millis(0) || in_time
     }
 }
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -350,12 +350,6 @@
         less_urgent.max().unwrap_or_default()
     }
 
-    /// Whether a pool has kinds of requests that are more urgent than a band.
-    pub fn has_more_urgent(&self, pool: &str, band: usize) -> bool {
-        let longest = self.tightest.get(pool).copied().unwrap_or_default().longest;
-        longest[..band].iter().any(|time| *time > Millis(0))
-    }
-
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.name == name)
--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -6,7 +6,7 @@
 use crate::direct::directory::EndpointKey;
 use crate::direct::health::Grade;
 use crate::direct::lanes::Lanes;
-use crate::direct::load::{Footprint, Work};
+use crate::direct::load::{Footprint, Work, BANDS};
 use crate::direct::moves::{Sources, Supply};
 use crate::direct::prefix::PrefixMap;
 use crate::direct::price::{self, READ_TOKENS_PER_MS};
@@ -39,6 +39,8 @@
     pub has_room: bool,
     /// Part of the less urgent requests that come to the pool which may be sent; 1 or more where all may.
     pub sent_part: f64,
+    /// The most urgent band of which prompts are being read at the candidates, if any.
+    pub read_band: Option<usize>,
 }
 
 /// Rank of an endpoint, the least first: how it may be used, whether it has no room, and its price.
@@ -55,7 +57,8 @@
     keep_for_streams(&demand, &mut all);
     mark_home(&demand, &mut all);
     let backlog_ms = price::backlog_ms(&all);
-    let room = demand.room.in_pool(&all);
+    let read_band = (0..BANDS).find(|band| all.iter().any(|seen| seen.total.unread[*band] > 0));
+    let room = demand.room.in_pool(&all, now);
     let mut best: Option<(Rank, Choice)> = None;
     let sources = Sources::find(&demand, &all, now);
     for seen in &all {
@@ -80,6 +83,7 @@
     best.map(|(_, choice)| Choice {
         backlog_ms,
         sent_part: room.sent_part,
+        read_band,
         ..choice
     })
 }
@@ -162,14 +166,14 @@
         backlog_ms: 0.0,
         has_room: true,
         sent_part: 1.0,
+        read_band: None,
         is_full: candidate.load.present(now) >= candidate.endpoint.listed.slots,
     }
 }
 
-/// Whether an endpoint has room for the request. Plain services are chosen by their queues alone where all their kinds are
-/// as urgent.
+/// Whether an endpoint has room for the request; plain services are chosen by their queues alone.
 fn has_room(demand: &Demand<'_>, seen: &Seen<'_>, room: &PoolRoom, now: Millis) -> bool {
-    if demand.engine.is_none() && !demand.room.has_more_urgent {
+    if demand.engine.is_none() {
         return true;
     }
     !seen.candidate.load.is_full(now) && room.free_at(seen) > 0.0
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -20,6 +20,7 @@
             return self.choose(|key| Some(key) == self.copy);
         }
         let choice = self.choose(|key| !self.tried.contains(&key))?;
+        self.note_read(&choice);
         self.pick_copy(&choice);
         Some(choice)
     }
@@ -55,11 +56,11 @@
 
     /// Why a request that no endpoint has yet is not sent; `None` where it is.
     pub(super) fn turned_away(&self, choice: &Choice) -> Option<RefusedWhy> {
-        if self.leaves_room(choice) {
+        let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
+        if !is_plain && self.leaves_room(choice) {
             let sent_percent = (choice.sent_part.min(1.0) * 100.0) as u32;
             return Some(RefusedWhy::RoomKept { sent_percent });
         }
-        let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
         let is_admitted = match is_plain {
             _ if self.attempts > 0 => true,
             true => self.plain_outlook(choice).is_admitted(),
@@ -74,28 +75,44 @@
     /// Whether a request that no endpoint has begun is not sent, since all slots that are free are left to more urgent ones. A
     /// second attempt is no reason to begin before them.
     fn leaves_room(&self, choice: &Choice) -> bool {
-        let has_more_urgent = self.catalog.has_more_urgent(&self.pool, self.band());
+        let now = self.entry.clock.now();
         let is_drawn = rand::random::<f64>() < choice.sent_part;
-        has_more_urgent && !self.sent && !(choice.has_room && is_drawn)
+        self.has_more_urgent(now) && !self.sent && !(choice.has_room && is_drawn)
+    }
+
+    /// Whether more urgent kinds of requests of the pool were seen lately.
+    fn has_more_urgent(&self, now: Millis) -> bool {
+        let turnovers = self.entry.turnovers.borrow();
+        let turnover = turnovers.get(&self.pool);
+        turnover.is_some_and(|turnover| turnover.has_more_urgent(self.band(), now))
     }
 
-    /// Counts a request that leaves room for more urgent ones.
-    pub(super) fn note_offer(&self) {
-        if self.catalog.has_more_urgent(&self.pool, self.band()) {
-            let now = self.entry.clock.now();
-            let mut turnovers = self.entry.turnovers.borrow_mut();
-            turnovers.entry(self.pool.clone()).or_default().offer(now);
+    /// Takes note that the request comes to its pool.
+    pub(super) fn note_coming(&self) {
+        let now = self.entry.clock.now();
+        let mut turnovers = self.entry.turnovers.borrow_mut();
+        let turnover = turnovers.entry(self.pool.clone()).or_default();
+        turnover.come(self.band(), now);
+    }
+
+    /// Takes note of the most urgent requests at the pool's endpoints, of all entries.
+    fn note_read(&self, choice: &Choice) {
+        let now = self.entry.clock.now();
+        let mut turnovers = self.entry.turnovers.borrow_mut();
+        let turnover = turnovers.get_mut(&self.pool);
+        if let (Some(turnover), Some(band)) = (turnover, choice.read_band) {
+            turnover.see(band, now);
         }
     }
 
     /// What room at endpoints is for.
     fn room(&self, now: Millis) -> RoomFor {
         let peers = self.entry.peers.borrow();
+        let blind = peers.blind(now);
         let turnovers = self.entry.turnovers.borrow();
         let turnover = turnovers.get(&self.pool);
-        let blind = peers.blind(now);
         RoomFor {
-            has_more_urgent: self.catalog.has_more_urgent(&self.pool, self.band()),
+            has_more_urgent: self.has_more_urgent(now),
             entries: peers.entries(now),
             recent: turnover.map_or(Recent::default(), |turnover| turnover.within(blind, now)),
         }
@@ -110,7 +127,7 @@
             tightest: self.catalog.tightest_target(&self.pool),
             left: self.end - self.entry.clock.now(),
             less_urgent: self.catalog.less_urgent_time(&self.pool, band),
-            has_more_urgent: self.catalog.has_more_urgent(&self.pool, band),
+            has_more_urgent: self.has_more_urgent(self.entry.clock.now()),
         }
     }
 
@@ -119,6 +136,7 @@
             expected_ms: choice.expected_ms,
             is_full: choice.is_full,
             target: self.route().target,
+            has_more_urgent: self.has_more_urgent(self.entry.clock.now()),
         }
     }
 
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -31,7 +31,7 @@
         if let Some(why) = self.wait_for_turn().await {
             return Attempt::TurnedAway(why);
         }
-        self.note_offer();
+        self.note_coming();
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
--- a/src/direct/room.rs
+++ b/src/direct/room.rs
@@ -5,11 +5,23 @@
 //! while others have free ones. Where more requests come than there are free slots, entries share these out: each refills what
 //! its own requests left and takes its part of the rest, and they spread over all endpoints.
 
+use crate::clock::Millis;
 use crate::direct::demand::Seen;
 use crate::direct::turnover::Recent;
 
 /// Part of an endpoint's slots that less urgent requests leave free.
 const LEFT_FREE: f64 = 0.125;
+/// Times the standard deviation of what others begin unseen that is left free besides.
+const DEVIATIONS: f64 = 1.5;
+/// Times by which the part of requests that endpoints turn away counts as slots to be left free: they have less room than
+/// they list or entries know.
+const TURNED_AWAY: f64 = 2.0;
+/// Times its share of the free slots that an entry may take: requests come in clumps, at one entry after the other.
+const CLUMPS: f64 = 2.0;
+/// Free slots of an endpoint by the requests that others begin there unseen, below which entries draw lots.
+const CROWDED: f64 = 2.0;
+/// Most of the slots that are left free, so that less urgent requests go on.
+const MOST_LEFT_FREE: f64 = 0.5;
 
 /// For whom there is to be room, and who shares it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -26,27 +38,50 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PoolRoom {
     has_more_urgent: bool,
+    /// Part of the slots that is left free.
+    left_part: f64,
     /// Requests that other entries began at each endpoint unseen.
     unseen: f64,
+    /// Slots that the request may take at an endpoint, in the mean.
+    free: f64,
     /// Part of the less urgent requests that come which may be sent; 1 or more where all may.
     pub sent_part: f64,
 }
 
 impl RoomFor {
     /// Room at all endpoints of a pool.
-    pub fn in_pool(&self, all: &[Seen<'_>]) -> PoolRoom {
+    pub fn in_pool(&self, all: &[Seen<'_>], now: Millis) -> PoolRoom {
         let entries = self.entries.max(1);
         let others = (entries - 1) as f64 / all.len().max(1) as f64;
+        let turned_away = self.recent.turned_away_part * TURNED_AWAY;
         let mut room = PoolRoom {
             has_more_urgent: self.has_more_urgent,
+            left_part: (LEFT_FREE + turned_away).min(MOST_LEFT_FREE),
             unseen: self.recent.begun as f64 * others,
+            free: 0.0,
             sent_part: 1.0,
         };
         let free: f64 = all.iter().map(|seen| room.free_at(seen).max(0.0)).sum();
-        let own = free / entries as f64 + self.recent.ended as f64;
+        room.free = free / all.len().max(1) as f64;
+        let own = free * self.share(all, now) * CLUMPS + self.recent.ended as f64;
         room.sent_part = own / self.recent.offered.max(1) as f64;
         room
     }
+
+    /// This entry's share of what all entries have together: half by their number, half by the requests that it has at the
+    /// endpoints, since some have more callers.
+    fn share(&self, all: &[Seen<'_>], now: Millis) -> f64 {
+        let alike = 1.0 / self.entries.max(1) as f64;
+        let running: u32 = all.iter().map(|seen| seen.total.running).sum();
+        let own: u32 = all
+            .iter()
+            .map(|seen| seen.candidate.load.own(now).running)
+            .sum();
+        match running {
+            0 => alike,
+            _ => (alike + f64::from(own) / f64::from(running)) / 2.0,
+        }
+    }
 }
 
 impl PoolRoom {
@@ -55,15 +90,15 @@
         let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
         let left_free = match self.has_more_urgent {
             // What others began unseen varies by its square root.
-            true => (slots * LEFT_FREE).ceil() + self.unseen.sqrt(),
+            true => (slots * self.left_part).ceil() + self.unseen.sqrt() * DEVIATIONS,
             false => 0.0,
         };
         slots - left_free - f64::from(seen.total.running)
     }
 
-    /// Whether requests come faster than slots become free: entries that go where most are free would meet there.
+    /// Whether requests come about as fast as slots become free: entries that go where most are free would meet there.
     pub fn is_crowded(&self) -> bool {
-        self.sent_part < 1.0
+        self.sent_part < 1.0 || self.free < self.unseen * CROWDED
     }
 
     /// Rank of an endpoint with free slots in a draw that takes each as often as it has slots; the least wins. `draw` is from 0 to
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -129,6 +129,7 @@
         expected_ms: 900.0,
         is_full: false,
         target: Millis(300),
+        has_more_urgent: false,
     };
     assert!(outlook.is_admitted());
     let full = PlainOutlook {
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -67,6 +67,7 @@
                 expected_ms: choice.expected_ms,
                 is_full: choice.is_full,
                 target: TARGET,
+                has_more_urgent: false,
             };
             let is_sent = !turns_away || outlook.is_admitted();
             if is_sent && calls.len() < SLOTS + QUEUE {
