Soak: two urgencies before engines with few places, judged by both rules on urgency

The soak sent one urgency to engines that took any number of requests, so neither rule could break in it. Two kinds now go to four model engines of four slots and a queue of two, one and a half times what they take, some of which leave as planned; requests count whose entry and way to the platform were well for three seconds before.

--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -35,6 +35,7 @@
                 .extend(broken.map(|why| format!("{id} {}: {why}", issue.path)));
         }
         report.findings.extend(self.check_unwilling());
+        report.findings.extend(self.check_urgency());
         report.crashes = self.crashes();
         if report.crashes > MOST_CRASHES {
             let finding = format!("{} engines ended under one request", report.crashes);
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -31,7 +31,11 @@
         let entry = Rc::clone(&self.entries[rng.gen_range(0..self.entries.len())]);
         let time = Duration::from_millis(rng.gen_range(100..3_000));
         let engine = rng.gen_range(0..self.engines.borrow().len());
-        match rng.gen_range(0..22) {
+        let fault = rng.gen_range(0..23);
+        if matches!(fault, 4..=8 | 13 | 14) {
+            self.platform.until(Instant::now() + time);
+        }
+        match fault {
             0 => restart(entry, End::Kill, time),
             1 => restart(entry, End::Terminate, time),
             2 => freeze(entry, time),
@@ -51,6 +55,7 @@
             16 => self.leave_unlisted(engine, time).await?,
             17 | 18 => self.rest(engine, rng),
             19 | 20 => self.name_limit(engine, rng),
+            21 => self.replace_model(rng),
             _ => self.change_keys(rng),
         }
         Ok(())
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod troubles;
 mod unwilling;
+mod urgency;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -26,6 +27,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use self::troubles::Troubles;
+use self::urgency::ModelCall;
 use crate::process::Process;
 use crate::relay::Relay;
 use crate::site::{self, Answer, Site};
@@ -139,6 +141,14 @@
     engines: RefCell<Vec<RelayedEngine>>,
     /// Engines that left the list.
     gone: RefCell<Vec<RelayedEngine>>,
+    /// Model engines with few places, whose ways nothing harms.
+    models: Vec<Rc<Engine>>,
+    /// Whether one of them is leaving.
+    model_leaves: Rc<Cell<bool>>,
+    /// When the store or the way to it was harmed, or the configuration changed.
+    platform: Troubles,
+    /// Attempts at model requests.
+    model_calls: RefCell<HashMap<String, ModelCall>>,
     /// Requests by id.
     issues: RefCell<HashMap<String, Issue>>,
     /// Keys that were taken away, with the time of it.
@@ -163,6 +173,8 @@
     callers.push(actix_rt::spawn(crashing));
     let reviving = Rc::clone(&soak).revive_engines(SmallRng::seed_from_u64(seed + 501));
     callers.push(actix_rt::spawn(reviving));
+    let models = urgency::call_on(Rc::clone(&soak), SmallRng::seed_from_u64(seed + 502));
+    callers.push(actix_rt::spawn(models));
     let mut rng = SmallRng::seed_from_u64(seed);
     let until = Instant::now() + Duration::from_secs(options.seconds);
     while Instant::now() < until {
@@ -172,6 +184,7 @@
     soak.lift();
     soak.wait_restarts().await;
     soak.check_recovery().await;
+    sleep(urgency::CALM).await;
     soak.ended.set(true);
     for caller in callers {
         caller.await?;
@@ -188,7 +201,9 @@
         let names: Vec<&str> = ips.iter().map(String::as_str).collect();
         let (link, admin) = (site::common_port(&names), site::common_port(&names));
         let mut site = Site::start(0).await;
+        site.kinds = urgency::KINDS.to_vec();
         site.configure(&KEYS);
+        let models = urgency::start_engines(&site).await?;
         let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
         let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
         let mut entries = Vec::new();
@@ -203,6 +218,10 @@
             entries,
             engines: RefCell::default(),
             gone: RefCell::default(),
+            models,
+            model_leaves: Rc::default(),
+            platform: Troubles::default(),
+            model_calls: RefCell::default(),
             issues: RefCell::default(),
             removed: RefCell::default(),
             findings: RefCell::default(),
--- a/lab/src/urgency.rs
+++ b/lab/src/urgency.rs
@@ -18,6 +18,7 @@
 /// The urgent kind: short prompts, long answers, one attempt.
 pub const URGENT: ModelKind = ModelKind {
     name: "urgent",
+    service: "s1",
     priority: 0,
     attempts: 1,
     prompt_tokens: 800,
@@ -28,6 +29,7 @@
 /// The less urgent kind: long prompts, short answers, a second attempt.
 pub const LATER: ModelKind = ModelKind {
     name: "later",
+    service: "s1",
     priority: 1,
     attempts: 2,
     prompt_tokens: 9_200,
