Less urgent requests leave a quarter of the retry budget to urgent ones

The budget over all entries is one for all urgencies of a pool: while endpoints turn less urgent requests away, their second attempts use it up, and an urgent one whose endpoint did not run it is refused although its route allows another attempt. Found by reading what else can refuse urgent work while less urgent begins; no run has shown it. Of 36 repeats that one entry may send, less urgent ones now use 27 where more urgent kinds were seen.

--- a/src/direct/budget.rs
+++ b/src/direct/budget.rs
@@ -9,6 +9,9 @@
 /// wrong counts of entries for a moment.
 const USED_PART: f64 = 0.7;
 
+/// Part of it that less urgent requests use.
+const LESS_URGENT_PART: f64 = 0.75;
+
 /// What all entries together may send again to one pool.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Allowance {
@@ -36,13 +39,21 @@
         self.firsts.push_back(now);
     }
 
-    /// Whether one more repeat may be sent by one of `entries` entries; counts it.
+    /// Whether one more repeat may be sent by one of `entries` entries; counts it. With `leaves_some`, a part is left to more
+    /// urgent requests: while endpoints turn away, less urgent ones would use all of it.
     #[must_use]
-    pub fn take(&mut self, now: Millis, allowance: Allowance, entries: usize) -> bool {
+    pub fn take(
+        &mut self,
+        now: Millis,
+        allowance: Allowance,
+        entries: usize,
+        leaves_some: bool,
+    ) -> bool {
         self.expire(now, allowance);
         let own = allowance.ratio * self.firsts.len() as f64;
         let shared = allowance.extra / entries.max(1) as f64;
-        let may = (self.repeats.len() as f64) + 1.0 <= USED_PART * (own + shared);
+        let part = if leaves_some { LESS_URGENT_PART } else { 1.0 };
+        let may = (self.repeats.len() as f64) + 1.0 <= USED_PART * (own + shared) * part;
         if may {
             self.repeats.push_back(now);
         }
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -81,7 +81,7 @@
     }
 
     /// Whether more urgent kinds of requests of the pool were seen lately.
-    fn has_more_urgent(&self, now: Millis) -> bool {
+    pub(super) fn has_more_urgent(&self, now: Millis) -> bool {
         let turnovers = self.entry.turnovers.borrow();
         let turnover = turnovers.get(&self.pool);
         turnover.is_some_and(|turnover| turnover.has_more_urgent(self.band(), now))
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -274,7 +274,7 @@
         let entries = self.entry.peers.borrow().entries(now);
         let mut retries = self.entry.retries.borrow_mut();
         let window = retries.entry(self.pool.clone()).or_default();
-        window.take(now, allowance, entries)
+        window.take(now, allowance, entries, self.has_more_urgent(now))
     }
 }
 
--- a/tests/direct_budget.rs
+++ b/tests/direct_budget.rs
@@ -11,7 +11,7 @@
 
 fn taken(window: &mut RetryWindow, now: Millis, entries: usize) -> usize {
     (0..1_000)
-        .take_while(|_| window.take(now, ALLOWANCE, entries))
+        .take_while(|_| window.take(now, ALLOWANCE, entries, false))
         .count()
 }
 
@@ -30,12 +30,23 @@
     assert_eq!(taken(&mut window, Millis(100), 52), 14);
 }
 
+/// What less urgent requests repeat leaves some of the budget to urgent ones.
+#[test]
+fn urgent_left_some() {
+    let mut window = RetryWindow::default();
+    let less_urgent = (0..1_000)
+        .take_while(|_| window.take(Millis(0), ALLOWANCE, 1, true))
+        .count();
+    assert_eq!(less_urgent, 27);
+    assert_eq!(taken(&mut window, Millis(0), 1), 9);
+}
+
 #[test]
 fn window_slides() {
     let mut window = RetryWindow::default();
     assert_eq!(taken(&mut window, Millis(0), 4), 9);
-    assert!(!window.take(Millis(10_000), ALLOWANCE, 4));
-    assert!(window.take(Millis(10_001), ALLOWANCE, 4));
+    assert!(!window.take(Millis(10_000), ALLOWANCE, 4, false));
+    assert!(window.take(Millis(10_001), ALLOWANCE, 4, false));
 }
 
 /// However requests fall to entries, all of them together stay within the budget.
@@ -53,7 +64,7 @@
             if u.ratio(1, 3)? {
                 window.first(Millis(now), ALLOWANCE);
                 firsts.push(now);
-            } else if window.take(Millis(now), ALLOWANCE, entries) {
+            } else if window.take(Millis(now), ALLOWANCE, entries, false) {
                 repeats.push(now);
             }
             let within = |at: &&u64| now - **at < ALLOWANCE.window.0;
