--- a/lab/tests/urgent_fleet.rs
+++ b/lab/tests/urgent_fleet.rs
@@ -1,5 +1,10 @@
-//! Urgent requests got nothing while less urgent ones began: of the urgent kind, which may be sent to one endpoint only, some
-//! were turned away by a full one within 2 ms, and that was the end.
+//! Urgent requests got nothing while less urgent ones began. The urgent kind may be sent to one endpoint only, and endpoints that
+//! were full of less urgent work turned it away within 2 ms (`refused` with `endpoint_refused`); a less urgent kind with two
+//! attempts began elsewhere. No slot was kept for it, entries that hear of each other's work 0.2 s late all went to
+//! the endpoint that looked best (23 requests within 12 ms to one of eight slots), and one that refuses at once looks best.
+//! `attempt_failed` lines settled it: half of the urgent requests were turned away where their entry knew of a free slot,
+//! and half of an endpoint's refusals to one entry came 8 ms or less after the one before. In the worst five seconds
+//! of this test 69 of 140, 91 of 150 and 72 of 141 got nothing.
 
 use violetline_lab::urgency::{play, UrgencyOptions};
 
