--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,7 +4,8 @@
 //! [`job`] (attempts, each [`choose`] - [`channel`] - [`relay`]) - [`answerer`] (write) -
 //! [`progress`] (the line at its end).
 //! Permission is decided by [`resolve`] (route, team) and [`residency`] (regions); [`refuse`] writes the entry's own answers.
-//! Whether a request is sent at all is decided by [`admission`], and how many an endpoint that has just started
+//! Whether a request is sent at all is decided by [`admission`] and by the [`room`] that is left for more urgent ones, which
+//! follows the [`turnover`] of this entry; and how many an endpoint that has just started
 //! gets by [`warmup`]. For a [`demand`], an endpoint is chosen by its [`price`], which follows from its [`load`], what it
 //! keeps of the [`prefix`] of a prompt or has by [`moves`], and the [`lanes`] of its pool.
 //! Runs that an endpoint did not finish are kept by [`ends`] until it is known whether the endpoint itself has ended; then
