Of three urgencies the least leaves room first, and is held back while more urgent requests get nothing

Now slots are left free for each band above, what comes of the middle band goes first, a band leaves room only where less urgent requests don't come in number (at least half as many), and less urgent requests are held back as a 24th to a twelfth of more urgent ones get nothing in 2 s, for want of room.

--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -77,14 +77,27 @@
     fn leaves_room(&self, choice: &Choice) -> bool {
         let now = self.entry.clock.now();
         let is_drawn = rand::random::<f64>() < choice.sent_part;
-        self.has_more_urgent(now) && !self.sent && !(choice.has_room && is_drawn)
+        let leaves = self.has_more_urgent(now) && !self.has_less_urgent(now);
+        leaves && !self.sent && !(choice.has_room && is_drawn)
     }
 
     /// Whether more urgent kinds of requests of the pool were seen lately.
     pub(super) fn has_more_urgent(&self, now: Millis) -> bool {
+        self.more_urgent(now) > 0
+    }
+
+    /// Whether less urgent requests come to the pool in number, which leave room first.
+    fn has_less_urgent(&self, now: Millis) -> bool {
         let turnovers = self.entry.turnovers.borrow();
         let turnover = turnovers.get(&self.pool);
-        turnover.is_some_and(|turnover| turnover.has_more_urgent(self.band(), now))
+        turnover.is_some_and(|turnover| turnover.has_less_urgent(self.band(), now))
+    }
+
+    /// More urgent bands of which requests of the pool were seen lately.
+    fn more_urgent(&self, now: Millis) -> usize {
+        let turnovers = self.entry.turnovers.borrow();
+        let turnover = turnovers.get(&self.pool);
+        turnover.map_or(0, |turnover| turnover.more_urgent(self.band(), now))
     }
 
     /// Takes note that the request comes to its pool.
@@ -95,6 +108,20 @@
         turnover.come(self.band(), now);
     }
 
+    /// Takes note that the request gets nothing, where that is for want of room.
+    pub(super) fn note_nothing(&self, why: RefusedWhy) {
+        let is_for_room = matches!(
+            why,
+            RefusedWhy::Overload { .. } | RefusedWhy::RoomKept { .. } | RefusedWhy::EndpointRefused
+        );
+        if is_for_room {
+            let now = self.entry.clock.now();
+            let mut turnovers = self.entry.turnovers.borrow_mut();
+            let turnover = turnovers.entry(self.pool.clone()).or_default();
+            turnover.get_nothing(self.band(), now);
+        }
+    }
+
     /// Takes note of the most urgent requests at the pool's endpoints, of all entries.
     fn note_read(&self, choice: &Choice) {
         let now = self.entry.clock.now();
@@ -112,9 +139,11 @@
         let turnovers = self.entry.turnovers.borrow();
         let turnover = turnovers.get(&self.pool);
         RoomFor {
-            has_more_urgent: self.has_more_urgent(now),
+            more_urgent: self.more_urgent(now),
             entries: peers.entries(now),
-            recent: turnover.map_or(Recent::default(), |turnover| turnover.within(blind, now)),
+            recent: turnover.map_or(Recent::default(), |turnover| {
+                turnover.within(self.band(), blind, now)
+            }),
         }
     }
 
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -51,6 +51,7 @@
         if free > 0 {
             self.entry.gauges.refused_with_room(&self.pool);
         }
+        self.note_nothing(why);
         let urgency = self.route().priority;
         let noted = AllowedRequest {
             urgency,
--- a/src/direct/room.rs
+++ b/src/direct/room.rs
@@ -9,7 +9,7 @@
 use crate::direct::demand::Seen;
 use crate::direct::turnover::Recent;
 
-/// Part of an endpoint's slots that less urgent requests leave free.
+/// Part of an endpoint's slots that less urgent requests leave free for each band above theirs.
 const LEFT_FREE: f64 = 0.125;
 /// Times the standard deviation of what others begin unseen that is left free besides.
 const DEVIATIONS: f64 = 1.5;
@@ -20,14 +20,17 @@
 const CLUMPS: f64 = 2.0;
 /// Free slots of an endpoint by the requests that others begin there unseen, below which entries draw lots.
 const CROWDED: f64 = 2.0;
+/// Part of more urgent requests that may get nothing before less urgent ones are held back; at twice that none is sent. Urgent work
+/// that gets nothing for whatever reason comes before what admission and room would allow.
+const NOTHING_PART: f64 = 1.0 / 24.0;
 /// Most of the slots that are left free, so that less urgent requests go on.
 const MOST_LEFT_FREE: f64 = 0.5;
 
 /// For whom there is to be room, and who shares it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RoomFor {
-    /// Whether slots are left free for more urgent kinds of requests.
-    pub has_more_urgent: bool,
+    /// More urgent bands, for each of which slots are left free.
+    pub more_urgent: usize,
     /// Entries that send to the pool, this one included.
     pub entries: usize,
     /// What this entry did in the time for which others' choices stay unseen.
@@ -37,7 +40,7 @@
 /// Room at the endpoints of a pool for one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PoolRoom {
-    has_more_urgent: bool,
+    more_urgent: usize,
     /// Part of the slots that is left free.
     left_part: f64,
     /// Requests that other entries began at each endpoint unseen.
@@ -55,8 +58,8 @@
         let others = (entries - 1) as f64 / all.len().max(1) as f64;
         let turned_away = self.recent.turned_away_part * TURNED_AWAY;
         let mut room = PoolRoom {
-            has_more_urgent: self.has_more_urgent,
-            left_part: (LEFT_FREE + turned_away).min(MOST_LEFT_FREE),
+            more_urgent: self.more_urgent,
+            left_part: (LEFT_FREE * self.more_urgent as f64 + turned_away).min(MOST_LEFT_FREE),
             unseen: self.recent.begun as f64 * others,
             free: 0.0,
             sent_part: 1.0,
@@ -64,10 +67,18 @@
         let free: f64 = all.iter().map(|seen| room.free_at(seen).max(0.0)).sum();
         room.free = free / all.len().max(1) as f64;
         let own = free * self.share(all, now) * CLUMPS + self.recent.ended as f64;
-        room.sent_part = own / self.recent.offered.max(1) as f64;
+        // What comes of more urgent bands goes first, or a middle one would be turned away where the least urgent is sent.
+        let left = (own - self.recent.ahead as f64).max(0.0);
+        room.sent_part = left / self.recent.offered.max(1) as f64 * self.held_back();
         room
     }
 
+    /// Part of what there is room for that is sent while more urgent requests get nothing.
+    fn held_back(&self) -> f64 {
+        let beyond = self.recent.nothing_part / NOTHING_PART - 1.0;
+        1.0 - beyond.clamp(0.0, 1.0)
+    }
+
     /// This entry's share of what all entries have together: half by their number, half by the requests that it has at the
     /// endpoints, since some have more callers.
     fn share(&self, all: &[Seen<'_>], now: Millis) -> f64 {
@@ -88,10 +99,10 @@
     /// Slots of an endpoint that the request may take, as far as known; 0 or less where there are none.
     pub fn free_at(&self, seen: &Seen<'_>) -> f64 {
         let slots = f64::from(seen.candidate.endpoint.listed.slots.max(1));
-        let left_free = match self.has_more_urgent {
+        let left_free = match self.more_urgent {
+            0 => 0.0,
             // What others began unseen varies by its square root.
-            true => (slots * self.left_part).ceil() + self.unseen.sqrt() * DEVIATIONS,
-            false => 0.0,
+            _ => (slots * self.left_part).ceil() + self.unseen.sqrt() * DEVIATIONS,
         };
         slots - left_free - f64::from(seen.total.running)
     }
--- a/src/direct/turnover.rs
+++ b/src/direct/turnover.rs
@@ -19,30 +19,45 @@
 pub struct Turnover {
     /// When requests of each band of urgency were last seen, here or at peers.
     seen: [Option<Millis>; BANDS],
-    offered: VecDeque<Millis>,
+    /// Those that leave room for more urgent ones, by band.
+    offered: [VecDeque<Millis>; BANDS],
     begun: VecDeque<Millis>,
     ended: VecDeque<Millis>,
     turned_away: VecDeque<Millis>,
+    /// All that came, by band.
+    came: [VecDeque<Millis>; BANDS],
+    /// Those of them that got nothing, by band.
+    nothing: [VecDeque<Millis>; BANDS],
 }
 
 impl Turnover {
     /// A request of a band comes.
     pub fn come(&mut self, band: usize, now: Millis) {
         self.see(band, now);
-        if self.has_more_urgent(band, now) {
-            note(&mut self.offered, now);
+        note(&mut self.came[band], now);
+        if self.more_urgent(band, now) > 0 {
+            note(&mut self.offered[band], now);
         }
     }
 
+    /// Whether less urgent requests than those of a band come in number, so that these are the ones to leave room: at least
+    /// half as many within [`REMEMBERED`].
+    pub fn has_less_urgent(&self, band: usize, now: Millis) -> bool {
+        let since = now - REMEMBERED;
+        let came = |of: &VecDeque<Millis>| count(of, since);
+        let less_urgent: usize = self.came[band + 1..].iter().map(came).sum();
+        less_urgent > 0 && less_urgent * 2 >= came(&self.came[band])
+    }
+
     /// Requests of a band are under way, here or at peers.
     pub fn see(&mut self, band: usize, now: Millis) {
         self.seen[band] = Some(now);
     }
 
-    /// Whether requests more urgent than a band were seen lately.
-    pub fn has_more_urgent(&self, band: usize, now: Millis) -> bool {
-        let is_recent = |at: &Option<Millis>| at.is_some_and(|at| now < at + SEEN);
-        self.seen[..band].iter().any(is_recent)
+    /// Bands more urgent than one of which requests were seen lately.
+    pub fn more_urgent(&self, band: usize, now: Millis) -> usize {
+        let is_recent = |at: &&Option<Millis>| at.is_some_and(|at| now < at + SEEN);
+        self.seen[..band].iter().filter(is_recent).count()
     }
 
     /// A request begins at an endpoint.
@@ -55,6 +70,21 @@
         note(&mut self.ended, now);
     }
 
+    /// A request of a band gets nothing for want of room.
+    pub fn get_nothing(&mut self, band: usize, now: Millis) {
+        note(&mut self.nothing[band], now);
+    }
+
+    /// Largest part of the requests of a band more urgent than one that got nothing within [`REMEMBERED`].
+    pub fn nothing_part(&self, band: usize, now: Millis) -> f64 {
+        let since = now - REMEMBERED;
+        let part = |band: usize| {
+            let came = count(&self.came[band], since).max(LEAST_SENT);
+            count(&self.nothing[band], since) as f64 / came as f64
+        };
+        (0..band).map(part).fold(0.0, f64::max)
+    }
+
     /// An endpoint turned a request away for want of room.
     pub fn turn_away(&mut self, now: Millis) {
         note(&mut self.turned_away, now);
@@ -66,14 +96,17 @@
         count(&self.turned_away, since) as f64 / sent as f64
     }
 
-    /// What happened in the time for which others' choices stay unseen.
-    pub fn within(&self, blind: Millis, now: Millis) -> Recent {
+    /// What happened in the time for which others' choices stay unseen, for requests of a band.
+    pub fn within(&self, band: usize, blind: Millis, now: Millis) -> Recent {
         let since = now - blind;
+        let ahead = self.offered[..band].iter();
         Recent {
-            offered: count(&self.offered, since),
+            ahead: ahead.map(|offered| count(offered, since)).sum(),
+            offered: count(&self.offered[band], since),
             begun: count(&self.begun, since),
             ended: count(&self.ended, since),
             turned_away_part: self.turned_away_part(now),
+            nothing_part: self.nothing_part(band, now),
         }
     }
 }
@@ -81,7 +114,9 @@
 /// Requests of one entry in a short time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Recent {
-    /// Those that came and leave room for more urgent ones.
+    /// More urgent ones that came and leave room for others themselves.
+    pub ahead: usize,
+    /// Those of the band that came and leave room for more urgent ones.
     pub offered: usize,
     /// Those that began at an endpoint.
     pub begun: usize,
@@ -89,6 +124,8 @@
     pub ended: usize,
     /// Part of those sent within [`REMEMBERED`] that endpoints turned away for want of room.
     pub turned_away_part: f64,
+    /// Largest part of the requests of a more urgent band that got nothing within [`REMEMBERED`].
+    pub nothing_part: f64,
 }
 
 fn note(times: &mut VecDeque<Millis>, now: Millis) {
--- a/tests/room_left.rs
+++ b/tests/room_left.rs
@@ -86,7 +86,7 @@
             is_limited: false,
         });
         let demand = Demand {
-            band: usize::from(room.has_more_urgent),
+            band: room.more_urgent,
             parts: &[],
             output_tokens: 100,
             target: Millis(600),
@@ -103,17 +103,19 @@
 }
 
 const URGENT: RoomFor = RoomFor {
-    has_more_urgent: false,
+    more_urgent: 0,
     entries: 1,
     recent: Recent {
+        ahead: 0,
         offered: 0,
         begun: 0,
         ended: 0,
         turned_away_part: 0.0,
+        nothing_part: 0.0,
     },
 };
 const LATER: RoomFor = RoomFor {
-    has_more_urgent: true,
+    more_urgent: 1,
     ..URGENT
 };
 
@@ -254,10 +256,10 @@
         turnover.begin(Millis(ms));
     }
     turnover.end(Millis(990));
-    let recent = turnover.within(Millis(100), Millis(1_000));
+    let recent = turnover.within(1, Millis(100), Millis(1_000));
     assert_eq!((recent.offered, recent.begun, recent.ended), (100, 100, 1));
     assert_eq!(
-        turnover.within(Millis(100), Millis(9_000)),
+        turnover.within(1, Millis(100), Millis(9_000)),
         Recent::default()
     );
 }
@@ -267,9 +269,72 @@
 fn urgent_seen() {
     let mut turnover = Turnover::default();
     turnover.come(1, NOW);
-    assert!(!turnover.has_more_urgent(2, NOW + Millis(60_000)));
-    assert!(turnover.has_more_urgent(2, NOW));
-    assert!(!turnover.has_more_urgent(1, NOW));
+    assert_eq!(turnover.more_urgent(2, NOW + Millis(60_000)), 0);
+    assert_eq!(turnover.more_urgent(2, NOW), 1);
+    assert_eq!(turnover.more_urgent(1, NOW), 0);
     turnover.see(0, NOW);
-    assert!(turnover.has_more_urgent(1, NOW));
+    assert_eq!(turnover.more_urgent(2, NOW), 2);
+}
+
+/// Of three bands the middle one has the room that the most urgent leaves, and the least urgent what is left then.
+#[test]
+fn middle_before_least() {
+    let mut turnover = Turnover::default();
+    turnover.see(0, NOW);
+    for _ in 0..40 {
+        turnover.come(1, NOW);
+        turnover.come(2, NOW);
+    }
+    let pool = Pool::new([SLOTS - SLOTS / 8 - 5; 4]);
+    let sent_part = |band: usize| {
+        let room = RoomFor {
+            more_urgent: turnover.more_urgent(band, NOW),
+            entries: 1,
+            recent: turnover.within(band, Millis(100), NOW),
+        };
+        pool.choose(room, 1).sent_part
+    };
+    assert!(sent_part(1) >= 1.0, "{}", sent_part(1));
+    assert!(sent_part(2) <= 0.0, "{}", sent_part(2));
+}
+
+/// Less urgent requests are held back as more of a more urgent kind get nothing, and all of them at a twelfth.
+#[test]
+fn held_back() {
+    let pool = Pool::new([0; 4]);
+    let sent_part = |nothing: usize| {
+        let mut turnover = Turnover::default();
+        for i in 0..240 {
+            turnover.come(0, NOW);
+            turnover.come(1, NOW);
+            if i < nothing {
+                turnover.get_nothing(0, NOW);
+            }
+        }
+        let room = RoomFor {
+            more_urgent: 1,
+            entries: 1,
+            recent: turnover.within(1, Millis(100), NOW),
+        };
+        pool.choose(room, 1).sent_part
+    };
+    assert_eq!(sent_part(0), sent_part(10));
+    assert!(sent_part(15) < sent_part(10) && sent_part(15) > 0.0);
+    assert_eq!(sent_part(20), 0.0);
+}
+
+/// A middle band leaves room only where hardly any less urgent requests come, which would leave it.
+#[test]
+fn least_urgent_leave_first() {
+    let mut turnover = Turnover::default();
+    for i in 0..40 {
+        turnover.come(1, NOW);
+        assert!(!turnover.has_less_urgent(1, NOW), "{i}");
+    }
+    for _ in 0..20 {
+        turnover.come(2, NOW);
+    }
+    assert!(turnover.has_less_urgent(1, NOW));
+    assert!(!turnover.has_less_urgent(2, NOW));
+    assert!(!turnover.has_less_urgent(1, NOW + Millis(3_000)));
 }
