Kept parts of a prompt are moved also where entries draw lots

Where lots are drawn an endpoint had one rank whether the parts of a prompt were read there or moved there, and the first, reading, won: prompts were read anew although another endpoint kept their parts, just when slots are few. The lot now ranks endpoints and the price ranks the ways at one. Found by reading the change; direct_moves::moved_where_drawn failed first (0 of 6,300 shared tokens moved).

--- a/src/direct/choose.rs
+++ b/src/direct/choose.rs
@@ -43,8 +43,9 @@
     pub read_band: Option<usize>,
 }
 
-/// Rank of an endpoint, the least first: how it may be used, whether it has no room, and its price.
-type Rank = (Grade, bool, f64);
+/// Rank of an endpoint, the least first: how it may be used, whether it has no room, its lot where lots are drawn, and its
+/// price.
+type Rank = (Grade, bool, f64, f64);
 
 /// Chooses among `candidates`; `None` when there is none.
 pub fn choose<'a>(
@@ -64,17 +65,19 @@
     for seen in &all {
         let kept = Supply::kept(seen.known);
         let moved = sources.supply(seen);
+        let has_room = has_room(&demand, seen, &room, now);
+        let lot = match has_room && room.is_crowded() && demand.engine.is_some() {
+            true => room.lot(seen, demand.lot_draw(seen.candidate.endpoint.digest)),
+            false => 0.0,
+        };
         for supply in std::iter::once(kept).chain(moved) {
             let choice = Choice {
-                has_room: has_room(&demand, seen, &room, now),
+                has_room,
                 ..estimate(&demand, seen, supply, now)
             };
-            let price = match choice.has_room && room.is_crowded() && demand.engine.is_some() {
-                true => room.lot(seen, demand.draw_part(!seen.candidate.endpoint.digest)),
-                false => price::price_ms(&demand, seen, &supply, now),
-            };
+            let price = price::price_ms(&demand, seen, &supply, now);
             let grade = usable_grade(choice.grade, &seen.candidate, now);
-            let rank = (grade, !choice.has_room, price);
+            let rank = (grade, !has_room, lot, price);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, choice));
             }
--- a/src/direct/demand.rs
+++ b/src/direct/demand.rs
@@ -66,9 +66,9 @@
         hasher.finish()
     }
 
-    /// The same as a number from 0 to 1.
-    pub fn draw_part(&self, digest: u32) -> f64 {
-        self.draw_for(digest) as f64 / u64::MAX as f64
+    /// A random number from 0 to 1 for the lot of one endpoint, another one than that of its price.
+    pub fn lot_draw(&self, digest: u32) -> f64 {
+        self.draw_for(!digest) as f64 / u64::MAX as f64
     }
 
     /// Tokens of memory of an engine of the pool; 0 for plain services.
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -12,6 +12,7 @@
 use violetline::direct::load::{Footprint, Load};
 use violetline::direct::prefix::{Part, PrefixMap};
 use violetline::direct::room::RoomFor;
+use violetline::direct::turnover::Recent;
 
 const NOW: Millis = Millis(10_000);
 /// Bytes of memory of a token, and a link between engines in Mbit/s: 6,300 tokens move in 22 ms.
@@ -32,6 +33,8 @@
     records: [Record; 3],
     prefixes: PrefixMap,
     moves: Option<MoveShape>,
+    room: RoomFor,
+    draw: u64,
 }
 
 impl Pool {
@@ -46,6 +49,8 @@
             records: Default::default(),
             prefixes: PrefixMap::default(),
             moves: Some(MOVES),
+            room: RoomFor::default(),
+            draw: 0,
         };
         let keeper = pool.key("a");
         pool.prefixes.note(keeper, ids(&SHARED), NOW, NOW);
@@ -72,8 +77,8 @@
             delicate: 44,
             pause: Millis(200),
             blind: Millis(0),
-            room: RoomFor::default(),
-            draw: 0,
+            room: self.room,
+            draw: self.draw,
         };
         let candidates = ["a", "b", "c"].iter().enumerate().map(|(i, id)| Candidate {
             key: self.key(id),
@@ -157,3 +162,29 @@
     pool.prefixes.note(keeper, ids(&short), NOW, NOW);
     assert_eq!(pool.choose(&short).supply.from, None);
 }
+
+/// Where entries draw lots, kept parts are moved to the endpoint that is drawn, as to one that is chosen by its price.
+#[test]
+fn moved_where_drawn() {
+    let mut pool = Pool::new();
+    pool.room = RoomFor {
+        entries: 9,
+        recent: Recent {
+            offered: 1_000,
+            ..Recent::default()
+        },
+        more_urgent: 1,
+    };
+    let keeper = pool.key("a");
+    let mut moved = 0;
+    for draw in 0..50 {
+        pool.draw = draw;
+        let choice = pool.choose(&prompt(2_900));
+        assert!(choice.sent_part < 1.0);
+        if choice.key != keeper {
+            assert_eq!(choice.supply.moved, 6_300, "{choice:?}");
+            moved += 1;
+        }
+    }
+    assert!(moved > 0);
+}
