--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -13,6 +13,7 @@
 use crate::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
 use crate::direct::health::{Fault, Record};
 use crate::direct::load::{Footprint, Load};
+use crate::direct::turnover::Turnover;
 use crate::direct::warmup::{self, RecentSends, WarmUp};
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::LifeDigest;
@@ -179,6 +180,15 @@
         }
     }
 
+    /// What this entry did lately at a pool.
+    pub fn turnover<T>(&self, pool: &str, look: impl FnOnce(&mut Turnover) -> T) -> T {
+        let mut turnovers = self.turnovers.borrow_mut();
+        if let Some(turnover) = turnovers.get_mut(pool) {
+            return look(turnover);
+        }
+        look(turnovers.entry(pool.to_owned()).or_default())
+    }
+
     /// Adds a request to an endpoint's load until the guard is dropped.
     pub fn place(
         self: &Rc<Self>,
@@ -188,9 +198,7 @@
         request: Fingerprint,
     ) -> Placed {
         let now = self.clock.now();
-        let mut turnovers = self.turnovers.borrow_mut();
-        turnovers.entry(pool.to_owned()).or_default().begin(now);
-        drop(turnovers);
+        self.turnover(pool, |turnover| turnover.begin(now));
         self.account(key, |account| {
             account.load.begin(footprint, now);
             account.sends.note(now);
@@ -359,9 +367,7 @@
     fn drop(&mut self) {
         self.read();
         let now = self.entry.clock.now();
-        let mut turnovers = self.entry.turnovers.borrow_mut();
-        turnovers.entry(self.pool.clone()).or_default().end(now);
-        drop(turnovers);
+        self.entry.turnover(&self.pool, |t| t.end(now));
         let footprint = self.footprint;
         self.entry
             .account(self.key, |account| account.load.end(footprint));
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -88,7 +88,7 @@
     /// Where datagrams to peers leave; set once the process listens.
     pub link: OnceCell<Rc<UdpSocket>>,
     /// Requests that began and ended lately, by pool.
-    pub turnovers: RefCell<HashMap<String, Turnover>>,
+    turnovers: RefCell<HashMap<String, Turnover>>,
     /// Retry budgets by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Requests under which endpoints ended.
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -117,10 +117,7 @@
             let now = self.entry.clock.now();
             self.entry
                 .account(key, |account| account.load.turned_away(now));
-            let mut turnovers = self.entry.turnovers.borrow_mut();
-            let turnover = turnovers.entry(self.pool.clone()).or_default();
-            turnover.turn_away(now);
-            drop(turnovers);
+            self.note_turned_away();
             if !self.is_busy(key) {
                 let why = "refuses although it has room";
                 self.entry.endpoint_failed(key, Fault::Answer, why);
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -8,9 +8,7 @@
 use crate::direct::demand::{Candidate, Demand};
 use crate::direct::directory::{Endpoint, EndpointKey};
 use crate::direct::residency;
-use crate::direct::room::RoomFor;
 use crate::direct::settings::DirectSettings;
-use crate::direct::turnover::Recent;
 use crate::direct::warmup::WarmUp;
 
 impl Job<'_> {
@@ -72,81 +70,6 @@
         })
     }
 
-    /// Whether a request that no endpoint has begun is not sent, since all slots that are free are left to more urgent ones. A
-    /// second attempt is no reason to begin before them.
-    fn leaves_room(&self, choice: &Choice) -> bool {
-        let now = self.entry.clock.now();
-        let is_drawn = rand::random::<f64>() < choice.sent_part;
-        let leaves = self.has_more_urgent(now) && !self.has_less_urgent(now);
-        leaves && !self.sent && !(choice.has_room && is_drawn)
-    }
-
-    /// Whether more urgent kinds of requests of the pool were seen lately.
-    pub(super) fn has_more_urgent(&self, now: Millis) -> bool {
-        self.more_urgent(now) > 0
-    }
-
-    /// Whether less urgent requests come to the pool in number, which leave room first.
-    fn has_less_urgent(&self, now: Millis) -> bool {
-        let turnovers = self.entry.turnovers.borrow();
-        let turnover = turnovers.get(&self.pool);
-        turnover.is_some_and(|turnover| turnover.has_less_urgent(self.band(), now))
-    }
-
-    /// More urgent bands of which requests of the pool were seen lately.
-    fn more_urgent(&self, now: Millis) -> usize {
-        let turnovers = self.entry.turnovers.borrow();
-        let turnover = turnovers.get(&self.pool);
-        turnover.map_or(0, |turnover| turnover.more_urgent(self.band(), now))
-    }
-
-    /// Takes note that the request comes to its pool.
-    pub(super) fn note_coming(&self) {
-        let now = self.entry.clock.now();
-        let mut turnovers = self.entry.turnovers.borrow_mut();
-        let turnover = turnovers.entry(self.pool.clone()).or_default();
-        turnover.come(self.band(), now);
-    }
-
-    /// Takes note that the request gets nothing, where that is for want of room.
-    pub(super) fn note_nothing(&self, why: RefusedWhy) {
-        let is_for_room = matches!(
-            why,
-            RefusedWhy::Overload { .. } | RefusedWhy::RoomKept { .. } | RefusedWhy::EndpointRefused
-        );
-        if is_for_room {
-            let now = self.entry.clock.now();
-            let mut turnovers = self.entry.turnovers.borrow_mut();
-            let turnover = turnovers.entry(self.pool.clone()).or_default();
-            turnover.get_nothing(self.band(), now);
-        }
-    }
-
-    /// Takes note of the most urgent requests at the pool's endpoints, of all entries.
-    fn note_read(&self, choice: &Choice) {
-        let now = self.entry.clock.now();
-        let mut turnovers = self.entry.turnovers.borrow_mut();
-        let turnover = turnovers.get_mut(&self.pool);
-        if let (Some(turnover), Some(band)) = (turnover, choice.read_band) {
-            turnover.see(band, now);
-        }
-    }
-
-    /// What room at endpoints is for.
-    fn room(&self, now: Millis) -> RoomFor {
-        let peers = self.entry.peers.borrow();
-        let blind = peers.blind(now);
-        let turnovers = self.entry.turnovers.borrow();
-        let turnover = turnovers.get(&self.pool);
-        RoomFor {
-            more_urgent: self.more_urgent(now),
-            entries: peers.entries(now),
-            recent: turnover.map_or(Recent::default(), |turnover| {
-                turnover.within(self.band(), blind, now)
-            }),
-        }
-    }
-
     fn outlook(&self, choice: &Choice) -> Outlook {
         let band = self.band();
         Outlook {
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -6,6 +6,7 @@
 mod end;
 mod log;
 mod permit;
+mod room;
 mod send;
 mod turn;
 
--- /dev/null
+++ b/src/direct/job/room.rs
@@ -0,0 +1,79 @@
+//! Room that a request leaves for more urgent ones, and what its entry notes of it for others.
+
+use super::Job;
+use crate::clock::Millis;
+use crate::direct::choose::Choice;
+use crate::direct::decision::RefusedWhy;
+use crate::direct::room::RoomFor;
+
+impl Job<'_> {
+    /// Whether a request that no endpoint has begun is not sent, since all slots that are free are left to more urgent ones. A
+    /// second attempt is no reason to begin before them.
+    pub(super) fn leaves_room(&self, choice: &Choice) -> bool {
+        let now = self.entry.clock.now();
+        let is_drawn = rand::random::<f64>() < choice.sent_part;
+        let leaves = self.has_more_urgent(now) && !self.has_less_urgent(now);
+        leaves && !self.sent && !(choice.has_room && is_drawn)
+    }
+
+    /// Whether more urgent kinds of requests of the pool were seen lately.
+    pub(super) fn has_more_urgent(&self, now: Millis) -> bool {
+        let band = self.band();
+        let more_urgent = self
+            .entry
+            .turnover(&self.pool, |t| t.more_urgent(band, now));
+        more_urgent > 0
+    }
+
+    /// Whether less urgent requests come to the pool in number, which leave room first.
+    fn has_less_urgent(&self, now: Millis) -> bool {
+        let band = self.band();
+        self.entry
+            .turnover(&self.pool, |t| t.has_less_urgent(band, now))
+    }
+
+    /// What room at endpoints is for.
+    pub(super) fn room(&self, now: Millis) -> RoomFor {
+        let band = self.band();
+        let peers = self.entry.peers.borrow();
+        let blind = peers.blind(now);
+        self.entry.turnover(&self.pool, |turnover| RoomFor {
+            more_urgent: turnover.more_urgent(band, now),
+            entries: peers.entries(now),
+            recent: turnover.within(band, blind, now),
+        })
+    }
+
+    /// Takes note that the request comes to its pool.
+    pub(super) fn note_coming(&self) {
+        let (band, now) = (self.band(), self.entry.clock.now());
+        self.entry.turnover(&self.pool, |t| t.come(band, now));
+    }
+
+    /// Takes note of the most urgent requests at the pool's endpoints, of all entries.
+    pub(super) fn note_read(&self, choice: &Choice) {
+        if let Some(band) = choice.read_band {
+            let now = self.entry.clock.now();
+            self.entry.turnover(&self.pool, |t| t.see(band, now));
+        }
+    }
+
+    /// Takes note that an endpoint turned the request away for want of room.
+    pub(super) fn note_turned_away(&self) {
+        let now = self.entry.clock.now();
+        self.entry.turnover(&self.pool, |t| t.turn_away(now));
+    }
+
+    /// Takes note that the request gets nothing, where that is for want of room.
+    pub(super) fn note_nothing(&self, why: RefusedWhy) {
+        let is_for_room = matches!(
+            why,
+            RefusedWhy::Overload { .. } | RefusedWhy::RoomKept { .. } | RefusedWhy::EndpointRefused
+        );
+        if is_for_room {
+            let (band, now) = (self.band(), self.entry.clock.now());
+            self.entry
+                .turnover(&self.pool, |t| t.get_nothing(band, now));
+        }
+    }
+}
