--- a/lab/src/tiers.rs
+++ b/lab/src/tiers.rs
@@ -112,9 +112,9 @@
 /// of a request, by its id.
 pub fn preempted(engine: &Engine, urgency: impl Fn(&str) -> Option<u8>) -> Option<usize> {
     let all = engine.preempted();
-    let is_before = |(preempted, ran_on): &&(String, Option<String>)| {
+    let is_before = |(preempted, ran_on): &&(String, Vec<String>)| {
         let own = urgency(preempted);
-        let left = ran_on.as_deref().and_then(&urgency);
+        let left = ran_on.iter().filter_map(|id| urgency(id)).max();
         own.zip(left).is_some_and(|(own, left)| left > own)
     };
     let count = all.iter().filter(is_before).count();
--- a/lab/tests/engine_places.rs
+++ b/lab/tests/engine_places.rs
@@ -58,7 +58,7 @@
         (Stage::Running, Stage::Waiting, Stage::Running)
     );
     let preempted = places.preempted();
-    assert_eq!((preempted[0].number, preempted[0].ran_on), (1, Some(0)));
+    assert_eq!((preempted[0].number, &preempted[0].ran_on), (1, &vec![0]));
 }
 
 /// What does not fit into the memory waits, unless it is alone.
