--- a/lab/src/soak/urgency.rs
+++ b/lab/src/soak/urgency.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::{Soak, KEYS};
-use crate::site::{self, ModelKind, Site, MODEL_SLOTS};
+use crate::site::{self, ModelKind, Site, MODEL_SLOTS, TEAM_KEYS};
 use crate::standin::{Engine, Room, WhenFull};
 use crate::tiers::{self, Asked, Begun};
 
@@ -95,7 +95,12 @@
         open.set(open.get() + 1);
         let (soak, open) = (Rc::clone(&soak), Rc::clone(&open));
         actix_rt::spawn(async move {
-            call(&soak, KINDS[next], number, entry).await;
+            // Half of the requests are of a team whose own urgency is the opposite of that of their kind.
+            let key = match number % 2 {
+                0 => TEAM_KEYS[1 - next],
+                _ => KEYS[0],
+            };
+            call(&soak, KINDS[next], number, key, entry).await;
             open.set(open.get() - 1);
         });
         number += 1;
@@ -105,9 +110,9 @@
     }
 }
 
-async fn call(soak: &Soak, kind: ModelKind, number: usize, entry: usize) {
+async fn call(soak: &Soak, kind: ModelKind, number: usize, key: &str, entry: usize) {
     let id = format!("{}-{number}", kind.name);
-    let request = site::model_request(&kind, &id, KEYS[0]);
+    let request = site::model_request(&kind, &id, key);
     let at = Instant::now();
     let patience = Duration::from_millis(kind.patience_ms + 200);
     let address = soak.entries[entry].callers.get();
