Log where the list of endpoints comes from: list_known

The logs told that two entries missed one revision of the list, but not who moved the number up to which they take it for complete: a watch of the store, a listing, or a peer.

list_known tells that: source, revision before, revision after.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -237,6 +237,15 @@
         /// Revision of the list.
         revision: u64,
     },
+    /// The list of endpoints is complete up to a later revision.
+    ListKnown {
+        /// `store`, `listing` for all of it anew, or the peer's address.
+        from: String,
+        /// Revision up to which it was complete before.
+        after: u64,
+        /// Revision up to which it is complete.
+        up_to: u64,
+    },
     /// An availability zone was cordoned, so that nothing new is sent to its endpoints, or taken back.
     ZoneCordon {
         /// The zone.
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -158,6 +158,15 @@
         self.listed_up_to.set(up_to);
     }
 
+    /// Logs where the list of endpoints comes from, if that took it beyond a revision.
+    pub fn log_list_known(&self, after: Revision, from: &str) {
+        let up_to = self.listed_up_to.get();
+        if up_to > after {
+            let from = from.into();
+            self.log.belief(Decision::ListKnown { from, after, up_to });
+        }
+    }
+
     /// Takes one change of the list.
     fn take_change(&self, change: Change) {
         let (endpoint, revision, said) = match &change {
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -44,7 +44,11 @@
     let query = ready::changes_query(entry.listed_up_to());
     match ask(&entry, from, Document::Changes, query).await {
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
-            Some(passed) => entry.take_changes(passed.changes, passed.up_to),
+            Some(passed) => {
+                let before = entry.listed_up_to();
+                entry.take_changes(passed.changes, passed.up_to);
+                entry.log_list_known(before, &from.to_string());
+            }
             None => {
                 tracing::warn!(%from, "a peer's changes can't be decoded, asking the store");
                 entry.watch_again.notify_one();
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -19,7 +19,9 @@
     let asked = entry.clock.now();
     let (listing, begun) = read_list(entry, client).await?;
     entry.store_answered();
+    let before = entry.listed_up_to();
     entry.take_listing(listing, begun);
+    entry.log_list_known(before, "listing");
     let read = tokio::select! {
         biased;
         () = peers_bring_it(entry) => None,
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -157,7 +157,9 @@
             }
         }
     }
+    let before = entry.listed_up_to();
     entry.take_changes(changes, current);
+    entry.log_list_known(before, "store");
     if scope == Scope::All {
         entry.catalog_known_up_to(current);
     }
