An entry's first listing does not pass for all changes before it

Cause: an entry that starts lists everything, and kept what it found for its peers as the changes from revision 0 on. What it found does not hold the removals from before it started. A peer at 17 asked for the changes after 17, got those up to 18, and took its list for complete up to 18, without the removal of revision 18; its own watch, which brought that removal later, was filtered by that number. The same holds for any listing after the first one: an endpoint that came and left within it is not told.

Mend: a change log remembers which spans of the history are known from listings. Their changes lead on from the start of the span or from its end, not from within: a peer there is told that they are not kept, and asks the store. Spans travel with the changes, so that who has them second-hand does not pass them on as complete, and are looked at once more when the changes are taken, as the list may have got further since they were asked for. A peer that lacks changes is not asked again for the same ones. Messages without a span are as before; those with one are not read by entries of earlier versions, which then ask the store.

--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -13,6 +13,8 @@
 const MOST_CHANGES: usize = 2_000;
 /// Bytes that are read from a peer at most, once decompressed: twice what is kept.
 const MOST_PLAIN: usize = 1 << 20;
+/// Spans that are kept; whoever is before an older one asks the store.
+const MOST_SPANS: usize = 64;
 /// Level of compression: the fastest.
 const LEVEL: i32 = 1;
 
@@ -24,6 +26,27 @@
     /// Revision up to which they are complete.
     up_to: Revision,
     kept: VecDeque<Change>,
+    /// Spans that are known from listings, the oldest first.
+    spans: VecDeque<ListedSpan>,
+}
+
+/// Part of the history that is known from a whole listing at its end.
+///
+/// A listing tells what is there, compared with what was known at the start of the span. It does not tell of
+/// endpoints that came or left within the span, so its changes lead on from the start alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedSpan {
+    /// Its start.
+    pub after: Revision,
+    /// Its end.
+    pub up_to: Revision,
+}
+
+impl ListedSpan {
+    /// Whether a list that is complete up to a revision lacks changes that the listing does not tell.
+    const fn splits_at(&self, revision: Revision) -> bool {
+        self.after < revision && revision < self.up_to
+    }
 }
 
 /// What one entry passes to another.
@@ -33,13 +56,43 @@
     pub changes: Vec<Change>,
     /// Revision up to which they are complete.
     pub up_to: Revision,
+    /// Spans among them that are known from listings; written behind the rest, and only where there are any, so
+    /// that entries of earlier versions read all other messages and no such one.
+    #[serde(skip)]
+    pub spans: Vec<ListedSpan>,
+}
+
+impl PassedOn {
+    /// Whether the changes lead on from a list that is complete up to a revision.
+    pub fn leads_on_from(&self, revision: Revision) -> bool {
+        !self.spans.iter().any(|span| span.splits_at(revision))
+    }
 }
 
 impl ChangeLog {
+    /// Keeps what a listing changed in a list that was complete up to a revision.
+    pub fn keep_listing(&mut self, after: Revision, up_to: Revision, changes: &[Change]) {
+        self.keep(after, up_to, changes);
+        self.keep_spans(&[ListedSpan { after, up_to }]);
+    }
+
+    /// Spans among the changes that were kept last are known from listings.
+    pub fn keep_spans(&mut self, spans: &[ListedSpan]) {
+        self.spans.extend(spans);
+        while self.spans.len() > MOST_SPANS {
+            if let Some(oldest) = self.spans.pop_front() {
+                self.after = self.after.max(oldest.up_to);
+            }
+        }
+        let after = self.after;
+        self.spans.retain(|span| span.up_to > after);
+    }
+
     /// Keeps all changes after a revision, up to another one.
     pub fn keep(&mut self, after: Revision, up_to: Revision, changes: &[Change]) {
         if self.up_to != after {
             self.kept.clear();
+            self.spans.clear();
             self.after = after;
         }
         self.up_to = up_to;
@@ -62,16 +115,23 @@
             return None;
         }
         let newer = self.kept.iter().filter(|c| c.revision() > revision);
-        Some(PassedOn {
+        let spans = self.spans.iter().filter(|span| span.up_to > revision);
+        let passed = PassedOn {
             changes: newer.cloned().collect(),
             up_to: self.up_to,
-        })
+            spans: spans.copied().collect(),
+        };
+        passed.leads_on_from(revision).then_some(passed)
     }
 }
 
 /// Writes changes for another entry, compressed; `None` when they can't be written.
 pub fn encode(passed: &PassedOn) -> Option<Vec<u8>> {
-    let plain = bincode::serde::encode_to_vec(passed, bincode::config::standard()).ok()?;
+    let config = bincode::config::standard();
+    let mut plain = bincode::serde::encode_to_vec(passed, config).ok()?;
+    if !passed.spans.is_empty() {
+        plain.extend(bincode::serde::encode_to_vec(&passed.spans, config).ok()?);
+    }
     zstd::bulk::compress(&plain, LEVEL).ok()
 }
 
@@ -79,6 +139,13 @@
 pub fn decode(bytes: &[u8]) -> Option<PassedOn> {
     let plain = zstd::bulk::decompress(bytes, MOST_PLAIN).ok()?;
     let config = bincode::config::standard().with_limit::<MOST_PLAIN>();
-    let (passed, read) = bincode::serde::decode_from_slice(&plain, config).ok()?;
-    (read == plain.len()).then_some(passed)
+    let (mut passed, read): (PassedOn, _) =
+        bincode::serde::decode_from_slice(&plain, config).ok()?;
+    let rest = &plain[read..];
+    if rest.is_empty() {
+        return Some(passed);
+    }
+    let (spans, read) = bincode::serde::decode_from_slice(rest, config).ok()?;
+    passed.spans = spans;
+    (read == rest.len()).then_some(passed)
 }
--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -6,6 +6,7 @@
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
+use crate::direct::changes::PassedOn;
 use crate::direct::decision::Decision;
 use crate::direct::dialect::{Ask, Unreadable};
 use crate::direct::directory::Cordon;
@@ -132,12 +133,13 @@
         let before = self.listed_up_to.get();
         if begun > before {
             let changes = self.directory.borrow().changes_to(&listed, before, begun);
-            self.changes.borrow_mut().keep(before, begun, &changes);
+            let mut log = self.changes.borrow_mut();
+            log.keep_listing(before, begun, &changes);
         }
         let gone = self.directory.borrow_mut().replace(listed, begun, now);
         self.forget(&gone);
         self.listed.set(true);
-        self.listed_up_to.set(self.listed_up_to.get().max(begun));
+        self.list_advanced(before.max(begun));
         self.open_accounts();
     }
 
@@ -145,17 +147,36 @@
     ///
     /// Those that the list holds already are left out: an older entry of an endpoint that has left
     /// meanwhile would bring it back.
-    pub fn take_changes(&self, mut changes: Vec<Change>, up_to: Revision) {
+    pub fn take_changes(&self, changes: Vec<Change>, up_to: Revision) {
+        self.take_passed_on(PassedOn {
+            changes,
+            up_to,
+            spans: Vec::new(),
+        });
+    }
+
+    /// Takes the changes that a peer passed on. The list may have got further since the peer was asked, into a span that
+    /// the peer knows from a listing: they do not lead on from here then, and the store is asked.
+    pub fn take_passed_on(&self, passed: PassedOn) {
         let before = self.listed_up_to.get();
+        let PassedOn { up_to, .. } = passed;
         if up_to <= before {
             return;
         }
+        if !passed.leads_on_from(before) {
+            self.watch_again.notify_one();
+            return;
+        }
+        let mut changes = passed.changes;
         changes.retain(|change| change.revision() > before);
-        self.changes.borrow_mut().keep(before, up_to, &changes);
+        let mut log = self.changes.borrow_mut();
+        log.keep(before, up_to, &changes);
+        log.keep_spans(&passed.spans);
+        drop(log);
         for change in changes {
             self.take_change(change);
         }
-        self.listed_up_to.set(up_to);
+        self.list_advanced(up_to);
     }
 
     /// Logs where the list of endpoints comes from, if that took it beyond a revision.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -134,6 +134,8 @@
     fleet: Cell<FleetSize>,
     /// When this process started.
     started: Millis,
+    /// Peers that don't keep the changes after the revision up to which the list is complete here.
+    unkept: RefCell<HashSet<SocketAddr>>,
     /// What is being fetched from peers.
     fetching: RefCell<HashSet<Fetch>>,
     life: watch::Sender<Life>,
@@ -189,6 +191,7 @@
             unreadable: RefCell::default(),
             fleet: Cell::default(),
             started: clock.now(),
+            unkept: RefCell::default(),
             fetching: RefCell::default(),
             life: watch::Sender::new(Life::Serving),
             clock,
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -1,6 +1,8 @@
 //! What an entry knows of the store: whether it answers, whether it is watched here, and whether a
 //! peer is ahead.
 
+use std::net::SocketAddr;
+
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::changes::PassedOn;
@@ -98,6 +100,24 @@
         self.changes.borrow().after()
     }
 
+    /// Whether a peer may have the changes that lead on from here: it has more, and did not say that it lacks them.
+    pub fn may_have_changes(&self, peer: SocketAddr, revision: Revision, after: Revision) -> bool {
+        let listed = self.listed_up_to.get();
+        revision > listed && after <= listed && !self.unkept.borrow().contains(&peer)
+    }
+
+    /// A peer does not keep the changes that lead on from here. It is not asked for them again, and the store is.
+    pub fn changes_not_kept(&self, peer: SocketAddr) {
+        self.unkept.borrow_mut().insert(peer);
+        self.watch_again.notify_one();
+    }
+
+    /// The list is complete up to a later revision.
+    pub(super) fn list_advanced(&self, up_to: Revision) {
+        self.listed_up_to.set(up_to);
+        self.unkept.borrow_mut().clear();
+    }
+
     /// Whether the last call to the store failed.
     pub fn store_is_away(&self) -> bool {
         self.store_answers.get() == Some(false)
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -46,7 +46,7 @@
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
             Some(passed) => {
                 let before = entry.listed_up_to();
-                entry.take_changes(passed.changes, passed.up_to);
+                entry.take_passed_on(passed);
                 entry.log_list_known(before, &from.to_string());
             }
             None => {
@@ -56,7 +56,7 @@
         },
         Ok((status, _)) => {
             tracing::debug!(%status, %from, "a peer does not keep the changes, asking the store");
-            entry.watch_again.notify_one();
+            entry.changes_not_kept(from);
         }
         Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
     }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -277,8 +277,7 @@
     if hello.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
     }
-    let has_changes =
-        hello.revision > entry.listed_up_to() && hello.changes_after <= entry.listed_up_to();
+    let has_changes = entry.may_have_changes(from, hello.revision, hello.changes_after);
     if has_changes && entry.begin_fetch(Fetch::Changes) {
         actix_rt::spawn(fetch::changes(Rc::clone(entry), from));
     }
--- a/tests/direct_changes.rs
+++ b/tests/direct_changes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::listed;
-use violetline::direct::changes::{self, ChangeLog, PassedOn};
+use violetline::direct::changes::{self, ChangeLog, ListedSpan, PassedOn};
 use violetline::direct::directory::Change;
 
 /// A change that was written at a revision.
@@ -15,6 +15,10 @@
     Change::Put(listed(&format!("i-{revision}"), revision))
 }
 
+fn span((after, up_to): (u64, u64)) -> ListedSpan {
+    ListedSpan { after, up_to }
+}
+
 /// A log that was told the changes between each two of the revisions.
 fn log(revisions: &[u64]) -> ChangeLog {
     let mut log = ChangeLog::default();
@@ -68,6 +72,33 @@
     assert_eq!(since(&log, 6).unwrap(), [9]);
 }
 
+/// A listing does not tell which endpoints left within its span: whoever has got into it is told nothing.
+#[test]
+fn within_listing() {
+    let mut log = ChangeLog::default();
+    log.keep_listing(3, 9, &[change(5)]);
+    keep(&mut log, 9, 10);
+    assert_eq!(since(&log, 3).unwrap(), [5, 10]);
+    assert_eq!(since(&log, 4), None);
+    assert_eq!(since(&log, 8), None);
+    assert_eq!(since(&log, 9).unwrap(), [10]);
+    assert_eq!(log.since(3).unwrap().spans, [span((3, 9))]);
+    assert!(log.since(9).unwrap().spans.is_empty());
+}
+
+/// Spans of listings are forgotten from the oldest on, with the changes before their ends.
+#[test]
+fn many_listings() {
+    let mut log = ChangeLog::default();
+    for i in 0..100 {
+        log.keep_listing(i * 2, i * 2 + 2, &[]);
+    }
+    assert_eq!(log.after(), 72);
+    assert_eq!(log.since(72).unwrap().spans.len(), 64);
+    assert_eq!(since(&log, 70), None);
+    assert_eq!(since(&log, 73), None);
+}
+
 #[test]
 fn kept_bounded() {
     let mut log = ChangeLog::default();
@@ -89,6 +120,10 @@
         let passed = PassedOn {
             changes: revisions.into_iter().map(change).collect(),
             up_to: u.arbitrary()?,
+            spans: u
+                .arbitrary_iter()?
+                .map(|s| s.map(span))
+                .collect::<Result<_, _>>()?,
         };
         let written = changes::encode(&passed).unwrap();
         assert_eq!(changes::decode(&written), Some(passed));
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -5,6 +5,7 @@
 use common::{catalog, entry, listed};
 use futures_util::FutureExt;
 use violetline::clock::Millis;
+use violetline::direct::changes;
 use violetline::direct::channel::Failure;
 use violetline::direct::directory::Change;
 use violetline::direct::entry::Entry;
@@ -141,6 +142,50 @@
     );
 }
 
+/// What an entry passes to another one that asks for the changes after a revision.
+fn pass(from: &Entry, to: &Entry) {
+    let passed = from.changes_since(to.listed_up_to());
+    let written = passed.as_ref().and_then(changes::encode);
+    if let Some(passed) = written.as_deref().and_then(changes::decode) {
+        to.take_passed_on(passed);
+    }
+}
+
+/// Requests reached an endpoint up to 2.5 s after it had left: an entry that had just started listed everything without
+/// it, and its peers took their lists for complete up to there by what it passed on, which did not tell that it had left.
+#[test]
+fn left_before_listing() {
+    let (_, peer) = entry();
+    peer.take_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
+    let (_, fresh) = entry();
+    fresh.take_listing(vec![listed("i-2", 4)], 6);
+    pass(&fresh, &peer);
+    assert_eq!(peer.listed_up_to(), 5);
+    let removed = Change::Removed {
+        id: "i-1".into(),
+        revision: 6,
+    };
+    peer.take_changes(vec![removed], 6);
+    assert!(peer.directory().key("i-1").is_none());
+}
+
+/// The same by an entry that has the changes from the fresh one, and where the list got further meanwhile.
+#[test]
+fn left_second_hand() {
+    let (_, fresh) = entry();
+    fresh.take_listing(vec![listed("i-2", 4)], 6);
+    let (_, empty) = entry();
+    pass(&fresh, &empty);
+    assert_eq!(empty.listed_up_to(), 6);
+    let (_, peer) = entry();
+    peer.take_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
+    pass(&empty, &peer);
+    assert_eq!(peer.listed_up_to(), 5);
+    peer.take_passed_on(fresh.changes_since(0).unwrap());
+    assert_eq!(peer.listed_up_to(), 5);
+    assert!(asks_again(&peer));
+}
+
 /// The whole configuration is read from the store by those that watch it, and by one that its peers
 /// don't bring up to date.
 #[test]
