Whether ends are chance is counted among the endpoints of the request's own pool

Callers saw: requests that are polled (/once/slow, hundreds of copies with one digest) were told to stay away for 10 to 20 minutes, though innocent; nothing runs under a refused digest, so nothing clears it.

The chance of that was counted among all nine endpoints, five of another pool among them (1 in 504 for three), though a request of s1 can only be at its four engines (1 in 24). The last of four that is up is met for sure.

Mend: an end is kept with the pool of its endpoint and how many endpoints took work there then; chance, and what else ended, are counted in that pool. Where a peer tells of an endpoint that is not listed here, the fewest known of the row count, else the smallest pool.

Test: small_pool did not hold before; larger_pool (nine endpoints, third end) holds before and after; all tests of the quarantine pass unchanged.

--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -318,6 +318,15 @@
         resting.map(|e| e.announced.rests_until).min()
     }
 
+    /// Endpoints of the smallest pool; 0 where there is none.
+    pub fn smallest_pool(&self) -> usize {
+        let mut counts: HashMap<&str, usize> = HashMap::new();
+        for endpoint in self.arena.values() {
+            *counts.entry(&endpoint.listed.pool).or_default() += 1;
+        }
+        counts.into_values().min().unwrap_or(0)
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.arena.iter()
--- a/src/direct/entry/accounts.rs
+++ b/src/direct/entry/accounts.rs
@@ -31,6 +31,8 @@
 pub struct Account {
     /// Its identity.
     pub(super) id: String,
+    /// Pool that it serves.
+    pool: String,
     /// Digest of this life of it.
     life: LifeDigest,
     /// Its load.
@@ -254,9 +256,11 @@
     fn runs_ended_with(&self, key: EndpointKey, sign: EndSign, lost: &[LostRun]) {
         self.gauges.runs_ended(sign, lost.len() as u64);
         let mut endpoint = String::new();
+        let mut pool = String::new();
         let mut life = 0;
         self.account(key, |account| {
             endpoint.clone_from(&account.id);
+            pool.clone_from(&account.pool);
             life = account.life;
         });
         self.log.belief(Decision::EndpointEnded {
@@ -264,7 +268,8 @@
             sign,
             lost: lost.iter().map(|run| run.request.to_string()).collect(),
         });
-        self.suspect(life, lost);
+        let among = self.among(&pool, key);
+        self.suspect(life, among, lost);
     }
 
     fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
@@ -280,13 +285,14 @@
     /// Opens an account for each endpoint that has none.
     pub(super) fn open_accounts(&self) {
         let directory = self.directory.borrow();
-        let count = directory.iter().count();
-        self.quarantine.borrow_mut().set_endpoints(count);
+        let smallest = directory.smallest_pool();
+        self.quarantine.borrow_mut().set_endpoints(smallest);
         let mut accounts = self.accounts.borrow_mut();
         for (key, endpoint) in directory.iter() {
             if !accounts.contains_key(key) {
                 let account = Account {
                     id: endpoint.listed.id.clone(),
+                    pool: endpoint.listed.pool.clone(),
                     life: endpoint.digest,
                     ..Account::default()
                 };
--- a/src/direct/entry/suspicion.rs
+++ b/src/direct/entry/suspicion.rs
@@ -6,10 +6,10 @@
 use crate::clock::Millis;
 use crate::direct::channel::{Channel, Failure};
 use crate::direct::decision::Decision;
-use crate::direct::directory::EndpointKey;
+use crate::direct::directory::{digest, EndpointKey};
 use crate::direct::ends::{EndSign, LostRun};
 use crate::fingerprint::Fingerprint;
-use crate::quarantine::{Change, End, LifeDigest, Notice, Standing};
+use crate::quarantine::{Among, Change, End, LifeDigest, Notice, Standing};
 
 impl Entry {
     /// Whether a request may be sent to an endpoint now.
@@ -53,16 +53,39 @@
     pub fn take_notices(&self, notices: &[Notice]) {
         let now = self.clock.now();
         for notice in notices {
+            let mut among = None;
             if let Notice::Ended { endpoint, .. } = notice {
+                among = self.among_told(*endpoint);
                 self.told_of_end(*endpoint);
             }
-            let change = self.quarantine.borrow_mut().take(notice, now);
+            let mut quarantine = self.quarantine.borrow_mut();
+            let change = quarantine.take_among(notice, among, now);
+            drop(quarantine);
             self.changed(notice.request(), change);
         }
     }
 
+    /// The endpoints among which one is of which a peer tells; `None` where it is not listed.
+    fn among_told(&self, life: LifeDigest) -> Option<Among> {
+        let directory = self.directory.borrow();
+        let key = directory.by_digest(life)?;
+        let pool = &directory.get(key)?.listed.pool;
+        Some(self.among(pool, key))
+    }
+
+    /// The endpoints of a pool among which one of them is.
+    pub(super) fn among(&self, pool: &str, key: EndpointKey) -> Among {
+        let now = self.clock.now();
+        let directory = self.directory.borrow();
+        let others = directory.of_pool(pool, now).filter(|(k, _)| *k != key);
+        Among {
+            pool: digest(pool, None),
+            endpoints: others.count() + 1,
+        }
+    }
+
     /// Runs were lost with an endpoint whose life is over: each of them may have ended it.
-    pub(super) fn suspect(&self, endpoint: LifeDigest, lost: &[LostRun]) {
+    pub(super) fn suspect(&self, endpoint: LifeDigest, among: Among, lost: &[LostRun]) {
         let now = self.clock.now();
         for run in lost {
             let end = End {
@@ -70,7 +93,9 @@
                 began: run.began,
                 ended: run.lost,
             };
-            let change = self.quarantine.borrow_mut().ended(run.request, end, now);
+            let mut quarantine = self.quarantine.borrow_mut();
+            let change = quarantine.ended_among(run.request, end, Some(among), now);
+            drop(quarantine);
             self.changed(run.request, change);
         }
         self.tell_now.notify_one();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -60,6 +60,15 @@
     pub ended: Millis,
 }
 
+/// The endpoints of a pool that took work when one of them ended: a request that is sent to that pool was at one of these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Among {
+    /// Digest of the pool's name.
+    pub pool: u32,
+    /// How many they were.
+    pub endpoints: usize,
+}
+
 /// Whether a request may be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -165,10 +174,21 @@
         }
     }
 
-    /// An endpoint ended under a request.
+    /// An endpoint of an unknown pool ended under a request.
     pub fn ended(&mut self, request: Fingerprint, end: End, now: Millis) -> Change {
+        self.ended_among(request, end, None, now)
+    }
+
+    /// An endpoint ended under a request.
+    pub fn ended_among(
+        &mut self,
+        request: Fingerprint,
+        end: End,
+        among: Option<Among>,
+        now: Millis,
+    ) -> Change {
         self.make_room(request, now);
-        self.lives.note(&end);
+        self.lives.note(&end, among);
         let case = self.cases.entry(request).or_default();
         if !case.add(end) {
             return Change::None;
@@ -253,7 +273,7 @@
         })
     }
 
-    /// Tells how many endpoints there are.
+    /// Tells how many endpoints there are, for ends of endpoints whose pool is not known.
     pub fn set_endpoints(&mut self, count: usize) {
         self.lives.endpoints = count;
     }
@@ -318,8 +338,13 @@
         Change::Cleared
     }
 
-    /// Takes what a peer tells.
+    /// Takes what a peer tells, of endpoints of unknown pools.
     pub fn take(&mut self, notice: &Notice, now: Millis) -> Change {
+        self.take_among(notice, None, now)
+    }
+
+    /// Takes what a peer tells; `among` is of the endpoint that ended.
+    pub fn take_among(&mut self, notice: &Notice, among: Option<Among>, now: Millis) -> Change {
         let at = |age: u32| now - Millis(u64::from(age));
         match *notice {
             Notice::Ended {
@@ -333,7 +358,7 @@
                     began: at(began),
                     ended: at(ended),
                 };
-                self.ended(request, end, now)
+                self.ended_among(request, end, among, now)
             }
             Notice::Began { request, began } => self.began(request, at(began), now),
             Notice::Refused { request, since } => self.told_refused(request, at(since), now),
--- /dev/null
+++ b/tests/innocent_suspects.rs
@@ -0,0 +1,71 @@
+//! Requests that are polled, so that a copy of them is lost with each engine that another request ends. They were told to
+//! stay away for 10 minutes and more, though innocent.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{entry, listed};
+use violetline::clock::{Clock, Millis};
+use violetline::direct::directory::{digest, Listed};
+use violetline::direct::entry::Entry;
+use violetline::fingerprint::Fingerprint;
+use violetline::quarantine::{Notice, Standing};
+
+const POLLED: Fingerprint = Fingerprint(1);
+const ENDING: Fingerprint = Fingerprint(2);
+/// Time for what ended together to be heard.
+const JUDGED: Millis = Millis(500);
+
+/// An entry before some endpoints of one pool and some of another.
+fn with_pools(own: usize, others: usize) -> (Clock, Rc<Entry>) {
+    let (clock, entry) = entry();
+    let own = (0..own).map(|i| listed(&format!("i-{i}"), 1));
+    let others = (0..others).map(|i| Listed {
+        pool: "other".into(),
+        ..listed(&format!("m-{i}"), 1)
+    });
+    entry.take_listing(own.chain(others).collect::<Vec<_>>(), 1);
+    clock.advance(Millis(10_000));
+    (clock, entry)
+}
+
+/// An endpoint ends under a request whose run began 50 ms before.
+fn ended(entry: &Entry, request: Fingerprint, endpoint: usize) {
+    entry.take_notices(&[Notice::Ended {
+        request,
+        endpoint: digest(&format!("i-{endpoint}"), None),
+        began: 50,
+        ended: 0,
+    }]);
+}
+
+fn is_refused(entry: &Entry, request: Fingerprint) -> bool {
+    matches!(entry.standing(request), Standing::Refused { .. })
+}
+
+/// Three of a pool's four endpoints ended under both. Among the nine endpoints of all pools that would hardly be chance;
+/// among the four it is.
+#[test]
+fn small_pool() {
+    let (clock, entry) = with_pools(4, 5);
+    for endpoint in 0..3 {
+        clock.advance(Millis(100));
+        ended(&entry, ENDING, endpoint);
+        ended(&entry, POLLED, endpoint);
+    }
+    clock.advance(JUDGED);
+    assert!(!is_refused(&entry, POLLED));
+}
+
+/// In a pool of nine the third end tells, as before.
+#[test]
+fn larger_pool() {
+    let (clock, entry) = with_pools(9, 3);
+    for endpoint in 0..3 {
+        clock.advance(Millis(100));
+        ended(&entry, ENDING, endpoint);
+    }
+    clock.advance(JUDGED);
+    assert!(is_refused(&entry, ENDING));
+}
