Requests that share two ends run one after the other

Callers saw: those that poll got 503 with 600 s and more, all of them, from the moment at which another caller's request was refused for the engines that it ended.

Cause: one copy of each digest runs at a time, but copies of different ones side by side. A polled request waits with a copy at every entry, so each end wakes it along with the caller of the request that ends engines, both go to the few engines that are up, and the next end is lost to both again. Nothing in what is counted tells them apart, and the fifth end in a row condemns whoever was there.

Mend: requests with two or more ends in a row whose newest two are the same do not run at the same time: the one waits, within its time, while the other does. The next end then speaks against one of them, and explains the ends of the other; or a run is finished and clears it. Entries spread such turns over 60 ms, since an end wakes all that wait, and who began is told some milliseconds later. At one end nothing is held back: dozens of requests share one.

The tests of the quarantine's rules pass unchanged.

Behind sidecars copies under way at once are still not held back, of one digest or of two.

--- a/src/direct/job/turn.rs
+++ b/src/direct/job/turn.rs
@@ -1,14 +1,19 @@
 //! Turns of requests under suspicion: copies of one run one after the other, and none once enough endpoints
 //! have ended under them.
 
+use rand::Rng;
+
 use super::Job;
 use crate::clock::Millis;
 use crate::direct::decision::RefusedWhy;
 use crate::direct::entry::Account;
-use crate::quarantine::Standing;
+use crate::quarantine::{Standing, ENDS_TO_SEPARATE};
 
 /// Ends in a row from which on a copy is turned away, rather than sent, when it has waited in vain for another one.
-const ENDS_TO_TURN_AWAY: usize = 2;
+const ENDS_TO_TURN_AWAY: usize = ENDS_TO_SEPARATE;
+/// Time over which entries spread the turns of requests with so many ends, in ms: an end wakes those that wait at all
+/// entries at once, and who begins first is told to the others some milliseconds later.
+const TURNS_SPREAD_MS: u64 = 60;
 
 impl Job<'_> {
     /// Waits while a copy of the request that is under suspicion runs somewhere; why it is not sent, where it is not.
@@ -17,6 +22,7 @@
     /// the time of one answer.
     pub(super) async fn wait_for_turn(&self) -> Option<RefusedWhy> {
         let wait_until = (self.incoming.at + self.route().target).min(self.end);
+        let mut is_spread = false;
         loop {
             // Registered before the look, so that no change is missed.
             let changed = self.entry.quarantine_changed.notified();
@@ -26,6 +32,13 @@
             }
             let now = self.entry.clock.now();
             let (ends, until) = match self.entry.standing(self.request) {
+                Standing::Suspect { ends } if ends >= ENDS_TO_SEPARATE && !is_spread => {
+                    is_spread = true;
+                    let spread = Millis(rand::thread_rng().gen_range(0..TURNS_SPREAD_MS));
+                    let at = self.entry.clock.now() + spread;
+                    self.entry.clock.sleep_until(at).await;
+                    continue;
+                }
                 Standing::Clear | Standing::Suspect { .. } => return None,
                 Standing::UnderWay { began, .. } if self.is_own_turn(began) => return None,
                 Standing::Refused { ends, until } => return Some(self.ends_endpoints(ends, until)),
@@ -35,6 +48,7 @@
                 let is_refused = ends >= ENDS_TO_TURN_AWAY;
                 return is_refused.then(|| self.ends_endpoints(ends, until));
             }
+            is_spread = false;
             let wait = until.min(wait_until);
             // Whether something changed or the time is over, it looks again.
             let _ = self.entry.clock.timeout_at(wait, changed).await;
--- a/src/quarantine/case.rs
+++ b/src/quarantine/case.rs
@@ -1,6 +1,6 @@
 //! What is known of one request under which endpoints ended.
 
-use super::{End, ENDS_TO_REFUSE};
+use super::{End, ENDS_TO_REFUSE, ENDS_TO_SEPARATE};
 use crate::clock::Millis;
 
 /// First time for which it is refused; it doubles with each further end.
@@ -52,6 +52,13 @@
         self.row().len()
     }
 
+    /// Whether another request was at its newest ends as well.
+    pub(super) fn shares_ends(&self, other: &Self) -> bool {
+        let newest = self.ends.iter().rev().take(ENDS_TO_SEPARATE);
+        let is_shared = |end: &End| other.ends.iter().any(|e| e.endpoint == end.endpoint);
+        newest.filter(|end| is_shared(end)).count() == ENDS_TO_SEPARATE
+    }
+
     pub(super) fn last_end(&self) -> Option<Millis> {
         self.ends.last().map(|end| end.ended)
     }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -30,6 +30,9 @@
 pub const ENDS_TO_REFUSE: usize = 3;
 /// Ends in a row from which on it is refused however many other endpoints end meanwhile.
 const ENDS_AT_MOST: usize = 5;
+/// Ends in a row that two requests share from which on they do not run at the same time, since only ends under one alone
+/// tell which of them is the cause. Dozens share one end.
+pub const ENDS_TO_SEPARATE: usize = 2;
 /// Chance that an innocent request would have been at as many ends, up to which it is refused: three of three that
 /// end are enough among nine endpoints.
 const CHANCE: f64 = 0.002;
@@ -79,11 +82,11 @@
         /// Ends in a row.
         ends: usize,
     },
-    /// The same, and a copy runs somewhere, or it is not judged yet.
+    /// The same, and a copy runs somewhere, or another request does that shares its ends, or it is not judged yet.
     UnderWay {
         /// Ends in a row.
         ends: usize,
-        /// When that copy was sent; `None` while it is not judged yet.
+        /// When that copy was sent; `None` where there is none.
         began: Option<Millis>,
         /// When another copy may run in any case.
         until: Millis,
@@ -170,8 +173,31 @@
                 began: Some(began),
                 until: began + TRIAL_TIME,
             },
-            _ => Standing::Suspect { ends },
+            _ => match self.rival_until(request, case, now) {
+                Some(until) => Standing::UnderWay {
+                    ends,
+                    began: None,
+                    until,
+                },
+                None => Standing::Suspect { ends },
+            },
+        }
+    }
+
+    /// Until when a request that was at the same ends is taken to run; `None` where none runs.
+    fn rival_until(&self, request: Fingerprint, case: &Case, now: Millis) -> Option<Millis> {
+        if case.in_a_row() < ENDS_TO_SEPARATE {
+            return None;
         }
+        let others = self.cases.iter().filter(|(other, _)| **other != request);
+        let rivals = others.filter(|(_, other)| {
+            let is_open = other.cause_since.is_none();
+            is_open && other.in_a_row() >= ENDS_TO_SEPARATE && case.shares_ends(other)
+        });
+        let began =
+            rivals.filter_map(|(_, other)| other.began.filter(|at| Some(*at) > other.last_end()));
+        let until = began.map(|at| at + TRIAL_TIME).max();
+        until.filter(|until| now < *until)
     }
 
     /// An endpoint of an unknown pool ended under a request.
--- a/tests/innocent_suspects.rs
+++ b/tests/innocent_suspects.rs
@@ -58,6 +58,44 @@
     assert!(!is_refused(&entry, POLLED));
 }
 
+/// Two ends are shared: the one does not run while the other does, and the next end tells them apart.
+#[test]
+fn one_at_once() {
+    let (clock, entry) = with_pools(9, 3);
+    let shared = |endpoint| {
+        clock.advance(Millis(100));
+        ended(&entry, ENDING, endpoint);
+        ended(&entry, POLLED, endpoint);
+    };
+    shared(0);
+    entry.suspect_began(ENDING, clock.now());
+    assert_eq!(entry.standing(POLLED), Standing::Suspect { ends: 1 });
+    shared(1);
+    assert_eq!(entry.standing(POLLED), Standing::Suspect { ends: 2 });
+    entry.suspect_began(ENDING, clock.now() + Millis(1));
+    let standing = entry.standing(POLLED);
+    assert!(
+        matches!(
+            standing,
+            Standing::UnderWay {
+                ends: 2,
+                began: None,
+                ..
+            }
+        ),
+        "{standing:?}"
+    );
+    clock.advance(Millis(100));
+    ended(&entry, ENDING, 2);
+    assert_eq!(entry.standing(POLLED), Standing::Suspect { ends: 2 });
+    clock.advance(JUDGED);
+    assert!(is_refused(&entry, ENDING));
+    // One more end, of its own, does not make it the cause: the others are explained.
+    ended(&entry, POLLED, 3);
+    clock.advance(JUDGED);
+    assert!(!is_refused(&entry, POLLED));
+}
+
 /// In a pool of nine the third end tells, as before.
 #[test]
 fn larger_pool() {
