Changes that are dropped out of order leave no hole in what is passed on

When more than 2,000 changes are kept the oldest are dropped, and the log was taken to begin after the last one dropped. Listings keep their changes in no order, and the cordons stand behind the changes of endpoints, so the last one dropped may be older than one before it. A peer between the two would have been told all but that one, and would have sent to an endpoint that has left.

Mend: the beginning never goes back.

--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -99,7 +99,8 @@
         self.kept.extend(changes.iter().cloned());
         while self.kept.len() > MOST_CHANGES {
             if let Some(oldest) = self.kept.pop_front() {
-                self.after = oldest.revision();
+                // Listings and cordons come in no order.
+                self.after = self.after.max(oldest.revision());
             }
         }
     }
--- a/tests/direct_changes.rs
+++ b/tests/direct_changes.rs
@@ -108,6 +108,17 @@
     assert_eq!(since(&log, 1_000).unwrap().len(), 2_000);
 }
 
+/// Requests would reach an endpoint that has left: cordons come behind the changes of endpoints, and listings in no order,
+/// so the change that is dropped last may be older than one that was dropped before it.
+#[test]
+fn dropped_in_disorder() {
+    let mut log = ChangeLog::default();
+    log.keep(0, 10, &[change(9), change(3), change(5)]);
+    keep(&mut log, 10, 2_009);
+    assert_eq!(since(&log, 3), None);
+    assert_eq!(log.after(), 9);
+}
+
 /// Whatever a peer sends is read without a panic, and what is read can be written.
 #[test]
 fn any_bytes() {
