A listing that was begun before newer changes does not bring back what they removed

A listing is read in pages, over a second on a narrow link; meanwhile a peer may bring the changes up to a later revision. The listing then held endpoints that had left by those, and put them back; no later change takes them out again, since the list is complete up to beyond their removal. Their address may be another's.

--- a/src/direct/entry/beliefs.rs
+++ b/src/direct/entry/beliefs.rs
@@ -128,9 +128,15 @@
     /// When the store has dropped its history, its watchers list anew; their peers would have to as well
     /// if the changes that they keep began after that.
     pub fn take_listing(&self, listed: impl Into<Listing>, begun: Revision) {
-        let listed = listed.into();
+        let mut listed: Listing = listed.into();
         let now = self.clock.now();
         let before = self.listed_up_to.get();
+        // Changes that came while the listing was read may have removed what it still holds.
+        let directory = self.directory.borrow();
+        let is_known = |id: &str| directory.key(id).is_some();
+        let endpoints = &mut listed.endpoints;
+        endpoints.retain(|l| begun >= before || l.revision > before || is_known(&l.id));
+        drop(directory);
         if begun > before {
             let changes = self.directory.borrow().changes_to(&listed, before, begun);
             let mut log = self.changes.borrow_mut();
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -114,6 +114,25 @@
     assert_eq!(entry.listed_up_to(), 7);
 }
 
+/// An endpoint that has left would come back for good, and get requests: a listing that was begun before it left is read to
+/// its end after a peer has told of that.
+#[test]
+fn older_listing() {
+    let (_, entry) = entry();
+    let all = || vec![listed("i-1", 3), listed("i-2", 4)];
+    entry.take_listing(all(), 5);
+    let removed = Change::Removed {
+        id: "i-1".into(),
+        revision: 7,
+    };
+    entry.take_changes(vec![removed], 7);
+    entry.take_listing([all(), vec![listed("i-3", 8)]].concat(), 6);
+    assert!(entry.directory().key("i-1").is_none());
+    assert!(entry.directory().key("i-2").is_some());
+    assert!(entry.directory().key("i-3").is_some(), "written meanwhile");
+    assert_eq!(entry.listed_up_to(), 7);
+}
+
 /// A whole listing is passed on as the changes that it makes, so that peers need not list after the store
 /// has dropped its history.
 #[test]
