Read the momentary slowdown that endpoints report

Cause: endpoints of some services share their machines, and tell in a fourth figure of their load report how long work takes there at the moment; it was not read. So a slowed moment was taken for a slow endpoint for seconds after it.

Change: the figure is decoded in the adapter (10 to 2,000 percent; anything else counts as not told and leaves the other three as they are). It enters the expected time, fading with a half-life of 150 ms, and is taken out of what the health record learns from a response.

--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -275,9 +275,11 @@
         self.entry
             .update_endpoint_state(choice.key, |endpoint_state| {
                 endpoint_state.record_contact(now);
+                // A momentary slowdown says nothing of the endpoint's speed later on.
+                let expected_ms = choice.nominal_ms * endpoint_state.load.slowdown(now);
                 endpoint_state
                     .record
-                    .observe_response_time(now, now - sent_at, choice.nominal_ms);
+                    .observe_response_time(now, now - sent_at, expected_ms);
             });
         let mut progress = self.progress.borrow_mut();
         if progress.first_byte_at.is_none() {
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 use crate::direct::peers::{PeerId, ZoneId};
+use crate::direct::slowdown::Slowdown;
 
 /// Number of urgency bands in which tokens to be prefilled are counted: 0, 1, and all others.
 pub const BANDS: usize = 3;
@@ -148,6 +149,8 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// How long work takes there at the moment; `None` where it does not say.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Half-life of the pressure, in ms: a few times the duration of an urgent stream.
@@ -304,6 +307,18 @@
         self.total(now).running.max(reported)
     }
 
+    /// Expected time that work takes at the endpoint now, relative to the usual time, by its own
+    /// report; 1 if it does not say.
+    pub fn slowdown(&self, now: Millis) -> f64 {
+        let (at, report) = match self.report {
+            Some(latest) => latest,
+            None => return 1.0,
+        };
+        report
+            .slowdown
+            .map_or(1.0, |slowdown| slowdown.factor(now - at))
+    }
+
     /// Requests that are queued at the endpoint according to its own report; 0 if there is no
     /// recent one.
     pub fn waiting(&self, now: Millis) -> u32 {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,7 +11,7 @@
 //!   capacity for more urgent requests, based on the entry's recent requests in [`turnover`].
 //!   [`warmup`] limits the requests to endpoints that have just started.
 //! - Choice: for a [`demand`], the endpoint with the lowest [`price`] is chosen. The price depends
-//!   on the endpoint's [`load`], the [`prefix`] of the prompt that it has cached or can fetch from
+//!   on the endpoint's [`load`], its momentary [`slowdown`], the [`prefix`] of the prompt that it has cached or can fetch from
 //!   another endpoint ([`moves`]), and how its pool is split between latency-sensitive streams and
 //!   long prompts ([`lanes`]).
 //! - Endpoints that end: [`ends`] keeps the runs that an endpoint did not finish until it is known
@@ -72,6 +72,7 @@
 pub mod resolve;
 pub mod room;
 pub mod settings;
+pub mod slowdown;
 pub mod sync;
 pub mod turnover;
 pub mod versions;
--- a/src/direct/price.rs
+++ b/src/direct/price.rs
@@ -88,7 +88,7 @@
 const WARMING_MS: f64 = 60.0;
 
 /// Estimated time until the first event at this endpoint, in ms: [`nominal_time_ms`] corrected by
-/// its observed slowness.
+/// its observed slowness and the momentary slowdown that it reports.
 pub fn expected_ms(
     demand: &Demand<'_>,
     state: &CandidateState<'_>,
@@ -96,7 +96,8 @@
     now: Millis,
 ) -> f64 {
     let slowness = state.candidate.record.slowness(now);
-    nominal_time_ms(demand, state, reuse, now) * slowness
+    let slowdown = state.candidate.load.slowdown(now);
+    nominal_time_ms(demand, state, reuse, now) * slowness * slowdown
 }
 
 /// Price of an endpoint, in ms: the weighted time until the first event, and what the request costs
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -240,6 +240,7 @@
         running: 6,
         waiting: 10,
         slots: 6,
+        slowdown: None,
     };
     pool.loads[0].record_report(report, NOW);
     pool.loads[1].record_report(report, NOW);
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -108,6 +108,7 @@
         running: present.min(SLOTS) as u32,
         waiting: present.saturating_sub(SLOTS) as u32,
         slots: SLOTS as u32,
+        slowdown: None,
     }
 }
 
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -13,6 +13,7 @@
 };
 use violetline::direct::directory::Change;
 use violetline::direct::prefix::PromptSegment;
+use violetline::direct::slowdown::Slowdown;
 use violetline::platform::Platform;
 
 fn request(headers: &[(&str, &str)]) -> RequestHead {
@@ -271,6 +272,7 @@
     assert!(response_info.belongs_to_request && response_info.sealed && !response_info.not_run);
     let report = response_info.report.unwrap();
     assert_eq!((report.running, report.waiting, report.slots), (3, 1, 8));
+    assert_eq!(report.slowdown, None);
     assert_eq!(response_info.idle_time, Some(Millis(5_000)));
     let late = Platform.response_info(&response(200, &[("x-request-id", "8")]), &id);
     assert!(!late.belongs_to_request);
@@ -282,6 +284,26 @@
     assert!(!unsaid.not_run);
 }
 
+/// An implausible figure of the momentary speed counts as not told, and does not hide the others.
+#[test]
+fn momentary_slowdown() {
+    let id = HeaderValue::from_static("9");
+    let report = |told: &str| {
+        let head = response(200, &[("x-server-load", told)]);
+        Platform.response_info(&head, &id).report
+    };
+    let told = report("3,1,8,250").unwrap();
+    assert_eq!(told.slowdown, Slowdown::from_percent(250));
+    assert!(told.slowdown.is_some());
+    for fourth in ["", "0", "-5", "fast", "1e2", "250.5", "99999999", "99999999999999999999"] {
+        let told = report(&format!("3,1,8,{fourth}")).unwrap();
+        assert_eq!((told.running, told.waiting, told.slots), (3, 1, 8));
+        assert_eq!(told.slowdown, None, "{fourth}");
+    }
+    assert_eq!(report("3,1,8,250,7").unwrap().slowdown, told.slowdown);
+    assert_eq!(report("3,1"), None);
+}
+
 #[test]
 fn refusals_written() {
     let id = HeaderValue::from_static("9");
