Entries call the store in turns

Change: one watcher in each zone of a fleet of several zones. Lost watchers are replaced in turns by rank, or at once by an entry that the store answers. An entry that follows takes everything from peers, also at its start, and calls the store only in a turn that it draws by the number of its neighbors, so a zone makes two such calls a second whatever its size. Whether the list is available is judged by the newest proof in the fleet and no longer by own calls alone. The rank's hash is kept with each peer, and the time of a cycle needs no count of all peers.

--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -53,6 +53,11 @@
         self.directory.borrow()
     }
 
+    /// Whether a whole list of endpoints has ever been applied.
+    pub fn has_list(&self) -> bool {
+        self.has_list.get()
+    }
+
     /// Store revision up to which the list of endpoints is complete here.
     pub fn list_revision(&self) -> Revision {
         self.list_revision.get()
@@ -304,13 +309,21 @@
     pub fn prove_by_peer(&self, asked: Millis, age: Millis) {
         let mut freshness = self.freshness.get();
         freshness.prove_by_peer(asked, age);
-        self.freshness.set(freshness);
+        self.set_freshness(freshness);
     }
 
     fn prove(&self, asked: Millis) {
         let mut freshness = self.freshness.get();
         freshness.prove(asked);
-        self.freshness.set(freshness);
+        self.set_freshness(freshness);
+    }
+
+    /// A newer proof shows that the store answers some entry, so the list is available.
+    fn set_freshness(&self, freshness: Freshness) {
+        let before = self.freshness.replace(freshness);
+        if freshness.proven_at() > before.proven_at() && !self.is_store_silent() {
+            self.directory.borrow_mut().list_available(self.clock.now());
+        }
     }
 
     /// Whether the configuration allows a request now: its route and team, or why it is denied.
@@ -329,6 +342,7 @@
     /// old and outdated suspicions, and counts the fleet.
     pub fn expire(&self) {
         let now = self.clock.now();
+        self.update_list_availability();
         let gone = self.directory.borrow_mut().expire(now);
         self.forget(&gone);
         self.close_idle(now);
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -127,6 +127,8 @@
     has_list: Cell<bool>,
     /// Whether the store answered the last call; `None` before the first one.
     store_answers: Cell<Option<bool>>,
+    /// When the store last answered a call; `None` before the first answer.
+    store_answered_at: Cell<Option<Millis>>,
     /// The last large response of the store, complete or still arriving.
     large_answer: Cell<Option<LargeAnswer>>,
     in_flight: Cell<u64>,
@@ -190,6 +192,7 @@
             pending_proof: Cell::default(),
             has_list: Cell::default(),
             store_answers: Cell::default(),
+            store_answered_at: Cell::default(),
             large_answer: Cell::default(),
             in_flight: Cell::default(),
             watching: Cell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -26,6 +26,15 @@
 /// on the age of a proof for requests with a key.
 const PEER_DELIVERY_TIME: Millis = Millis(1_500);
 
+/// Time after a start in which peers are discovered: until then it is not known which entries are to
+/// watch the store, and all would begin to.
+const DISCOVERY_TIME: Millis = Millis(600);
+
+/// Time without an answer of the store to any entry, as far as known here, after which the list
+/// counts as unavailable: longer than the time between two proofs, and shorter than the time in
+/// which entries of live endpoints expire.
+const OUTAGE_AFTER: Millis = Millis(1_500);
+
 /// A large response of the store, complete or still arriving.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LargeAnswer {
@@ -69,6 +78,8 @@
     pub fn store_answered(&self) {
         let now = self.clock.now();
         self.directory.borrow_mut().list_available(now);
+        self.peers.borrow_mut().record_store_answer(now);
+        self.store_answered_at.set(Some(now));
         let before = self.store_answers.replace(Some(true));
         if before == Some(false) {
             self.rewatch_requested.notify_one();
@@ -83,7 +94,57 @@
 
     /// Whether this entry watches the store itself and the store answers.
     pub fn is_watching(&self) -> bool {
-        self.watching.get() && self.store_answers.get() == Some(true)
+        self.watching.get() && self.is_answered_by_store()
+    }
+
+    /// Whether the store answered the last call.
+    pub fn is_answered_by_store(&self) -> bool {
+        self.store_answers.get() == Some(true)
+    }
+
+    /// Whether this entry is to watch the store itself.
+    pub fn is_to_watch(&self) -> bool {
+        let now = self.clock.now();
+        !self.is_discovering(now) && self.peers.borrow().should_watch(now)
+    }
+
+    /// Whether this entry has just started and does not know its peers yet. Seeds, which all others
+    /// ask first, read the store at once.
+    fn is_discovering(&self, now: Millis) -> bool {
+        let settings = self.settings.borrow();
+        let own = settings.link.ip();
+        let is_seed = settings.seeds.is_empty() || settings.seeds.iter().any(|s| s.ip() == own);
+        !is_seed && now - self.started_at < DISCOVERY_TIME
+    }
+
+    /// A peer that has a later list of endpoints than this entry; `None` if there is none.
+    pub fn list_source(&self) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let listed = self.list_revision.get();
+        self.peers
+            .borrow()
+            .list_source(listed, rand::random(), now)
+    }
+
+    /// Marks the list as unavailable if the store answers no entry, as far as known here. Endpoints
+    /// whose entries disappear then are assumed to have expired.
+    pub(super) fn update_list_availability(&self) {
+        if self.is_store_silent() {
+            self.directory.borrow_mut().list_unavailable();
+        }
+    }
+
+    /// Whether the store has answered neither this entry nor, as far as known here, another one for
+    /// [`OUTAGE_AFTER`]. A large response that is arriving shows that it answers.
+    pub(super) fn is_store_silent(&self) -> bool {
+        let now = self.clock.now();
+        let is_old = |at: Option<Millis>| at.is_some_and(|at| now - at >= OUTAGE_AFTER);
+        let is_proof_old = is_old(self.freshness().proven_at());
+        let has_answered = self.store_answered_at.get().is_some_and(|at| !is_old(Some(at)));
+        is_proof_old
+            && !has_answered
+            && !self.is_reading_large_answer()
+            && !self.peers.borrow().has_watcher(now)
     }
 
     /// Sets whether this entry watches the store itself; logs changes.
@@ -182,7 +243,7 @@
 
     /// Records that a call to the store failed; logs it if the one before did not.
     pub fn store_failed(&self, err: &CallError) {
-        self.directory.borrow_mut().list_unavailable();
+        self.update_list_availability();
         if self.store_answers.replace(Some(false)) != Some(false) {
             // Peers may still have the whole list, for which they are asked while the store is
             // unreachable.
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -57,10 +57,10 @@
             }
         },
         Ok((status, _)) => {
-            tracing::debug!(%status, %from, "a peer does not keep the changes, asking the store");
+            tracing::debug!(%status, %from, "a peer does not keep the changes");
             entry.mark_changes_unavailable(from);
-            if entry.is_store_unreachable() {
-                fetch_whole_list(&entry, from).await;
+            if !entry.is_watching() {
+                whole_list(&entry, from).await;
             }
         }
         Err(err) => tracing::debug!(%err, %from, "a peer's changes could not be fetched"),
@@ -68,8 +68,15 @@
     entry.end_fetch(Fetch::Changes);
 }
 
-/// Fetches and applies a peer's whole list, for when the store can't be asked for what is missing.
-async fn fetch_whole_list(entry: &Entry, from: SocketAddr) {
+/// Fetches and applies the whole list of a peer, for an entry that has just started.
+pub async fn first_list(entry: Rc<Entry>, from: SocketAddr) {
+    whole_list(&entry, from).await;
+    entry.end_fetch(Fetch::Changes);
+}
+
+/// Fetches and applies a peer's whole list, for an entry that does not watch the store and lacks
+/// changes that its peers don't keep.
+pub async fn whole_list(entry: &Entry, from: SocketAddr) {
     match request(entry, from, Document::List, ready::list_query()).await {
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
             Some(batch) => {
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// When the question that led to the newest proof was sent; `None` before the first proof.
+    pub fn proven_at(&self) -> Option<Millis> {
+        self.proven_at
+    }
+
     /// Age of the newest proof at `now`; `None` if there is none.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         self.proven_at.map(|at| now - at)
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -68,7 +68,7 @@
             send_recent_limits(&entry, target.to, since);
         }
         rounds += 1;
-        if rounds % ROUNDS_PER_PROOF_REQUEST == 0 {
+        if rounds % ROUNDS_PER_PROOF_REQUEST == 0 || entry.proof_age().is_none() {
             request_proof(&entry, &socket, now).await;
         }
     }
@@ -134,7 +134,9 @@
     if !is_old || entry.is_watching() {
         return;
     }
-    let source = entry.peers.borrow().proof_source(rand::random());
+    let peers = entry.peers.borrow();
+    let source = peers.proof_source(entry.proof_age(), rand::random(), now);
+    drop(peers);
     if let Some(to) = source {
         let target = GossipTarget {
             to,
@@ -300,16 +302,27 @@
     if message.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
     }
-    let has_changes = entry.may_have_changes(from, message.revision, message.changes_after);
-    if has_changes && entry.begin_fetch(Fetch::Changes) {
-        actix_rt::spawn(fetch::changes(Rc::clone(entry), from));
-    }
+    fetch_list(entry, from, message);
     entry.note_peer_list_revision(message.revision);
     apply_work(entry, message, now);
     record_placements(entry, message, now);
     receipt.is_new
 }
 
+/// Fetches what the sender of a message has of the list of endpoints and this entry lacks.
+fn fetch_list(entry: &Rc<Entry>, from: SocketAddr, message: &GossipMessage) {
+    if !entry.has_list() {
+        if message.revision > 0 && entry.begin_fetch(Fetch::Changes) {
+            actix_rt::spawn(fetch::first_list(Rc::clone(entry), from));
+        }
+        return;
+    }
+    let has_changes = entry.may_have_changes(from, message.revision, message.changes_after);
+    if has_changes && entry.begin_fetch(Fetch::Changes) {
+        actix_rt::spawn(fetch::changes(Rc::clone(entry), from));
+    }
+}
+
 /// Updates the load of each endpoint from the work in a message.
 fn apply_work(entry: &Entry, message: &GossipMessage, now: Millis) {
     let table = entry.peers.borrow();
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -29,6 +29,7 @@
     GossipTarget, MAX_REMOTE_BYTES, MAX_ROUND_BYTES, NEIGHBORS_PER_ROUND, REMOTES_PER_ROUND,
     ROUND_INTERVAL,
 };
+use self::watchers::StoreRole;
 pub use self::zones::ZoneId;
 use self::zones::ZoneReports;
 use crate::clock::Millis;
@@ -62,8 +63,12 @@
     is_seed: bool,
     /// Whether it said in its last datagram that it is stopping.
     leaving: bool,
-    /// Whether it watches the store and is not cut off from it, by its last datagram.
-    watches: bool,
+    /// Hash of its address, for the order in which entries watch the store.
+    address_hash: u64,
+    /// Its contact with the store, by its last datagram.
+    store_role: StoreRole,
+    /// Revision up to which its list of endpoints is complete, by its last datagram.
+    list_revision: u64,
     /// Bandwidth of its link, in Mbit/s; 0 where it is not known.
     link_mbps: u32,
     /// Its availability zone; `None` where it is not known.
@@ -75,6 +80,8 @@
 pub struct PeerTable {
     /// Own address, at which peers send to this entry.
     own: SocketAddr,
+    /// Hash of it, for the order in which entries watch the store.
+    own_hash: u64,
     /// Bandwidth of the own link, in Mbit/s; 0 where it is not known.
     link_mbps: u32,
     /// The own availability zone; `None` where it is not known.
@@ -107,6 +114,12 @@
     mean_remote_bytes: usize,
     /// Position of the next address to share.
     address_cursor: usize,
+    /// Whether this entry watched the store in the last round.
+    watches: bool,
+    /// When the store last answered a call of this entry; `None` before the first answer.
+    store_answered_at: Option<Millis>,
+    /// Since when fewer entries of the own zone watch the store than are to; `None` if enough do.
+    watchers_missing_since: Option<Millis>,
     /// Neighbors that served in the last round, and may be coordinators.
     serving_neighbors: BTreeSet<SocketAddr>,
     /// Neighbors that fell silent without saying that they stop, and when.
@@ -125,6 +138,7 @@
     pub fn new(own: SocketAddr, seeds: &[SocketAddr], first_number: u32) -> Self {
         let mut table = Self {
             own,
+            own_hash: watchers::address_hash(own),
             link_mbps: 0,
             zone: None,
             zones: ZoneReports::default(),
@@ -143,6 +157,9 @@
             mean_neighbor_bytes: 0,
             mean_remote_bytes: 0,
             address_cursor: 0,
+            watches: false,
+            store_answered_at: None,
+            watchers_missing_since: None,
             serving_neighbors: BTreeSet::new(),
             silent_neighbors: BTreeMap::new(),
             is_leaving: false,
@@ -244,7 +261,8 @@
         peer.last_heard = Some(now);
         peer.last_number = message.number;
         peer.leaving = message.leaving;
-        peer.watches = watchers::has_store_contact(message);
+        peer.store_role = StoreRole::of(message);
+        peer.list_revision = message.revision;
         peer.link_mbps = message.link_mbps;
         peer.zone = message.zone;
         if let Some(zone) = message.zone.filter(|zone| self.zone != Some(*zone)) {
@@ -281,6 +299,20 @@
         peers.filter(|peer| wanted(peer)).count()
     }
 
+    /// Returns a peer whose list of endpoints reaches beyond `revision`, of the own zone if there is
+    /// one there; `draw` selects one of several. `None` if there is none.
+    pub fn list_source(&self, revision: u64, draw: usize, now: Millis) -> Option<SocketAddr> {
+        let silence = self.silence();
+        let is_ahead = |peer: &Peer| {
+            peer.list_revision > revision && peer.last_heard.is_some_and(|at| now - at < silence)
+        };
+        let mut ahead = self.addresses(|table, peer| table.is_neighbor(peer) && is_ahead(peer));
+        if ahead.is_empty() {
+            ahead = self.addresses(|_, peer| is_ahead(peer));
+        }
+        (!ahead.is_empty()).then(|| ahead[draw % ahead.len()])
+    }
+
     /// Returns when an own datagram was sent; `None` if that was too long ago or in another
     /// incarnation.
     fn sent_at(&self, number: u64) -> Option<Millis> {
@@ -293,14 +325,16 @@
         if address == self.own {
             return;
         }
-        self.peers.entry(address).or_insert(Peer {
+        self.peers.entry(address).or_insert_with(|| Peer {
             id: None,
             last_heard: None,
             last_number: 0,
             known_since: now,
             is_seed: false,
             leaving: false,
-            watches: false,
+            address_hash: watchers::address_hash(address),
+            store_role: StoreRole::default(),
+            list_revision: 0,
             link_mbps: 0,
             zone: None,
         });
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -12,7 +12,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Peer, PeerTable, WorkScope};
+use super::{Peer, PeerTable, StoreRole, WorkScope};
 use crate::clock::Millis;
 
 /// Time between two rounds of datagrams.
@@ -66,6 +66,7 @@
         let neighbors = self.addresses(|table, peer| table.is_neighbor(peer));
         let remotes = self.addresses(|table, peer| !table.is_neighbor(peer));
         (self.neighbor_count, self.remote_count) = (neighbors.len(), remotes.len());
+        self.update_watchers(watches, now);
         let to_target = |work_scope| move |to| GossipTarget { to, work_scope };
         let most = self.neighbors_per_round();
         let selected = next_in_rotation(&neighbors, &mut self.neighbor_cursor, most);
@@ -77,7 +78,9 @@
         round.extend(selected.into_iter().map(to_target(WorkScope::Zone)));
         if watches {
             // Watchers of different zones exchange proofs, so that the store is asked once for all.
-            let watchers = self.addresses(|table, peer| peer.watches && !table.is_neighbor(peer));
+            let watchers = self.addresses(|table, peer| {
+                peer.store_role == StoreRole::Watches && !table.is_neighbor(peer)
+            });
             let selected =
                 next_in_rotation(&watchers, &mut self.watcher_cursor, MAX_WATCHERS_PER_ROUND);
             round.extend(selected.into_iter().map(to_target(WorkScope::Nothing)));
@@ -185,21 +188,13 @@
 
     /// Time in which every neighbor is sent to once.
     pub(super) fn neighbor_cycle(&self) -> Millis {
-        let neighbors = self
-            .peers
-            .values()
-            .filter(|peer| self.is_neighbor(peer))
-            .count();
-        Millis(ROUND_INTERVAL.0 * neighbors.div_ceil(self.neighbors_per_round()) as u64)
+        let rounds = self.neighbor_count.div_ceil(self.neighbors_per_round());
+        Millis(ROUND_INTERVAL.0 * rounds as u64)
     }
 
     /// Mean time between two datagrams from one other zone; 0 without other zones.
     fn zone_interval(&self, now: Millis) -> Millis {
-        let remotes = self
-            .peers
-            .values()
-            .filter(|peer| !self.is_neighbor(peer))
-            .count();
+        let remotes = self.remote_count;
         let zones = self.zones.entry_counts(now, MIN_FORGET_TIME).count().max(1);
         let senders = (remotes / zones).max(1);
         Millis((ROUND_INTERVAL.0 as usize * remotes / (REMOTES_PER_ROUND * senders)) as u64)
@@ -223,7 +218,7 @@
         });
     }
 
-    fn addresses(&self, wanted: impl Fn(&Self, &Peer) -> bool) -> Vec<SocketAddr> {
+    pub(super) fn addresses(&self, wanted: impl Fn(&Self, &Peer) -> bool) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
         let wanted = peers.filter(|(_, peer)| wanted(self, peer));
         wanted.map(|(address, _)| *address).collect()
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -1,4 +1,8 @@
 //! Keeping up with the store: by watching it, or by following the peers that do.
+//!
+//! Only the entries that watch call the store in calm. An entry that follows gets everything from
+//! its peers, at its start as well, and calls the store itself only in its turn when they don't
+//! provide it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,45 +10,61 @@
 use tokio::time::sleep;
 
 use super::listing::read_all;
+use super::turn::Turn;
 use super::watch::{watch, watch_endpoints_once};
-use super::{retry_pause, StoreClient};
-use crate::clock::Millis;
+use super::{pause, CallError, StoreClient};
 use crate::direct::entry::Entry;
+use crate::direct::fetch;
 
 /// Time between two checks of whether this entry is to watch the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after a start in which nobody watches, while peers are being discovered.
-const DISCOVERY_TIME: Millis = Millis(600);
-/// Time after a start in which only the entries that rank first watch, while the others learn of
-/// them. Without this time and [`DISCOVERY_TIME`], 19 entries of one zone that started together
-/// began 48 watches in eight seconds.
-const FIRST_RANKED_ONLY: Millis = Millis(1_600);
-
 /// Keeps the configuration and the list of endpoints up to date; never returns.
 pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
     let client = StoreClient::new(entry.settings.borrow().store);
-    let started = entry.clock.now();
     loop {
-        match read_all(&entry, &client).await {
-            Ok(()) => keep_up(&entry, &client, started).await,
+        match obtain_all(&entry, &client).await {
+            Ok(()) => keep_up(&entry, &client).await,
             Err(err) => {
                 entry.store_failed(&err);
-                sleep(retry_pause(&entry).duration()).await;
+                wait_for_store(&entry).await;
             }
         }
     }
 }
 
+/// Gets the list of endpoints and the configuration: from peers, or from the store if this entry is
+/// to watch it or peers don't provide them before its turn.
+async fn obtain_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
+    let mut turn = Turn::default();
+    while !entry.is_to_watch() && !turn.has_come(entry) {
+        if entry.has_list() && entry.version() > 0 {
+            return Ok(());
+        }
+        sleep(ROLE_CHECK_INTERVAL).await;
+    }
+    read_all(entry, client).await
+}
+
+/// Waits after a failed call until the store answers again, for which it is asked by
+/// [`super::prove()`], or until peers provide everything.
+async fn wait_for_store(entry: &Entry) {
+    pause().await;
+    while entry.is_store_unreachable() && entry.is_to_watch() {
+        sleep(ROLE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Keeps up until something goes wrong; the caller then reads everything again.
-async fn keep_up(entry: &Rc<Entry>, client: &StoreClient, started: Millis) {
+async fn keep_up(entry: &Rc<Entry>, client: &StoreClient) {
+    let mut turn = Turn::default();
     loop {
-        let should_watch = should_watch(entry, started);
+        let should_watch = entry.is_to_watch();
         entry.set_watching(should_watch);
         let goes_on = if should_watch {
-            watch(entry, client).await
+            watch_while_wanted(entry, client).await
         } else {
-            follow_peers(entry, client).await
+            follow_peers(entry, client, &mut turn).await
         };
         if !goes_on {
             entry.set_watching(false);
@@ -53,34 +73,64 @@
     }
 }
 
-/// Whether this entry, which runs since `started`, is to watch the store.
-fn should_watch(entry: &Entry, started: Millis) -> bool {
-    let now = entry.clock.now();
-    let peers = entry.peers.borrow();
-    match now - started {
-        age if age < DISCOVERY_TIME => false,
-        age if age < FIRST_RANKED_ONLY => peers.ranks_as_watcher(now),
-        _ => peers.should_watch(now),
+/// Watches once, or until other entries watch in the place of this one; false if everything is to
+/// be read again.
+async fn watch_while_wanted(entry: &Rc<Entry>, client: &StoreClient) -> bool {
+    tokio::select! {
+        goes_on = watch(entry, client) => goes_on,
+        () = wait_until_unwanted(entry) => true,
+    }
+}
+
+async fn wait_until_unwanted(entry: &Entry) {
+    while entry.is_to_watch() {
+        sleep(ROLE_CHECK_INTERVAL).await;
     }
 }
 
 /// Leaves changes to the peers that watch, until the next check of the role; false if everything is
 /// to be read again.
-async fn follow_peers(entry: &Rc<Entry>, client: &StoreClient) -> bool {
+async fn follow_peers(entry: &Rc<Entry>, client: &StoreClient, turn: &mut Turn) -> bool {
     match wait_for_wake(entry).await {
         WakeReason::CheckRole => true,
-        // The store has changes that the peers that watch have not forwarded.
-        WakeReason::WatchOnce => watch_endpoints_once(entry, client).await,
-        WakeReason::ReadAll => false,
+        WakeReason::CatchUp => catch_up(entry, client, turn).await,
+        WakeReason::ReadAll => match read_all(entry, client).await {
+            Ok(()) => true,
+            Err(err) => {
+                entry.store_failed(&err);
+                pause().await;
+                true
+            }
+        },
+    }
+}
+
+/// Gets changes of the list that peers have and did not forward: the whole list of one of them, or
+/// in its turn the changes from the store. False if everything is to be read again.
+async fn catch_up(entry: &Rc<Entry>, client: &StoreClient, turn: &mut Turn) -> bool {
+    let listed = entry.list_revision();
+    let source = entry.list_source();
+    let Some(source) = source else {
+        turn.reset();
+        return true;
+    };
+    fetch::whole_list(entry, source).await;
+    if entry.list_revision() > listed {
+        turn.reset();
+        return true;
+    }
+    if !turn.has_come(entry) {
+        return true;
     }
+    watch_endpoints_once(entry, client).await
 }
 
 /// Why an entry that follows its peers was woken.
 enum WakeReason {
     /// It is time to check whether it is to watch the store.
     CheckRole,
-    /// The store has changes that peers did not forward.
-    WatchOnce,
+    /// Peers have changes that they did not forward.
+    CatchUp,
     /// Everything is to be read again.
     ReadAll,
 }
@@ -89,7 +139,7 @@
 async fn wait_for_wake(entry: &Entry) -> WakeReason {
     tokio::select! {
         () = sleep(ROLE_CHECK_INTERVAL) => WakeReason::CheckRole,
-        () = entry.rewatch_requested.notified() => WakeReason::WatchOnce,
+        () = entry.rewatch_requested.notified() => WakeReason::CatchUp,
         () = entry.relist_requested.notified() => WakeReason::ReadAll,
     }
 }
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -1,8 +1,9 @@
 //! Synchronization with the configuration store: one watch for changes, and small reads that prove
 //! freshness.
 //!
-//! A few entries watch for all. The others take from them what their watches returned, and watch
-//! themselves as soon as these fall silent.
+//! A few entries watch for all. The others take from them what their watches returned, and take the
+//! role over one by one when these fall silent. So calls grow with the number of zones, not with
+//! that of the entries: in calm, at a start and while the store is unavailable.
 //!
 //! A watch reports changes at once, but its silence proves nothing, so freshness is proven
 //! separately.
@@ -12,6 +13,7 @@
 mod listing;
 mod prove;
 mod reading;
+mod turn;
 mod watch;
 
 use std::time::Duration;
@@ -25,7 +27,6 @@
 pub use self::follow::follow;
 pub use self::prove::{prove, time_until_proof_due};
 pub use self::reading::{Document, OngoingRead};
-use crate::clock::Millis;
 use crate::direct::entry::Entry;
 
 /// Time for the response to begin, of any call other than a watch. The store answers within
@@ -34,14 +35,6 @@
 /// Pause after a failed call in ms, to which a random time of up to as much is added.
 const RETRY_PAUSE_MS: u64 = 150;
 
-/// Calls a second that all entries together make while the store is unreachable or rejects them.
-/// With pauses that don't grow with the fleet, a large one would overload the store for as long as
-/// it is away.
-const FLEET_CALLS_PER_S: u64 = 100;
-/// Longest pause between two calls, so that the store's return is noticed while lapsed endpoints
-/// are still waited for.
-const MAX_PAUSE: Millis = Millis(2_000);
-
 /// Bytes from which on a response counts as large: 50 ms of a link of 10 Mbit/s.
 const LARGE_RESPONSE_BYTES: u64 = 64 << 10;
 
@@ -88,22 +81,3 @@
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
     sleep(Duration::from_millis(ms)).await;
 }
-
-/// Pause after a failed call for what peers may provide as well: random, from its minimum to twice
-/// that. All entries together call no more often than [`FLEET_CALLS_PER_S`], whatever their number.
-fn retry_pause(entry: &Entry) -> Millis {
-    let least = fleet_pause(entry, Millis(RETRY_PAUSE_MS));
-    least + Millis(rand::thread_rng().gen_range(0..least.0))
-}
-
-/// Pause between two calls of one entry: `least`, or longer in a fleet that would make more than
-/// [`FLEET_CALLS_PER_S`]. An entry that has no configuration or list yet can't serve, and never
-/// waits longer than `least`.
-fn fleet_pause(entry: &Entry, least: Millis) -> Millis {
-    if entry.version() == 0 || entry.list_revision() == 0 {
-        return least;
-    }
-    let entries = entry.peers.borrow().entries(entry.clock.now()) as u64;
-    let shared = Millis(entries * 1_000 / FLEET_CALLS_PER_S);
-    shared.clamp(least, MAX_PAUSE.max(least))
-}
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -1,6 +1,6 @@
 //! Small reads that prove freshness.
 //!
-//! Every one to two seconds some entry asks for the store's revision. If its configuration is known
+//! About once a second some entry asks for the store's revision. If its configuration is known
 //! to be the newest up to that revision, it was the newest when the request was sent. Peers share
 //! these proofs. The list of endpoints has no part in it.
 
@@ -9,7 +9,8 @@
 use tokio::time::sleep;
 
 use super::watch::MAX_WATCH_LAG;
-use super::{call, fleet_pause, CallError, Document, StoreClient, CALL_TIMEOUT, RETRY_PAUSE_MS};
+use super::turn::Turn;
+use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT, RETRY_PAUSE_MS};
 use crate::clock::Millis;
 use crate::direct::dialect::Snapshot;
 use crate::direct::directory::Revision;
@@ -22,10 +23,20 @@
 /// The same for an entry that follows others: later, since those that watch ask for all. At most
 /// half of the age up to which keyed requests may run.
 const FOLLOWER_PROVES_AT: Millis = Millis(2_200);
-/// Random addition to these ages in ms, so that one entry asks and the others learn of its proof.
-const PROVE_JITTER_MS: u64 = 700;
-/// Pause between two requests while the store is unreachable: its return is noticed in time to wait
-/// for lapsed endpoints, and an entry that is rejected for long makes few calls.
+/// Addition to these ages for each watcher that ranks before this one: a round, in which it tells
+/// its proof.
+const WATCHER_STAGGER: Millis = Millis(150);
+/// Maximum of that addition. With it the age stays below that at which a watcher is taken to be cut
+/// off.
+const MAX_STAGGER: Millis = Millis(700);
+/// Maximum random addition in ms, for watchers that don't know each other yet.
+const STAGGER_JITTER_MS: u64 = 50;
+/// Time between two checks of whether the role or the newest proof has changed.
+const CHECK_INTERVAL: Millis = Millis(100);
+/// Minimum time between two checks.
+const MIN_WAIT: Millis = Millis(10);
+/// Pause between two requests of a watcher while the store is unreachable: its return is noticed in
+/// time to wait for lapsed endpoints.
 const UNREACHABLE_PAUSE: Millis = Millis(350);
 
 /// Proves freshness whenever the newest proof grows old; never returns.
@@ -52,7 +63,7 @@
                 if !entry.is_reading_large_answer() {
                     entry.store_failed(&err);
                 }
-                sleep(fleet_pause(&entry, UNREACHABLE_PAUSE).duration()).await;
+                sleep(UNREACHABLE_PAUSE.duration()).await;
             }
         }
     }
@@ -69,34 +80,47 @@
     snapshot.map_err(CallError::InvalidResponse)
 }
 
-/// Waits until the newest proof is so old that another is due.
+/// Waits until the newest proof is so old that another is due. An entry that follows others waits
+/// for its turn from then on, unless one of these provides a proof meanwhile.
 async fn wait_until_due(entry: &Entry) {
-    let jitter = Millis(rand::thread_rng().gen_range(0..PROVE_JITTER_MS));
+    let mut turn = Turn::default();
     loop {
-        match time_until_proof_due(entry, jitter) {
-            Millis(0) => return,
-            wait => sleep(wait.duration()).await,
+        let wait = time_until_proof_due(entry, stagger(entry));
+        if wait > Millis(0) {
+            turn.reset();
+        } else if entry.is_to_watch() || turn.has_come(entry) {
+            return;
         }
+        sleep(wait.clamp(MIN_WAIT, CHECK_INTERVAL).duration()).await;
     }
 }
 
-/// Time until the store should be asked for a proof; 0 for now. `jitter` is added to the age of the
+/// Addition to the age of a proof at which this entry asks for the next, so that one watcher asks
+/// and the others learn of its proof.
+fn stagger(entry: &Entry) -> Millis {
+    let before = entry.peers.borrow().watchers_before(entry.clock.now());
+    let rank_stagger = Millis(WATCHER_STAGGER.0 * before as u64).min(MAX_STAGGER);
+    rank_stagger + Millis(rand::thread_rng().gen_range(0..STAGGER_JITTER_MS))
+}
+
+/// Time until the store should be asked for a proof; 0 for now. `stagger` is added to the age of the
 /// newest proof at which the next is due.
 ///
-/// While the store is unreachable it is asked whatever proofs peers have: its return has to be
-/// noticed, since lapsed endpoints are only waited for from then on.
-pub fn time_until_proof_due(entry: &Entry, jitter: Millis) -> Millis {
-    if entry.is_store_unreachable() {
+/// While the store does not answer an entry that is to watch it, it is asked whatever proofs peers
+/// have: its return has to be noticed, since lapsed endpoints are only waited for from then on.
+pub fn time_until_proof_due(entry: &Entry, stagger: Millis) -> Millis {
+    let needs_contact = entry.has_list() || entry.is_store_unreachable();
+    if needs_contact && entry.is_to_watch() && !entry.is_answered_by_store() {
         return Millis(0);
     }
     match entry.proof_age() {
-        Some(age) => (next_proof_age(entry) + jitter) - age,
+        Some(age) => (next_proof_age(entry) + stagger) - age,
         // There is no proof before the first listing, which is one itself.
         None => Millis(RETRY_PAUSE_MS),
     }
 }
 
-/// Age of the newest proof at which an entry asks for another, without jitter.
+/// Age of the newest proof at which an entry asks for another, without the stagger.
 fn next_proof_age(entry: &Entry) -> Millis {
     if entry.is_watching() {
         return WATCHER_PROVES_AT;
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -365,7 +365,8 @@
 #[test]
 fn proof_source_watches() {
     let mut table = PeerTable::new(address(1), &[], 1);
-    assert_eq!(table.proof_source(3), None);
+    let age = Some(Millis(900));
+    assert_eq!(table.proof_source(age, 3, Millis(20)), None);
     let watching = |from| GossipMessage {
         watches: true,
         proof_age_ms: Some(300),
@@ -373,7 +374,8 @@
     };
     table.record_message(address(2), &hello(2, 1, None), Millis(10));
     table.record_message(address(3), &watching(3), Millis(10));
-    assert!((0..5).all(|draw| table.proof_source(draw) == Some(address(3))));
+    let source = |draw| table.proof_source(age, draw, Millis(20));
+    assert!((0..5).all(|draw| source(draw) == Some(address(3))));
 }
 
 #[test]
