Discovery of peers precedes the first read of the store

Cause: settings may name no seeds at first. Entries then took themselves for alone and all read the store at their start: 357 reads of the list, 357 of the configuration and 317 watches in the first two seconds. Watchers beside each other asked for a proof each, since a peer's proof is dated by up to two rounds too early.

While no seeds are known the settings are looked at every 0.1 s. The first round goes out at once. The stagger between watchers covers the error of dating. Followers ask for a proof at 1.5 s, so that a watcher's replies stay small in a large zone.

--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -142,6 +142,8 @@
     fleet_size: Cell<FleetSize>,
     /// When this process started.
     started_at: Millis,
+    /// When the settings first named seeds; `None` before that.
+    seeds_known_at: Cell<Option<Millis>>,
     /// Peers that do not have the changes that follow `list_revision`.
     peers_without_changes: RefCell<HashSet<SocketAddr>>,
     /// What is being fetched from peers now.
@@ -160,6 +162,7 @@
         let mut peers = PeerTable::new(settings.link, &settings.seeds, rand::random());
         peers.set_link(settings.link_mbps);
         peers.set_zone(&settings.zone);
+        let seeds_known_at = (!settings.seeds.is_empty()).then(|| clock.now());
         Rc::new(Self {
             dialect,
             id: PeerId(rand::random()),
@@ -200,6 +203,7 @@
             unreadable: RefCell::default(),
             fleet_size: Cell::default(),
             started_at: clock.now(),
+            seeds_known_at: Cell::new(seeds_known_at),
             peers_without_changes: RefCell::default(),
             active_fetches: RefCell::default(),
             process_state: watch::Sender::new(ProcessState::Serving),
@@ -208,6 +212,18 @@
         })
     }
 
+    /// Time since this process started.
+    pub fn age(&self) -> Millis {
+        self.clock.now() - self.started_at
+    }
+
+    /// Records that the settings name seeds.
+    pub fn note_seeds(&self, seeds: &[SocketAddr]) {
+        if !seeds.is_empty() && self.seeds_known_at.get().is_none() {
+            self.seeds_known_at.set(Some(self.clock.now()));
+        }
+    }
+
     /// The phase of the process.
     pub fn process_state(&self) -> ProcessState {
         *self.process_state.borrow()
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -21,9 +21,10 @@
 
 /// Pause after an error of the socket.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(100);
-/// Proof age from which an entry that does not watch the store asks one that does: two hops behind
-/// a watcher that asks the store every second.
-const REQUEST_PROOF_AT: Millis = Millis(900);
+/// Proof age from which an entry that does not watch the store asks one that does. Two requests are
+/// made before it would ask the store itself; earlier ones would make a watcher of a large zone
+/// spend most of its control traffic on replies.
+const REQUEST_PROOF_AT: Millis = Millis(1_500);
 /// Rounds between two such requests.
 const ROUNDS_PER_PROOF_REQUEST: u64 = 2;
 /// Maximum number of placements sent to a neighbor, the newest ones; an entry makes about five in a
@@ -42,7 +43,8 @@
 /// Sends messages to some peers in each round, and urgent notices in between; never returns.
 pub async fn send_rounds(entry: Rc<Entry>, socket: Rc<UdpSocket>) -> anyhow::Result<()> {
     let mut rounds = 0;
-    let mut next = Instant::now() + ROUND_INTERVAL.duration();
+    // The first round goes to the seeds at once: their replies say where the state can be fetched.
+    let mut next = Instant::now();
     loop {
         tokio::select! {
             () = sleep_until(next) => next = Instant::now() + ROUND_INTERVAL.duration(),
@@ -130,13 +132,15 @@
 /// Without this an entry of a large fleet would ask the store itself: proofs that pass from peer to
 /// peer in rounds arrive older than they may be.
 async fn request_proof(entry: &Entry, socket: &UdpSocket, now: Millis) {
-    let is_old = entry.proof_age().is_none_or(|age| age >= REQUEST_PROOF_AT);
+    let own_age = entry.proof_age();
+    let is_old = own_age.is_none_or(|age| age >= request_proof_at(entry));
     if !is_old || entry.is_watching() {
         return;
     }
-    let peers = entry.peers.borrow();
-    let source = peers.proof_source(entry.proof_age(), rand::random(), now);
-    drop(peers);
+    let source = entry
+        .peers
+        .borrow()
+        .proof_source(own_age, rand::random(), now);
     if let Some(to) = source {
         let target = GossipTarget {
             to,
@@ -148,6 +152,15 @@
     }
 }
 
+/// Proof age from which a peer is asked for a younger one: at most a third of the age up to which
+/// keyed requests may run.
+fn request_proof_at(entry: &Entry) -> Millis {
+    let max_age = entry.settings.borrow().bounds.max_key_proof_age();
+    max_age.map_or(REQUEST_PROOF_AT, |max_age| {
+        Millis(max_age.0 / 3).min(REQUEST_PROOF_AT)
+    })
+}
+
 /// Sends a message; returns its length in bytes, or 0 if it is too long to be sent.
 async fn send(socket: &UdpSocket, to: SocketAddr, message: &GossipMessage) -> usize {
     let max_bytes = match message.work_scope {
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -168,6 +168,11 @@
         live.count()
     }
 
+    /// Number of neighbors that are known, as of the last round, heard or not.
+    pub fn known_neighbors(&self) -> usize {
+        self.neighbor_count
+    }
+
     /// The neighbors that were heard lately, in relation to the own rank.
     fn watch_order(&self, now: Millis) -> WatchOrder {
         let own = self.own_rank();
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -38,6 +38,10 @@
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// Interval between two checks whether the settings file has changed without a signal.
 const RELOAD_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same while the settings name no seeds, which may be written some time after the start.
+const SEEDS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the start for which seeds are awaited in this way.
+const SEEDS_POLL_TIME: Millis = Millis(3_000);
 
 /// Runs an entry until a planned stop has ended. Fails where a socket can't be bound or its address
 /// can't be read.
@@ -159,11 +163,19 @@
             _ = term.recv() => entry.begin_stop("SIGTERM"),
             _ = int.recv() => entry.begin_stop("SIGINT"),
             _ = hup.recv() => reload(&entry, path.as_deref(), &mut last_read),
-            () = sleep(RELOAD_POLL_INTERVAL) => reload(&entry, path.as_deref(), &mut last_read),
+            () = sleep(reload_poll_interval(&entry)) => reload(&entry, path.as_deref(), &mut last_read),
         }
     }
 }
 
+fn reload_poll_interval(entry: &Entry) -> Duration {
+    let awaits_seeds = entry.settings.borrow().seeds.is_empty() && entry.age() < SEEDS_POLL_TIME;
+    match awaits_seeds {
+        true => SEEDS_POLL_INTERVAL,
+        false => RELOAD_POLL_INTERVAL,
+    }
+}
+
 /// Reloads the settings file where its content has changed since `last_read`. Invalid settings are
 /// ignored, and logged unless this is the first read after the start. Changed addresses of
 /// listeners take effect only after a restart.
@@ -187,6 +199,7 @@
             }
             let now = entry.clock.now();
             entry.peers.borrow_mut().set_seeds(&new.seeds, now);
+            entry.note_seeds(&new.seeds);
             entry.peers.borrow_mut().set_link(new.link_mbps);
             entry.peers.borrow_mut().set_zone(&new.zone);
             *entry.settings.borrow_mut() = new;
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -18,6 +18,8 @@
 
 /// Time between two checks of whether this entry is to watch the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same at a start, until peers have provided everything.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Keeps the configuration and the list of endpoints up to date; never returns.
 pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
@@ -37,11 +39,14 @@
 /// to watch it or peers don't provide them before its turn.
 async fn obtain_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
     let mut turn = Turn::default();
-    while !entry.is_to_watch() && !turn.has_come(entry) {
+    while !entry.is_to_watch() {
         if entry.has_list() && entry.version() > 0 {
             return Ok(());
         }
-        sleep(ROLE_CHECK_INTERVAL).await;
+        if !entry.is_discovering() && turn.has_come(entry) {
+            break;
+        }
+        sleep(START_CHECK_INTERVAL).await;
     }
     read_all(entry, client).await
 }
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use tokio::time::sleep;
 
-use super::watch::MAX_WATCH_LAG;
 use super::turn::Turn;
+use super::watch::MAX_WATCH_LAG;
 use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT, RETRY_PAUSE_MS};
 use crate::clock::Millis;
 use crate::direct::dialect::Snapshot;
@@ -23,12 +23,14 @@
 /// The same for an entry that follows others: later, since those that watch ask for all. At most
 /// half of the age up to which keyed requests may run.
 const FOLLOWER_PROVES_AT: Millis = Millis(2_200);
-/// Addition to these ages for each watcher that ranks before this one: a round, in which it tells
-/// its proof.
-const WATCHER_STAGGER: Millis = Millis(150);
-/// Maximum of that addition. With it the age stays below that at which a watcher is taken to be cut
+/// Addition to these ages if another watcher ranks before this one: its proofs are dated up to two
+/// rounds too early here, and arrive a round later.
+const FIRST_STAGGER: Millis = Millis(350);
+/// Further addition for each other watcher that ranks before this one.
+const NEXT_STAGGER: Millis = Millis(150);
+/// Maximum of both additions. With it the age stays below that at which a watcher is taken to be cut
 /// off.
-const MAX_STAGGER: Millis = Millis(700);
+const MAX_STAGGER: Millis = Millis(800);
 /// Maximum random addition in ms, for watchers that don't know each other yet.
 const STAGGER_JITTER_MS: u64 = 50;
 /// Time between two checks of whether the role or the newest proof has changed.
@@ -98,9 +100,12 @@
 /// Addition to the age of a proof at which this entry asks for the next, so that one watcher asks
 /// and the others learn of its proof.
 fn stagger(entry: &Entry) -> Millis {
-    let before = entry.peers.borrow().watchers_before(entry.clock.now());
-    let rank_stagger = Millis(WATCHER_STAGGER.0 * before as u64).min(MAX_STAGGER);
-    rank_stagger + Millis(rand::thread_rng().gen_range(0..STAGGER_JITTER_MS))
+    let before = entry.peers.borrow().watchers_before(entry.clock.now()) as u64;
+    let by_rank = match before {
+        0 => Millis(0),
+        _ => FIRST_STAGGER + Millis(NEXT_STAGGER.0 * (before - 1)),
+    };
+    by_rank.min(MAX_STAGGER) + Millis(rand::thread_rng().gen_range(0..STAGGER_JITTER_MS))
 }
 
 /// Time until the store should be asked for a proof; 0 for now. `stagger` is added to the age of the
--- a/src/direct/sync/turn.rs
+++ b/src/direct/sync/turn.rs
@@ -40,6 +40,12 @@
 
 /// A random time, up to that in which every entry of the zone has had its turn.
 fn draw(entry: &Entry, now: Millis) -> Millis {
-    let entries = entry.peers.borrow().live_neighbors(now) as u64 + 1;
+    let peers = entry.peers.borrow();
+    // An entry that has just started has heard few of the peers that it knows.
+    let neighbors = match entry.has_list() {
+        true => peers.live_neighbors(now),
+        false => peers.known_neighbors(),
+    };
+    let entries = neighbors as u64 + 1;
     Millis(rand::thread_rng().gen_range(0..=entries * 1_000 / ZONE_CALLS_PER_S))
 }
