Entries provided by peers take no role at first

Cause: 0.6 s after a start an entry has heard a part of its neighbors, so 96 of 357 took themselves for the first in rank, or their turn came while there was no configuration yet.

Change: an entry whose list came from a peer waits 2 s before it takes a role; one that has a list is content to get the configuration when a peer has it. An entry that hears neither the store nor a peer polls every 1.4 s.

--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -125,6 +125,8 @@
     pending_proof: Cell<Option<(Millis, Revision)>>,
     /// Whether a whole list of endpoints has ever been applied.
     has_list: Cell<bool>,
+    /// Whether the first list of endpoints came from a peer.
+    is_list_from_peers: Cell<bool>,
     /// Whether the store answered the last call; `None` before the first one.
     store_answers: Cell<Option<bool>>,
     /// When the store last answered a call; `None` before the first answer.
@@ -194,6 +196,7 @@
             catalog_revision: Cell::default(),
             pending_proof: Cell::default(),
             has_list: Cell::default(),
+            is_list_from_peers: Cell::default(),
             store_answers: Cell::default(),
             store_answered_at: Cell::default(),
             large_answer: Cell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -29,6 +29,9 @@
 /// Time after a start, or after the first seeds became known, in which peers are discovered: until
 /// then it is not known which entries are to watch the store, and all would begin to.
 const DISCOVERY_TIME: Millis = Millis(600);
+/// The same for an entry to which peers have provided the list of endpoints: it can wait until it
+/// has heard most of its neighbors.
+const PROVIDED_DISCOVERY_TIME: Millis = Millis(2_000);
 
 /// Time without an answer of the store to any entry, as far as known here, after which the list
 /// counts as unavailable: longer than the time between two proofs, and shorter than the time in
@@ -114,7 +117,11 @@
         let own = settings.link.ip();
         let is_seed = settings.seeds.iter().any(|seed| seed.ip() == own);
         let since = self.seeds_known_at.get().unwrap_or(self.started_at);
-        !is_seed && self.clock.now() - since < DISCOVERY_TIME
+        let time = match self.is_list_from_peers.get() {
+            true => PROVIDED_DISCOVERY_TIME,
+            false => DISCOVERY_TIME,
+        };
+        !is_seed && self.clock.now() - since < time
     }
 
     /// A peer that has a later list of endpoints than this entry; `None` if there is none.
@@ -171,6 +178,9 @@
     pub fn apply_peer_list(&self, passed: ChangeBatch) {
         let up_to = passed.up_to;
         if up_to > self.list_revision.get() {
+            if !self.has_list() {
+                self.is_list_from_peers.set(true);
+            }
             self.apply_listing(passed.into_listing(), up_to);
         }
     }
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -168,6 +168,11 @@
         live.count()
     }
 
+    /// Whether this entry knows neighbors and hears none of them.
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        self.neighbor_count > 0 && self.live_neighbors(now) == 0
+    }
+
     /// Number of neighbors that are known, as of the last round, heard or not.
     pub fn known_neighbors(&self) -> usize {
         self.neighbor_count
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -35,12 +35,13 @@
     }
 }
 
-/// Gets the list of endpoints and the configuration: from peers, or from the store if this entry is
-/// to watch it or peers don't provide them before its turn.
+/// Gets the list of endpoints from a peer, which provides the configuration as well as soon as it
+/// has one; both from the store if this entry is to watch it, or if no peer provides them before its
+/// turn.
 async fn obtain_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
     let mut turn = Turn::default();
     while !entry.is_to_watch() {
-        if entry.has_list() && entry.version() > 0 {
+        if entry.has_list() {
             return Ok(());
         }
         if !entry.is_discovering() && turn.has_come(entry) {
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -40,6 +40,9 @@
 /// Pause between two requests of a watcher while the store is unreachable: its return is noticed in
 /// time to wait for lapsed endpoints.
 const UNREACHABLE_PAUSE: Millis = Millis(350);
+/// The same for an entry that hears no peer either: its own link is cut, and peers are heard as soon
+/// as it is back.
+const ISOLATED_PAUSE: Millis = Millis(1_400);
 
 /// Proves freshness whenever the newest proof grows old; never returns.
 pub async fn prove(entry: Rc<Entry>) -> anyhow::Result<()> {
@@ -65,12 +68,19 @@
                 if !entry.is_reading_large_answer() {
                     entry.store_failed(&err);
                 }
-                sleep(UNREACHABLE_PAUSE.duration()).await;
+                sleep(unreachable_pause(&entry).duration()).await;
             }
         }
     }
 }
 
+fn unreachable_pause(entry: &Entry) -> Millis {
+    match entry.peers.borrow().is_isolated(entry.clock.now()) {
+        true => ISOLATED_PAUSE,
+        false => UNREACHABLE_PAUSE,
+    }
+}
+
 /// Reads the store's revision and the cordons.
 pub(super) async fn read_snapshot(
     entry: &Entry,
@@ -118,11 +128,13 @@
     if needs_contact && entry.is_to_watch() && !entry.is_answered_by_store() {
         return Millis(0);
     }
-    match entry.proof_age() {
-        Some(age) => (next_proof_age(entry) + stagger) - age,
-        // There is no proof before the first listing, which is one itself.
-        None => Millis(RETRY_PAUSE_MS),
-    }
+    let age = match entry.proof_age() {
+        Some(age) => age,
+        None if entry.has_list() => entry.age(),
+        // The first listing is a proof itself.
+        None => return Millis(RETRY_PAUSE_MS),
+    };
+    (next_proof_age(entry) + stagger) - age
 }
 
 /// Age of the newest proof at which an entry asks for another, without the stagger.
