A watch that is repeated in vain leads to a whole listing

Cause: a watcher whose watch is deaf was saved by its own proofs, which showed a later revision.

Change: a watcher that is still behind a peer after its watch was repeated reads the whole list.

--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -108,6 +108,8 @@
     /// Since when a peer has had changes of the list that this entry has not, and the peer's
     /// revision then.
     behind_peer_since: Cell<Option<(Millis, Revision)>>,
+    /// The peer's revision for which the watch was last repeated.
+    rewatched_for: Cell<Option<Revision>>,
     endpoint_states: RefCell<EndpointStates>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
@@ -186,6 +188,7 @@
             relist_requested: Notify::new(),
             rewatch_requested: Notify::new(),
             behind_peer_since: Cell::default(),
+            rewatched_for: Cell::default(),
             endpoint_states: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -217,7 +217,8 @@
     }
 
     /// Records that a peer's list of endpoints is complete up to a revision. If this entry's list
-    /// stays behind for [`MAX_LAG`], its watch is repeated.
+    /// stays behind for [`MAX_LAG`], its watch is repeated; if it then still stays behind, an entry
+    /// that watches reads the whole list.
     ///
     /// A watch whose response was lost would wait in silence: peers' proofs keep the configuration
     /// fresh, so the list of endpoints would grow old unnoticed.
@@ -230,8 +231,15 @@
             .filter(|(_, missing)| listed < *missing);
         let behind = behind.or_else(|| (revision > listed).then_some((now, revision)));
         self.behind_peer_since.set(behind);
-        if behind.is_some_and(|(since, _)| now - since >= MAX_LAG) {
-            self.behind_peer_since.set(None);
+        let Some((_, missing)) = behind.filter(|(since, _)| now - *since >= MAX_LAG) else {
+            return;
+        };
+        self.behind_peer_since.set(None);
+        let rewatched_for = self.rewatched_for.replace(Some(missing));
+        let was_in_vain = rewatched_for.is_some_and(|missing| listed < missing);
+        if was_in_vain && self.watching.get() {
+            self.relist_requested.notify_one();
+        } else {
             self.rewatch_requested.notify_one();
         }
     }
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -24,6 +24,10 @@
     down: Vec<SocketAddr>,
     /// Entries whose requests the store does not answer, so that their proof grows old.
     cut_off: Vec<SocketAddr>,
+    /// Entries that the store turns away, so that they never watch.
+    turned_away: Vec<SocketAddr>,
+    /// Whether the store answers nobody, so that nobody watches.
+    store_is_away: bool,
     now: Millis,
 }
 
@@ -34,6 +38,8 @@
             books: (1..=count).map(table).collect(),
             down: Vec::new(),
             cut_off: Vec::new(),
+            turned_away: Vec::new(),
+            store_is_away: false,
             now: Millis(0),
         }
     }
@@ -56,7 +62,8 @@
         let Some(table) = self.books.get_mut(&from) else {
             return 0;
         };
-        let watches = table.should_watch(now);
+        let is_answered = !self.store_is_away && !self.turned_away.contains(&from);
+        let watches = is_answered && table.should_watch(now);
         let round: Vec<SocketAddr> = table.round(watches, now).iter().map(|t| t.to).collect();
         let mut messages = Vec::new();
         for peer in &round {
@@ -149,6 +156,62 @@
     }
 }
 
+/// Lost watchers are replaced in turns: if all entries of a large fleet began to watch at once, they
+/// would overload the store.
+#[test]
+fn replaced_in_turns() {
+    for count in [30, 60, 120] {
+        let mut network = Network::new(count, &[address(1), address(2)]);
+        network.run_rounds(120);
+        let lost = network.watchers();
+        network.down.clone_from(&lost);
+        let mut most = 0;
+        for _ in 0..80 {
+            network.run_rounds(1);
+            most = most.max(network.watchers().len());
+        }
+        assert_eq!(network.watchers().len(), lost.len(), "all are replaced");
+        assert!(most <= 2 * lost.len(), "{most} of {count} watch at once");
+    }
+}
+
+/// While the store answers nobody, few entries try to watch it.
+#[test]
+fn outage_in_turns() {
+    let mut network = Network::new(60, &[address(1), address(2)]);
+    network.run_rounds(120);
+    let wanted = network.watchers().len();
+    network.store_is_away = true;
+    let mut most = 0;
+    for _ in 0..20 {
+        network.run_rounds(1);
+        most = most.max(network.watchers().len());
+    }
+    assert!(
+        most <= 2 * wanted,
+        "{most} want to watch within three seconds"
+    );
+    network.store_is_away = false;
+    network.run_rounds(40);
+    assert_eq!(network.watchers().len(), wanted);
+}
+
+/// The entry that the store answers takes over from those that it does not answer.
+#[test]
+fn answered_takes_over() {
+    let mut network = Network::new(30, &[address(1), address(2)]);
+    network.run_rounds(60);
+    let first = network.watchers();
+    network.turned_away.clone_from(&first);
+    network.run_rounds(2);
+    let answered = address(17);
+    let now = network.now;
+    let table = network.books.get_mut(&answered).unwrap();
+    table.record_store_answer(now);
+    network.run_rounds(1);
+    assert!(network.watchers().contains(&answered));
+}
+
 /// The number of watchers grows with the fleet, so that none forwards changes to too many entries.
 #[test]
 fn watchers_grow() {
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -18,6 +18,10 @@
     entry.rewatch_requested.notified().now_or_never().is_some()
 }
 
+fn is_relist_requested(entry: &Entry) -> bool {
+    entry.relist_requested.notified().now_or_never().is_some()
+}
+
 #[test]
 fn store_returns() {
     let (_, entry) = entry();
@@ -43,6 +47,22 @@
     assert!(is_rewatch_requested(&entry));
 }
 
+/// A watch that is repeated in vain does not tell what the store has; the whole list does. Proofs of
+/// peers keep the configuration fresh, so nothing else would show that the list is old.
+#[test]
+fn rewatched_in_vain() {
+    let (clock, entry) = entry();
+    entry.apply_changes(Vec::new(), 10);
+    entry.set_watching(true);
+    for _ in 0..2 {
+        assert!(!is_relist_requested(&entry));
+        entry.note_peer_list_revision(11);
+        clock.advance(Millis(650));
+        entry.note_peer_list_revision(11);
+    }
+    assert!(is_relist_requested(&entry));
+}
+
 /// A peer that is as far behind as this entry does not restart the time for which another one is
 /// ahead.
 #[test]
