A process takes proofs that are older than itself

Change: the time of a proof may lie before the start of the clock. An entry without a proof asks any peer that has one, as soon as it has the configuration or hears of such a peer.

--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -321,7 +321,7 @@
     /// A newer proof shows that the store answers some entry, so the list is available.
     fn set_freshness(&self, freshness: Freshness) {
         let before = self.freshness.replace(freshness);
-        if freshness.proven_at() > before.proven_at() && !self.is_store_silent() {
+        if freshness.is_newer_than(&before) && !self.is_store_silent() {
             self.directory.borrow_mut().list_available(self.clock.now());
         }
     }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -100,6 +100,8 @@
     pub quarantine_changed: Notify,
     /// Wakes the gossip task to inform peers before the next round.
     pub gossip_requested: Notify,
+    /// Wakes the gossip task to ask a peer for its proof before the next round.
+    pub proof_requested: Notify,
     /// Wakes the watch task to read the whole list again.
     pub relist_requested: Notify,
     /// Wakes the watch task to repeat its request on a new connection: the response to the pending
@@ -185,6 +187,7 @@
             quarantine: RefCell::new(Quarantine::started_at(clock.now())),
             quarantine_changed: Notify::new(),
             gossip_requested: Notify::new(),
+            proof_requested: Notify::new(),
             relist_requested: Notify::new(),
             rewatch_requested: Notify::new(),
             behind_peer_since: Cell::default(),
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -143,13 +143,10 @@
     /// [`OUTAGE_AFTER`]. A large response that is arriving shows that it answers.
     pub(super) fn is_store_silent(&self) -> bool {
         let now = self.clock.now();
-        let is_old = |at: Option<Millis>| at.is_some_and(|at| now - at >= OUTAGE_AFTER);
-        let is_proof_old = is_old(self.freshness().proven_at());
-        let has_answered = self
-            .store_answered_at
-            .get()
-            .is_some_and(|at| !is_old(Some(at)));
-        is_proof_old
+        let proof_age = self.freshness().age(now);
+        let answered_at = self.store_answered_at.get();
+        let has_answered = answered_at.is_some_and(|at| now - at < OUTAGE_AFTER);
+        proof_age.is_some_and(|age| age >= OUTAGE_AFTER)
             && !has_answered
             && !self.is_reading_large_answer()
             && !self.peers.borrow().has_watcher(now)
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -29,6 +29,10 @@
                 if !entry.apply_newer_catalog(newer, &from.to_string()) {
                     tracing::debug!(%from, "a peer's patches do not apply to the version in force");
                 }
+                if entry.proof_age().is_none() {
+                    // Keyed requests wait for the first proof.
+                    entry.proof_requested.notify_one();
+                }
             }
             None => {
                 // The store is asked once the proof has grown old.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -52,6 +52,10 @@
                 send_urgent_notices(&entry, &socket).await;
                 continue;
             }
+            () = entry.proof_requested.notified() => {
+                request_proof(&entry, &socket, entry.clock.now()).await;
+                continue;
+            }
         }
         entry.evaluate_suspects();
         entry.update_limit_coordination();
@@ -311,6 +315,9 @@
             entry.prove_by_peer(asked, Millis(age));
         }
     }
+    if entry.proof_age().is_none() && message.proof_age_ms.is_some() && entry.version() > 0 {
+        entry.proof_requested.notify_one();
+    }
     entry.note_peer_catalog_version(message.version);
     if message.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -69,6 +69,8 @@
     store_role: StoreRole,
     /// Revision up to which its list of endpoints is complete, by its last datagram.
     list_revision: u64,
+    /// Whether it has a proof of freshness, by its last datagram.
+    has_proof: bool,
     /// Bandwidth of its link, in Mbit/s; 0 where it is not known.
     link_mbps: u32,
     /// Its availability zone; `None` where it is not known.
@@ -263,6 +265,7 @@
         peer.leaving = message.leaving;
         peer.store_role = StoreRole::of(message);
         peer.list_revision = message.revision;
+        peer.has_proof = message.proof_age_ms.is_some();
         peer.link_mbps = message.link_mbps;
         peer.zone = message.zone;
         if let Some(zone) = message.zone.filter(|zone| self.zone != Some(*zone)) {
@@ -335,6 +338,7 @@
             address_hash: watchers::address_hash(address),
             store_role: StoreRole::default(),
             list_revision: 0,
+            has_proof: false,
             link_mbps: 0,
             zone: None,
         });
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -133,7 +133,8 @@
 
     /// Returns the peer to ask for a younger proof than the own one of age `own_age`: one that
     /// watches the store, of the own zone unless there is none there or it has had time to answer.
-    /// `draw` selects one of several. `None` if no peer watches.
+    /// Without an own proof any peer's is welcome. `draw` selects one of several; `None` if there is
+    /// no such peer.
     pub fn proof_source(
         &self,
         own_age: Option<Millis>,
@@ -146,9 +147,12 @@
             is_watcher(peer) && peer.is_live(since) && table.is_neighbor(peer)
         });
         let is_overdue = own_age.is_some_and(|age| age >= ASK_OTHER_ZONES_AT);
-        let all = match in_zone.is_empty() || is_overdue {
-            true => self.addresses(|_, peer| is_watcher(peer)),
-            false => in_zone,
+        let all = match own_age {
+            None => self.addresses(|_, peer| peer.has_proof && peer.is_live(since)),
+            Some(_) if in_zone.is_empty() || is_overdue => {
+                self.addresses(|_, peer| is_watcher(peer))
+            }
+            Some(_) => in_zone,
         };
         (!all.is_empty()).then(|| all[draw % all.len()])
     }
--- a/tests/direct_freshness.rs
+++ b/tests/direct_freshness.rs
@@ -36,6 +36,16 @@
     assert_eq!(freshness.age(Millis(6_000)), Some(Millis(2_500)));
 }
 
+/// A process that has just started takes a proof that is older than itself: without it, all entries
+/// that are started together would refuse keyed requests until the next question to the store.
+#[test]
+fn older_than_process() {
+    let mut freshness = Freshness::default();
+    freshness.prove_by_peer(Millis(20), Millis(600));
+    assert_eq!(freshness.age(Millis(30)), Some(Millis(610)));
+    assert!(!freshness.is_younger_than(Millis(30), Millis(610)));
+}
+
 /// However a proof is forwarded between two clocks, and however long each message lies in a buffer,
 /// it is at least as old as the question to the store.
 #[test]
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -441,6 +441,27 @@
     assert!((0..5).all(|draw| source(draw) == Some(address(3))));
 }
 
+/// An entry that has no proof yet asks any peer that has one: while the watchers of its zone are not
+/// known, it would refuse all keyed requests.
+#[test]
+fn first_proof_source() {
+    let mut table = PeerTable::new(address(1), &[], 1);
+    let proven = GossipMessage {
+        proof_age_ms: Some(300),
+        ..hello(3, 1, None)
+    };
+    let unproven = GossipMessage {
+        proof_age_ms: None,
+        ..hello(2, 1, None)
+    };
+    table.record_message(address(2), &unproven, Millis(10));
+    assert_eq!(table.proof_source(None, 0, Millis(20)), None);
+    table.record_message(address(3), &proven, Millis(10));
+    let source = |age| table.proof_source(age, 0, Millis(20));
+    assert_eq!(source(None), Some(address(3)));
+    assert_eq!(source(Some(Millis(900))), None, "it does not watch");
+}
+
 #[test]
 fn datagram_round_trip() {
     let mut sent = hello(1, 2, Some(3));
