Short rounds until an entry has a list of endpoints

Change: an entry without a list sends its rounds every 50 ms in its first second, so that the time of discovery falls from 600 to 300 ms.

--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -28,7 +28,7 @@
 
 /// Time after a start, or after the first seeds became known, in which peers are discovered: until
 /// then it is not known which entries are to watch the store, and all would begin to.
-const DISCOVERY_TIME: Millis = Millis(600);
+const DISCOVERY_TIME: Millis = Millis(300);
 /// The same for an entry to which peers have provided the list of endpoints: it can wait until it
 /// has heard most of its neighbors.
 const PROVIDED_DISCOVERY_TIME: Millis = Millis(2_000);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -19,6 +19,11 @@
 };
 use crate::quarantine::{Notice, MAX_NOTICES_PER_MESSAGE};
 
+/// Time between two rounds of an entry that has just started and has no list of endpoints: it
+/// serves nothing until it has found a peer that provides one, or knows that it is to read it.
+const START_ROUND_INTERVAL: Millis = Millis(50);
+/// Time after a start for which rounds may be so short.
+const START_ROUNDS_TIME: Millis = Millis(1_000);
 /// Pause after an error of the socket.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(100);
 /// Proof age from which an entry that does not watch the store asks one that does. Two requests are
@@ -47,7 +52,7 @@
     let mut next = Instant::now();
     loop {
         tokio::select! {
-            () = sleep_until(next) => next = Instant::now() + ROUND_INTERVAL.duration(),
+            () = sleep_until(next) => next = Instant::now() + round_interval(&entry).duration(),
             () = entry.gossip_requested.notified() => {
                 send_urgent_notices(&entry, &socket).await;
                 continue;
@@ -80,6 +85,14 @@
     }
 }
 
+/// Time between two rounds: short at a start, until the list of endpoints is known.
+fn round_interval(entry: &Entry) -> Millis {
+    match !entry.has_list() && entry.age() < START_ROUNDS_TIME {
+        true => START_ROUND_INTERVAL,
+        false => ROUND_INTERVAL,
+    }
+}
+
 /// Sends notices about suspect requests to some peers between two rounds: a request that crashes an
 /// endpoint within 0.1 s comes again before the next round.
 async fn send_urgent_notices(entry: &Entry, socket: &UdpSocket) {
