Roles wait until all neighbors can have been heard

Cause: 2 s after a start 46 of 357 entries took themselves for the first in rank: a cycle through 75 neighbors takes 1.65 s, and grows with the zone.

Change: an entry provided by peers waits two cycles, 2 s at least, before it takes a role.

--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -29,9 +29,9 @@
 /// Time after a start, or after the first seeds became known, in which peers are discovered: until
 /// then it is not known which entries are to watch the store, and all would begin to.
 const DISCOVERY_TIME: Millis = Millis(300);
-/// The same for an entry to which peers have provided the list of endpoints: it can wait until it
-/// has heard most of its neighbors.
-const PROVIDED_DISCOVERY_TIME: Millis = Millis(2_000);
+/// Minimum of the same time for an entry to which peers have provided the list of endpoints; it
+/// waits until it has had time to hear all of its neighbors.
+const MIN_PROVIDED_DISCOVERY_TIME: Millis = Millis(2_000);
 
 /// Time without an answer of the store to any entry, as far as known here, after which the list
 /// counts as unavailable: longer than the time between two proofs, and shorter than the time in
@@ -118,7 +118,7 @@
         let is_seed = settings.seeds.iter().any(|seed| seed.ip() == own);
         let since = self.seeds_known_at.get().unwrap_or(self.started_at);
         let time = match self.is_list_from_peers.get() {
-            true => PROVIDED_DISCOVERY_TIME,
+            true => MIN_PROVIDED_DISCOVERY_TIME.max(self.peers.borrow().hearing_time()),
             false => DISCOVERY_TIME,
         };
         !is_seed && self.clock.now() - since < time
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -186,6 +186,11 @@
         MIN_SILENCE.max(Millis(cycle.0 * SILENCE_CYCLES))
     }
 
+    /// Time in which every neighbor is heard, even if one datagram is lost.
+    pub fn hearing_time(&self) -> Millis {
+        Millis(self.neighbor_cycle().0 * 2)
+    }
+
     /// Time in which every neighbor is sent to once.
     pub(super) fn neighbor_cycle(&self) -> Millis {
         let rounds = self.neighbor_count.div_ceil(self.neighbors_per_round());
