The list's availability is logged, roles have a module of their own

Cause: that the list counts as unavailable is now concluded from proofs of other entries, and no line told it; the file of the store's state had grown by what decides on the role. An entry asked watchers of all zones from the same age of its proof on as those of its own zone, so that its requests crossed zones for nothing.

Change: a line when the list becomes unavailable and available again; `entry/watch_role`; watchers of other zones are asked at 1.7 s, after the first request was not answered.

--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -128,15 +128,16 @@
 }
 
 impl Directory {
-    /// Notes that the list can't be read.
-    pub fn list_unavailable(&mut self) {
-        self.unavailable = true;
+    /// Notes that the list can't be read; returns whether it could be before.
+    pub fn list_unavailable(&mut self) -> bool {
+        !std::mem::replace(&mut self.unavailable, true)
     }
 
     /// Notes that the list can be read. After an outage, the grace of expired entries starts now.
-    pub fn list_available(&mut self, now: Millis) {
+    /// Returns whether there was one.
+    pub fn list_available(&mut self, now: Millis) -> bool {
         if !self.unavailable {
-            return;
+            return false;
         }
         self.unavailable = false;
         self.available_since = Some(now);
@@ -145,6 +146,7 @@
                 *until = now + LAPSE_GRACE;
             }
         }
+        true
     }
 
     /// Applies a change; returns the key of an endpoint that left for good or was started again.
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -322,7 +322,7 @@
     fn set_freshness(&self, freshness: Freshness) {
         let before = self.freshness.replace(freshness);
         if freshness.is_newer_than(&before) && !self.is_store_silent() {
-            self.directory.borrow_mut().list_available(self.clock.now());
+            self.mark_list_available();
         }
     }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -7,6 +7,7 @@
 mod limited;
 mod store;
 mod suspicion;
+mod watch_role;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -26,13 +26,6 @@
 /// on the age of a proof for requests with a key.
 const PEER_DELIVERY_TIME: Millis = Millis(1_500);
 
-/// Time after a start, or after the first seeds became known, in which peers are discovered: until
-/// then it is not known which entries are to watch the store, and all would begin to.
-const DISCOVERY_TIME: Millis = Millis(300);
-/// Minimum of the same time for an entry to which peers have provided the list of endpoints; it
-/// waits until it has had time to hear all of its neighbors.
-const MIN_PROVIDED_DISCOVERY_TIME: Millis = Millis(2_000);
-
 /// Time without an answer of the store to any entry, as far as known here, after which the list
 /// counts as unavailable: longer than the time between two proofs, and shorter than the time in
 /// which entries of live endpoints expire.
@@ -80,7 +73,7 @@
     /// Records that the store answered a call. If the one before failed, the watch is repeated.
     pub fn store_answered(&self) {
         let now = self.clock.now();
-        self.directory.borrow_mut().list_available(now);
+        self.mark_list_available();
         self.peers.borrow_mut().record_store_answer(now);
         self.store_answered_at.set(Some(now));
         let before = self.store_answers.replace(Some(true));
@@ -105,25 +98,6 @@
         self.store_answers.get() == Some(true)
     }
 
-    /// Whether this entry is to watch the store itself.
-    pub fn is_to_watch(&self) -> bool {
-        !self.is_discovering() && self.peers.borrow().should_watch(self.clock.now())
-    }
-
-    /// Whether this entry has just started and does not know its peers yet. Seeds, which all others
-    /// ask first, read the store at once.
-    pub fn is_discovering(&self) -> bool {
-        let settings = self.settings.borrow();
-        let own = settings.link.ip();
-        let is_seed = settings.seeds.iter().any(|seed| seed.ip() == own);
-        let since = self.seeds_known_at.get().unwrap_or(self.started_at);
-        let time = match self.is_list_from_peers.get() {
-            true => MIN_PROVIDED_DISCOVERY_TIME.max(self.peers.borrow().hearing_time()),
-            false => DISCOVERY_TIME,
-        };
-        !is_seed && self.clock.now() - since < time
-    }
-
     /// A peer that has a later list of endpoints than this entry; `None` if there is none.
     pub fn list_source(&self) -> Option<SocketAddr> {
         let now = self.clock.now();
@@ -134,8 +108,16 @@
     /// Marks the list as unavailable if the store answers no entry, as far as known here. Endpoints
     /// whose entries disappear then are assumed to have expired.
     pub(super) fn update_list_availability(&self) {
-        if self.is_store_silent() {
-            self.directory.borrow_mut().list_unavailable();
+        if self.is_store_silent() && self.directory.borrow_mut().list_unavailable() {
+            self.log_process("list unavailable", "the store answers no entry");
+        }
+    }
+
+    /// Marks the list as available, since the store answers this entry or a peer.
+    pub(super) fn mark_list_available(&self) {
+        let now = self.clock.now();
+        if self.directory.borrow_mut().list_available(now) {
+            self.log_process("list available", "the store answers again");
         }
     }
 
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -31,7 +31,7 @@
 const WATCHER_TIMEOUT_CYCLES: u64 = 2;
 /// Own proof age from which watchers of all zones are asked for a younger one: those of the own
 /// zone have had time to answer.
-const ASK_OTHER_ZONES_AT: Millis = Millis(1_500);
+const ASK_OTHER_ZONES_AT: Millis = Millis(1_700);
 
 /// What a peer's last message says of its contact with the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
