Decisions of the direct path in folders by the question they answer

Cause: the decisions stood flat beside their plumbing in src/direct, and demand and room needed each other. Change: moved to placement (which endpoint), admission (whether and when) and known (what is known of endpoints), without rewriting; what is known of a candidate stands in placement/candidate, so that demand, room and candidate form no circle.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -3,13 +3,14 @@
 use divan::{black_box, Bencher};
 use violetline::clock::Millis;
 use violetline::direct::catalog::{EngineCapacity, TransferSpec};
-use violetline::direct::choose::choose;
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, ListedEndpoint};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::EndpointLoad;
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::EndpointLoad;
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::choose;
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 
--- a/src/direct/admission.rs
+++ b/src/direct/admission/overload.rs
@@ -12,7 +12,7 @@
 //! that takes most of its time.
 
 use crate::clock::Millis;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 
 /// Mean backlog, as a fraction of the pool's tightest target, up to which the pool counts as calm.
 const CALM_BACKLOG: f64 = 1.0 / 3.0;
--- a/src/direct/turnover.rs
+++ b/src/direct/admission/turnover.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 use crate::clock::Millis;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 
 /// Time for which events are remembered; other entries' choices become visible in less.
 const WINDOW: Millis = Millis(2_000);
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::direct::load::{band, BANDS, FULL_STREAM};
-use crate::direct::warmup::WarmUp;
+use crate::direct::admission::warmup::WarmUp;
+use crate::direct::known::load::{band, BANDS, FULL_STREAM};
 use crate::ids::TeamKey;
 
 /// Index of a route in [`Catalog::routes`].
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -12,8 +12,8 @@
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::Cordon;
 use crate::direct::directory::{Change, Listing, Revision};
-use crate::direct::load::EndpointReport;
-use crate::direct::prefix::PromptSegment;
+use crate::direct::known::load::EndpointReport;
+use crate::direct::placement::prefix::PromptSegment;
 
 /// The properties of a caller's request that decisions depend on.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -8,14 +8,14 @@
 
 use super::Entry;
 use crate::clock::Millis;
+use crate::direct::admission::turnover::PoolActivity;
+use crate::direct::admission::warmup::{self, RecentSends, WarmUp};
 use crate::direct::channel::Connection;
 use crate::direct::decision::Decision;
 use crate::direct::directory::{Endpoint, EndpointKey, EndpointStatus};
 use crate::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
-use crate::direct::health::{Fault, HealthRecord};
-use crate::direct::load::{EndpointLoad, Footprint};
-use crate::direct::turnover::PoolActivity;
-use crate::direct::warmup::{self, RecentSends, WarmUp};
+use crate::direct::known::health::{Fault, HealthRecord};
+use crate::direct::known::load::{EndpointLoad, Footprint};
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::IncarnationDigest;
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -21,7 +21,9 @@
 use self::limited::PendingRequests;
 use self::store::LargeAnswer;
 use crate::clock::{Clock, Millis};
-use crate::direct::budget::RetryWindow;
+use crate::direct::admission::budget::RetryWindow;
+use crate::direct::admission::turnover::PoolActivity;
+use crate::direct::admission::warmup::FleetSize;
 use crate::direct::catalog::Catalog;
 use crate::direct::changes::ChangeLog;
 use crate::direct::decision::{Decision, DecisionLog};
@@ -31,11 +33,9 @@
 use crate::direct::gauge::EntryMetrics;
 use crate::direct::limits::Limits;
 use crate::direct::peers::{PeerId, PeerTable, RecentPlacements};
-use crate::direct::prefix::PrefixMap;
+use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
-use crate::direct::turnover::PoolActivity;
 use crate::direct::versions::VersionLog;
-use crate::direct::warmup::FleetSize;
 use crate::quarantine::Quarantine;
 
 /// Phase of a process between its start and the end of a planned stop.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -11,8 +11,8 @@
 use crate::clock::Millis;
 use crate::direct::entry::{Entry, Fetch, ProcessState};
 use crate::direct::fetch;
+use crate::direct::known::load::{EndpointLoad, EndpointWork, LoadSource};
 use crate::direct::limits::{self, Message};
-use crate::direct::load::{EndpointLoad, EndpointWork, LoadSource};
 use crate::direct::peers::{
     self, GossipMessage, GossipTarget, WorkScope, MAX_DATAGRAM_BYTES, MAX_REMOTE_BYTES,
     ROUND_INTERVAL,
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -8,13 +8,13 @@
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::ResponseKind;
 use crate::direct::channel::Reply;
-use crate::direct::choose::Choice;
 use crate::direct::decision::RequestOutcome;
 use crate::direct::dialect::ResponseInfo;
 use crate::direct::directory::EndpointKey;
 use crate::direct::ends::EndSign;
 use crate::direct::entry::{ProcessState, RunGuard};
-use crate::direct::health::Fault;
+use crate::direct::known::health::Fault;
+use crate::direct::placement::choose::Choice;
 use crate::direct::relay::{self, RelayContext, RelayError};
 
 /// An answer whose head has arrived, with the attempt that it belongs to.
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -2,14 +2,15 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::admission::{EngineAdmission, PlainAdmission};
-use crate::direct::choose::{self, Choice};
+use crate::direct::admission::overload::{EngineAdmission, PlainAdmission};
+use crate::direct::admission::warmup::WarmUp;
 use crate::direct::decision::RefusalReason;
-use crate::direct::demand::{Candidate, Demand};
 use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::placement::candidate::Candidate;
+use crate::direct::placement::choose::{self, Choice};
+use crate::direct::placement::demand::Demand;
 use crate::direct::residency;
 use crate::direct::settings::DirectSettings;
-use crate::direct::warmup::WarmUp;
 
 impl Job<'_> {
     /// The endpoint for the next attempt: the one with the copy if the run resumes from it,
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -9,7 +9,7 @@
 use crate::clock::Millis;
 use crate::direct::catalog::ResponseKind;
 use crate::direct::channel::{Connection, ExchangeError, Reply};
-use crate::direct::choose::Choice;
+use crate::direct::placement::choose::Choice;
 
 /// Maximum tokens of a run's memory (prompt and answer) per token of its answer for which a copy is
 /// worthwhile: the length of the answer is how long the run can be lost, and the memory is what has
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -8,7 +8,7 @@
 use crate::direct::decision::{RefusalReason, RequestOutcome};
 use crate::direct::dialect::ErrorResponse;
 use crate::direct::directory::EndpointKey;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 use crate::direct::refuse::{self, AllowedRequest};
 
 /// Retry delay that is advised after a refusal, before jitter.
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -2,10 +2,10 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::choose::Choice;
 use crate::direct::decision::{Decision, RequestOutcome};
 use crate::direct::directory::EndpointKey;
-use crate::direct::load;
+use crate::direct::known::load;
+use crate::direct::placement::choose::Choice;
 use crate::rate::Rate;
 
 impl Job<'_> {
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -25,7 +25,7 @@
 use crate::direct::directory::EndpointKey;
 use crate::direct::entry::Entry;
 use crate::direct::intake::IncomingRequest;
-use crate::direct::load;
+use crate::direct::known::load;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
 use crate::direct::relay::StreamPosition;
--- a/src/direct/job/room.rs
+++ b/src/direct/job/room.rs
@@ -3,9 +3,9 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::choose::Choice;
 use crate::direct::decision::RefusalReason;
-use crate::direct::room::RoomInputs;
+use crate::direct::placement::choose::Choice;
+use crate::direct::placement::room::RoomInputs;
 
 impl Job<'_> {
     /// Whether a request that no endpoint has started must not be sent, since the free slots are
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -11,13 +11,13 @@
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::PoolShare;
 use crate::direct::channel::{Connection, ExchangeError, Reply};
-use crate::direct::choose::Choice;
 use crate::direct::dialect::EndpointRequest;
 use crate::direct::directory::EndpointKey;
 use crate::direct::ends::EndSign;
-use crate::direct::health::Fault;
-use crate::direct::load;
+use crate::direct::known::health::Fault;
+use crate::direct::known::load;
 use crate::direct::peers::PromptPlacement;
+use crate::direct::placement::choose::Choice;
 use crate::direct::resolve::{Allowed, Denied};
 
 /// Silence, as a multiple of the route's target, after which an endpoint counts as unreachable.
--- a/src/direct/load.rs
+++ b/src/direct/known/load.rs
@@ -4,8 +4,8 @@
 use std::f64::consts::LN_2;
 
 use crate::clock::Millis;
+use crate::direct::known::slowdown::Slowdown;
 use crate::direct::peers::{PeerId, ZoneId};
-use crate::direct::slowdown::Slowdown;
 
 /// Number of urgency bands in which tokens to be prefilled are counted: 0, 1, and all others.
 pub const BANDS: usize = 3;
--- a/src/direct/limits/endpoint_limit.rs
+++ b/src/direct/limits/endpoint_limit.rs
@@ -3,7 +3,7 @@
 
 use super::{LimitObservation, PermitBucket};
 use crate::clock::Millis;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 use crate::direct::peers::ZoneId;
 use crate::rate::Rate;
 
--- a/src/direct/limits/mod.rs
+++ b/src/direct/limits/mod.rs
@@ -25,7 +25,7 @@
 pub use self::permit_bucket::PermitBucket;
 use crate::announced::AnnouncedLimit;
 use crate::clock::Millis;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 use crate::direct::peers::{Coordinator, ZoneId};
 use crate::rate::Rate;
 
--- a/src/direct/limits/permit_bucket.rs
+++ b/src/direct/limits/permit_bucket.rs
@@ -2,7 +2,7 @@
 //! schedules when entries that got no permit are to ask again.
 
 use crate::clock::Millis;
-use crate::direct::load::BANDS;
+use crate::direct::known::load::BANDS;
 use crate::rate::Rate;
 
 /// Fraction of the limit that one coordinator issues. Two coordinators that do not know of each
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,18 +2,20 @@
 //! sidecar beside each endpoint.
 //!
 //! A request passes through these modules: [`caller`] accepts the connection, [`intake`] reads the
-//! request, [`handle`] allows or refuses it, [`job`] makes the attempts (each one uses [`choose`],
+//! request, [`handle`] allows or refuses it, [`job`] makes the attempts (each one uses [`placement::choose`],
 //! [`channel`] and [`relay`]), [`answerer`] writes the response, and [`progress`] logs the end.
 //!
 //! - Permission: [`resolve`] finds the route and the team, [`residency`] checks the regions, and
 //!   [`refuse`] writes the entry's own error responses.
-//! - Admission: [`admission`] decides whether a request is sent at all, and [`room`] reserves
-//!   capacity for more urgent requests, based on the entry's recent requests in [`turnover`].
-//!   [`warmup`] limits the requests to endpoints that have just started.
-//! - Choice: for a [`demand`], the endpoint with the lowest [`price`] is chosen. The price depends
-//!   on the endpoint's [`load`], its momentary [`slowdown`], the [`prefix`] of the prompt that it has cached or can fetch from
-//!   another endpoint ([`moves`]), and how its pool is split between latency-sensitive streams and
-//!   long prompts ([`lanes`]).
+//! - Admission: [`admission::overload`] decides whether a request is sent at all, based on the
+//!   entry's recent requests in [`admission::turnover`]. [`admission::warmup`] limits the requests
+//!   to endpoints that have just started.
+//! - Choice: for a [`placement::demand`], the endpoint with the lowest [`placement::price`] is
+//!   chosen, and [`placement::room`] reserves slots for more urgent requests. The price depends on
+//!   what is [`known`] of the endpoint (its load, its momentary slowdown, its health), the
+//!   [`placement::prefix`] of the prompt that it has cached or can fetch from another endpoint
+//!   ([`placement::moves`]), and how its pool is split between latency-sensitive streams and long
+//!   prompts ([`placement::lanes`]).
 //! - Endpoints that end: [`ends`] keeps the runs that an endpoint did not finish until it is known
 //!   whether the endpoint itself has ended. [`crate::quarantine`] then counts that against what the
 //!   runs asked for.
@@ -32,15 +34,12 @@
 
 pub mod admission;
 pub mod answerer;
-pub mod budget;
 pub mod caller;
 pub mod catalog;
 pub mod changes;
 pub mod channel;
-pub mod choose;
 pub mod cordons;
 pub mod decision;
-pub mod demand;
 pub mod dialect;
 pub mod directory;
 pub mod ends;
@@ -51,18 +50,14 @@
 pub mod gauge;
 pub mod gossip;
 pub mod handle;
-pub mod health;
 pub mod intake;
 pub mod job;
-pub mod lanes;
+pub mod known;
 pub mod limits;
 pub mod listed;
-pub mod load;
-pub mod moves;
 pub mod patch;
 pub mod peers;
-pub mod prefix;
-pub mod price;
+pub mod placement;
 pub mod process;
 pub mod progress;
 pub mod ready;
@@ -70,10 +65,6 @@
 pub mod relay;
 pub mod residency;
 pub mod resolve;
-pub mod room;
 pub mod settings;
-pub mod slowdown;
 pub mod sync;
-pub mod turnover;
 pub mod versions;
-pub mod warmup;
--- a/src/direct/peers/compact.rs
+++ b/src/direct/peers/compact.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::direct::load::{EndpointWork, BANDS};
+use crate::direct::known::load::{EndpointWork, BANDS};
 
 /// Prompt tokens per block, for `unread` and `pressure`.
 const UNREAD_BLOCK: u32 = 64;
--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -8,7 +8,7 @@
 use super::compact;
 use super::zones::ZoneId;
 use super::PromptPlacement;
-use crate::direct::load::EndpointWork;
+use crate::direct::known::load::EndpointWork;
 
 /// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
 pub const MAX_DATAGRAM_BYTES: usize = 8 << 10;
--- a/src/direct/choose.rs
+++ b/src/direct/placement/choose.rs
@@ -1,17 +1,18 @@
 //! Choice of an endpoint for a request: the one with the lowest price, see
-//! [`crate::direct::price`]. The cached prefix of the prompt comes from that endpoint's own memory
-//! or is transferred to it, see [`crate::direct::moves`].
+//! [`crate::direct::placement::price`]. The cached prefix of the prompt comes from that endpoint's own memory
+//! or is transferred to it, see [`crate::direct::placement::moves`].
 
 use crate::clock::Millis;
-use crate::direct::demand::{Candidate, CandidateState, Demand};
 use crate::direct::directory::EndpointKey;
-use crate::direct::health::Grade;
-use crate::direct::lanes::StreamPartition;
-use crate::direct::load::{EndpointWork, Footprint, BANDS};
-use crate::direct::moves::{PrefixReuse, Sources};
-use crate::direct::prefix::PrefixMap;
-use crate::direct::price::{self, PREFILL_TOKENS_PER_MS};
-use crate::direct::room::PoolRoom;
+use crate::direct::known::health::Grade;
+use crate::direct::known::load::{EndpointWork, Footprint, BANDS};
+use crate::direct::placement::candidate::{Candidate, CandidateState};
+use crate::direct::placement::demand::Demand;
+use crate::direct::placement::lanes::StreamPartition;
+use crate::direct::placement::moves::{PrefixReuse, Sources};
+use crate::direct::placement::prefix::PrefixMap;
+use crate::direct::placement::price::{self, PREFILL_TOKENS_PER_MS};
+use crate::direct::placement::room::PoolRoom;
 
 /// Fraction of an engine's memory that running requests and cached segments are assumed to use
 /// together; the rest is a margin for work that is not known here yet.
--- a/src/direct/demand.rs
+++ b/src/direct/placement/demand.rs
@@ -1,15 +1,11 @@
-//! Inputs to the choice of an endpoint: the request to be placed, and what is known of each
-//! candidate.
+//! The request to be placed, as the choice of an endpoint sees it.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::clock::Millis;
 use crate::direct::catalog::EngineCapacity;
-use crate::direct::directory::{Endpoint, EndpointKey};
-use crate::direct::health::HealthRecord;
-use crate::direct::load::{EndpointLoad, EndpointWork};
-use crate::direct::prefix::PromptSegment;
-use crate::direct::room::RoomInputs;
+use crate::direct::placement::prefix::PromptSegment;
+use crate::direct::placement::room::RoomInputs;
 use crate::mix_bits::mix_bits;
 
 /// The request to be placed, with the parameters of this entry and of the pool that bear on the
@@ -81,40 +77,3 @@
         self.engine.map_or(0, |engine| engine.memory_tokens)
     }
 }
-
-/// An endpoint that may be chosen.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate<'a> {
-    /// Its key in the directory.
-    pub key: EndpointKey,
-    /// Its record in the directory.
-    pub endpoint: &'a Endpoint,
-    /// Its load, as known to this entry.
-    pub load: &'a EndpointLoad,
-    /// Its health, as observed by this entry.
-    pub record: &'a HealthRecord,
-    /// Whether it is assumed to be warming up.
-    pub is_warming: bool,
-    /// Whether it has announced a rate limit.
-    pub is_limited: bool,
-}
-
-/// A candidate with what is known of it for one request.
-#[derive(Debug, Clone, Copy)]
-pub struct CandidateState<'a> {
-    /// The candidate.
-    pub candidate: Candidate<'a>,
-    /// Its outstanding work from all entries, as far as known here.
-    pub total: EndpointWork,
-    /// Tokens of the prompt's prefix that it is assumed to have cached, including those that it
-    /// will have prefilled before it gets to this prompt.
-    pub cached_tokens: u64,
-    /// Those of them that it has already prefilled, so that another endpoint can fetch them from
-    /// it.
-    pub transferable_tokens: u64,
-    /// Whether it is reserved for latency-sensitive streams.
-    pub is_reserved: bool,
-    /// If this endpoint is their home, the number of shared tokens of the prompt that no endpoint
-    /// is known to have cached; `None` otherwise.
-    pub uncached_home_tokens: Option<u64>,
-}
--- a/src/direct/lanes.rs
+++ b/src/direct/placement/lanes.rs
@@ -8,9 +8,9 @@
 
 use std::collections::HashSet;
 
-use crate::direct::demand::{Candidate, CandidateState};
 use crate::direct::directory::EndpointKey;
-use crate::direct::load;
+use crate::direct::known::load;
+use crate::direct::placement::candidate::{Candidate, CandidateState};
 
 /// Fraction of an endpoint's slots that latency-sensitive streams are meant to fill: a step takes
 /// twice as long in a full batch as in one that is a third full.
--- a/src/direct/moves.rs
+++ b/src/direct/placement/moves.rs
@@ -8,9 +8,10 @@
 use std::cmp::Reverse;
 
 use crate::clock::Millis;
-use crate::direct::demand::{CandidateState, Demand};
 use crate::direct::directory::EndpointKey;
-use crate::direct::health::Grade;
+use crate::direct::known::health::Grade;
+use crate::direct::placement::candidate::CandidateState;
+use crate::direct::placement::demand::Demand;
 
 /// Time to start a transfer, in ms: connecting two engines and sending the request.
 const TRANSFER_SETUP_MS: f64 = 4.0;
--- a/src/direct/price.rs
+++ b/src/direct/placement/price.rs
@@ -2,9 +2,10 @@
 //! event, and what the request costs the other requests there.
 
 use crate::clock::Millis;
-use crate::direct::demand::{Candidate, CandidateState, Demand};
-use crate::direct::load::{stream_equivalents, EndpointWork, BANDS, FULL_STREAM};
-use crate::direct::moves::PrefixReuse;
+use crate::direct::known::load::{stream_equivalents, EndpointWork, BANDS, FULL_STREAM};
+use crate::direct::placement::candidate::{Candidate, CandidateState};
+use crate::direct::placement::demand::Demand;
+use crate::direct::placement::moves::PrefixReuse;
 
 /// Prompt tokens that an engine prefills per millisecond. Only the ratio to the other terms
 /// matters: the endpoint's health record corrects the rest.
--- a/src/direct/room.rs
+++ b/src/direct/placement/room.rs
@@ -8,8 +8,8 @@
 //! endpoints.
 
 use crate::clock::Millis;
-use crate::direct::demand::CandidateState;
-use crate::direct::turnover::RecentActivity;
+use crate::direct::admission::turnover::RecentActivity;
+use crate::direct::placement::candidate::CandidateState;
 
 /// Fraction of an endpoint's slots that less urgent requests leave free for each more urgent band.
 const RESERVED_FRACTION_PER_BAND: f64 = 0.125;
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::direct::budget::RetryBudget;
-use crate::direct::warmup::Excess;
+use crate::direct::admission::budget::RetryBudget;
+use crate::direct::admission::warmup::Excess;
 use crate::finding::Findings;
 use crate::settings::Checked;
 
--- a/src/sidecar/limited.rs
+++ b/src/sidecar/limited.rs
@@ -3,8 +3,8 @@
 use super::Sidecar;
 use crate::announced::AnnouncedLimit;
 use crate::clock::Millis;
+use crate::direct::known::load::BANDS;
 use crate::direct::limits::{LimitObservation, PermitBucket};
-use crate::direct::load::BANDS;
 
 /// What the endpoint has said of its limit.
 #[derive(Debug, Clone, Copy)]
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Which requests are refused, by the backlog of their pool and the time that they have left.
 
 use violetline::clock::Millis;
-use violetline::direct::admission::{EngineAdmission, PlainAdmission};
+use violetline::direct::admission::overload::{EngineAdmission, PlainAdmission};
 
 fn outlook(backlog_ms: f64, expected_ms: f64) -> EngineAdmission {
     EngineAdmission {
--- a/tests/direct_budget.rs
+++ b/tests/direct_budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a pool that all entries keep without communicating.
 
 use violetline::clock::Millis;
-use violetline::direct::budget::{RetryBudget, RetryWindow};
+use violetline::direct::admission::budget::{RetryBudget, RetryWindow};
 
 const ALLOWANCE: RetryBudget = RetryBudget {
     window: Millis(10_000),
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use violetline::clock::Millis;
-use violetline::direct::load::EndpointWork;
+use violetline::direct::known::load::EndpointWork;
 use violetline::direct::peers::{
     encode_within, GossipMessage, PeerId, PeerTable, PromptPlacement, WorkScope,
     MAX_DATAGRAM_BYTES, MAX_REMOTE_BYTES, MAX_ROUND_BYTES, ROUND_INTERVAL,
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -5,13 +5,14 @@
 use common::listed;
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
-use violetline::direct::health::{Fault, Grade, HealthRecord};
-use violetline::direct::load::{EndpointLoad, EndpointReport, Footprint};
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::{Fault, Grade, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, EndpointReport, Footprint};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineCapacity = EngineCapacity {
--- a/tests/direct_health.rs
+++ b/tests/direct_health.rs
@@ -1,7 +1,7 @@
 //! Health of endpoints, as observed through real requests.
 
 use violetline::clock::Millis;
-use violetline::direct::health::{Fault, Grade, HealthRecord};
+use violetline::direct::known::health::{Fault, Grade, HealthRecord};
 
 #[test]
 fn three_failures_eject() {
--- a/tests/direct_home.rs
+++ b/tests/direct_home.rs
@@ -9,14 +9,15 @@
 use common::listed;
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey};
-use violetline::direct::health::{Fault, HealthRecord};
-use violetline::direct::load::{EndpointLoad, Footprint, LoadSource};
+use violetline::direct::known::health::{Fault, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, Footprint, LoadSource};
 use violetline::direct::peers::PeerId;
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineCapacity = EngineCapacity {
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -5,14 +5,15 @@
 use common::listed;
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
-use violetline::direct::choose::choose;
-use violetline::direct::demand::{Candidate, CandidateState, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
-use violetline::direct::health::{Fault, HealthRecord};
-use violetline::direct::lanes::StreamPartition;
-use violetline::direct::load::{EndpointLoad, Footprint};
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::{Fault, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, Footprint};
+use violetline::direct::placement::candidate::{Candidate, CandidateState};
+use violetline::direct::placement::choose::choose;
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::lanes::StreamPartition;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineCapacity = EngineCapacity {
--- a/tests/direct_load.rs
+++ b/tests/direct_load.rs
@@ -1,7 +1,7 @@
 //! Load of an endpoint: what other entries report of it, and for how long that counts.
 
 use violetline::clock::Millis;
-use violetline::direct::load::{EndpointLoad, EndpointWork, LoadSource};
+use violetline::direct::known::load::{EndpointLoad, EndpointWork, LoadSource};
 use violetline::direct::peers::{PeerId, ZoneId};
 
 const PEER: LoadSource = LoadSource::Peer(PeerId(1));
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -4,15 +4,16 @@
 
 use common::listed;
 use violetline::clock::Millis;
+use violetline::direct::admission::turnover::RecentActivity;
 use violetline::direct::catalog::{EngineCapacity, TransferSpec};
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey};
-use violetline::direct::health::{Fault, HealthRecord};
-use violetline::direct::load::{EndpointLoad, Footprint};
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
-use violetline::direct::turnover::RecentActivity;
+use violetline::direct::known::health::{Fault, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, Footprint};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 /// Memory per token in bytes, and a link between engines in Mbit/s: 6,300 tokens are transferred in
--- a/tests/direct_peers.rs
+++ b/tests/direct_peers.rs
@@ -8,7 +8,7 @@
 
 use common::hello;
 use violetline::clock::Millis;
-use violetline::direct::load::EndpointWork;
+use violetline::direct::known::load::EndpointWork;
 use violetline::direct::peers::{
     self, GossipMessage, PeerId, PeerTable, PromptPlacement, RecentPlacements, MAX_DATAGRAM_BYTES,
     NEIGHBORS_PER_ROUND, ROUND_INTERVAL,
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -8,14 +8,15 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::admission::PlainAdmission;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
+use violetline::direct::admission::overload::PlainAdmission;
 use violetline::direct::directory::{Change, Directory, ListedEndpoint};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::{EndpointLoad, EndpointReport};
-use violetline::direct::prefix::PrefixMap;
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::{EndpointLoad, EndpointReport};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::PrefixMap;
+use violetline::direct::placement::room::RoomInputs;
 
 const SLOTS: usize = 6;
 /// Calls that the endpoint lets wait; more are rejected.
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -12,8 +12,8 @@
     WatchResult,
 };
 use violetline::direct::directory::Change;
-use violetline::direct::prefix::PromptSegment;
-use violetline::direct::slowdown::Slowdown;
+use violetline::direct::known::slowdown::Slowdown;
+use violetline::direct::placement::prefix::PromptSegment;
 use violetline::platform::Platform;
 
 fn request(headers: &[(&str, &str)]) -> RequestHead {
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -5,9 +5,9 @@
 use common::{entry, listed};
 use violetline::clock::Millis;
 use violetline::direct::directory::{digest, Change, Directory, EndpointKey, ListedEndpoint};
-use violetline::direct::health::Fault;
-use violetline::direct::load::Footprint;
-use violetline::direct::prefix::PromptSegment;
+use violetline::direct::known::health::Fault;
+use violetline::direct::known::load::Footprint;
+use violetline::direct::placement::prefix::PromptSegment;
 use violetline::fingerprint::Fingerprint;
 
 const FOOTPRINT: Footprint = Footprint {
--- a/tests/room_left.rs
+++ b/tests/room_left.rs
@@ -5,16 +5,17 @@
 
 use common::listed;
 use violetline::clock::Millis;
+use violetline::direct::admission::turnover::{PoolActivity, RecentActivity};
 use violetline::direct::catalog::EngineCapacity;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::{EndpointLoad, EndpointWork, Footprint, LoadSource};
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::{EndpointLoad, EndpointWork, Footprint, LoadSource};
 use violetline::direct::peers::PeerId;
-use violetline::direct::prefix::PrefixMap;
-use violetline::direct::room::RoomInputs;
-use violetline::direct::turnover::{PoolActivity, RecentActivity};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::PrefixMap;
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineCapacity = EngineCapacity {
--- a/tests/urgency_told.rs
+++ b/tests/urgency_told.rs
@@ -4,7 +4,7 @@
 //! summary of another. In a burst 31 to 223 requests were preempted while less urgent kinds ran on,
 //! streams of the most urgent route among them.
 
-use violetline::direct::load::urgency_at_endpoint;
+use violetline::direct::known::load::urgency_at_endpoint;
 
 #[test]
 fn route_first() {
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -5,10 +5,12 @@
 
 use common::{entry, listed};
 use violetline::clock::Millis;
+use violetline::direct::admission::warmup::{
+    share, shared_until, Excess, FleetSize, RecentSends, WarmUp,
+};
 use violetline::direct::directory::{digest, Change, ListedEndpoint};
-use violetline::direct::health::Fault;
+use violetline::direct::known::health::Fault;
 use violetline::direct::peers::PeerId;
-use violetline::direct::warmup::{share, shared_until, Excess, FleetSize, RecentSends, WarmUp};
 
 const WARM_UP: WarmUp = WarmUp {
     time: Millis(3_000),
