Interfaces of the work on mixed pools

Cause: two deployments mix urgent streams with long prompts of patient callers, on uneven engines; the parts of that work are built side by side and need agreed interfaces. Nothing uses them yet. Measured: all targets compile; placement is unchanged.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -68,6 +68,7 @@
         visibility_delay: Millis(75),
         room: RoomInputs::default(),
         draw: 1,
+        capacity: None,
     };
     bencher.bench_local(|| {
         let candidates = directory.iter().map(|(key, endpoint)| Candidate {
@@ -77,6 +78,7 @@
             record: &record,
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(black_box(demand), candidates, &prefixes, NOW)
     });
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -166,6 +166,9 @@
     }
 }
 
+/// Shortest timeout of a route whose callers have time to wait for capacity.
+const PATIENT_TIMEOUT: Millis = Millis(10_000);
+
 /// The routes of one host.
 ///
 /// A route is looked up by each prefix of the request's path that ends with a slash. Among 10,000
@@ -250,6 +253,11 @@
     target: Millis,
     /// Longest timeout of the routes in each band of urgency.
     longest: [Millis; BANDS],
+    /// Priority of the most urgent streams with a longest pause; `None` where there are none.
+    most_urgent_stream: Option<u8>,
+    /// Priority of the least urgent streams with at least [`PATIENT_TIMEOUT`]; `None` where there
+    /// are none.
+    least_urgent_patient: Option<u8>,
 }
 
 impl Catalog {
@@ -369,6 +377,27 @@
         less_urgent.max().unwrap_or_default()
     }
 
+    /// Whether a pool is mixed: it serves streams that may not pause for long, and less urgent
+    /// requests whose callers have at least [`PATIENT_TIMEOUT`].
+    pub fn is_mixed(&self, pool: &str) -> bool {
+        self.time_limits.get(pool).is_some_and(|limits| {
+            let stream = limits.most_urgent_stream;
+            let patient = limits.least_urgent_patient;
+            matches!((stream, patient), (Some(stream), Some(patient)) if patient > stream)
+        })
+    }
+
+    /// Whether requests of a route may wait for capacity in a pool: the pool is mixed, the callers
+    /// have time, and the pool has more urgent streams.
+    pub fn may_wait(&self, route: &Route, pool: &str) -> bool {
+        let stream = self
+            .time_limits
+            .get(pool)
+            .and_then(|l| l.most_urgent_stream);
+        let is_less_urgent = stream.is_some_and(|stream| route.priority > stream);
+        route.timeout >= PATIENT_TIMEOUT && is_less_urgent && self.is_mixed(pool)
+    }
+
     /// The pool with this name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.name == name)
@@ -385,6 +414,14 @@
             known.target = shorter_nonzero(known.target, route.target);
             let longest = &mut known.longest[band(route.priority)];
             *longest = route.timeout.max(*longest);
+            let priority = Some(route.priority);
+            if route.pause().is_some() {
+                let most_urgent = known.most_urgent_stream.or(priority);
+                known.most_urgent_stream = most_urgent.min(priority);
+            }
+            if route.pause().is_some() && route.timeout >= PATIENT_TIMEOUT {
+                known.least_urgent_patient = known.least_urgent_patient.max(priority);
+            }
         }
     }
     time_limits
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -5,6 +5,7 @@
 mod catalog_and_list;
 mod endpoint_states;
 mod limited;
+mod shared;
 mod store;
 mod suspicion;
 mod watch_role;
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -77,6 +77,7 @@
             let since = entry.peers.borrow().notices_since(target.work_scope, now);
             send_notices(&entry, &socket, target.to, since, repeats).await;
             send_recent_limits(&entry, target.to, since);
+            entry.send_shared_state(target.to);
         }
         rounds += 1;
         if rounds % ROUNDS_PER_PROOF_REQUEST == 0 || entry.proof_age().is_none() {
@@ -236,7 +237,7 @@
         entry.apply_notices(&notices);
     } else if let Some(message) = limits::decode(bytes) {
         entry.handle_limit_message(from, message);
-    } else {
+    } else if !entry.handle_shared_state(bytes) {
         tracing::debug!(%from, "datagram of an unknown format");
     }
 }
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -51,6 +51,7 @@
                     record: &endpoint_state.record,
                     is_warming: endpoint.warm_until(warming_time) > now,
                     is_limited: self.entry.limit(key).is_some(),
+                    relative_time: 1.0,
                 })
             });
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
@@ -141,6 +142,7 @@
             visibility_delay: self.entry.peers.borrow().visibility_delay(now),
             room: self.room(now),
             draw: rand::random(),
+            capacity: None,
         }
     }
 }
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -1,5 +1,6 @@
-//! What an entry knows of one endpoint: its load, its health and its momentary slowdown.
+//! What an entry knows of endpoints: their load, health, momentary slowdown and capacity.
 
+pub mod capacity;
 pub mod health;
 pub mod load;
 pub mod slowdown;
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -13,6 +13,7 @@
 mod hello;
 mod placements;
 mod rounds;
+mod shared;
 mod watchers;
 mod zones;
 
@@ -29,6 +30,7 @@
     GossipTarget, MAX_REMOTE_BYTES, MAX_ROUND_BYTES, NEIGHBORS_PER_ROUND, REMOTES_PER_ROUND,
     ROUND_INTERVAL,
 };
+pub use self::shared::{decode_shared, encode_shared, split_shared, SharedKind};
 use self::watchers::StoreRole;
 pub use self::zones::ZoneId;
 use self::zones::ZoneReports;
--- a/src/direct/placement/candidate.rs
+++ b/src/direct/placement/candidate.rs
@@ -19,6 +19,9 @@
     pub is_warming: bool,
     /// Whether it has announced a rate limit.
     pub is_limited: bool,
+    /// Time that work takes there, relative to the typical endpoint of its pool; 1 where that is
+    /// not known. A larger value is slower.
+    pub relative_time: f64,
 }
 
 /// A candidate with what is known of it for one request.
--- a/src/direct/placement/demand.rs
+++ b/src/direct/placement/demand.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Millis;
 use crate::direct::catalog::EngineCapacity;
+use crate::direct::known::capacity::PoolCapacity;
 use crate::direct::placement::prefix::PromptSegment;
 use crate::direct::placement::room::RoomInputs;
 use crate::mix_bits::mix_bits;
@@ -35,6 +36,9 @@
     pub room: RoomInputs,
     /// Random number, so that entries with the same knowledge don't all choose the same endpoint.
     pub draw: u64,
+    /// Learned capacity of the pool's typical engine; `None` for plain services and for pools that
+    /// are not mixed (see [`crate::direct::catalog::Catalog::is_mixed`]).
+    pub capacity: Option<PoolCapacity>,
 }
 
 impl Demand<'_> {
--- a/tests/changing_speed.rs
+++ b/tests/changing_speed.rs
@@ -145,6 +145,7 @@
         record: &endpoint.record,
         is_warming: false,
         is_limited: false,
+        relative_time: 1.0,
     });
     let demand = Demand {
         band: 2,
@@ -158,6 +159,7 @@
         visibility_delay: Millis(0),
         room: RoomInputs::default(),
         draw,
+        capacity: None,
     };
     choose(demand, candidates, &PrefixMap::default(), now).unwrap()
 }
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -55,6 +55,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
@@ -73,6 +74,7 @@
         visibility_delay: Millis(0),
         room: RoomInputs::default(),
         draw: 0,
+        capacity: None,
     }
 }
 
--- a/tests/direct_home.rs
+++ b/tests/direct_home.rs
@@ -60,6 +60,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         let choice = choose(demand, candidates, &self.prefixes, now).unwrap();
         let i = self.keys.iter().position(|key| *key == choice.key).unwrap();
@@ -93,6 +94,7 @@
         visibility_delay,
         room: RoomInputs::default(),
         draw,
+        capacity: None,
     }
 }
 
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -59,6 +59,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         };
         (0..self.keys.len()).map(candidate).collect()
     }
@@ -111,6 +112,7 @@
         visibility_delay: Millis(300),
         room: RoomInputs::default(),
         draw,
+        capacity: None,
     }
 }
 
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -53,6 +53,7 @@
             moves: Some(MOVES),
             room: RoomInputs::default(),
             draw: 0,
+            capacity: None,
         };
         let holder = pool.key("a");
         pool.prefixes.record_use(holder, ids(&SHARED), NOW, NOW);
@@ -81,6 +82,7 @@
             visibility_delay: Millis(0),
             room: self.room,
             draw: self.draw,
+            capacity: None,
         };
         let candidates = ["a", "b", "c"].iter().enumerate().map(|(i, id)| Candidate {
             key: self.key(id),
@@ -89,6 +91,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
--- a/tests/overload_replay.rs
+++ b/tests/overload_replay.rs
@@ -368,6 +368,7 @@
             visibility_delay: Millis(TELL / 2),
             room: RoomInputs::default(),
             draw,
+            capacity: None,
         };
         let entry = &self.entries[at];
         let up = (0..ENGINES).filter(|i| self.engines[*i].down_until <= now.0);
@@ -378,6 +379,7 @@
             record: &entry.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &entry.prefixes, now)
     }
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -61,6 +61,7 @@
                 record: &records[entry],
                 is_warming: false,
                 is_limited: false,
+                relative_time: 1.0,
             };
             let one = std::iter::once(candidate);
             let choice = choose(demand(), one, &PrefixMap::default(), at).unwrap();
@@ -126,6 +127,7 @@
         visibility_delay: Millis(150),
         room: RoomInputs::default(),
         draw: 0,
+        capacity: None,
     }
 }
 
--- a/tests/room_left.rs
+++ b/tests/room_left.rs
@@ -87,6 +87,7 @@
             record: &record,
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         let demand = Demand {
             band: room.more_urgent_bands,
@@ -100,6 +101,7 @@
             visibility_delay: Millis(0),
             room,
             draw,
+            capacity: None,
         };
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
