--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -53,7 +53,6 @@
             moves: Some(MOVES),
             room: RoomInputs::default(),
             draw: 0,
-            capacity: None,
         };
         let holder = pool.key("a");
         pool.prefixes.record_use(holder, ids(&SHARED), NOW, NOW);
