--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -3,13 +3,14 @@
 use divan::{black_box, Bencher};
 use violetline::clock::Millis;
 use violetline::direct::catalog::{EngineCapacity, TransferSpec};
-use violetline::direct::choose::choose;
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, ListedEndpoint};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::EndpointLoad;
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::EndpointLoad;
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::choose;
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 
@@ -67,6 +68,7 @@
         visibility_delay: Millis(75),
         room: RoomInputs::default(),
         draw: 1,
+        capacity: None,
     };
     bencher.bench_local(|| {
         let candidates = directory.iter().map(|(key, endpoint)| Candidate {
@@ -76,6 +78,7 @@
             record: &record,
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(black_box(demand), candidates, &prefixes, NOW)
     });
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -2,14 +2,15 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::admission::{EngineAdmission, PlainAdmission};
-use crate::direct::choose::{self, Choice};
+use crate::direct::admission::overload::{EngineAdmission, PlainAdmission};
+use crate::direct::admission::warmup::WarmUp;
 use crate::direct::decision::RefusalReason;
-use crate::direct::demand::{Candidate, Demand};
 use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::placement::candidate::Candidate;
+use crate::direct::placement::choose::{self, Choice};
+use crate::direct::placement::demand::Demand;
 use crate::direct::residency;
 use crate::direct::settings::DirectSettings;
-use crate::direct::warmup::WarmUp;
 
 impl Job<'_> {
     /// The endpoint for the next attempt: the one with the copy if the run resumes from it,
@@ -50,6 +51,7 @@
                     record: &endpoint_state.record,
                     is_warming: endpoint.warm_until(warming_time) > now,
                     is_limited: self.entry.limit(key).is_some(),
+                    relative_time: 1.0,
                 })
             });
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
@@ -140,6 +142,7 @@
             visibility_delay: self.entry.peers.borrow().visibility_delay(now),
             room: self.room(now),
             draw: rand::random(),
+            capacity: None,
         }
     }
 }
--- a/tests/changing_speed.rs
+++ b/tests/changing_speed.rs
@@ -8,14 +8,15 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::{EndpointLoad, EndpointReport};
-use violetline::direct::prefix::PrefixMap;
-use violetline::direct::room::RoomInputs;
-use violetline::direct::slowdown::Slowdown;
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::{EndpointLoad, EndpointReport};
+use violetline::direct::known::slowdown::Slowdown;
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::PrefixMap;
+use violetline::direct::placement::room::RoomInputs;
 
 const ENDPOINTS: usize = 4;
 const SLOTS: usize = 6;
@@ -144,6 +145,7 @@
         record: &endpoint.record,
         is_warming: false,
         is_limited: false,
+        relative_time: 1.0,
     });
     let demand = Demand {
         band: 2,
@@ -157,6 +159,7 @@
         visibility_delay: Millis(0),
         room: RoomInputs::default(),
         draw,
+        capacity: None,
     };
     choose(demand, candidates, &PrefixMap::default(), now).unwrap()
 }
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -5,13 +5,14 @@
 use common::listed;
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
-use violetline::direct::health::{Fault, Grade, HealthRecord};
-use violetline::direct::load::{EndpointLoad, EndpointReport, Footprint};
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::{Fault, Grade, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, EndpointReport, Footprint};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 const ENGINE: EngineCapacity = EngineCapacity {
@@ -54,6 +55,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
@@ -72,6 +74,7 @@
         visibility_delay: Millis(0),
         room: RoomInputs::default(),
         draw: 0,
+        capacity: None,
     }
 }
 
--- a/tests/direct_moves.rs
+++ b/tests/direct_moves.rs
@@ -4,15 +4,16 @@
 
 use common::listed;
 use violetline::clock::Millis;
+use violetline::direct::admission::turnover::RecentActivity;
 use violetline::direct::catalog::{EngineCapacity, TransferSpec};
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey};
-use violetline::direct::health::{Fault, HealthRecord};
-use violetline::direct::load::{EndpointLoad, Footprint};
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
-use violetline::direct::turnover::RecentActivity;
+use violetline::direct::known::health::{Fault, HealthRecord};
+use violetline::direct::known::load::{EndpointLoad, Footprint};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const NOW: Millis = Millis(10_000);
 /// Memory per token in bytes, and a link between engines in Mbit/s: 6,300 tokens are transferred in
@@ -80,6 +81,7 @@
             visibility_delay: Millis(0),
             room: self.room,
             draw: self.draw,
+            capacity: None,
         };
         let candidates = ["a", "b", "c"].iter().enumerate().map(|(i, id)| Candidate {
             key: self.key(id),
@@ -88,6 +90,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &self.prefixes, NOW).unwrap()
     }
--- a/tests/overload_replay.rs
+++ b/tests/overload_replay.rs
@@ -9,16 +9,17 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::admission::EngineAdmission;
+use violetline::direct::admission::overload::EngineAdmission;
 use violetline::direct::catalog::{EngineCapacity, TransferSpec};
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
 use violetline::direct::directory::{Change, Directory, EndpointKey};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::{EndpointLoad, Footprint, LoadSource};
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::{EndpointLoad, Footprint, LoadSource};
 use violetline::direct::peers::PeerId;
-use violetline::direct::prefix::{PrefixMap, PromptSegment};
-use violetline::direct::room::RoomInputs;
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::{PrefixMap, PromptSegment};
+use violetline::direct::placement::room::RoomInputs;
 
 const STEP: Millis = Millis(5);
 const ENGINES: usize = 8;
@@ -367,6 +368,7 @@
             visibility_delay: Millis(TELL / 2),
             room: RoomInputs::default(),
             draw,
+            capacity: None,
         };
         let entry = &self.entries[at];
         let up = (0..ENGINES).filter(|i| self.engines[*i].down_until <= now.0);
@@ -377,6 +379,7 @@
             record: &entry.records[i],
             is_warming: false,
             is_limited: false,
+            relative_time: 1.0,
         });
         choose(demand, candidates, &entry.prefixes, now)
     }
--- a/tests/plain_replay.rs
+++ b/tests/plain_replay.rs
@@ -8,14 +8,15 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::admission::PlainAdmission;
-use violetline::direct::choose::{choose, Choice};
-use violetline::direct::demand::{Candidate, Demand};
+use violetline::direct::admission::overload::PlainAdmission;
 use violetline::direct::directory::{Change, Directory, ListedEndpoint};
-use violetline::direct::health::HealthRecord;
-use violetline::direct::load::{EndpointLoad, EndpointReport};
-use violetline::direct::prefix::PrefixMap;
-use violetline::direct::room::RoomInputs;
+use violetline::direct::known::health::HealthRecord;
+use violetline::direct::known::load::{EndpointLoad, EndpointReport};
+use violetline::direct::placement::candidate::Candidate;
+use violetline::direct::placement::choose::{choose, Choice};
+use violetline::direct::placement::demand::Demand;
+use violetline::direct::placement::prefix::PrefixMap;
+use violetline::direct::placement::room::RoomInputs;
 
 const SLOTS: usize = 6;
 /// Calls that the endpoint lets wait; more are rejected.
@@ -60,6 +61,7 @@
                 record: &records[entry],
                 is_warming: false,
                 is_limited: false,
+                relative_time: 1.0,
             };
             let one = std::iter::once(candidate);
             let choice = choose(demand(), one, &PrefixMap::default(), at).unwrap();
@@ -125,6 +127,7 @@
         visibility_delay: Millis(150),
         room: RoomInputs::default(),
         draw: 0,
+        capacity: None,
     }
 }
 
