Step times of engines and capacity of mixed pools, learned from streams

Cause: an entry sends each engine a request about every 5 s and its record of the engine's speed decays with a half-life of 4 s, so it never learns which engines are slow, and prompts are priced with a fixed 50 tokens per ms.

Change: each entry records the lower quartile of the time between events of its complete streams (known/observed.rs). Events that arrive within 10 ms are averaged; times under a reported slowdown of more than a quarter are left out, since the end of the slowdown is not reported. An endpoint's value is the lower third of own streams and of up to 8 peers' reports with a weight of at most 4 streams each; it is compared with the median of the pool's known endpoints and given in steps of a quarter doubling with hysteresis. Peers get the own values, each sent twice, in one datagram per 450 ms; a new peer gets them at once. The capacity of the typical engine (known/capacity.rs) is learned from own answers and replaces the fixed prefill rate in prices. Only mixed pools of model engines are observed; until then the relative time is 1 and the capacity nominal, and choices are the same (direct_choice::nominal_capacity_same_choice). The relative time has no effect on prices yet.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -260,6 +260,14 @@
     least_urgent_patient: Option<u8>,
 }
 
+impl TimeLimits {
+    fn is_mixed(&self) -> bool {
+        let stream = self.most_urgent_stream;
+        let patient = self.least_urgent_patient;
+        matches!((stream, patient), (Some(stream), Some(patient)) if patient > stream)
+    }
+}
+
 impl Catalog {
     /// Builds a version and its indexes.
     pub fn new(
@@ -380,11 +388,17 @@
     /// Whether a pool is mixed: it serves streams that may not pause for long, and less urgent
     /// requests whose callers have at least [`PATIENT_TIMEOUT`].
     pub fn is_mixed(&self, pool: &str) -> bool {
-        self.time_limits.get(pool).is_some_and(|limits| {
-            let stream = limits.most_urgent_stream;
-            let patient = limits.least_urgent_patient;
-            matches!((stream, patient), (Some(stream), Some(patient)) if patient > stream)
-        })
+        self.time_limits.get(pool).is_some_and(TimeLimits::is_mixed)
+    }
+
+    /// Whether a pool is mixed and its endpoints are model engines.
+    pub fn is_mixed_engine_pool(&self, pool: &str) -> bool {
+        self.is_mixed(pool) && self.pool(pool).is_some_and(|pool| pool.engine.is_some())
+    }
+
+    /// Whether any pool is mixed, see [`Catalog::is_mixed`].
+    pub fn has_mixed_pool(&self) -> bool {
+        self.time_limits.values().any(TimeLimits::is_mixed)
     }
 
     /// Whether requests of a route may wait for capacity in a pool: the pool is mixed, the callers
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -323,7 +323,12 @@
     pub(super) fn forget(&self, gone: &[EndpointKey]) {
         for key in gone {
             self.endpoint_ended(*key, EndSign::Unlisted);
-            self.endpoint_states.borrow_mut().remove(*key);
+            let removed = self.endpoint_states.borrow_mut().remove(*key);
+            if let Some(endpoint_state) = removed {
+                self.observed
+                    .borrow_mut()
+                    .forget(endpoint_state.incarnation);
+            }
             self.prefixes.borrow_mut().forget(*key);
         }
     }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -32,8 +32,10 @@
 use crate::direct::directory::{Directory, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::EntryMetrics;
+use crate::direct::known::capacity::LearnedCapacity;
+use crate::direct::known::observed::ObservedEndpoints;
 use crate::direct::limits::Limits;
-use crate::direct::peers::{PeerId, PeerTable, RecentPlacements};
+use crate::direct::peers::{ObservationSchedule, PeerId, PeerTable, RecentPlacements};
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
@@ -84,6 +86,12 @@
     /// Prompts that entries of the own availability zone sent recently, to be reported to other
     /// zones.
     pub zone_placements: RefCell<RecentPlacements>,
+    /// Step times of engines of mixed pools, by own and peers' observations.
+    pub observed: RefCell<ObservedEndpoints>,
+    /// Learned capacities of engines, by name of the mixed pool.
+    pub capacities: RefCell<HashMap<String, LearnedCapacity>>,
+    /// When peers are sent observations.
+    pub observation_schedule: RefCell<ObservationSchedule>,
     /// Limits that endpoints announced for all instances together.
     pub limits: RefCell<Limits>,
     /// Permit requests to peers that wait for their responses.
@@ -180,6 +188,9 @@
             prefixes: RefCell::default(),
             placements: RefCell::default(),
             zone_placements: RefCell::default(),
+            observed: RefCell::default(),
+            capacities: RefCell::default(),
+            observation_schedule: RefCell::default(),
             limits: RefCell::default(),
             permit_requests: PendingRequests::default(),
             waiting_for_permit: Cell::default(),
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -214,6 +214,7 @@
                             .borrow()
                             .refused_notices(MAX_NOTICES_PER_MESSAGE, now);
                         send_notice_datagram(&socket, from, &refused).await;
+                        entry.greet_with_shared_state(from);
                     }
                     // The reply tells a new peer the zone of this entry at once, and so in which of
                     // its rounds to include it.
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -14,6 +14,7 @@
 use crate::direct::ends::EndSign;
 use crate::direct::entry::{ProcessState, RunGuard};
 use crate::direct::known::health::Fault;
+use crate::direct::known::observed::StreamTimes;
 use crate::direct::placement::choose::Choice;
 use crate::direct::relay::{self, RelayContext, RelayError};
 
@@ -28,6 +29,8 @@
     pub(super) run_guard: &'a RunGuard,
     /// When the request was sent.
     pub(super) sent_at: Millis,
+    /// Whether the endpoint had no other prompt left to prefill then, as far as known.
+    pub(super) was_idle: bool,
 }
 
 impl Job<'_> {
@@ -230,11 +233,18 @@
         };
         let on_first_event = || {
             self.record_first_byte(&answer.choice, answer.run_guard, answer.sent_at);
+            if answer.was_idle {
+                self.learn_prefill(&answer.choice, answer.sent_at);
+            }
             head.clone()
         };
-        let on_chunk_sent = || {
+        let mut times = self.is_observed().then(StreamTimes::default);
+        let on_chunk_sent = |events| {
             let now = self.entry.clock.now();
             self.progress.borrow_mut().chunk_sent(now);
+            if let Some(times) = &mut times {
+                times.record(now, events, self.slowdown(key, now));
+            }
         };
         let next_chunk = async |reply: &mut Reply| self.next_chunk(reply).await;
         let reply = &mut answer.reply;
@@ -252,6 +262,9 @@
                 answer.run_guard.answered();
                 self.keep_connection(key, answer.reply, response_info);
                 self.entry.endpoint_served(key);
+                if let Some(times) = times {
+                    self.learn_stream(key, &times);
+                }
                 self.log_ended(RequestOutcome::Served, status);
                 AttemptOutcome::Delivered(answerer.keeps_connection())
             }
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -6,6 +6,7 @@
 use crate::direct::admission::warmup::WarmUp;
 use crate::direct::decision::RefusalReason;
 use crate::direct::directory::{Endpoint, EndpointKey};
+use crate::direct::known::capacity::{LearnedCapacity, PoolCapacity};
 use crate::direct::placement::candidate::Candidate;
 use crate::direct::placement::choose::{self, Choice};
 use crate::direct::placement::demand::Demand;
@@ -34,6 +35,7 @@
         let settings = self.entry.settings.borrow();
         let demand = self.demand(&settings.zone, now);
         let warm_up = self.warm_up();
+        let mut observed = demand.capacity.map(|_| self.entry.observed.borrow_mut());
         let warming_time = warm_up.map_or(Millis(0), |warm_up| warm_up.time);
         let candidates = directory
             .available_in_pool(&self.pool, now)
@@ -51,7 +53,9 @@
                     record: &endpoint_state.record,
                     is_warming: endpoint.warm_until(warming_time) > now,
                     is_limited: self.entry.limit(key).is_some(),
-                    relative_time: 1.0,
+                    relative_time: observed
+                        .as_mut()
+                        .map_or(1.0, |observed| observed.relative_time(endpoint.digest, now)),
                 })
             });
         choose::choose(demand, candidates, &self.entry.prefixes.borrow(), now)
@@ -127,6 +131,18 @@
         residency::allows(self.route(), team, zone, &settings.regions)
     }
 
+    /// Whether step times and the capacity of the pool are learned.
+    pub(super) fn is_observed(&self) -> bool {
+        self.catalog.is_mixed_engine_pool(&self.pool)
+    }
+
+    /// Learned capacity of the pool's engines; `None` where it is not learned.
+    pub(super) fn pool_capacity(&self) -> Option<PoolCapacity> {
+        let capacities = self.entry.capacities.borrow();
+        let learned = capacities.get(&self.pool).map(LearnedCapacity::capacity);
+        self.is_observed().then(|| learned.unwrap_or_default())
+    }
+
     /// What the choice of an endpoint is based on, for an entry in availability zone `zone`.
     fn demand<'a>(&'a self, zone: &'a str, now: Millis) -> Demand<'a> {
         let engine = self.catalog.pool(&self.pool).and_then(|pool| pool.engine);
@@ -142,7 +158,7 @@
             visibility_delay: self.entry.peers.borrow().visibility_delay(now),
             room: self.room(now),
             draw: rand::random(),
-            capacity: None,
+            capacity: self.pool_capacity(),
         }
     }
 }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod copy;
 mod end;
+mod learn;
 mod log;
 mod permit;
 mod room;
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -121,6 +121,7 @@
             return AttemptOutcome::NotSent(key);
         };
         self.record_placement(&choice);
+        let was_idle = self.has_nothing_to_prefill(key, now);
         let run_guard = self
             .entry
             .begin_run(key, &self.pool, choice.footprint, self.fingerprint);
@@ -150,6 +151,7 @@
             choice,
             run_guard: &run_guard,
             sent_at: now,
+            was_idle,
         };
         self.handle_answer(answerer, answer).await
     }
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -1,6 +1,8 @@
-//! What an entry knows of endpoints: their load, health, momentary slowdown and capacity.
+//! What an entry knows of endpoints: their load, health, momentary slowdown, step times and
+//! capacity.
 
 pub mod capacity;
 pub mod health;
 pub mod load;
+pub mod observed;
 pub mod slowdown;
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -11,6 +11,7 @@
 mod compact;
 mod coordinator;
 mod hello;
+mod observations;
 mod placements;
 mod rounds;
 mod shared;
@@ -25,6 +26,9 @@
 pub use self::hello::{
     decode, encode, encode_within, GossipMessage, PeerId, WorkScope, MAX_DATAGRAM_BYTES,
 };
+pub use self::observations::{
+    DueObservations, ObservationSchedule, SharedObservations, SharedTime,
+};
 pub use self::placements::{PromptPlacement, RecentPlacements};
 pub use self::rounds::{
     GossipTarget, MAX_REMOTE_BYTES, MAX_ROUND_BYTES, NEIGHBORS_PER_ROUND, REMOTES_PER_ROUND,
--- a/src/direct/placement/choose.rs
+++ b/src/direct/placement/choose.rs
@@ -11,7 +11,7 @@
 use crate::direct::placement::lanes::StreamPartition;
 use crate::direct::placement::moves::{PrefixReuse, Sources};
 use crate::direct::placement::prefix::PrefixMap;
-use crate::direct::placement::price::{self, PREFILL_TOKENS_PER_MS};
+use crate::direct::placement::price;
 use crate::direct::placement::room::PoolRoom;
 
 /// Fraction of an engine's memory that running requests and cached segments are assumed to use
@@ -64,7 +64,7 @@
         .collect();
     reserve_for_streams(&demand, &mut states);
     mark_home(&demand, &mut states);
-    let backlog_ms = price::backlog_ms(&states);
+    let backlog_ms = price::backlog_ms(&demand, &states);
     let most_urgent_unread_band =
         (0..BANDS).find(|band| states.iter().any(|state| state.total.unread[*band] > 0));
     let room = demand.room.pool_room(&states, now);
@@ -144,7 +144,7 @@
     if demand.pause == Millis(0) {
         return;
     }
-    let partition = StreamPartition::compute(states, PREFILL_TOKENS_PER_MS);
+    let partition = StreamPartition::compute(states, demand.prefill_tokens_per_ms());
     for state in states {
         state.is_reserved = partition.is_reserved(state.candidate.key);
     }
--- a/src/direct/placement/demand.rs
+++ b/src/direct/placement/demand.rs
@@ -6,6 +6,7 @@
 use crate::direct::catalog::EngineCapacity;
 use crate::direct::known::capacity::PoolCapacity;
 use crate::direct::placement::prefix::PromptSegment;
+use crate::direct::placement::price::PREFILL_TOKENS_PER_MS;
 use crate::direct::placement::room::RoomInputs;
 use crate::mix_bits::mix_bits;
 
@@ -76,6 +77,17 @@
         self.draw_for(!digest) as f64 / u64::MAX as f64
     }
 
+    /// Prompt tokens that the pool's typical engine prefills per millisecond.
+    pub fn prefill_tokens_per_ms(&self) -> f64 {
+        self.capacity
+            .map_or(PREFILL_TOKENS_PER_MS, |c| c.prefill_tokens_per_ms)
+    }
+
+    /// Time that the pool's typical engine takes to prefill tokens, in ms.
+    pub fn prefill_ms(&self, tokens: f64) -> f64 {
+        tokens / self.prefill_tokens_per_ms()
+    }
+
     /// Memory of an engine of the pool, in tokens; 0 for plain services.
     pub fn memory_tokens(&self) -> u64 {
         self.engine.map_or(0, |engine| engine.memory_tokens)
--- a/src/direct/placement/price.rs
+++ b/src/direct/placement/price.rs
@@ -7,7 +7,7 @@
 use crate::direct::placement::demand::Demand;
 use crate::direct::placement::moves::PrefixReuse;
 
-/// Prompt tokens that an engine prefills per millisecond. Only the ratio to the other terms
+/// Prompt tokens that an engine prefills per millisecond, where its capacity is not learned. Only the ratio to the other terms
 /// matters: the endpoint's health record corrects the rest.
 pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// Time added by each request of the batch, in ms: each makes every step slightly longer.
@@ -138,7 +138,7 @@
         Some(_) => REPEATED_PREFILL_WEIGHT_HOME,
         None => REPEATED_PREFILL_WEIGHT,
     };
-    prefill_ms(repeated as f64)
+    demand.prefill_ms(repeated as f64)
         * (insensitive_weight * (1.0 - own) + REPEATED_PREFILL_WEIGHT_SENSITIVE * own)
 }
 
@@ -174,24 +174,19 @@
 fn random_price_ms(demand: &Demand<'_>, state: &CandidateState<'_>, unread: u64) -> f64 {
     let draw = demand.draw_for(state.candidate.endpoint.digest);
     let fraction = draw as f64 / u64::MAX as f64;
-    let prefill = prefill_ms(unread as f64);
+    let prefill = demand.prefill_ms(unread as f64);
     let visibility_factor = (demand.visibility_delay.0 as f64 / FULL_RANDOM_DELAY_MS).min(1.0);
     fraction * visibility_factor * (RANDOM_MS + prefill * RANDOM_PREFILL_WEIGHT)
 }
 
-/// Time that an engine takes to prefill tokens, in ms.
-fn prefill_ms(tokens: f64) -> f64 {
-    tokens / PREFILL_TOKENS_PER_MS
-}
-
 /// Mean time that endpoints need to prefill the prompts already assigned to them, in ms; 0 if there
 /// are none.
-pub fn backlog_ms(states: &[CandidateState<'_>]) -> f64 {
+pub fn backlog_ms(demand: &Demand<'_>, states: &[CandidateState<'_>]) -> f64 {
     let unread: f64 = states
         .iter()
         .map(|state| f64::from(state.total.total_unread()))
         .sum();
-    prefill_ms(unread) / states.len().max(1) as f64
+    demand.prefill_ms(unread) / states.len().max(1) as f64
 }
 
 /// Estimated time until the first event at an endpoint of nominal speed, in ms: prefill of the
@@ -207,7 +202,7 @@
     if demand.engine.is_none() {
         return BASE_MS + plain_time_ms(state, now);
     }
-    let prefill = prefill_ms(tokens_before(demand, total) + unread as f64);
+    let prefill = demand.prefill_ms(tokens_before(demand, total) + unread as f64);
     let batch = f64::from(total.running) * BATCHED_REQUEST_MS;
     let waiting = f64::from(candidate.load.waiting(now)) * QUEUED_REQUEST_MS;
     BASE_MS + prefill + reuse.transfer_ms(demand) + batch + waiting
@@ -262,8 +257,8 @@
     let total = state.total;
     let own = stream_equivalents(demand.pause_sensitivity);
     let others = stream_equivalents(total.pause_sensitivity);
-    let prefill = prefill_ms(unread as f64);
-    let queued = prefill_ms(f64::from(total.total_unread()));
+    let prefill = demand.prefill_ms(unread as f64);
+    let queued = demand.prefill_ms(f64::from(total.total_unread()));
     let beyond = (queued + prefill - demand.pause.0 as f64 * PAUSE_FRACTION).clamp(0.0, prefill);
     let interference =
         others * (prefill * (1.0 - own) * PREFILL_WEIGHT + beyond * EXCESS_PREFILL_WEIGHT);
@@ -273,7 +268,7 @@
         return interference;
     }
     let exposure = EXPOSURE_WEIGHT / visibility_factor(demand).powi(2);
-    interference + prefill_ms(f64::from(total.pressure)) * own * exposure
+    interference + demand.prefill_ms(f64::from(total.pressure)) * own * exposure
 }
 
 /// Price of overfull memory; 0 for plain services.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -44,6 +44,8 @@
     after: Option<u64>,
     /// Number of the last event that was returned.
     last: Option<u64>,
+    /// Number of events that the last call of [`EventReader::push`] returned.
+    pushed: u32,
 }
 
 impl EventReader {
@@ -60,6 +62,7 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.splitter.push(bytes);
         let mut out = BytesMut::new();
+        self.pushed = 0;
         while let Some(event) = self.splitter.next_event() {
             let number = event_number(&event);
             let is_old = number.is_some_and(|n| self.after.is_some_and(|after| n <= after));
@@ -67,6 +70,7 @@
                 continue;
             }
             self.last = number.or(self.last);
+            self.pushed = self.pushed.saturating_add(1);
             out.extend_from_slice(&event);
         }
         out.freeze()
@@ -82,6 +86,11 @@
         self.last
     }
 
+    /// Number of events that the last call of [`EventReader::push`] returned.
+    pub fn pushed(&self) -> u32 {
+        self.pushed
+    }
+
     /// The bytes after the last complete event, once the response has ended.
     pub fn remainder(&mut self) -> Bytes {
         self.splitter.take_rest()
@@ -99,14 +108,14 @@
 
 /// Relays events until the response ends. `next` reads a chunk of the endpoint's response, `begin`
 /// makes the head when the first event has arrived, and `sent` is called after each write to the
-/// caller.
+/// caller with the number of events in it.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
     context: RelayContext<'_>,
     next: impl AsyncFn(&mut Reply) -> Result<Option<Bytes>, ExchangeError>,
     mut begin: impl FnMut() -> actix_http::ResponseHead,
-    mut sent: impl FnMut(),
+    mut sent: impl FnMut(u32),
 ) -> Result<(), RelayError> {
     let RelayContext { position, close } = context;
     let mut at = position.get();
@@ -128,7 +137,7 @@
                 answerer.start_stream(begin(), bytes, close).await
             };
             written.map_err(|_| RelayError::Caller)?;
-            sent();
+            sent(reader.pushed());
             at.head_sent = true;
             at.last_event = reader.last().or(at.last_event);
             position.set(at);
--- a/tests/direct_choice.rs
+++ b/tests/direct_choice.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use common::listed;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
+use violetline::direct::known::capacity::PoolCapacity;
 use violetline::direct::known::health::{Fault, Grade, HealthRecord};
 use violetline::direct::known::load::{EndpointLoad, EndpointReport, Footprint};
 use violetline::direct::placement::candidate::Candidate;
@@ -300,3 +303,30 @@
     assert_eq!(pool.choose(target(5_000)).key, pool.key(1));
     assert_ne!(pool.choose(target(100)).key, pool.key(1));
 }
+
+/// Guards against choices in a mixed pool that differ although nothing has been learned yet.
+#[test]
+fn nominal_capacity_same_choice() {
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..500 {
+        let mut pool = Pool::new();
+        for load in &mut pool.loads {
+            for _ in 0..rng.gen_range(0..30) {
+                let work = footprint(rng.gen_range(0..9_000), [0, 6, 100][rng.gen_range(0..3)]);
+                load.begin(work, NOW);
+            }
+        }
+        let parts = prompt();
+        let unlearned = Demand {
+            pause_sensitivity: [0, 6, 100][rng.gen_range(0..3)],
+            visibility_delay: Millis(rng.gen_range(0..400)),
+            draw: rng.gen(),
+            ..demand(&parts)
+        };
+        let nominal = Demand {
+            capacity: Some(PoolCapacity::default()),
+            ..unlearned
+        };
+        assert_eq!(pool.choose(unlearned), pool.choose(nominal));
+    }
+}
