Refused connections don't end a request while endpoints are left

Cause: a request was given up after four endpoints in a row that could not be reached, whatever the reason. After 13 of 50 engines crashed, 45 requests were refused 17 ms after their arrival though the other engines worked.

Change: a refused connection, or one that is reset before anything was sent, is told apart from one that hangs. In a mixed pool, and in the plain pools beside one, such endpoints no longer count until the route's target has passed, as long as an endpoint is left that was not tried and is not ejected. Connections that hang count as before, and so does everything in other configurations. Nothing was sent, so attempts and the retry budget are untouched. The rule is admission/unreachable, without I/O. `placed` and `refused` lines tell how many endpoints were passed over, explain adds the lines about the endpoints that could not be reached, and direct_endpoints_passed_over_total counts them.

--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -1,7 +1,8 @@
-//! Whether and when a request is sent: overload, warm-up, and the retry budget, based on this
-//! entry's recent requests.
+//! Whether and when a request is sent: overload, warm-up, the retry budget, and unreachable
+//! endpoints, based on this entry's recent requests.
 
 pub mod budget;
 pub mod overload;
 pub mod turnover;
+pub mod unreachable;
 pub mod warmup;
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -242,6 +242,8 @@
     by_key: HashMap<String, TeamKey>,
     /// Time limits by name of the pool.
     time_limits: HashMap<String, TimeLimits>,
+    /// Whether any pool is mixed.
+    has_mixed_pool: bool,
 }
 
 /// Time limits of the routes of one pool; each is 0 where no route has one.
@@ -260,6 +262,15 @@
     least_urgent_patient: Option<u8>,
 }
 
+impl TimeLimits {
+    /// Whether the pool has streams with a longest pause and less urgent ones whose callers have
+    /// time.
+    fn is_mixed(&self) -> bool {
+        let streams = (self.most_urgent_stream, self.least_urgent_patient);
+        matches!(streams, (Some(stream), Some(patient)) if patient > stream)
+    }
+}
+
 impl Catalog {
     /// Builds a version and its indexes.
     pub fn new(
@@ -294,9 +305,11 @@
         let by_key = keyed
             .flat_map(|(i, team)| team.keys.iter().map(move |key| (key.clone(), TeamKey(i))))
             .collect();
+        let time_limits = time_limits_by_pool(&routes);
         Self {
             version,
-            time_limits: time_limits_by_pool(&routes),
+            has_mixed_pool: time_limits.values().any(TimeLimits::is_mixed),
+            time_limits,
             routes,
             pools,
             teams,
@@ -380,11 +393,14 @@
     /// Whether a pool is mixed: it serves streams that may not pause for long, and less urgent
     /// requests whose callers have at least [`PATIENT_TIMEOUT`].
     pub fn is_mixed(&self, pool: &str) -> bool {
-        self.time_limits.get(pool).is_some_and(|limits| {
-            let stream = limits.most_urgent_stream;
-            let patient = limits.least_urgent_patient;
-            matches!((stream, patient), (Some(stream), Some(patient)) if patient > stream)
-        })
+        self.time_limits.get(pool).is_some_and(TimeLimits::is_mixed)
+    }
+
+    /// Whether a request for a pool may pass over any number of endpoints that refuse the
+    /// connection: the pool is mixed, or has no model engines and stands beside a mixed pool.
+    pub fn passes_over_refused(&self, pool: &str) -> bool {
+        let is_plain = || self.pool(pool).is_some_and(|pool| pool.engine.is_none());
+        self.has_mixed_pool && (self.is_mixed(pool) || is_plain())
     }
 
     /// Whether requests of a route may wait for capacity in a pool: the pool is mixed, the callers
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -39,6 +39,8 @@
 pub enum ExchangeError {
     /// The connection was refused because nothing listens at the address; nothing was sent.
     Refused,
+    /// The connection was reset while it was being opened; nothing was sent.
+    Reset,
     /// The connection could not be opened for another reason, or not in time; nothing was sent.
     Connect,
     /// The connection failed before any byte of the request was sent.
@@ -95,15 +97,14 @@
 
 impl Connection {
     /// Opens a connection. Fails with [`ExchangeError::Refused`] where nothing listens at the
-    /// address, and with [`ExchangeError::Connect`] on any other error or timeout.
+    /// address, with [`ExchangeError::Reset`] where it was reset, and with
+    /// [`ExchangeError::Connect`] on any other error or timeout.
     pub async fn connect(address: SocketAddr) -> Result<Self, ExchangeError> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                return Err(ExchangeError::Refused)
-            }
-            _ => return Err(ExchangeError::Connect),
+            Ok(Err(err)) => return Err(connect_error(err.kind())),
+            Err(_) => return Err(ExchangeError::Connect),
         };
         set_options(&stream);
         Ok(Self {
@@ -315,6 +316,15 @@
     }
 }
 
+/// How opening a connection failed.
+fn connect_error(kind: io::ErrorKind) -> ExchangeError {
+    match kind {
+        io::ErrorKind::ConnectionRefused => ExchangeError::Refused,
+        io::ErrorKind::ConnectionReset => ExchangeError::Reset,
+        _ => ExchangeError::Connect,
+    }
+}
+
 /// Whether a response without a length ends when its connection is closed (RFC 9112, 6.3).
 fn ends_with_connection(head: &ResponseHead) -> bool {
     let bodiless = matches!(
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -29,6 +29,9 @@
 /// Number of [`LineKind`]s.
 const KIND_COUNT: usize = 4;
 
+/// Reason in [`Decision::EndpointHealth`] where no connection to the endpoint could be opened.
+pub const NO_CONNECTION: &str = "no connection";
+
 /// Why this entry refused a request that no endpoint ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -160,6 +163,9 @@
         /// Whether the run continues from its copy, because the endpoint that ran it was lost.
         #[serde(skip_serializing_if = "std::ops::Not::not", default)]
         takes_over: bool,
+        /// Number of endpoints that were passed over before because they refused the connection.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        passed_over: u32,
     },
     /// A request was refused: it was not sent, or no endpoint ran it.
     Refused {
@@ -181,6 +187,9 @@
         /// requests.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         free_endpoints: Option<usize>,
+        /// Number of endpoints that were passed over because they refused the connection.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        passed_over: u32,
     },
     /// An attempt ended without a complete response for the caller.
     AttemptFailed {
@@ -406,8 +415,8 @@
 }
 
 /// Whether a count is 0, which leaves it out of a line.
-fn is_zero(count: &u64) -> bool {
-    *count == 0
+fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
+    *count == T::default()
 }
 
 /// One line of the log.
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 use crate::clock::Millis;
-use crate::direct::decision::{Decision, LogLine, RefusalReason};
+use crate::direct::decision::{Decision, LogLine, RefusalReason, NO_CONNECTION};
 
 /// How long before a request's first line a change of state is still shown: some reads of the
 /// store.
@@ -40,13 +40,16 @@
     let endpoints: BTreeSet<&str> = lines.iter().filter(about).filter_map(endpoint).collect();
     let fingerprints: BTreeSet<String> =
         lines.iter().filter(about).filter_map(fingerprint).collect();
+    let passes_over = lines.iter().filter(about).any(passes_over_endpoints);
     let has_no_endpoint = lines.iter().filter(about).any(found_no_endpoint);
     let mut text = String::new();
     for line in &lines {
         let is_about_request = about(&line);
         let is_recent = line.up >= first - LOOKBACK && line.up <= last;
-        let is_related =
-            line.request.is_none() && is_recent && may_affect(&line.decision, &endpoints);
+        let is_related = line.request.is_none()
+            && is_recent
+            && (may_affect(&line.decision, &endpoints)
+                || (passes_over && reports_unreachable(&line.decision)));
         let reports_end = reports_ended_endpoint(&line.decision, &fingerprints);
         if is_about_request
             || is_related
@@ -125,6 +128,21 @@
     }
 }
 
+/// Whether a line reports that the request passed over endpoints that refused the connection.
+fn passes_over_endpoints(line: &LogLine) -> bool {
+    match line.decision {
+        Decision::Placed { passed_over, .. } | Decision::Refused { passed_over, .. } => {
+            passed_over > 0
+        }
+        _ => false,
+    }
+}
+
+/// Whether a line reports that an endpoint was ejected because no connection could be opened.
+fn reports_unreachable(decision: &Decision) -> bool {
+    matches!(decision, Decision::EndpointHealth { aside: true, why, .. } if why == NO_CONNECTION)
+}
+
 /// Whether a line reports that one of these endpoints (any endpoint, with `any`) wants no requests
 /// or limits their rate. Such lines are shown however old they are.
 fn reports_announcement(line: &LogLine, endpoints: &BTreeSet<&str>, any: bool) -> bool {
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -37,6 +37,7 @@
     sent_to_limited: Counter<u64>,
     permits: Counter<u64>,
     refused_with_room: Counter<u64>,
+    passed_over: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -76,6 +77,7 @@
             sent_to_limited: meter.u64_counter("direct_sent_to_limited").build(),
             permits: meter.u64_counter("direct_permits").build(),
             refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
+            passed_over: meter.u64_counter("direct_endpoints_passed_over").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -171,6 +173,12 @@
         self.refused_with_room.add(1, &labels);
     }
 
+    /// Counts an endpoint of a pool that a request passed over because it refused the connection.
+    pub fn passed_over(&self, pool: &str) {
+        let labels = [KeyValue::new("pool", pool.to_owned())];
+        self.passed_over.add(1, &labels);
+    }
+
     /// Sets the gauge `name`, such as the configuration version in force or the number of entries.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -100,7 +100,7 @@
         let connected = Connection::connect(address).await;
         matches!(
             connected,
-            Err(ExchangeError::Refused | ExchangeError::Connect)
+            Err(ExchangeError::Refused | ExchangeError::Reset | ExchangeError::Connect)
         )
     }
 }
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -61,6 +61,7 @@
         let allowed_request = AllowedRequest {
             urgency,
             free_endpoints: free,
+            passed_over: self.unreachable.passed_over(),
         };
         refuse::log(
             self.entry,
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -43,6 +43,7 @@
             limit_per_s: limit.map(Rate::per_s),
             copy: self.copy_endpoint_id(),
             takes_over: self.resumes_from_copy,
+            passed_over: self.unreachable.passed_over(),
         };
         self.entry.log.request(self.ask.id.as_bytes(), placed);
         let urgency = self.route().priority;
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -9,6 +9,7 @@
 mod room;
 mod send;
 mod turn;
+mod unreachable;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 
 use self::permit::Permit;
 use crate::clock::Millis;
+use crate::direct::admission::unreachable::{ConnectionFailure, UnreachableEndpoints};
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::{Catalog, RepeatPolicy, ResponseKind, Route};
 use crate::direct::decision::{RefusalReason, RequestOutcome};
@@ -34,9 +36,6 @@
 
 /// Time beyond a request's deadline in which the endpoint's answer is still awaited.
 const ANSWER_GRACE: Millis = Millis(60);
-/// Maximum number of endpoints that may be unreachable before a request is given up; nothing was
-/// sent to them.
-const MAX_UNREACHABLE: u32 = 4;
 
 /// How an attempt ended, or why none was made.
 #[derive(Debug)]
@@ -45,7 +44,7 @@
     /// connection stays open.
     Delivered(bool),
     /// Nothing was sent to this endpoint: it could not be reached.
-    NotSent(EndpointKey),
+    NotSent(EndpointKey, ConnectionFailure),
     /// The endpoint stopped accepting requests after it was chosen; nothing was sent.
     NotAccepting(EndpointKey),
     /// The endpoint did not run the request.
@@ -96,6 +95,8 @@
     deadline: Millis,
     /// Endpoints that it is not sent to again.
     tried: Vec<EndpointKey>,
+    /// Endpoints that could not be reached.
+    unreachable: UnreachableEndpoints,
     /// Number of attempts that were sent, or are about to be.
     attempts: u32,
     /// Whether an endpoint may have run any of it.
@@ -145,6 +146,7 @@
             pool,
             deadline,
             tried: Vec::new(),
+            unreachable: UnreachableEndpoints::default(),
             attempts: 0,
             may_have_run: false,
             last_address: None,
@@ -208,7 +210,6 @@
     /// Runs the request to its end; false if the caller's connection is to be closed.
     pub async fn run(&mut self, answerer: &mut Answerer) -> bool {
         self.count_request();
-        let mut unreachable = 0;
         loop {
             let ran_before = self.may_have_run;
             match self.attempt(answerer).await {
@@ -217,10 +218,9 @@
                     self.log_ended(RequestOutcome::CallerGone, 0);
                     return false;
                 }
-                AttemptOutcome::NotSent(key) => {
+                AttemptOutcome::NotSent(key, failure) => {
                     self.tried.push(key);
-                    unreachable += 1;
-                    if unreachable >= MAX_UNREACHABLE {
+                    if !self.may_try_another(failure) {
                         return self.give_up(answerer, RefusalReason::NoEndpoint).await;
                     }
                 }
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -8,9 +8,11 @@
 use super::answer::ReceivedAnswer;
 use super::{AttemptOutcome, Job};
 use crate::clock::Millis;
+use crate::direct::admission::unreachable::ConnectionFailure;
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::PoolShare;
 use crate::direct::channel::{Connection, ExchangeError, Reply};
+use crate::direct::decision::NO_CONNECTION;
 use crate::direct::dialect::EndpointRequest;
 use crate::direct::directory::EndpointKey;
 use crate::direct::ends::EndSign;
@@ -42,10 +44,13 @@
         if !self.take_permit(key).await {
             return AttemptOutcome::NoPermit;
         }
-        let Some(connection) = self.open_connection(key).await else {
-            self.entry
-                .endpoint_failed(key, Fault::Unreachable, "no connection");
-            return AttemptOutcome::NotSent(key);
+        let connection = match self.open_connection(key).await {
+            Ok(connection) => connection,
+            Err(failure) => {
+                self.entry
+                    .endpoint_failed(key, Fault::Unreachable, NO_CONNECTION);
+                return AttemptOutcome::NotSent(key, failure);
+            }
         };
         // No await between here and the first byte sent, so that these checks still hold then.
         let now = self.entry.clock.now();
@@ -93,18 +98,19 @@
         is_same_treatment
     }
 
-    /// A connection to an endpoint: an idle one, or a new one. `None` if it can't be reached.
-    async fn open_connection(&self, key: EndpointKey) -> Option<Connection> {
+    /// A connection to an endpoint: an idle one, or a new one. Fails if it can't be reached.
+    async fn open_connection(&self, key: EndpointKey) -> Result<Connection, ConnectionFailure> {
         if let Some(connection) = self.entry.take_idle_connection(key) {
-            return Some(connection);
+            return Ok(connection);
         }
-        let address = self.entry.directory().get(key)?.listed.address;
+        let address = self.entry.directory().get(key).map(|e| e.listed.address);
+        let address = address.ok_or(ConnectionFailure::Refused)?;
         self.entry.metrics.connection();
         let connected = Connection::connect(address).await;
         if matches!(connected, Err(ExchangeError::Refused)) {
             self.entry.endpoint_ended(key, EndSign::Refused);
         }
-        connected.ok()
+        connected.map_err(connection_failure)
     }
 
     /// Sends the request and waits for its answer; nothing is awaited before the first byte is
@@ -118,7 +124,7 @@
     ) -> AttemptOutcome {
         let key = choice.key;
         let Some(head) = self.request_head(&choice, now) else {
-            return AttemptOutcome::NotSent(key);
+            return AttemptOutcome::NotSent(key, ConnectionFailure::Refused);
         };
         self.record_placement(&choice);
         let run_guard = self
@@ -128,17 +134,17 @@
         let sending = connection.send(head, &self.incoming.body, is_own);
         let reply = match self.wait_for_head(sending, key, now).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(ExchangeError::Refused | ExchangeError::Connect | ExchangeError::NotSent)) => {
-                run_guard.undecided();
-                self.attempts -= 1;
-                self.log_failed(key, "connection failed before sending", false);
-                return AttemptOutcome::NotSent(key);
-            }
             Ok(Err(ExchangeError::Lost)) => {
                 run_guard.broken();
                 self.may_have_run = true;
                 return self.record_failure(key, Fault::Answer, "connection lost");
             }
+            Ok(Err(error)) => {
+                run_guard.undecided();
+                self.attempts -= 1;
+                self.log_failed(key, "connection failed before sending", false);
+                return AttemptOutcome::NotSent(key, connection_failure(error));
+            }
             Err(ended) => {
                 self.may_have_run = true;
                 return ended;
@@ -262,3 +268,13 @@
         heard > since
     }
 }
+
+/// What an exchange that failed before anything was sent tells of the endpoint.
+fn connection_failure(error: ExchangeError) -> ConnectionFailure {
+    match error {
+        ExchangeError::Refused | ExchangeError::Reset | ExchangeError::NotSent => {
+            ConnectionFailure::Refused
+        }
+        ExchangeError::Connect | ExchangeError::Lost => ConnectionFailure::Unanswered,
+    }
+}
--- a/src/direct/refuse.rs
+++ b/src/direct/refuse.rs
@@ -53,6 +53,8 @@
     pub urgency: u8,
     /// Number of endpoints of its pool that had capacity.
     pub free_endpoints: usize,
+    /// Number of endpoints that it passed over because they refused the connection.
+    pub passed_over: u32,
 }
 
 /// Logs a refusal. `allowed` holds the details if the request was authorized, `None` if not.
@@ -71,6 +73,7 @@
         held_ms: (entry.clock.now() - incoming.received_at).0,
         urgency: allowed.map(|allowed| allowed.urgency),
         free_endpoints: allowed.map(|allowed| allowed.free_endpoints),
+        passed_over: allowed.map_or(0, |allowed| allowed.passed_over),
     };
     entry.log.request(ask.id.as_bytes(), refused);
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -59,6 +59,7 @@
         limit_per_s: None,
         copy: None,
         takes_over: false,
+        passed_over: 0,
     }
 }
 
@@ -156,6 +157,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: None,
+        passed_over: 0,
     };
     log.request(b"9c41", refused);
     insta::assert_snapshot!(explain(&output.text(), "9c41").unwrap().text);
@@ -193,6 +195,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: None,
+        passed_over: 0,
     };
     log.request(b"9c41", refused);
     let text = explain(&output.text(), "9c41").unwrap().text;
@@ -227,6 +230,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: Some(0),
+        passed_over: 0,
     };
     log.request(b"9c42", refused);
     let text = explain(&output.text(), "9c42").unwrap().text;
@@ -248,6 +252,7 @@
         held_ms: 2,
         urgency: Some(urgency),
         free_endpoints: Some(3),
+        passed_over: 0,
     };
     for _ in 0..1_000 {
         log.request(b"less", refused(1));
