Refused connections are passed over for the target from the first connection on

Cause: the time in which endpoints that refuse the connection don't count began with the request's arrival. A request that waits at the entry beyond its target would be given up after four endpoints again.

Change: the time begins when the request first looks for a connection. A wait for a turn, for a permit or for room, which comes before, doesn't count; the request's deadline still ends it. GiveUpRule carries the period and the deadline, UnreachableEndpoints the start.

--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -44,6 +44,7 @@
         if !self.take_permit(key).await {
             return AttemptOutcome::NoPermit;
         }
+        self.unreachable.start_search(self.entry.clock.now());
         let connection = match self.open_connection(key).await {
             Ok(connection) => connection,
             Err(failure) => {
--- a/src/direct/job/unreachable.rs
+++ b/src/direct/job/unreachable.rs
@@ -1,6 +1,7 @@
 //! Endpoints of a request's pool to which nothing could be sent.
 
 use super::Job;
+use crate::clock::Millis;
 use crate::direct::admission::unreachable::{ConnectionFailure, GiveUpRule};
 
 impl Job<'_> {
@@ -23,11 +24,13 @@
         if !self.catalog.passes_over_refused(&self.pool) {
             return GiveUpRule::CountAll;
         }
-        let target = self.route().target;
-        let target_at = self.incoming.received_at + target;
-        match target.0 {
-            0 => GiveUpRule::PassOverUntil(self.deadline),
-            _ => GiveUpRule::PassOverUntil(target_at.min(self.deadline)),
+        let period = match self.route().target {
+            Millis(0) => self.deadline,
+            target => target,
+        };
+        GiveUpRule::PassOver {
+            period,
+            deadline: self.deadline,
         }
     }
 
--- a/tests/unreachable_endpoints.rs
+++ b/tests/unreachable_endpoints.rs
@@ -27,7 +27,12 @@
 const REQUESTS: u64 = 2_000;
 /// Target time of the requests.
 const TARGET: Millis = Millis(400);
-const PASS_OVER: GiveUpRule = GiveUpRule::PassOverUntil(TARGET);
+/// Time after which the requests' callers leave.
+const DEADLINE: Millis = Millis(15_000);
+const PASS_OVER: GiveUpRule = GiveUpRule::PassOver {
+    period: TARGET,
+    deadline: DEADLINE,
+};
 
 /// Number of failures until the request is given up; `None` if it never is.
 fn given_up_after(failures: &[ConnectionFailure], rule: GiveUpRule) -> Option<usize> {
@@ -94,11 +99,29 @@
 #[test]
 fn target_passed() {
     let mut unreachable = UnreachableEndpoints::default();
+    unreachable.start_search(Millis(0));
     let mut at = |ms| unreachable.may_try_another(Millis(ms), Refused, PASS_OVER, || true);
     assert!((0..10).all(|_| at(TARGET.0 - 1)));
     assert!(!at(TARGET.0));
 }
 
+/// A request that waited at the entry beyond its target was given up after four endpoints, though
+/// its first connection had only just been refused. The time ends with the caller's.
+#[test]
+fn waited_before() {
+    let last_ms = |started: u64| {
+        (started..=DEADLINE.0).rfind(|ms| {
+            let mut unreachable = UnreachableEndpoints::default();
+            unreachable.start_search(Millis(started));
+            // A later attempt doesn't start the time anew.
+            unreachable.start_search(Millis(*ms));
+            (0..10).all(|_| unreachable.may_try_another(Millis(*ms), Refused, PASS_OVER, || true))
+        })
+    };
+    assert_eq!(last_ms(9_000), Some(9_000 + TARGET.0 - 1));
+    assert_eq!(last_ms(DEADLINE.0 - 100), Some(DEADLINE.0 - 1));
+}
+
 /// The first three failures never end a request, whatever the time, as without the rule.
 #[test]
 fn first_three() {
