Endpoints that peers report as unreachable are ejected

Cause: a request to an engine that hangs is lost for a silence of three targets or more, and each entry had to lose one of its own to find out.

Change: an entry that can't reach an engine of a mixed pool tells peers at once, and repeats it in rounds for 1 s (known/reports.rs). An engine is ejected while two peers report failures of the last 2 s; the entry then passes that on with the age of the failure, so that reports expire and one false peer has no effect. An ejected engine takes the health record of one that is ejected, at most 30% of a pool at a time, until an own request is answered. An entry that failed at more than half of the engines that it tried in the last second tells nothing; that is shorter than the silence, so one that is cut off has no recent successes left. Datagrams with only reports take at most 1 KB/s, 4 KB at once; repeated and overtaken datagrams are dropped by their number. Counter direct_endpoint_reports_total and gauge endpoints_ejected_by_reports; endpoint_health in the log.

--- /dev/null
+++ b/lab/tests/observed_engines.rs
@@ -0,0 +1,59 @@
+//! Entries as processes that observe the engines of a mixed pool and share what they observed.
+
+use futures_util::future::join_all;
+use serde_json::json;
+use violetline_lab::site::*;
+
+/// Requests whose callers have time, which make the pool mixed.
+const REVIEW: ModelKind = ModelKind {
+    name: "review",
+    service: "s1",
+    priority: 2,
+    attempts: 1,
+    prompt_tokens: 600,
+    answer_tokens: 24,
+    target_ms: 1_000,
+    patience_ms: 12_000,
+};
+
+/// Entries and four engines of a pool that is mixed.
+async fn mixed_site(entries: u8) -> Site {
+    let mut site = Site::start(4).await;
+    site.kinds = vec![REVIEW];
+    site.engine_shape = Some(json!({"slots": 8, "kv_capacity": 300_000}));
+    site.configure(&["k1"]);
+    site.add_entries(entries).await;
+    site
+}
+
+/// A gauge of an entry; `None` before it is first set.
+async fn gauge(site: &Site, entry: usize, name: &str) -> Option<u64> {
+    let address = site.entries[entry].addr("admin");
+    let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let text = exchange(address, request).await.body;
+    let start = format!("direct_state{{name=\"{name}\"}} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&start));
+    value.and_then(|value| value.trim().parse().ok())
+}
+
+async fn ask(site: &Site, entry: usize, path: &str, id: &str) -> u16 {
+    let address = site.entries[entry].addr("callers");
+    exchange(address, &request(path, id, "k1")).await.status
+}
+
+/// Guards against an entry that sends to an engine which others have found to be unreachable.
+#[actix_rt::test]
+async fn unreachable_engine_reported() {
+    let site = mixed_site(3).await;
+    site.engines[0].crash().await;
+    let mut number = 0;
+    while gauge(&site, 2, "endpoints_ejected_by_reports").await != Some(1) {
+        let requests = (0..16).map(|i| {
+            let (site, id) = (&site, format!("r{number}-{i}"));
+            async move { ask(site, i % 2, "/safe/ok", &id).await }
+        });
+        join_all(requests).await;
+        number += 1;
+        assert!(number < 400, "the engine is not reported");
+    }
+}
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -177,6 +177,9 @@
         if set_aside {
             self.log_health(key, true, why);
         }
+        if fault == Fault::Unreachable {
+            self.report_unreachable(key);
+        }
     }
 
     /// Records that an endpoint served a request; logs it if the endpoint is taken back into use.
@@ -290,7 +293,7 @@
         self.suspect_lost_runs(incarnation, pool_snapshot, lost);
     }
 
-    fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
+    pub(super) fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
         if let Some(endpoint) = self.directory.borrow().get(key) {
             self.log.state_change(Decision::EndpointHealth {
                 endpoint: endpoint.listed.id.clone(),
@@ -325,9 +328,9 @@
             self.endpoint_ended(*key, EndSign::Unlisted);
             let removed = self.endpoint_states.borrow_mut().remove(*key);
             if let Some(endpoint_state) = removed {
-                self.observed
-                    .borrow_mut()
-                    .forget(endpoint_state.incarnation);
+                let digest = endpoint_state.incarnation;
+                self.observed.borrow_mut().forget(digest);
+                self.reports.borrow_mut().forget(digest);
             }
             self.prefixes.borrow_mut().forget(*key);
         }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -5,6 +5,7 @@
 mod catalog_and_list;
 mod endpoint_states;
 mod limited;
+mod observations;
 mod shared;
 mod store;
 mod suspicion;
@@ -34,6 +35,7 @@
 use crate::direct::gauge::EntryMetrics;
 use crate::direct::known::capacity::LearnedCapacity;
 use crate::direct::known::observed::ObservedEndpoints;
+use crate::direct::known::reports::EndpointReports;
 use crate::direct::limits::Limits;
 use crate::direct::peers::{ObservationSchedule, PeerId, PeerTable, RecentPlacements};
 use crate::direct::placement::prefix::PrefixMap;
@@ -90,6 +92,8 @@
     pub observed: RefCell<ObservedEndpoints>,
     /// Learned capacities of engines, by name of the mixed pool.
     pub capacities: RefCell<HashMap<String, LearnedCapacity>>,
+    /// Endpoints of mixed pools that this entry or peers could not reach.
+    pub reports: RefCell<EndpointReports>,
     /// When peers are sent observations.
     pub observation_schedule: RefCell<ObservationSchedule>,
     /// Limits that endpoints announced for all instances together.
@@ -190,6 +194,7 @@
             zone_placements: RefCell::default(),
             observed: RefCell::default(),
             capacities: RefCell::default(),
+            reports: RefCell::default(),
             observation_schedule: RefCell::default(),
             limits: RefCell::default(),
             permit_requests: PendingRequests::default(),
@@ -331,6 +336,7 @@
     /// Updates all gauges.
     pub fn update_metrics(&self) {
         let now = self.clock.now();
+        self.log_observations(now);
         let metrics = &self.metrics;
         metrics.set("catalog_version", self.version());
         metrics.set("applied_revision", self.applied());
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -4,29 +4,20 @@
 use std::net::SocketAddr;
 
 use super::Entry;
-use crate::direct::directory::EndpointKey;
-use crate::direct::peers::{self, DueObservations, PeerId, SharedKind, SharedObservations};
+use crate::direct::peers::{self, PeerId, SharedKind};
 
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
     pub fn send_shared_state(&self, to: SocketAddr) {
-        if !self.has_mixed_pool() {
-            return;
-        }
-        let now = self.clock.now();
-        let peers = self.peers.borrow().entries(now) - 1;
-        let due = self.observation_schedule.borrow_mut().due(to, peers, now);
-        if let Some(due) = due {
-            self.send_observations(to, due);
+        if self.has_mixed_pool() {
+            self.share_observations(to);
         }
     }
 
     /// Sends a peer that is new all that it is to know of the shared state.
     pub fn greet_with_shared_state(&self, to: SocketAddr) {
         if self.has_mixed_pool() {
-            let now = self.clock.now();
-            let due = self.observation_schedule.borrow_mut().greet(to, now);
-            self.send_observations(to, due);
+            self.greet_with_observations(to);
         }
     }
 
@@ -49,66 +40,6 @@
             .is_some_and(|catalog| catalog.has_mixed_pool())
     }
 
-    /// Whether the step times of a pool's endpoints are observed.
-    fn is_observed(&self, pool: &str) -> bool {
-        self.catalog()
-            .is_some_and(|catalog| catalog.is_mixed_engine_pool(pool))
-    }
-
-    /// Records the time of an event, in ms, in a complete stream of an endpoint.
-    pub fn record_stream_time(&self, key: EndpointKey, event_ms: f64) {
-        let now = self.clock.now();
-        if let Some(endpoint) = self.directory().get(key) {
-            let (digest, pool) = (endpoint.digest, &endpoint.listed.pool);
-            self.observed
-                .borrow_mut()
-                .record_stream(digest, pool, event_ms, now);
-        }
-    }
-
-    fn send_observations(&self, to: SocketAddr, due: DueObservations) {
-        let now = self.clock.now();
-        let times = self.observed.borrow().own_times(due.since, due.most, now);
-        if times.is_empty() {
-            return;
-        }
-        let shared = SharedObservations {
-            times: times.into_iter().map(Into::into).collect(),
-        };
-        let bytes = peers::encode_shared(SharedKind::Observations, self.id, &shared);
-        let (Some(socket), Some(bytes)) = (self.peer_socket.get(), bytes) else {
-            return;
-        };
-        // A peer that is down causes an error here; a later datagram makes up for it.
-        if let Err(err) = socket.try_send_to(&bytes, to) {
-            tracing::debug!(%err, %to, "observations not sent");
-        }
-    }
-
-    /// Records what a peer observed of endpoints that are listed here.
-    fn handle_observations(&self, from: PeerId, payload: &[u8]) {
-        let Some(shared) = peers::decode_shared::<SharedObservations>(payload) else {
-            tracing::debug!("malformed observations of a peer");
-            return;
-        };
-        if from == self.id || !self.has_mixed_pool() {
-            return;
-        }
-        let now = self.clock.now();
-        let directory = self.directory();
-        let mut observed = self.observed.borrow_mut();
-        for time in shared.times {
-            let key = directory.by_digest(time.endpoint);
-            let Some(endpoint) = key.and_then(|key| directory.get(key)) else {
-                continue;
-            };
-            let pool = &endpoint.listed.pool;
-            if self.is_observed(pool) {
-                observed.record_remote(from, pool, time.into(), now);
-            }
-        }
-    }
-
     fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
 
     fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -37,6 +37,7 @@
     sent_to_limited: Counter<u64>,
     permits: Counter<u64>,
     refused_with_room: Counter<u64>,
+    endpoint_reports: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -76,6 +77,7 @@
             sent_to_limited: meter.u64_counter("direct_sent_to_limited").build(),
             permits: meter.u64_counter("direct_permits").build(),
             refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
+            endpoint_reports: meter.u64_counter("direct_endpoint_reports").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -171,6 +173,12 @@
         self.refused_with_room.add(1, &labels);
     }
 
+    /// Counts a report between entries that an endpoint can't be reached.
+    pub fn endpoint_report(&self, outcome: &'static str) {
+        self.endpoint_reports
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Sets the gauge `name`, such as the configuration version in force or the number of entries.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -81,6 +81,7 @@
 
     /// Records that the endpoint answered, and the load that it reports.
     fn record_report(&self, key: EndpointKey, response_info: &ResponseInfo, now: Millis) {
+        self.entry.note_reached(key);
         self.entry.update_endpoint_state(key, |endpoint_state| {
             endpoint_state.record_contact(now);
             if let Some(report) = response_info.report {
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -36,6 +36,7 @@
         let demand = self.demand(&settings.zone, now);
         let warm_up = self.warm_up();
         let mut observed = demand.capacity.map(|_| self.entry.observed.borrow_mut());
+        let ejected = self.entry.ejected_by_reports(&endpoint_states, now);
         let warming_time = warm_up.map_or(Millis(0), |warm_up| warm_up.time);
         let candidates = directory
             .available_in_pool(&self.pool, now)
@@ -50,7 +51,7 @@
                     key,
                     endpoint,
                     load: &endpoint_state.load,
-                    record: &endpoint_state.record,
+                    record: ejected.get(&key).unwrap_or(&endpoint_state.record),
                     is_warming: endpoint.warm_until(warming_time) > now,
                     is_limited: self.entry.limit(key).is_some(),
                     relative_time: observed
--- a/src/direct/known/health.rs
+++ b/src/direct/known/health.rs
@@ -88,6 +88,15 @@
         self.ejected_until.is_some()
     }
 
+    /// This record with an ejection until `until`, or until its own one ends if that is later.
+    #[must_use]
+    pub fn with_ejection(self, until: Millis) -> Self {
+        Self {
+            ejected_until: self.ejected_until.max(Some(until)),
+            ..self
+        }
+    }
+
     /// Records a success. The ejection ends if the failure rate is low enough by then.
     pub fn succeeded(&mut self) {
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -27,7 +27,7 @@
     decode, encode, encode_within, GossipMessage, PeerId, WorkScope, MAX_DATAGRAM_BYTES,
 };
 pub use self::observations::{
-    DueObservations, ObservationSchedule, SharedObservations, SharedTime,
+    DueObservations, ObservationSchedule, SharedFailure, SharedObservations, SharedTime,
 };
 pub use self::placements::{PromptPlacement, RecentPlacements};
 pub use self::rounds::{
--- a/tests/observed_speed.rs
+++ b/tests/observed_speed.rs
@@ -7,8 +7,8 @@
 use violetline::clock::Millis;
 use violetline::direct::known::observed::{ObservedEndpoints, ObservedTime, StreamTimes};
 use violetline::direct::peers::{
-    decode_shared, encode_shared, split_shared, ObservationSchedule, PeerId, SharedKind,
-    SharedObservations, SharedTime, MAX_REMOTE_BYTES, ROUND_INTERVAL,
+    decode_shared, encode_shared, split_shared, ObservationSchedule, PeerId, SharedFailure,
+    SharedKind, SharedObservations, SharedTime, MAX_REMOTE_BYTES, ROUND_INTERVAL,
 };
 
 const POOL: &str = "chat";
@@ -282,8 +282,14 @@
         event_us: u32::MAX,
         weight_tenths: u8::MAX,
     };
+    let failure = SharedFailure {
+        endpoint: u32::MAX,
+        age_ms: u16::MAX,
+    };
     let shared = SharedObservations {
+        number: u32::MAX,
         times: vec![time; due.most],
+        unreachable: vec![failure; 24],
     };
     let bytes = encode_shared(SharedKind::Observations, PeerId(u64::MAX), &shared).unwrap();
     assert!(bytes.len() <= MAX_REMOTE_BYTES);
@@ -370,6 +376,7 @@
             let times = observed.own_times(due.since, due.most, now);
             let shared = SharedObservations {
                 times: times.into_iter().map(Into::into).collect(),
+                ..SharedObservations::default()
             };
             let from = PeerId(entry as u64);
             let bytes = encode_shared(SharedKind::Observations, from, &shared).unwrap();
