Log, metrics and explanation of observed speeds and learned capacity

Cause: nothing told an operator which engines are known to be slow, or with which capacity requests are priced.

Change: log lines endpoint_speed (when the relative time of an engine changes) and pool_capacity (when a value changes by a quarter); gauges observed_endpoints, uneven_endpoints and direct_pool_capacity; explain shows the speed of a request's endpoints however old the line is.

--- a/lab/tests/observed_engines.rs
+++ b/lab/tests/observed_engines.rs
@@ -1,5 +1,7 @@
 //! Entries as processes that observe the engines of a mixed pool and share what they observed.
 
+use std::time::Duration;
+
 use futures_util::future::join_all;
 use serde_json::json;
 use violetline_lab::site::*;
@@ -41,6 +43,52 @@
     exchange(address, &request(path, id, "k1")).await.status
 }
 
+/// Guards against a slow engine that only the entries know whose streams it ran.
+#[actix_rt::test]
+async fn slow_engine_shared() {
+    let site = mixed_site(2).await;
+    site.engines[0].set_event_pause(Duration::from_millis(60));
+    let mut number = 0;
+    while site.engines.iter().any(|engine| engine.runs() < 8) {
+        let streams = (0..8).map(|i| {
+            let (site, id) = (&site, format!("r{number}-{i}"));
+            async move { ask(site, 0, "/review/long-stream", &id).await }
+        });
+        assert_eq!(join_all(streams).await, [200; 8]);
+        number += 1;
+        assert!(number < 40, "an engine gets no streams");
+    }
+    for entry in [0, 1] {
+        wait_for("the engines are known", || async {
+            gauge(&site, entry, "observed_endpoints").await == Some(4)
+        })
+        .await;
+        wait_for("one is known to be slow", || async {
+            gauge(&site, entry, "uneven_endpoints").await == Some(1)
+        })
+        .await;
+    }
+}
+
+/// Guards against observations where no pool is mixed.
+#[actix_rt::test]
+async fn unmixed_pool_not_observed() {
+    let mut site = Site::start(4).await;
+    site.engine_shape = Some(json!({"slots": 8, "kv_capacity": 300_000}));
+    site.configure(&["k1"]);
+    site.add_entries(1).await;
+    site.engines[0].set_event_pause(Duration::from_millis(60));
+    for number in 0..6 {
+        let streams = (0..8).map(|i| {
+            let (site, id) = (&site, format!("r{number}-{i}"));
+            async move { ask(site, 0, "/stream/long-stream", &id).await }
+        });
+        assert_eq!(join_all(streams).await, [200; 8]);
+    }
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(gauge(&site, 0, "observed_endpoints").await, Some(0));
+}
+
 /// Guards against an entry that sends to an engine which others have found to be unreachable.
 #[actix_rt::test]
 async fn unreachable_engine_reported() {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -308,6 +308,28 @@
         /// Reason.
         why: String,
     },
+    /// The time that work takes at an endpoint, compared with the others of its pool, has changed
+    /// by the streams of all entries.
+    EndpointSpeed {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// Time relative to the typical endpoint of its pool.
+        relative_time: f64,
+        /// Time between two events of a stream, in ms; `None` where it is no longer known.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        event_ms: Option<f64>,
+    },
+    /// The learned capacity of a pool's typical engine has changed.
+    PoolCapacity {
+        /// Name of the pool.
+        pool: String,
+        /// Prompt tokens that it prefills per millisecond.
+        prefill_tokens_per_ms: f64,
+        /// Time of one step, in ms.
+        step_ms: f64,
+        /// Tokens in one event of a stream.
+        tokens_per_event: f64,
+    },
     /// An endpoint ended, and the runs that it had not finished were lost.
     EndpointEnded {
         /// Identity of the endpoint.
--- a/src/direct/entry/observations.rs
+++ b/src/direct/entry/observations.rs
@@ -6,6 +6,7 @@
 
 use super::{EndpointStates, Entry};
 use crate::clock::Millis;
+use crate::direct::decision::Decision;
 use crate::direct::directory::{EndpointKey, EndpointStatus};
 use crate::direct::known::health::HealthRecord;
 use crate::direct::known::reports::{Failure, ReportResult, ReportedPool};
@@ -229,8 +230,44 @@
         for digest in ended {
             self.log_report(digest, false, "reports of peers expired");
         }
+        let mut observed = self.observed.borrow_mut();
+        let changes = observed.take_changes(now);
+        let metrics = &self.metrics;
+        metrics.set("observed_endpoints", observed.known() as u64);
+        metrics.set("uneven_endpoints", observed.uneven() as u64);
         let ejected = self.reports.borrow().ejected(now).count();
-        self.metrics
-            .set("endpoints_ejected_by_reports", ejected as u64);
+        metrics.set("endpoints_ejected_by_reports", ejected as u64);
+        drop(observed);
+        let directory = self.directory();
+        for change in changes {
+            let key = directory.by_digest(change.endpoint);
+            let Some(endpoint) = key.and_then(|key| directory.get(key)) else {
+                continue;
+            };
+            self.log.state_change(Decision::EndpointSpeed {
+                endpoint: endpoint.listed.id.clone(),
+                relative_time: change.relative_time,
+                event_ms: change.event_ms,
+            });
+        }
+        drop(directory);
+        self.log_capacities();
+    }
+
+    /// Logs the learned capacity of each pool where it has changed noticeably, and updates its
+    /// gauges.
+    fn log_capacities(&self) {
+        for (pool, learned) in self.capacities.borrow_mut().iter_mut() {
+            let capacity = learned.capacity();
+            self.metrics.pool_capacity(pool, capacity);
+            if learned.take_change() {
+                self.log.state_change(Decision::PoolCapacity {
+                    pool: pool.clone(),
+                    prefill_tokens_per_ms: capacity.prefill_tokens_per_ms,
+                    step_ms: capacity.step_ms,
+                    tokens_per_event: capacity.tokens_per_event,
+                });
+            }
+        }
     }
 }
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -52,6 +52,7 @@
             || is_related
             || reports_end
             || (line.up <= last && reports_announcement(line, &endpoints, has_no_endpoint))
+            || (line.up <= last && reports_speed(&line.decision, &endpoints))
         {
             let mark = if is_about_request { "*" } else { " " };
             let at = line.up.0 as i64 - first.0 as i64;
@@ -137,6 +138,15 @@
     }
 }
 
+/// Whether a line reports how fast one of these endpoints is. It is written only when that changes,
+/// so it is shown however old it is.
+fn reports_speed(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
+    match decision {
+        Decision::EndpointSpeed { endpoint, .. } => endpoints.contains(endpoint.as_str()),
+        _ => false,
+    }
+}
+
 /// Whether a recent change of state may have influenced a request that was sent to these endpoints.
 fn may_affect(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
@@ -146,6 +156,7 @@
         Decision::Peer { .. }
         | Decision::RequestRefused { .. }
         | Decision::EndpointAnnounced { .. }
+        | Decision::EndpointSpeed { .. }
         | Decision::EndpointLimited { .. } => false,
         _ => true,
     }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -11,6 +11,7 @@
 
 use crate::announced::DeclineReason;
 use crate::direct::ends::EndSign;
+use crate::direct::known::capacity::PoolCapacity;
 use crate::direct::limits::PermitDecision;
 
 /// Bounds of the latency buckets, in ms, chosen around the targets of the configured request
@@ -38,6 +39,7 @@
     permits: Counter<u64>,
     refused_with_room: Counter<u64>,
     endpoint_reports: Counter<u64>,
+    pool_capacity: Gauge<f64>,
     state: Gauge<u64>,
 }
 
@@ -78,6 +80,7 @@
             permits: meter.u64_counter("direct_permits").build(),
             refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
             endpoint_reports: meter.u64_counter("direct_endpoint_reports").build(),
+            pool_capacity: meter.f64_gauge("direct_pool_capacity").build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -179,6 +182,22 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Sets the learned capacity of a pool's engines.
+    pub fn pool_capacity(&self, pool: &str, capacity: PoolCapacity) {
+        let values = [
+            ("prefill_tokens_per_ms", capacity.prefill_tokens_per_ms),
+            ("step_ms", capacity.step_ms),
+            ("tokens_per_event", capacity.tokens_per_event),
+        ];
+        for (name, value) in values {
+            let labels = [
+                KeyValue::new("pool", pool.to_owned()),
+                KeyValue::new("name", name),
+            ];
+            self.pool_capacity.record(value, &labels);
+        }
+    }
+
     /// Sets the gauge `name`, such as the configuration version in force or the number of entries.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/known/capacity.rs
+++ b/src/direct/known/capacity.rs
@@ -43,6 +43,9 @@
 /// longer than the time to the first event varies for other reasons.
 const MIN_TOKEN_SPREAD: f64 = 1_000.0;
 
+/// Fraction by which a value must change to be logged.
+const NOTICEABLE_CHANGE: f64 = 0.25;
+
 /// The time to the first event of a prompt that found no other prompt left to prefill.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillSample {
@@ -78,6 +81,8 @@
     /// Tokens in an event.
     event_tokens: VecDeque<f64>,
     capacity: PoolCapacity,
+    /// The capacity when its last change was taken.
+    taken: PoolCapacity,
 }
 
 impl LearnedCapacity {
@@ -86,6 +91,19 @@
         self.capacity
     }
 
+    /// Whether the capacity has changed by more than [`NOTICEABLE_CHANGE`] since this last returned
+    /// true.
+    pub fn take_change(&mut self) -> bool {
+        let (new, old) = (self.capacity, self.taken);
+        let has_changed = is_noticeable(new.prefill_tokens_per_ms, old.prefill_tokens_per_ms)
+            || is_noticeable(new.step_ms, old.step_ms)
+            || is_noticeable(new.tokens_per_event, old.tokens_per_event);
+        if has_changed {
+            self.taken = new;
+        }
+        has_changed
+    }
+
     /// Records the time to the first event of a prompt.
     pub fn record_prefill(&mut self, sample: PrefillSample) {
         let ms = sample.time.0 as f64 / sample.relative_time;
@@ -133,6 +151,10 @@
     is_usable.then(|| bounded(more_tokens / more_ms, PREFILL_BOUNDS))
 }
 
+fn is_noticeable(new: f64, old: f64) -> bool {
+    (new - old).abs() > old * NOTICEABLE_CHANGE
+}
+
 fn push<T>(samples: &mut VecDeque<T>, sample: T) {
     if samples.len() >= MAX_SAMPLES {
         samples.pop_front();
--- a/src/direct/known/observed.rs
+++ b/src/direct/known/observed.rs
@@ -134,6 +134,17 @@
     }
 }
 
+/// A change of an endpoint's relative time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SpeedChange {
+    /// Digest of the endpoint's incarnation.
+    pub endpoint: u32,
+    /// Its relative time from now on.
+    pub relative_time: f64,
+    /// Time of an event there, in ms; `None` where it is no longer known.
+    pub event_ms: Option<f64>,
+}
+
 /// Observations of one endpoint.
 #[derive(Debug, Default)]
 struct ObservedEndpoint {
@@ -177,14 +188,20 @@
         self.remote.retain(|r| r.weight(now) >= MIN_WEIGHT);
     }
 
-    /// Moves to the step of a relative time if that is clearly another one.
-    fn update_step(&mut self, relative_time: f64) -> bool {
-        let exact = (relative_time.log2() * STEPS_PER_DOUBLING).clamp(-MAX_STEP, MAX_STEP);
-        let is_other = (exact - self.step).abs() > STEP_HYSTERESIS;
-        if is_other {
+    /// Moves to the step of a relative time if that is clearly another one; returns whether it is.
+    fn update_step(&mut self, relative_time: Option<f64>) -> bool {
+        let before = self.step;
+        let exact = relative_time.map_or(0.0, |relative_time| {
+            (relative_time.log2() * STEPS_PER_DOUBLING).clamp(-MAX_STEP, MAX_STEP)
+        });
+        if (exact - self.step).abs() > STEP_HYSTERESIS {
             self.step = exact.round();
         }
-        is_other
+        self.step != before
+    }
+
+    fn relative_time(&self) -> f64 {
+        2.0_f64.powf(self.step / STEPS_PER_DOUBLING)
     }
 }
 
@@ -195,6 +212,10 @@
     /// Names of the pools.
     pools: Vec<String>,
     refreshed_at: Option<Millis>,
+    /// Number of endpoints with enough observations, as of then.
+    known: usize,
+    /// Changes that were not taken yet, by the digests of the endpoints.
+    changes: HashMap<u32, SpeedChange>,
 }
 
 impl ObservedEndpoints {
@@ -241,6 +262,7 @@
     /// Discards the observations of an endpoint whose incarnation has ended.
     pub fn forget(&mut self, digest: u32) {
         self.endpoints.remove(&digest);
+        self.changes.remove(&digest);
     }
 
     /// The own observations of endpoints with a stream since `since`, those with the newest streams
@@ -270,21 +292,25 @@
     /// pool: 0.25 to 4 in steps of a fourth of a doubling, and 1 while it is not known.
     pub fn relative_time(&mut self, digest: u32, now: Millis) -> f64 {
         self.refresh(now);
-        self.endpoints.get(&digest).map_or(1.0, |observed| {
-            2.0_f64.powf(observed.step / STEPS_PER_DOUBLING)
-        })
+        self.endpoints
+            .get(&digest)
+            .map_or(1.0, ObservedEndpoint::relative_time)
     }
 
-    /// Endpoints whose relative time is not 1, and that time.
-    pub fn uneven(&self) -> impl Iterator<Item = (u32, f64)> + '_ {
-        let uneven = self.endpoints.iter().filter(|(_, o)| o.step != 0.0);
-        uneven.map(|(digest, o)| (*digest, 2.0_f64.powf(o.step / STEPS_PER_DOUBLING)))
+    /// Number of endpoints with enough observations, as of the last comparison.
+    pub fn known(&self) -> usize {
+        self.known
     }
 
-    /// Number of endpoints with enough observations.
-    pub fn known(&self, now: Millis) -> usize {
-        let endpoints = self.endpoints.values();
-        endpoints.filter(|o| o.event_ms(now).is_some()).count()
+    /// Number of endpoints whose relative time is not 1.
+    pub fn uneven(&self) -> usize {
+        self.endpoints.values().filter(|o| o.step != 0.0).count()
+    }
+
+    /// Changes of relative times since the last call.
+    pub fn take_changes(&mut self, now: Millis) -> Vec<SpeedChange> {
+        self.refresh(now);
+        std::mem::take(&mut self.changes).into_values().collect()
     }
 
     /// Compares all endpoints again where that is due.
@@ -299,13 +325,19 @@
             observed.expire(now);
             by_pool[observed.pool].extend(observed.event_ms(now));
         }
+        self.known = by_pool.iter().map(Vec::len).sum();
         let medians: Vec<Option<f64>> = by_pool.into_iter().map(pool_median).collect();
-        for observed in self.endpoints.values_mut() {
-            match (observed.event_ms(now), medians[observed.pool]) {
-                (Some(event_ms), Some(median)) => {
-                    observed.update_step(event_ms / median);
-                }
-                _ => observed.step = 0.0,
+        for (digest, observed) in &mut self.endpoints {
+            let event_ms = observed.event_ms(now);
+            let median = medians[observed.pool];
+            let relative_time = event_ms.zip(median).map(|(own, median)| own / median);
+            if observed.update_step(relative_time) {
+                let change = SpeedChange {
+                    endpoint: *digest,
+                    relative_time: observed.relative_time(),
+                    event_ms,
+                };
+                self.changes.insert(*digest, change);
             }
         }
     }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -255,3 +255,31 @@
     log.request(b"urgent", refused(0));
     assert!(output.text().contains("\"request\":\"urgent\""));
 }
+
+/// Guards against an explanation that leaves out how fast the chosen endpoint is, which is logged
+/// only when it changes, or that shows the speeds of others.
+#[test]
+fn cause_of_late_stream() {
+    let (clock, output, log) = log();
+    let speed = |endpoint: &str| Decision::EndpointSpeed {
+        endpoint: endpoint.into(),
+        relative_time: 2.378,
+        event_ms: Some(71.5),
+    };
+    log.state_change(speed("i-1"));
+    log.state_change(speed("i-2"));
+    clock.advance(Millis(60_000));
+    log.state_change(Decision::PoolCapacity {
+        pool: "chat".into(),
+        prefill_tokens_per_ms: 68.0,
+        step_ms: 5.0,
+        tokens_per_event: 6.0,
+    });
+    log.request(b"9c41", placed("i-1"));
+    log.request(b"9c41", ended("i-1", RequestOutcome::Served));
+    let text = explain(&output.text(), "9c41").unwrap().text;
+    assert_eq!(text.lines().count(), 4, "{text}");
+    assert!(text.contains("endpoint_speed  endpoint=i-1"), "{text}");
+    assert!(!text.contains("endpoint=i-2"), "{text}");
+    assert!(text.contains("pool_capacity  pool=chat"), "{text}");
+}
--- a/tests/observed_speed.rs
+++ b/tests/observed_speed.rs
@@ -5,7 +5,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use violetline::clock::Millis;
-use violetline::direct::known::observed::{ObservedEndpoints, ObservedTime, StreamTimes};
+use violetline::direct::known::observed::{
+    ObservedEndpoints, ObservedTime, SpeedChange, StreamTimes,
+};
 use violetline::direct::peers::{
     decode_shared, encode_shared, split_shared, ObservationSchedule, PeerId, SharedFailure,
     SharedKind, SharedObservations, SharedTime, MAX_REMOTE_BYTES, ROUND_INTERVAL,
@@ -200,6 +202,12 @@
     }
 }
 
+/// Number of endpoints that are known at `now`.
+fn known(observed: &mut ObservedEndpoints, now: Millis) -> usize {
+    observed.take_changes(now);
+    observed.known()
+}
+
 /// Guards against corrupted figures being used.
 #[test]
 fn corrupted_figures_ignored() {
@@ -210,7 +218,7 @@
             observed.record_remote(PeerId(1), POOL, time, NOW);
         }
     }
-    assert_eq!(observed.known(NOW), 0);
+    assert_eq!(known(&mut observed, NOW), 0);
     let bytes = [0xff; 64];
     assert!(decode_shared::<SharedObservations>(&bytes).is_none());
 }
@@ -224,14 +232,34 @@
         let time = observed_time(1, EVENT_MS, 1.0);
         observed.record_remote(PeerId(1), POOL, time, NOW);
     }
-    assert_eq!(observed.known(NOW), 0);
+    assert_eq!(known(&mut observed, NOW), 0);
     for peer in 0..500 {
         let time = observed_time(1, EVENT_MS, 1.0);
         observed.record_remote(PeerId(peer), POOL, time, NOW);
     }
-    assert_eq!(observed.known(NOW), 1);
+    assert_eq!(known(&mut observed, NOW + Millis(2_000)), 1);
     // Eight streams decay below three after 85 s, five hundred after 443 s.
-    assert_eq!(observed.known(NOW + Millis(100_000)), 0);
+    assert_eq!(known(&mut observed, NOW + Millis(100_000)), 0);
+}
+
+/// Guards against log lines that repeat what has not changed, or that miss a change.
+#[test]
+fn changes_taken_once() {
+    let mut observed = observed(8);
+    for _ in 0..8 {
+        observed.record_stream(8, POOL, EVENT_MS * 2.0, NOW);
+    }
+    let changes = observed.take_changes(NOW);
+    let expected = SpeedChange {
+        endpoint: 8,
+        relative_time: 2.0,
+        event_ms: Some(EVENT_MS * 2.0),
+    };
+    assert_eq!(changes, [expected]);
+    assert_eq!(observed.take_changes(NOW + Millis(2_000)), []);
+    let later = observed.take_changes(NOW + Millis(600_000));
+    assert_eq!(later.len(), 1);
+    assert_eq!((later[0].relative_time, later[0].event_ms), (1.0, None));
 }
 
 /// Guards against an endpoint that was started again inheriting the speed of the former one.
@@ -422,6 +450,7 @@
         fleet.run(time);
         let correct = fleet.correct(NOW + time);
         let per_s = fleet.sent_bytes as f64 / entries as f64 / (time.0 as f64 / 1_000.0);
+        eprintln!("{entries} entries: {correct} {per_s} bytes/s");
         assert!(correct >= 0.98, "{entries} entries: {correct}");
         assert!(per_s <= 1_500.0, "{entries} entries: {per_s} bytes/s");
     }
