Learned capacity near the fastest observations

Change: the prefill rate is the one that a fifth of the long prompts exceeds, after the constant part of the time; the step time is that of the fastest fifth; the time of an event in a stream is its lower decile.

--- a/src/direct/known/capacity.rs
+++ b/src/direct/known/capacity.rs
@@ -71,6 +71,9 @@
     pub relative_time: f64,
 }
 
+/// Fraction of the samples that are taken as undisturbed by other work at their endpoint.
+const FAST_FRACTION: f64 = 0.2;
+
 /// What an entry learned of the capacity of one pool.
 #[derive(Debug, Default)]
 pub struct LearnedCapacity {
@@ -126,15 +129,16 @@
         }
         let event_tokens = self.event_tokens.iter().copied().collect();
         let tokens_per_event = bounded(median(event_tokens).round(), EVENT_BOUNDS);
-        let event_ms = median(self.event_times.iter().copied().collect());
+        let event_ms = quantile(self.event_times.iter().copied().collect(), FAST_FRACTION);
         self.capacity.tokens_per_event = tokens_per_event;
         self.capacity.step_ms = bounded(event_ms / tokens_per_event, STEP_BOUNDS_MS);
     }
 }
 
-/// Prompt tokens prefilled per millisecond: the slope between the medians of the shorter and of the
-/// longer third of the prompts, so that the constant part of the time does not count. `None` where
-/// there are too few samples or they are too similar.
+/// Prompt tokens prefilled per millisecond, by the longest third of the prompts: the rate that one
+/// in five exceeds, without the constant part of the time, which the shortest third shows. Most
+/// prompts are delayed by others that this entry does not know of. `None` where there are too few
+/// samples or they are too similar.
 fn prefill_rate(prefills: &VecDeque<(f64, f64)>) -> Option<f64> {
     if prefills.len() < MIN_SAMPLES {
         return None;
@@ -143,12 +147,17 @@
     sorted.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
     let third = sorted.len() / 3;
     let (short, long) = (&sorted[..third], &sorted[sorted.len() - third..]);
-    let tokens = |part: &[(f64, f64)]| median(part.iter().map(|(tokens, _)| *tokens).collect());
-    let time = |part: &[(f64, f64)]| median(part.iter().map(|(_, ms)| *ms).collect());
-    let more_tokens = tokens(long) - tokens(short);
-    let more_ms = time(long) - time(short);
-    let is_usable = more_tokens >= MIN_TOKEN_SPREAD && more_ms > 0.0;
-    is_usable.then(|| bounded(more_tokens / more_ms, PREFILL_BOUNDS))
+    let short_tokens = median(short.iter().map(|(tokens, _)| *tokens).collect());
+    let constant_ms = quantile(short.iter().map(|(_, ms)| *ms).collect(), FAST_FRACTION);
+    let rates = long.iter().filter_map(|(tokens, ms)| {
+        let more_tokens = tokens - short_tokens;
+        let more_ms = ms - constant_ms;
+        let is_usable = more_tokens >= MIN_TOKEN_SPREAD && more_ms > 0.0;
+        is_usable.then(|| more_tokens / more_ms)
+    });
+    let rates: Vec<f64> = rates.collect();
+    let is_enough = rates.len() * 2 >= third;
+    is_enough.then(|| bounded(quantile(rates, 1.0 - FAST_FRACTION), PREFILL_BOUNDS))
 }
 
 fn is_noticeable(new: f64, old: f64) -> bool {
@@ -167,7 +176,13 @@
 }
 
 /// Median of samples; 0 without any.
-fn median(mut samples: Vec<f64>) -> f64 {
+fn median(samples: Vec<f64>) -> f64 {
+    quantile(samples, 0.5)
+}
+
+/// The sample that a fraction of the samples lies below; 0 without any.
+fn quantile(mut samples: Vec<f64>, fraction: f64) -> f64 {
     samples.sort_unstable_by(f64::total_cmp);
-    samples.get(samples.len() / 2).copied().unwrap_or_default()
+    let at = (samples.len() as f64 * fraction) as usize;
+    samples.get(at).copied().unwrap_or_default()
 }
--- a/src/direct/known/observed.rs
+++ b/src/direct/known/observed.rs
@@ -18,6 +18,8 @@
 const MIN_GROUP_TIME: Millis = Millis(10);
 /// Groups of events that are recorded of one stream.
 const MAX_GROUPS: usize = 96;
+/// Fraction of the events of a stream that are faster than its value.
+const EVENT_FRACTION: f64 = 0.1;
 /// Reported slowdowns, as factors, during which times are used. The endpoint reports only in the
 /// heads of its answers, so the time for which a larger slowdown lasts is not known.
 const USABLE_SLOWDOWN: std::ops::RangeInclusive<f64> = 0.8..=1.25;
@@ -91,7 +93,7 @@
         self.events
     }
 
-    /// Lower quartile of the time of an event, in ms: prompts that the endpoint prefills meanwhile
+    /// Lower decile of the time of an event, in ms: prompts that the endpoint prefills meanwhile
     /// lengthen the others. `None` while fewer than [`MIN_EVENTS`] have a usable time.
     pub fn event_ms(&self) -> Option<f64> {
         let timed: u32 = self.groups.iter().map(|(_, events)| events).sum();
@@ -103,7 +105,7 @@
             .iter()
             .map(|(ms, events)| (*ms, f64::from(*events)))
             .collect();
-        weighted_quantile(&mut weighted, f64::from(timed) / 4.0)
+        weighted_quantile(&mut weighted, f64::from(timed) * EVENT_FRACTION)
     }
 }
 
