--- a/lab/tests/observed_engines.rs
+++ b/lab/tests/observed_engines.rs
@@ -46,19 +46,19 @@
 /// Guards against a slow engine that only the entries know whose streams it ran.
 #[actix_rt::test]
 async fn slow_engine_shared() {
-    let site = mixed_site(2).await;
+    let site = mixed_site(3).await;
     site.engines[0].set_event_pause(Duration::from_millis(60));
     let mut number = 0;
-    while site.engines.iter().any(|engine| engine.runs() < 8) {
+    while site.engines.iter().any(|engine| engine.runs() < 12) {
         let streams = (0..8).map(|i| {
             let (site, id) = (&site, format!("r{number}-{i}"));
-            async move { ask(site, 0, "/review/long-stream", &id).await }
+            async move { ask(site, i % 2, "/review/long-stream", &id).await }
         });
         assert_eq!(join_all(streams).await, [200; 8]);
         number += 1;
         assert!(number < 40, "an engine gets no streams");
     }
-    for entry in [0, 1] {
+    for entry in [0, 1, 2] {
         wait_for("the engines are known", || async {
             gauge(&site, entry, "observed_endpoints").await == Some(4)
         })
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -177,8 +177,9 @@
         if set_aside {
             self.log_health(key, true, why);
         }
-        if fault == Fault::Unreachable {
-            self.report_unreachable(key);
+        match fault {
+            Fault::Unreachable => self.report_unreachable(key),
+            Fault::Answer => {}
         }
     }
 
--- a/src/direct/entry/observations.rs
+++ b/src/direct/entry/observations.rs
@@ -170,8 +170,10 @@
             });
         }
         let mut is_confirmed = false;
+        let mut pool_sizes = HashMap::new();
         for failure in shared.unreachable {
-            is_confirmed |= self.handle_report(from, failure.received(now), now);
+            let failure = failure.received(now);
+            is_confirmed |= self.handle_report(from, failure, &mut pool_sizes, now);
         }
         if is_confirmed {
             self.send_reports(now);
@@ -179,9 +181,18 @@
     }
 
     /// Records a peer's report of an unreachable endpoint; true if it is ejected from now on.
-    fn handle_report(&self, from: PeerId, failure: Failure, now: Millis) -> bool {
+    /// `pool_sizes` keeps the sizes of pools between the reports of one datagram.
+    fn handle_report(
+        &self,
+        from: PeerId,
+        failure: Failure,
+        pool_sizes: &mut HashMap<String, usize>,
+        now: Millis,
+    ) -> bool {
         let result = self.with_observed_pool(failure.endpoint, |name| {
-            let endpoints = self.pool_size(name);
+            let known = pool_sizes.get(name).copied();
+            let endpoints = known.unwrap_or_else(|| self.pool_size(name));
+            pool_sizes.insert(name.to_owned(), endpoints);
             let pool = ReportedPool { name, endpoints };
             let mut reports = self.reports.borrow_mut();
             reports.record_report(from, failure, pool, now)
--- a/src/direct/known/observed.rs
+++ b/src/direct/known/observed.rs
@@ -29,8 +29,9 @@
 const MAX_OWN_STREAMS: usize = 12;
 /// Peers whose observations are kept for an endpoint.
 const MAX_SOURCES: usize = 8;
-/// Largest weight of what one peer observed, in streams.
-const MAX_SOURCE_WEIGHT: f64 = 4.0;
+/// Largest weight of what one peer observed, in streams: less than [`MIN_KNOWN_WEIGHT`], so that no
+/// peer alone decides a value.
+const MAX_SOURCE_WEIGHT: f64 = 2.5;
 /// Weight of all observations of an endpoint from which on its value is used, in streams.
 const MIN_KNOWN_WEIGHT: f64 = 3.0;
 /// Fraction of the weight that lies below the value of an endpoint. Streams beside prompts take
@@ -201,6 +202,9 @@
     }
 
     fn relative_time(&self) -> f64 {
+        if self.step == 0.0 {
+            return 1.0;
+        }
         2.0_f64.powf(self.step / STEPS_PER_DOUBLING)
     }
 }
--- a/tests/observed_speed.rs
+++ b/tests/observed_speed.rs
@@ -133,14 +133,14 @@
 fn single_stream_without_effect() {
     for odd in [0.1, 3_000.0] {
         for streams in [0, 2, 3, 8] {
-            let mut observed = observed(streams);
-            observed.record_stream(0, POOL, odd, NOW);
-            for endpoint in 0..4 {
-                assert_eq!(
-                    observed.relative_time(endpoint, NOW),
-                    1.0,
-                    "{odd} {streams}"
-                );
+            let mut observed = observed(8);
+            for _ in 0..streams {
+                observed.record_stream(9, POOL, EVENT_MS, NOW);
+            }
+            observed.record_stream(9, POOL, odd, NOW);
+            for endpoint in [0, 1, 2, 3, 9] {
+                let relative = observed.relative_time(endpoint, NOW);
+                assert_eq!(relative, 1.0, "{odd} {streams}");
             }
         }
     }
@@ -192,13 +192,13 @@
             assert_eq!(observed.relative_time(endpoint, NOW), 1.0);
         }
     }
-    let mut only_peer = ObservedEndpoints::default();
-    for endpoint in 0..4 {
-        let time = observed_time(endpoint, 9_000.0, 25.0);
-        only_peer.record_remote(PeerId(1), POOL, time, NOW);
-    }
-    for endpoint in 0..4 {
-        assert_eq!(only_peer.relative_time(endpoint, NOW), 1.0);
+    for event_ms in [0.06, 9_000.0] {
+        let mut observed = observed(6);
+        observed.record_remote(PeerId(1), POOL, observed_time(0, event_ms, 25.0), NOW);
+        observed.record_remote(PeerId(1), POOL, observed_time(9, event_ms, 25.0), NOW);
+        for endpoint in [0, 9] {
+            assert_eq!(observed.relative_time(endpoint, NOW), 1.0, "{event_ms}");
+        }
     }
 }
 
