Streams on uneven engines of mixed pools

Cause: the most urgent streams of one deployment were late by pauses (916 of 1,020 late ones), 46% of them at the slowest third of the engines and 42% beside long prompts: the partition of a pool was empty as soon as the streams needed more than 12% of it, and did not know speeds. Change: in a mixed pool whose endpoints differ in speed (a fifth of them take 1.5 times the typical time or more), the fastest endpoints are reserved for latency-sensitive streams, by what engines of the learned capacity carry; requests that allow long pauses have no room there; prices count the risk of a pause; homes of shared parts are endpoints that are never reserved; short prompts allow for those that are not visible yet. Other pools are as before.

--- a/src/direct/admission/turnover.rs
+++ b/src/direct/admission/turnover.rs
@@ -110,6 +110,8 @@
                 .map(|yielding_arrivals| count_since(yielding_arrivals, since))
                 .sum(),
             yielding_arrivals: count_since(&self.yielding_arrivals[band], since),
+            arrivals_per_ms: count_since(&self.arrivals[band], now - WINDOW) as f64
+                / WINDOW.0 as f64,
             started: count_since(&self.started, since),
             ended: count_since(&self.ended, since),
             rejected_fraction: self.rejected_fraction(now),
@@ -125,6 +127,8 @@
     pub more_urgent_arrivals: usize,
     /// Arrivals of the band that leave slots free for more urgent ones.
     pub yielding_arrivals: usize,
+    /// Arrivals of the band per millisecond, on average within [`WINDOW`].
+    pub arrivals_per_ms: f64,
     /// Requests that were started at an endpoint.
     pub started: usize,
     /// Requests that ended there.
--- a/src/direct/placement/candidate.rs
+++ b/src/direct/placement/candidate.rs
@@ -39,6 +39,11 @@
     pub transferable_tokens: u64,
     /// Whether it is reserved for latency-sensitive streams.
     pub is_reserved: bool,
+    /// Whether it may be reserved for them under another load.
+    pub may_be_reserved: bool,
+    /// Prompt tokens that other entries are assumed to have sent there and that are not visible here
+    /// yet; 0 where the capacity of the pool is not learned.
+    pub unseen_tokens: f64,
     /// If this endpoint is their home, the number of shared tokens of the prompt that no endpoint
     /// is known to have cached; `None` otherwise.
     pub uncached_home_tokens: Option<u64>,
--- a/src/direct/placement/choose.rs
+++ b/src/direct/placement/choose.rs
@@ -8,11 +8,13 @@
 use crate::direct::known::load::{EndpointWork, Footprint, BANDS};
 use crate::direct::placement::candidate::{Candidate, CandidateState};
 use crate::direct::placement::demand::Demand;
-use crate::direct::placement::lanes::StreamPartition;
+use crate::direct::placement::lanes::{self, StreamPartition};
 use crate::direct::placement::moves::{PrefixReuse, Sources};
+use crate::direct::placement::pause_risk;
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::placement::price;
-use crate::direct::placement::room::PoolRoom;
+use crate::direct::placement::room::{self, PoolRoom};
+use crate::direct::placement::unseen;
 
 /// Fraction of an engine's memory that running requests and cached segments are assumed to use
 /// together; the rest is a margin for work that is not known here yet.
@@ -36,6 +38,10 @@
     pub reuse: PrefixReuse,
     /// Mean time that the candidates need to prefill the prompts already assigned to them, in ms.
     pub backlog_ms: f64,
+    /// Whether the endpoint is reserved for latency-sensitive streams.
+    pub is_reserved: bool,
+    /// Number of endpoints that are.
+    pub reserved_endpoints: usize,
     /// Whether all slots of the endpoint are taken.
     pub is_full: bool,
     /// Whether the endpoint has a slot for the request, in addition to those reserved for more
@@ -54,7 +60,7 @@
 
 /// Chooses among `candidates`; returns `None` if there is none.
 pub fn choose<'a>(
-    demand: Demand<'a>,
+    mut demand: Demand<'a>,
     candidates: impl Iterator<Item = Candidate<'a>>,
     prefixes: &PrefixMap,
     now: Millis,
@@ -62,12 +68,14 @@
     let mut states: Vec<CandidateState<'a>> = candidates
         .map(|c| candidate_state(&demand, c, prefixes, now))
         .collect();
+    demand.capacity = demand.capacity.filter(|_| lanes::is_uneven(&states));
     reserve_for_streams(&demand, &mut states);
     mark_home(&demand, &mut states);
     let backlog_ms = price::backlog_ms(&demand, &states);
     let most_urgent_unread_band =
         (0..BANDS).find(|band| states.iter().any(|state| state.total.unread[*band] > 0));
-    let room = demand.room.pool_room(&states, now);
+    let room = demand.room.pool_room(&demand, &states, now);
+    unseen::assume_unseen(&demand, &mut states, &room);
     let mut best: Option<(Rank, Choice)> = None;
     let sources = Sources::find(&demand, &states, now);
     for state in &states {
@@ -93,6 +101,7 @@
     }
     best.map(|(_, choice)| Choice {
         backlog_ms,
+        reserved_endpoints: states.iter().filter(|state| state.is_reserved).count(),
         admitted_fraction: room.admitted_fraction,
         most_urgent_unread_band,
         ..choice
@@ -115,13 +124,16 @@
         candidate,
         total,
         is_reserved: false,
+        may_be_reserved: false,
+        unseen_tokens: 0.0,
         uncached_home_tokens: None,
     }
 }
 
 /// Marks the home of the prompt's deepest shared segment: the healthy endpoint with the highest
-/// weight for it. Shared tokens that no endpoint is known to cache are prefilled there, whichever
-/// entry sends the request.
+/// weight for it, among those that are never reserved for streams if the request avoids these.
+/// Shared tokens that no endpoint is known to cache are prefilled there, whichever entry sends the
+/// request.
 fn mark_home(demand: &Demand<'_>, states: &mut [CandidateState<'_>]) {
     if demand.engine.is_none() || demand.shared_tokens() == 0 {
         return;
@@ -129,9 +141,11 @@
     let max_cached = states.iter().map(|state| state.cached_tokens).max();
     let weight =
         |state: &&mut CandidateState<'_>| demand.home_weight(state.candidate.endpoint.digest);
+    let avoids_reserved = room::avoids_reserved(demand, states);
     let healthy = states
         .iter_mut()
-        .filter(|state| !state.candidate.record.is_ejected());
+        .filter(|state| !state.candidate.record.is_ejected())
+        .filter(|state| !avoids_reserved || !state.may_be_reserved);
     if let Some(home) = healthy.max_by_key(weight) {
         let most_cached = max_cached.unwrap_or_default();
         home.uncached_home_tokens = Some(demand.shared_tokens().saturating_sub(most_cached));
@@ -144,9 +158,13 @@
     if demand.pause == Millis(0) {
         return;
     }
-    let partition = StreamPartition::compute(states, demand.prefill_tokens_per_ms());
+    let partition = match &demand.capacity {
+        Some(capacity) => StreamPartition::by_capacity(states, capacity, demand.pause),
+        None => StreamPartition::compute(states, price::PREFILL_TOKENS_PER_MS),
+    };
     for state in states {
         state.is_reserved = partition.is_reserved(state.candidate.key);
+        state.may_be_reserved = partition.may_be_reserved(state.candidate.key);
     }
 }
 
@@ -174,7 +192,7 @@
         band: demand.band,
         unread: u32::try_from(unread).unwrap_or(u32::MAX),
         held: u32::try_from(prompt + demand.output_tokens).unwrap_or(u32::MAX),
-        pause_sensitivity: demand.pause_sensitivity,
+        pause_sensitivity: pause_risk::counted_sensitivity(demand),
     };
     Choice {
         key: candidate.key,
@@ -185,6 +203,8 @@
         reuse,
         backlog_ms: 0.0,
         has_room: true,
+        is_reserved: state.is_reserved,
+        reserved_endpoints: 0,
         admitted_fraction: 1.0,
         most_urgent_unread_band: None,
         is_full: candidate.load.occupancy(now) >= candidate.endpoint.listed.slots,
@@ -197,7 +217,7 @@
     if demand.engine.is_none() {
         return true;
     }
-    !state.candidate.load.is_full(now) && room.free_slots(state) > 0.0
+    room.may_use(state) && !state.candidate.load.is_full(now) && room.free_slots(state) > 0.0
 }
 
 /// Time of last use from which segments are still cached at an endpoint: running requests leave the
--- a/src/direct/placement/demand.rs
+++ b/src/direct/placement/demand.rs
@@ -77,6 +77,12 @@
         self.draw_for(!digest) as f64 / u64::MAX as f64
     }
 
+    /// Random number from 0 to 1 for the prompts that are not visible yet at an endpoint, by the digest
+    /// of its identity; independent of the others.
+    pub fn unseen_draw(&self, digest: u32) -> f64 {
+        self.draw_for(digest.reverse_bits()) as f64 / u64::MAX as f64
+    }
+
     /// Prompt tokens that the pool's typical engine prefills per millisecond.
     pub fn prefill_tokens_per_ms(&self) -> f64 {
         self.capacity
--- a/src/direct/placement/price.rs
+++ b/src/direct/placement/price.rs
@@ -6,6 +6,7 @@
 use crate::direct::placement::candidate::{Candidate, CandidateState};
 use crate::direct::placement::demand::Demand;
 use crate::direct::placement::moves::PrefixReuse;
+use crate::direct::placement::pause_risk;
 
 /// Prompt tokens that an engine prefills per millisecond, where its capacity is not learned. Only the ratio to the other terms
 /// matters: the endpoint's health record corrects the rest.
@@ -22,7 +23,7 @@
 /// Weight of the time beyond the target, in addition to that time itself. A request that is in time
 /// next to streams is preferred to one that is late apart from them, and no request waits past its
 /// target for an endpoint that has its prefix cached.
-const LATE_WEIGHT: f64 = 6.0;
+pub const LATE_WEIGHT: f64 = 6.0;
 /// Weight of the prefill time, for each latency-sensitive stream at the same engine. Without it and
 /// [`EXCESS_PREFILL_WEIGHT`], prompts are prefilled next to streams and make them late.
 const PREFILL_WEIGHT: f64 = 1.0;
@@ -110,17 +111,35 @@
     now: Millis,
 ) -> f64 {
     let unread = demand.prompt_tokens() - reuse.reused_tokens();
-    latency_price_ms(demand, expected_ms(demand, state, reuse, now))
+    let unseen_ms =
+        demand.prefill_ms(state.unseen_tokens) * relative_time(demand, &state.candidate);
+    latency_price_ms(demand, expected_ms(demand, state, reuse, now) + unseen_ms)
         + batch_price_ms(demand, state)
         + memory_price_ms(demand, state.total)
-        + interference_price_ms(demand, state, unread)
+        + streams_price_ms(demand, state, unread, now)
         + zone_and_warm_up_price_ms(demand, &state.candidate)
         + repeated_prefill_price_ms(demand, state, reuse)
         + reuse.moved as f64 * TRANSFERRED_TOKEN_MS
-        + partition_price_ms(demand, state)
         + random_price_ms(demand, state, unread)
 }
 
+/// Price of prefill and streams at the same endpoint: by the risk of a pause where the capacity of the
+/// pool's engines is known, otherwise by the prefill alone.
+fn streams_price_ms(
+    demand: &Demand<'_>,
+    state: &CandidateState<'_>,
+    unread: u64,
+    now: Millis,
+) -> f64 {
+    match &demand.capacity {
+        Some(capacity) => {
+            pause_risk::own_cost_ms(demand, state, capacity, now)
+                + pause_risk::caused_cost_ms(demand, state, capacity, unread, now)
+        }
+        None => interference_price_ms(demand, state, unread) + partition_price_ms(demand, state),
+    }
+}
+
 /// Price of prefilling shared tokens that are cached at another endpoint, or that no endpoint has
 /// cached and that belong at another home. Without it, entries that don't hear of each other's
 /// placements would have the tokens prefilled at every endpoint. At their home the price is lower:
@@ -179,6 +198,12 @@
     fraction * visibility_factor * (RANDOM_MS + prefill * RANDOM_PREFILL_WEIGHT)
 }
 
+/// Time that work takes at an endpoint relative to the typical one, as far as it is known for the
+/// pool.
+fn relative_time(demand: &Demand<'_>, candidate: &Candidate<'_>) -> f64 {
+    demand.capacity.map_or(1.0, |_| candidate.relative_time)
+}
+
 /// Mean time that endpoints need to prefill the prompts already assigned to them, in ms; 0 if there
 /// are none.
 pub fn backlog_ms(demand: &Demand<'_>, states: &[CandidateState<'_>]) -> f64 {
@@ -186,10 +211,15 @@
         .iter()
         .map(|state| f64::from(state.total.total_unread()))
         .sum();
-    demand.prefill_ms(unread) / states.len().max(1) as f64
+    // Endpoints of the typical speed that prefill as much as all together.
+    let typical: f64 = states
+        .iter()
+        .map(|state| 1.0 / relative_time(demand, &state.candidate))
+        .sum();
+    demand.prefill_ms(unread) / typical.max(1.0)
 }
 
-/// Estimated time until the first event at an endpoint of nominal speed, in ms: prefill of the
+/// Estimated time until the first event at an endpoint that works as fast as it is known to, in ms: prefill of the
 /// prompts ahead and of the request itself, transfer, batch, and queued requests.
 pub fn nominal_time_ms(
     demand: &Demand<'_>,
@@ -205,7 +235,8 @@
     let prefill = demand.prefill_ms(tokens_before(demand, total) + unread as f64);
     let batch = f64::from(total.running) * BATCHED_REQUEST_MS;
     let waiting = f64::from(candidate.load.waiting(now)) * QUEUED_REQUEST_MS;
-    BASE_MS + prefill + reuse.transfer_ms(demand) + batch + waiting
+    let relative_time = relative_time(demand, candidate);
+    BASE_MS + (prefill + batch) * relative_time + reuse.transfer_ms(demand) + waiting
 }
 
 /// Prompt tokens that are prefilled before the request's own; less urgent ones count in part.
--- a/src/direct/placement/room.rs
+++ b/src/direct/placement/room.rs
@@ -10,6 +10,8 @@
 use crate::clock::Millis;
 use crate::direct::admission::turnover::RecentActivity;
 use crate::direct::placement::candidate::CandidateState;
+use crate::direct::placement::demand::Demand;
+use crate::direct::placement::pause_risk;
 
 /// Fraction of an endpoint's slots that less urgent requests leave free for each more urgent band.
 const RESERVED_FRACTION_PER_BAND: f64 = 0.125;
@@ -55,13 +57,20 @@
     unseen_starts: f64,
     /// Slots that the request may use at an endpoint, on average.
     mean_free_slots: f64,
+    /// Whether the request has no room at endpoints that are reserved for streams.
+    avoids_reserved: bool,
     /// Fraction of the arriving less urgent requests that may be sent; 1 or more if all may.
     pub admitted_fraction: f64,
 }
 
 impl RoomInputs {
     /// Computes what a request may use at all endpoints of a pool.
-    pub fn pool_room(&self, states: &[CandidateState<'_>], now: Millis) -> PoolRoom {
+    pub fn pool_room(
+        &self,
+        demand: &Demand<'_>,
+        states: &[CandidateState<'_>],
+        now: Millis,
+    ) -> PoolRoom {
         let entries = self.entries.max(1);
         let others = (entries - 1) as f64 / states.len().max(1) as f64;
         let rejected = self.recent.rejected_fraction * REJECTION_FACTOR;
@@ -72,13 +81,14 @@
                 .min(MAX_RESERVED_FRACTION),
             unseen_starts: self.recent.started as f64 * others,
             mean_free_slots: 0.0,
+            avoids_reserved: avoids_reserved(demand, states),
             admitted_fraction: 1.0,
         };
-        let total_free: f64 = states
-            .iter()
-            .map(|state| room.free_slots(state).max(0.0))
-            .sum();
-        room.mean_free_slots = total_free / states.len().max(1) as f64;
+        let usable = states.iter().filter(|state| room.may_use(state));
+        let (count, total_free) = usable.fold((0_usize, 0.0), |(count, free), state| {
+            (count + 1, free + room.free_slots(state).max(0.0))
+        });
+        room.mean_free_slots = total_free / count.max(1) as f64;
         let own =
             total_free * self.entry_share(states, now) * BURST_FACTOR + self.recent.ended as f64;
         // Arrivals of more urgent bands are served first; otherwise a middle band would be refused
@@ -111,7 +121,23 @@
     }
 }
 
+/// Whether a request leaves the endpoints that are reserved for streams to these: it is not
+/// latency-sensitive, and another healthy endpoint could take it, now or when it has a free slot.
+/// Only where the capacity of the pool is learned.
+pub fn avoids_reserved(demand: &Demand<'_>, states: &[CandidateState<'_>]) -> bool {
+    demand.capacity.is_some()
+        && pause_risk::counted_sensitivity(demand) == 0
+        && states
+            .iter()
+            .any(|state| !state.is_reserved && !state.candidate.record.is_ejected())
+}
+
 impl PoolRoom {
+    /// Whether the request may use slots of an endpoint at all.
+    pub fn may_use(&self, state: &CandidateState<'_>) -> bool {
+        !(self.avoids_reserved && state.is_reserved)
+    }
+
     /// Slots of an endpoint that the request may use, as far as known; 0 or less if there are none.
     pub fn free_slots(&self, state: &CandidateState<'_>) -> f64 {
         let slots = f64::from(state.candidate.endpoint.listed.slots.max(1));
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -92,6 +92,8 @@
         cached_tokens: 0,
         transferable_tokens: 0,
         is_reserved: false,
+        may_be_reserved: false,
+        unseen_tokens: 0.0,
         uncached_home_tokens: None,
         candidate,
     }
--- a/tests/room_left.rs
+++ b/tests/room_left.rs
@@ -113,6 +113,7 @@
     recent: RecentActivity {
         more_urgent_arrivals: 0,
         yielding_arrivals: 0,
+        arrivals_per_ms: 0.0,
         started: 0,
         ended: 0,
         rejected_fraction: 0.0,
