--- a/src/direct/answerer.rs
+++ b/src/direct/answerer.rs
@@ -121,9 +121,14 @@
         self.codec.encode(Message::Chunk(chunk), &mut self.out)
     }
 
+    /// Whether a response was begun and a cancelled or failed write left a part of it unwritten.
+    /// Nothing may follow it then.
+    pub fn is_broken_off(&self) -> bool {
+        !self.out.is_empty()
+    }
+
+    /// Writes all encoded bytes. If it is cancelled, only the unwritten ones are left.
     async fn flush(&mut self) -> io::Result<()> {
-        let written = self.writer.write_all(&self.out).await;
-        self.out.clear();
-        written
+        self.writer.write_all_buf(&mut self.out).await
     }
 }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -94,7 +94,7 @@
     Unknown,
     /// Its deadline passed.
     TimeOver,
-    /// The stream broke off and could not be resumed.
+    /// The stream broke off and could not be resumed, or the caller did not read the answer in time.
     Broken,
     /// The caller disconnected.
     CallerGone,
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -163,7 +163,7 @@
 
     /// Ends a request whose deadline has passed. False if the connection is to be closed.
     pub(super) async fn end_at_deadline(&self, answerer: &mut Answerer) -> bool {
-        if self.position.get().head_sent {
+        if self.position.get().head_sent || answerer.is_broken_off() {
             return self.end_broken_stream();
         }
         if !self.may_have_run {
@@ -179,7 +179,7 @@
         .await
     }
 
-    /// Ends a stream that can't be completed; its connection is closed without the stream's end.
+    /// Ends a response that can't be completed; its connection is closed without the response's end.
     fn end_broken_stream(&self) -> bool {
         self.log_ended(RequestOutcome::Broken, 0);
         false
