Reserved endpoints in the decision log and the metrics; tests of the partition by capacity

Cause: an operator could not see how many endpoints of an uneven pool are reserved for streams, and no test showed that the partition follows the load. Change: fields reserved_endpoints and reserved of placed lines, gauge reserved_endpoints; three tests.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -141,6 +141,12 @@
         moved_from: Option<String>,
         /// Prompt tokens that it has to prefill.
         unread: u32,
+        /// Number of endpoints of the pool that are reserved for latency-sensitive streams.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        reserved_endpoints: usize,
+        /// Whether the endpoint is one of them.
+        #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+        reserved: bool,
         /// Requests running at the endpoint, of all entries as far as known.
         running: u32,
         /// Version of the configuration in force.
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -25,6 +25,10 @@
         if limit.is_some() {
             self.entry.metrics.sent_to_limited();
         }
+        if choice.reserved_endpoints > 0 {
+            let reserved = choice.reserved_endpoints as u64;
+            self.entry.metrics.set("reserved_endpoints", reserved);
+        }
         let placed = Decision::Placed {
             route: self.route().name.clone(),
             endpoint: endpoint.into(),
@@ -35,6 +39,8 @@
             moved: choice.reuse.moved,
             moved_from: self.source_endpoint_id(choice),
             unread: choice.footprint.unread,
+            reserved_endpoints: choice.reserved_endpoints,
+            reserved: choice.reserved_endpoints > 0 && choice.is_reserved,
             running,
             catalog: self.catalog.version,
             proof_age_ms: self.entry.proof_age().map(|age| age.0),
--- a/src/direct/placement/choose.rs
+++ b/src/direct/placement/choose.rs
@@ -40,7 +40,7 @@
     pub backlog_ms: f64,
     /// Whether the endpoint is reserved for latency-sensitive streams.
     pub is_reserved: bool,
-    /// Number of endpoints that are.
+    /// Number of endpoints of an uneven mixed pool that are; 0 for other pools.
     pub reserved_endpoints: usize,
     /// Whether all slots of the endpoint are taken.
     pub is_full: bool,
@@ -78,6 +78,10 @@
     unseen::assume_unseen(&demand, &mut states, &room);
     let mut best: Option<(Rank, Choice)> = None;
     let sources = Sources::find(&demand, &states, now);
+    let reserved_endpoints = match demand.capacity {
+        Some(_) => states.iter().filter(|state| state.is_reserved).count(),
+        None => 0,
+    };
     for state in &states {
         let cached = PrefixReuse::cached(state.cached_tokens);
         let moved = sources.reuse(state);
@@ -101,7 +105,7 @@
     }
     best.map(|(_, choice)| Choice {
         backlog_ms,
-        reserved_endpoints: states.iter().filter(|state| state.is_reserved).count(),
+        reserved_endpoints,
         admitted_fraction: room.admitted_fraction,
         most_urgent_unread_band,
         ..choice
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -51,6 +51,8 @@
         moved: 0,
         moved_from: None,
         unread: 2_890,
+        reserved_endpoints: 0,
+        reserved: false,
         running: 4,
         catalog: 7,
         proof_age_ms: Some(900),
--- a/tests/direct_lanes.rs
+++ b/tests/direct_lanes.rs
@@ -6,6 +6,7 @@
 use violetline::clock::Millis;
 use violetline::direct::catalog::EngineCapacity;
 use violetline::direct::directory::{Change, Directory, EndpointKey, ListedEndpoint};
+use violetline::direct::known::capacity::PoolCapacity;
 use violetline::direct::known::health::{Fault, HealthRecord};
 use violetline::direct::known::load::{EndpointLoad, Footprint};
 use violetline::direct::placement::candidate::{Candidate, CandidateState};
@@ -24,12 +25,19 @@
 /// Prompt tokens that an endpoint prefills per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 
+const CAPACITY: PoolCapacity = PoolCapacity {
+    prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+    step_ms: 4.0,
+    tokens_per_event: 6.0,
+};
+
 /// A pool of endpoints with 64 slots each.
 struct Pool {
     directory: Directory,
     keys: Vec<EndpointKey>,
     loads: Vec<EndpointLoad>,
     records: Vec<HealthRecord>,
+    relative_times: Vec<f64>,
 }
 
 impl Pool {
@@ -48,6 +56,7 @@
             directory,
             loads: (0..count).map(|_| EndpointLoad::default()).collect(),
             records: vec![HealthRecord::default(); count],
+            relative_times: vec![1.0; count],
         }
     }
 
@@ -59,7 +68,7 @@
             record: &self.records[i],
             is_warming: false,
             is_limited: false,
-            relative_time: 1.0,
+            relative_time: self.relative_times[i],
         };
         (0..self.keys.len()).map(candidate).collect()
     }
@@ -73,6 +82,15 @@
         (0..self.keys.len()).filter(is_reserved).collect()
     }
 
+    /// Positions of the endpoints that are reserved by what engines can carry.
+    fn reserved_by_capacity(&self) -> Vec<usize> {
+        let all: Vec<CandidateState<'_>> =
+            self.candidates().into_iter().map(candidate_state).collect();
+        let partition = StreamPartition::by_capacity(&all, &CAPACITY, Millis(300));
+        let is_reserved = |i: &usize| partition.is_reserved(self.keys[*i]);
+        (0..self.keys.len()).filter(is_reserved).collect()
+    }
+
     fn begin(&mut self, i: usize, footprint: Footprint) {
         self.loads[i].begin(footprint, NOW);
         self.loads[i].read(footprint);
@@ -250,3 +268,60 @@
     }
     assert!(chosen.iter().all(|n| *n <= 20), "{chosen:?}");
 }
+
+/// Load of one stream with the shortest allowed pause.
+const STREAM: Footprint = Footprint {
+    band: 0,
+    unread: 0,
+    held: 1_000,
+    pause_sensitivity: 100,
+};
+
+/// Guards against streams at slow engines: there a long prompt stretches their pauses the most.
+#[test]
+fn fastest_reserved() {
+    let mut pool = Pool::new(30);
+    pool.relative_times = (0..30)
+        .map(|i| if i % 3 == 0 { 2.4 } else { 1.0 })
+        .collect();
+    for i in 0..30 {
+        (0..10).for_each(|_| pool.begin(i, STREAM));
+    }
+    let reserved = pool.reserved_by_capacity();
+    assert!(!reserved.is_empty());
+    assert!(reserved.iter().all(|i| i % 3 != 0), "{reserved:?}");
+    assert!(
+        reserved.len() <= 9,
+        "more than 30% of the pool: {reserved:?}"
+    );
+}
+
+/// Guards against a partition that lags behind a burst, and against one that changes with each
+/// request, so that cached prompts are moved to and fro.
+#[test]
+fn load_followed_steadily() {
+    let mut pool = Pool::new(30);
+    (0..5).for_each(|i| pool.begin(i, STREAM));
+    let calm = pool.reserved_by_capacity();
+    let mut changes = 0;
+    let mut last = calm.clone();
+    for n in 0..200 {
+        pool.begin(n % 30, STREAM);
+        let reserved = pool.reserved_by_capacity();
+        changes += usize::from(reserved != last);
+        last = reserved;
+    }
+    assert!(last.len() > calm.len(), "{calm:?} {last:?}");
+    assert!(last.len() <= 9, "{last:?}");
+    assert!(changes <= 9, "{changes} changes");
+}
+
+/// Guards against streams that lose all their endpoints when they need more than may be reserved.
+#[test]
+fn overdemand_keeps_reserved() {
+    let mut pool = Pool::new(30);
+    for i in 0..30 {
+        (0..60).for_each(|_| pool.begin(i, STREAM));
+    }
+    assert_eq!(pool.reserved_by_capacity().len(), 9);
+}
