Requests of mixed pools wait at the entry for capacity

Cause: less urgent requests whose callers have 10 s or more were refused 8 ms after arrival, by an estimate of the time to the first event, while all engines had free slots.

Change: such a request waits at its entry where admission would refuse it, or where the prompts left to prefill exceed the pool's shortest target. The queue (admission/waiting.rs) orders by band, team share and latest useful start, and lets a request start within this entry's part of the free capacity: by its waiting tokens among those that entries reported within 1 s (datagram kind 2), less what it sent within the time in which peers can't see it. A request is refused at arrival if the work ahead takes too long at the pace of the last seconds, and later only if that doubles, the latest start passes or the process stops. A woken request chooses its endpoint anew; all checks before sending stay. Requests let start together chose the same endpoint, since none of them counted as load before its connection was open (five at an engine of four slots in the test, one turned away); a request that may wait now counts from its choice on. Requests that may not wait, and pools that are not mixed, take the same path as before.

--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -4,4 +4,6 @@
 pub mod budget;
 pub mod overload;
 pub mod turnover;
+pub mod waiting;
+pub mod waiting_peers;
 pub mod warmup;
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -62,6 +62,19 @@
         /// Percentage of such requests that are sent.
         sent_percent: u32,
     },
+    /// The request would have to wait here for capacity for so long that no answer could come in
+    /// time, or it waited and that became so.
+    WaitTooLong {
+        /// Estimated time until capacity for it would be available, in ms.
+        expected_ms: u64,
+        /// Time for which it waited, in ms; 0 where it was refused at once.
+        waited_ms: u64,
+    },
+    /// As many requests wait here for capacity as may.
+    QueueFull {
+        /// Number of waiting requests.
+        waiting: usize,
+    },
     /// Several endpoints in a row ended while they ran a request with the same fingerprint.
     EndsEndpoints {
         /// Digest of what the request asks for.
@@ -161,6 +174,26 @@
         #[serde(skip_serializing_if = "std::ops::Not::not", default)]
         takes_over: bool,
     },
+    /// A request waits here until its pool has capacity for it.
+    Waiting {
+        /// Name of the route.
+        route: String,
+        /// Prompt tokens that an endpoint will have to prefill.
+        unread: u32,
+        /// Estimated time until it can be sent, in ms.
+        expected_ms: u64,
+        /// Time until the latest start at which its answer still serves the caller, in ms.
+        latest_start_ms: u64,
+        /// Number of requests that wait here, this one included.
+        waiting: usize,
+    },
+    /// A request that waited is about to be sent.
+    WaitEnded {
+        /// Name of the route.
+        route: String,
+        /// Time for which it waited, in ms.
+        waited_ms: u64,
+    },
     /// A request was refused: it was not sent, or no endpoint ran it.
     Refused {
         /// Reason.
@@ -392,7 +425,7 @@
 impl Decision {
     fn kind(&self) -> LineKind {
         match self {
-            Self::Placed { .. } => LineKind::Served,
+            Self::Placed { .. } | Self::Waiting { .. } | Self::WaitEnded { .. } => LineKind::Served,
             Self::Ended { how, .. } if *how == RequestOutcome::Served => LineKind::Served,
             Self::Refused { urgency, .. }
             | Self::AttemptFailed { urgency, .. }
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -163,6 +163,14 @@
         self.fleet_size.set(fleet);
     }
 
+    /// Number of entries that share the pools, as assumed while not all of them may be known.
+    pub(super) fn assumed_entries(&self) -> usize {
+        let settings = self.settings.borrow();
+        let own = settings.link.ip();
+        let has_others = settings.seeds.iter().any(|seed| seed.ip() != own);
+        self.fleet_size.get().sharers(self.age(), has_others)
+    }
+
     /// Records that an endpoint failed a request; logs it if the endpoint is set aside for that.
     pub fn endpoint_failed(&self, key: EndpointKey, fault: Fault, why: &str) {
         let now = self.clock.now();
@@ -373,6 +381,7 @@
                 .update_endpoint_state(self.key, |endpoint_state| {
                     endpoint_state.load.read(footprint)
                 });
+            self.entry.waiting.capacity_changed();
         }
     }
 
@@ -407,7 +416,11 @@
                 .update_endpoint_state(self.key, |endpoint_state| endpoint_state.load.clear_full());
         }
         match self.end.get() {
-            RunEnd::Answered => self.entry.record_run_finished(self.request),
+            RunEnd::Answered => {
+                self.entry
+                    .record_run_time(&self.pool, footprint.band, now - self.began);
+                self.entry.record_run_finished(self.request);
+            }
             RunEnd::Undecided => {}
             RunEnd::Lost(how) => {
                 let run = LostRun {
@@ -419,6 +432,7 @@
                 self.entry.record_lost_run(self.key, run);
             }
         }
+        self.entry.waiting.capacity_changed();
     }
 }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -8,6 +8,7 @@
 mod shared;
 mod store;
 mod suspicion;
+mod waiting;
 mod watch_role;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -21,6 +22,9 @@
 pub use self::endpoint_states::{EndpointState, EndpointStates, RunGuard};
 use self::limited::PendingRequests;
 use self::store::LargeAnswer;
+pub use self::waiting::{
+    release_waiting, Entered, Entering, Reservation, StartGuard, Verdict, WaitGuard, WaitingRoom,
+};
 use crate::clock::{Clock, Millis};
 use crate::direct::admission::budget::RetryWindow;
 use crate::direct::admission::turnover::PoolActivity;
@@ -39,6 +43,10 @@
 use crate::direct::versions::VersionLog;
 use crate::quarantine::Quarantine;
 
+/// Fraction of the time between SIGTERM and SIGKILL after which the process ends even if requests
+/// are still in flight.
+pub const STOP_GRACE_FRACTION: f64 = 0.94;
+
 /// Phase of a process between its start and the end of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessState {
@@ -90,6 +98,8 @@
     permit_requests: PendingRequests,
     /// Number of requests that wait for a permit.
     waiting_for_permit: Cell<u32>,
+    /// Requests that wait for capacity of a mixed pool.
+    pub waiting: WaitingRoom,
     /// Socket for datagrams to peers; set once the process listens.
     pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Requests that began and ended recently, by pool.
@@ -183,6 +193,7 @@
             limits: RefCell::default(),
             permit_requests: PendingRequests::default(),
             waiting_for_permit: Cell::default(),
+            waiting: WaitingRoom::default(),
             peer_socket: OnceCell::new(),
             turnovers: RefCell::default(),
             retries: RefCell::default(),
@@ -294,6 +305,7 @@
         let note = format!("after {} ms in which the machine was suspended", time.0);
         self.log_process("resumed", &note);
         self.rewatch_requested.notify_one();
+        self.waiting.resume(self.clock.now());
     }
 
     /// Begins a planned stop; has no effect after the first call.
@@ -301,6 +313,9 @@
         if self.process_state() == ProcessState::Serving {
             self.log_process("stopping", why);
             self.process_state.send_replace(ProcessState::Draining);
+            let grace = self.settings.borrow().bounds.stop_grace_ms as f64;
+            let time_left = Millis((grace * STOP_GRACE_FRACTION) as u64);
+            self.waiting.begin_stop(self.clock.now() + time_left);
         }
     }
 
@@ -331,6 +346,8 @@
         metrics.set("entries", self.peers.borrow().entries(now) as u64);
         metrics.set("in_flight", self.in_flight.get());
         metrics.set("ready", u64::from(self.is_ready()));
+        metrics.set("waiting_requests", self.waiting.len() as u64);
+        metrics.set("waiting_tokens", self.waiting.unread_tokens());
         metrics.set(
             "proof_age_ms",
             self.proof_age().map_or(u64::MAX, |age| age.0),
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -3,12 +3,16 @@
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
+
 use super::Entry;
 use crate::direct::peers::{self, PeerId, SharedKind};
 
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
-    pub fn send_shared_state(&self, _to: SocketAddr) {}
+    pub fn send_shared_state(&self, to: SocketAddr) {
+        self.send_waiting(to);
+    }
 
     /// Handles a datagram of shared state; false if it is of another format.
     pub fn handle_shared_state(&self, bytes: &[u8]) -> bool {
@@ -23,9 +27,19 @@
         true
     }
 
-    fn handle_observations(&self, _from: PeerId, _payload: &[u8]) {}
+    /// Sends a datagram of shared state. A lost one needs no resending: the next round makes up for
+    /// it.
+    pub(super) fn send_shared(&self, to: SocketAddr, kind: SharedKind, payload: &impl Serialize) {
+        let encoded = peers::encode_shared(kind, self.id, payload);
+        let (Some(socket), Some(bytes)) = (self.peer_socket.get(), encoded) else {
+            return;
+        };
+        if let Err(err) = socket.try_send_to(&bytes, to) {
+            tracing::debug!(%err, %to, "datagram of shared state not sent");
+        }
+    }
 
-    fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
+    fn handle_observations(&self, _from: PeerId, _payload: &[u8]) {}
 
     fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
 }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -37,6 +37,8 @@
     sent_to_limited: Counter<u64>,
     permits: Counter<u64>,
     refused_with_room: Counter<u64>,
+    waits: Counter<u64>,
+    wait_ms: Histogram<f64>,
     state: Gauge<u64>,
 }
 
@@ -76,6 +78,11 @@
             sent_to_limited: meter.u64_counter("direct_sent_to_limited").build(),
             permits: meter.u64_counter("direct_permits").build(),
             refused_with_room: meter.u64_counter("direct_refused_with_room").build(),
+            waits: meter.u64_counter("direct_waits").build(),
+            wait_ms: meter
+                .f64_histogram("direct_wait_ms")
+                .with_boundaries(LATENCY_MS.to_vec())
+                .build(),
             state: meter.u64_gauge("direct_state").build(),
             registry,
             _provider: provider,
@@ -171,6 +178,14 @@
         self.refused_with_room.add(1, &labels);
     }
 
+    /// Counts a request that waited for capacity, or was refused because it would have to wait too
+    /// long, and records for how long it waited, in ms.
+    pub fn waited(&self, pool: &str, urgency: u8, outcome: &'static str, ms: f64) {
+        let labels = outcome_labels(pool, Some(urgency), outcome);
+        self.waits.add(1, &labels);
+        self.wait_ms.record(ms, &labels);
+    }
+
     /// Sets the gauge `name`, such as the configuration version in force or the number of entries.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -41,6 +41,14 @@
     RETRY_DELAY + Millis((spread.0 as f64 * draw) as u64)
 }
 
+/// The retry delay where capacity is expected after `expected`, at most `longest`; `draw` is a random
+/// number from 0 to 1. Retries are spread over the second half of that time, so that they don't come
+/// at once when the work ahead of them is done.
+fn delay_until_capacity(expected: Millis, longest: Millis, draw: f64) -> Millis {
+    let wait = expected.min(longest).max(RETRY_DELAY.min(longest));
+    Millis((wait.0 as f64 * (1.0 + draw) / 2.0) as u64)
+}
+
 impl Job<'_> {
     /// Ends the request with a refusal: nothing ran, and nothing will. A stream that has begun is
     /// cut off. False if the connection is to be closed.
@@ -72,6 +80,8 @@
         let outcome = match why {
             RefusalReason::Overload { .. } => "turned_away",
             RefusalReason::RoomKept { .. } => "room_kept",
+            RefusalReason::WaitTooLong { .. } => "wait_too_long",
+            RefusalReason::QueueFull { .. } => "queue_full",
             RefusalReason::EndsEndpoints { .. } => "ends_endpoints",
             RefusalReason::EndpointsRest { .. } => "endpoints_rest",
             RefusalReason::EndpointsLimited { .. } => "endpoints_limited",
@@ -110,14 +120,23 @@
             }
             (_, Some(backoff)) => delay_after_backoff(backoff, self.band(), random.gen()),
             (RefusalReason::RoomKept { sent_percent }, None) => {
-                let longest =
-                    Millis((self.deadline - self.entry.clock.now()).0 / MAX_DELAY_DIVISOR);
-                delay_after_partial_admission(sent_percent, longest, random.gen())
+                delay_after_partial_admission(sent_percent, self.longest_delay(), random.gen())
+            }
+            (RefusalReason::WaitTooLong { expected_ms, .. }, None) => {
+                delay_until_capacity(Millis(expected_ms), self.longest_delay(), random.gen())
+            }
+            (RefusalReason::QueueFull { .. }, None) => {
+                delay_until_capacity(self.longest_delay(), self.longest_delay(), random.gen())
             }
             (_, None) => RETRY_DELAY + Millis(spread),
         }
     }
 
+    /// The longest delay that the caller is told, as long as endpoints accept requests.
+    fn longest_delay(&self) -> Millis {
+        Millis((self.deadline - self.entry.clock.now()).0 / MAX_DELAY_DIVISOR)
+    }
+
     /// Time until the first back-off of an endpoint of the pool ends; `None` if an endpoint accepts
     /// requests, or none has asked for a back-off.
     fn time_until_backoff_ends(&self) -> Option<Millis> {
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -9,6 +9,7 @@
 mod room;
 mod send;
 mod turn;
+mod wait;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -23,7 +24,7 @@
 use crate::direct::decision::{RefusalReason, RequestOutcome};
 use crate::direct::dialect::ParsedRequest;
 use crate::direct::directory::EndpointKey;
-use crate::direct::entry::Entry;
+use crate::direct::entry::{Entry, Reservation};
 use crate::direct::intake::IncomingRequest;
 use crate::direct::known::load;
 use crate::direct::progress::Progress;
@@ -90,6 +91,12 @@
     permit_refusals: u32,
     /// Until when it waits for a permit; set once it finds none.
     permit_deadline: Option<Millis>,
+    /// Time for which it waited for capacity.
+    waited: Millis,
+    /// Whether it waited and was let start.
+    was_let_start: bool,
+    /// Held from the choice of its endpoint until it is sent there, if it may wait for capacity.
+    reservation: Option<Reservation>,
     /// Name of the pool whose endpoints it is sent to.
     pool: String,
     /// When the request's time is over.
@@ -142,6 +149,9 @@
             permit: None,
             permit_refusals: 0,
             permit_deadline: None,
+            waited: Millis(0),
+            was_let_start: false,
+            reservation: None,
             pool,
             deadline,
             tried: Vec::new(),
--- a/src/direct/job/room.rs
+++ b/src/direct/job/room.rs
@@ -75,6 +75,8 @@
             why,
             RefusalReason::Overload { .. }
                 | RefusalReason::RoomKept { .. }
+                | RefusalReason::WaitTooLong { .. }
+                | RefusalReason::QueueFull { .. }
                 | RefusalReason::EndpointRefused
         );
         if is_for_room {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -28,6 +28,7 @@
 impl Job<'_> {
     /// Sends the request to one more endpoint and relays its answer.
     pub(super) async fn attempt(&mut self, answerer: &mut Answerer) -> AttemptOutcome {
+        self.reservation = None;
         if let Some(why) = self.wait_for_turn().await {
             return AttemptOutcome::NotAdmitted(why);
         }
@@ -35,9 +36,10 @@
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
-        if let Some(why) = self.admission_refusal(&choice) {
-            return AttemptOutcome::NotAdmitted(why);
-        }
+        let choice = match self.admit(choice).await {
+            Ok(choice) => choice,
+            Err(outcome) => return outcome,
+        };
         let key = choice.key;
         if !self.take_permit(key).await {
             return AttemptOutcome::NoPermit;
@@ -121,6 +123,7 @@
             return AttemptOutcome::NotSent(key);
         };
         self.record_placement(&choice);
+        self.reservation = None;
         let run_guard = self
             .entry
             .begin_run(key, &self.pool, choice.footprint, self.fingerprint);
--- a/src/direct/known/load.rs
+++ b/src/direct/known/load.rs
@@ -173,13 +173,24 @@
 }
 
 impl EndpointLoad {
-    /// Adds a request that is sent to the endpoint.
-    pub fn begin(&mut self, footprint: Footprint, now: Millis) {
+    /// Counts a request that is about to be sent to the endpoint, until [`Self::end_reservation`].
+    pub fn reserve(&mut self, footprint: Footprint) {
         self.own.running += 1;
         let unread = &mut self.own.unread[footprint.band];
         *unread = unread.saturating_add(footprint.unread);
         self.own.held = self.own.held.saturating_add(footprint.held);
         self.own.pause_sensitivity += footprint.pause_sensitivity;
+    }
+
+    /// Removes a request that [`Self::reserve`] counted: it is sent now, or not at all.
+    pub fn end_reservation(&mut self, footprint: Footprint) {
+        self.read(footprint);
+        self.end(footprint);
+    }
+
+    /// Adds a request that is sent to the endpoint.
+    pub fn begin(&mut self, footprint: Footprint, now: Millis) {
+        self.reserve(footprint);
         let insensitive = 1.0 - stream_equivalents(footprint.pause_sensitivity.min(FULL_STREAM));
         self.pressure = self.current_pressure(now) + f64::from(footprint.unread) * insensitive;
         self.pressure_at = now;
--- a/src/direct/peers/rounds.rs
+++ b/src/direct/peers/rounds.rs
@@ -107,6 +107,20 @@
         Millis(delay.0 / 2)
     }
 
+    /// Part of the other entries that are heard within a time, from 0 to 1; 1 without others.
+    pub fn heard_fraction(&self, within: Millis) -> f64 {
+        let rounds = within.0 as f64 / ROUND_INTERVAL.0 as f64;
+        let heard = |count: usize, per_round: usize| (count as f64).min(rounds * per_round as f64);
+        let (neighbors, remotes) = (self.neighbor_count, self.remote_count);
+        match neighbors + remotes {
+            0 => 1.0,
+            all => {
+                let neighbors = heard(neighbors, self.neighbors_per_round());
+                (neighbors + heard(remotes, REMOTES_PER_ROUND)) / all as f64
+            }
+        }
+    }
+
     /// Returns the time since which placements are sent: some cycles back, so that a lost datagram
     /// is made up for. In a fleet without remote entries it is 0, so all remembered placements are
     /// sent: nobody forwards them there, and an endpoint would read parts of prompts again that
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -12,7 +12,7 @@
 use crate::direct::caller;
 use crate::direct::decision::DecisionLog;
 use crate::direct::dialect::Dialect;
-use crate::direct::entry::{Entry, ProcessState};
+use crate::direct::entry::{self, Entry, ProcessState, STOP_GRACE_FRACTION};
 use crate::direct::gossip;
 use crate::direct::ready;
 use crate::direct::settings::DirectSettings;
@@ -29,9 +29,6 @@
 /// Time after SIGTERM for which new connections still arrive: the load balancer checks readiness
 /// every second and removes a process after the second failed check.
 const LINGER_TIME: Millis = Millis(2_400);
-/// Fraction of the time between SIGTERM and SIGKILL after which the process ends even if requests
-/// are still in flight.
-const STOP_GRACE_FRACTION: f64 = 0.94;
 /// Interval between two checks whether requests are still in flight during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the last bytes to be sent before the process ends.
@@ -91,6 +88,10 @@
     spawn_sync_tasks(&mut supervisor, entry, link);
     spawn_listeners(&mut supervisor, entry, listeners);
     let shared_entry = Rc::clone(entry);
+    supervisor.child("waiting", move || {
+        entry::release_waiting(Rc::clone(&shared_entry))
+    });
+    let shared_entry = Rc::clone(entry);
     supervisor.child("housekeeping", move || {
         run_housekeeping(Rc::clone(&shared_entry))
     });
