--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use serde::Serialize;
+
 use super::Entry;
 use crate::direct::directory::EndpointKey;
 use crate::direct::peers::{self, DueObservations, PeerId, SharedKind, SharedObservations};
@@ -13,6 +15,7 @@
         if !self.has_mixed_pool() {
             return;
         }
+        self.send_waiting(to);
         let now = self.clock.now();
         let peers = self.peers.borrow().entries(now) - 1;
         let due = self.observation_schedule.borrow_mut().due(to, peers, now);
@@ -75,14 +78,7 @@
         let shared = SharedObservations {
             times: times.into_iter().map(Into::into).collect(),
         };
-        let bytes = peers::encode_shared(SharedKind::Observations, self.id, &shared);
-        let (Some(socket), Some(bytes)) = (self.peer_socket.get(), bytes) else {
-            return;
-        };
-        // A peer that is down causes an error here; a later datagram makes up for it.
-        if let Err(err) = socket.try_send_to(&bytes, to) {
-            tracing::debug!(%err, %to, "observations not sent");
-        }
+        self.send_shared(to, SharedKind::Observations, &shared);
     }
 
     /// Records what a peer observed of endpoints that are listed here.
@@ -109,7 +105,17 @@
         }
     }
 
-    fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
+    /// Sends a datagram of shared state. A lost one needs no resending: the next round makes up for
+    /// it.
+    pub(super) fn send_shared(&self, to: SocketAddr, kind: SharedKind, payload: &impl Serialize) {
+        let encoded = peers::encode_shared(kind, self.id, payload);
+        let (Some(socket), Some(bytes)) = (self.peer_socket.get(), encoded) else {
+            return;
+        };
+        if let Err(err) = socket.try_send_to(&bytes, to) {
+            tracing::debug!(%err, %to, "datagram of shared state not sent");
+        }
+    }
 
     fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
 }
