Streams on uneven engines: partition by capacity, price by risk of a pause

At engines of different speeds, the most urgent streams were late by a pause: the partition reserved endpoints by digest whatever their speed, was empty above 12% of a pool of up to 55 endpoints, and its price was 100 ms for any prompt and any number of streams.

With a learned capacity (Demand::capacity), the fastest healthy endpoints are reserved, as many as the streams need for what an engine can carry, at most 30% of the pool. The price of a stream contains the probability that prefill makes it late, and that of a prompt the probability that it makes the streams there late, each times the price of an event that comes one allowed pause after its target. The time estimate uses the learned prefill rate and relative time. Streams that allow twice the shortest pause no longer count as latency-sensitive there.

--- a/src/direct/placement/choose.rs
+++ b/src/direct/placement/choose.rs
@@ -10,6 +10,7 @@
 use crate::direct::placement::demand::Demand;
 use crate::direct::placement::lanes::StreamPartition;
 use crate::direct::placement::moves::{PrefixReuse, Sources};
+use crate::direct::placement::pause_risk;
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::placement::price::{self, PREFILL_TOKENS_PER_MS};
 use crate::direct::placement::room::PoolRoom;
@@ -64,7 +65,7 @@
         .collect();
     reserve_for_streams(&demand, &mut states);
     mark_home(&demand, &mut states);
-    let backlog_ms = price::backlog_ms(&states);
+    let backlog_ms = price::backlog_ms(&demand, &states);
     let most_urgent_unread_band =
         (0..BANDS).find(|band| states.iter().any(|state| state.total.unread[*band] > 0));
     let room = demand.room.pool_room(&states, now);
@@ -144,7 +145,10 @@
     if demand.pause == Millis(0) {
         return;
     }
-    let partition = StreamPartition::compute(states, PREFILL_TOKENS_PER_MS);
+    let partition = match &demand.capacity {
+        Some(capacity) => StreamPartition::by_capacity(states, capacity, demand.pause),
+        None => StreamPartition::compute(states, PREFILL_TOKENS_PER_MS),
+    };
     for state in states {
         state.is_reserved = partition.is_reserved(state.candidate.key);
     }
@@ -174,7 +178,7 @@
         band: demand.band,
         unread: u32::try_from(unread).unwrap_or(u32::MAX),
         held: u32::try_from(prompt + demand.output_tokens).unwrap_or(u32::MAX),
-        pause_sensitivity: demand.pause_sensitivity,
+        pause_sensitivity: pause_risk::counted_sensitivity(demand),
     };
     Choice {
         key: candidate.key,
--- a/src/direct/placement/lanes.rs
+++ b/src/direct/placement/lanes.rs
@@ -5,12 +5,19 @@
 //! follows from the load of the whole pool; which ones, from an order of the endpoints that is the
 //! same at all entries. Entries that know different loads therefore disagree only about the last
 //! endpoints of that order.
+//!
+//! Where the capacity of the pool's engines is known, the fastest endpoints are reserved, because
+//! a prompt delays the streams at a slow one for longer, and as many as the streams need for what
+//! an endpoint can carry.
 
 use std::collections::HashSet;
 
+use crate::clock::Millis;
 use crate::direct::directory::EndpointKey;
+use crate::direct::known::capacity::PoolCapacity;
 use crate::direct::known::load;
 use crate::direct::placement::candidate::{Candidate, CandidateState};
+use crate::direct::placement::pause_risk::stream_capacity;
 
 /// Fraction of an endpoint's slots that latency-sensitive streams are meant to fill: a step takes
 /// twice as long in a full batch as in one that is a third full.
@@ -30,6 +37,19 @@
 /// interpolated.
 const LARGE_POOL_ENDPOINTS: f64 = 180.0;
 
+/// Fraction of the streams that a reserved endpoint can carry which it is meant to have, while the
+/// other endpoints have capacity for the long prompts; the rest is for streams that arrive before
+/// more endpoints can be reserved.
+const CARRIED_FRACTION: f64 = 0.5;
+/// Fraction of its time that an endpoint that is not reserved may have to spend on prefill because
+/// others are reserved beyond what the streams need at least.
+const MAX_PREFILL_TIME_FRACTION: f64 = 0.8;
+/// Largest fraction of a mixed pool that is reserved for latency-sensitive streams.
+const MAX_RESERVED_FRACTION: f64 = 0.3;
+/// Steps by which relative times are compared, as a power of two. Smaller differences are within
+/// the error of an estimate, and entries would disagree about the order.
+const RELATIVE_TIME_STEPS_PER_DOUBLING: f64 = 2.0;
+
 /// The endpoints of a pool that are reserved for latency-sensitive streams; empty if the pool is
 /// not partitioned.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -66,12 +86,108 @@
         }
     }
 
+    /// Partitions the healthy endpoints of a mixed pool by what engines with this capacity can
+    /// carry; `pause` is the shortest allowed pause between events. At least one endpoint is
+    /// reserved, and none if fewer than two are healthy.
+    pub fn by_capacity(
+        states: &[CandidateState<'_>],
+        capacity: &PoolCapacity,
+        pause: Millis,
+    ) -> Self {
+        let mut healthy: Vec<&CandidateState<'_>> = states
+            .iter()
+            .filter(|state| !state.candidate.record.is_ejected())
+            .collect();
+        if healthy.len() < 2 {
+            return Self::default();
+        }
+        healthy.sort_by_key(|state| {
+            let candidate = &state.candidate;
+            (speed_class(candidate), candidate.endpoint.digest)
+        });
+        let most = ((healthy.len() as f64 * MAX_RESERVED_FRACTION) as usize).max(1);
+        let mut needs = StreamNeeds::of(states, capacity);
+        let mut reserved = HashSet::new();
+        for state in healthy.into_iter().take(most) {
+            let carried = stream_capacity(&state.candidate, capacity, pause);
+            if !reserved.is_empty() && !needs.is_worth_reserving(state, carried) {
+                break;
+            }
+            needs.reserve(state, carried);
+            reserved.insert(state.candidate.key);
+        }
+        Self { reserved }
+    }
+
+    /// Number of endpoints that are reserved.
+    pub fn reserved_count(&self) -> usize {
+        self.reserved.len()
+    }
+
     /// Whether an endpoint is reserved for latency-sensitive streams.
     pub fn is_reserved(&self, key: EndpointKey) -> bool {
         self.reserved.contains(&key)
     }
 }
 
+/// Class of an endpoint by its relative time; faster ones have lower classes.
+fn speed_class(candidate: &Candidate<'_>) -> i32 {
+    (candidate.relative_time.log2() * RELATIVE_TIME_STEPS_PER_DOUBLING).round() as i32
+}
+
+/// What the streams and the long prompts of a pool need beyond the endpoints reserved so far.
+#[derive(Debug, Clone, Copy)]
+struct StreamNeeds {
+    /// Latency-sensitive streams that run in the pool.
+    streams: f64,
+    /// Streams that the endpoints reserved so far can carry.
+    carried: f64,
+    /// Prefill that the other endpoints have to do for long prompts, in endpoints of the typical
+    /// speed.
+    prefill: f64,
+    /// Prefill that the other endpoints can do, in endpoints of the typical speed.
+    prefill_left: f64,
+}
+
+impl StreamNeeds {
+    fn of(states: &[CandidateState<'_>], capacity: &PoolCapacity) -> Self {
+        let mut needs = Self {
+            streams: 0.0,
+            carried: 0.0,
+            prefill: 0.0,
+            prefill_left: 0.0,
+        };
+        for state in states {
+            needs.streams += load::stream_equivalents(state.total.pause_sensitivity);
+            needs.prefill += state.total.prefill_tokens_per_ms() / capacity.prefill_tokens_per_ms;
+            if !state.candidate.record.is_ejected() {
+                needs.prefill_left += 1.0 / state.candidate.relative_time;
+            }
+        }
+        needs
+    }
+
+    /// Whether an endpoint that can carry `carried` streams is to be reserved in addition. One
+    /// that has streams already is kept until a whole endpoint less is needed, so that the
+    /// partition does not change with each request.
+    fn is_worth_reserving(&self, state: &CandidateState<'_>, carried: f64) -> bool {
+        let present = load::stream_equivalents(state.total.pause_sensitivity);
+        let meant = carried * CARRIED_FRACTION;
+        let kept = if present * 2.0 > meant { meant } else { 0.0 };
+        let prefill_left = self.prefill_left - 1.0 / state.candidate.relative_time;
+        let leaves_prefill = self.prefill <= prefill_left * MAX_PREFILL_TIME_FRACTION;
+        match leaves_prefill {
+            true => self.carried * CARRIED_FRACTION < self.streams + kept,
+            false => self.carried < self.streams,
+        }
+    }
+
+    fn reserve(&mut self, state: &CandidateState<'_>, carried: f64) {
+        self.carried += carried;
+        self.prefill_left -= 1.0 / state.candidate.relative_time;
+    }
+}
+
 /// Number of endpoints that each kind of load needs.
 #[derive(Debug, Clone, Copy, Default)]
 struct RequiredEndpoints {
--- a/src/direct/placement/mod.rs
+++ b/src/direct/placement/mod.rs
@@ -5,6 +5,7 @@
 pub mod demand;
 pub mod lanes;
 pub mod moves;
+pub mod pause_risk;
 pub mod prefix;
 pub mod price;
 pub mod room;
--- a/src/direct/placement/price.rs
+++ b/src/direct/placement/price.rs
@@ -6,6 +6,7 @@
 use crate::direct::placement::candidate::{Candidate, CandidateState};
 use crate::direct::placement::demand::Demand;
 use crate::direct::placement::moves::PrefixReuse;
+use crate::direct::placement::pause_risk;
 
 /// Prompt tokens that an engine prefills per millisecond. Only the ratio to the other terms
 /// matters: the endpoint's health record corrects the rest.
@@ -22,7 +23,7 @@
 /// Weight of the time beyond the target, in addition to that time itself. A request that is in time
 /// next to streams is preferred to one that is late apart from them, and no request waits past its
 /// target for an endpoint that has its prefix cached.
-const LATE_WEIGHT: f64 = 6.0;
+pub const LATE_WEIGHT: f64 = 6.0;
 /// Weight of the prefill time, for each latency-sensitive stream at the same engine. Without it and
 /// [`EXCESS_PREFILL_WEIGHT`], prompts are prefilled next to streams and make them late.
 const PREFILL_WEIGHT: f64 = 1.0;
@@ -113,14 +114,30 @@
     latency_price_ms(demand, expected_ms(demand, state, reuse, now))
         + batch_price_ms(demand, state)
         + memory_price_ms(demand, state.total)
-        + interference_price_ms(demand, state, unread)
+        + streams_price_ms(demand, state, unread, now)
         + zone_and_warm_up_price_ms(demand, &state.candidate)
         + repeated_prefill_price_ms(demand, state, reuse)
         + reuse.moved as f64 * TRANSFERRED_TOKEN_MS
-        + partition_price_ms(demand, state)
         + random_price_ms(demand, state, unread)
 }
 
+/// Price of prefill and streams at the same endpoint: by the risk of a pause where the capacity of the
+/// pool's engines is known, otherwise by the prefill alone.
+fn streams_price_ms(
+    demand: &Demand<'_>,
+    state: &CandidateState<'_>,
+    unread: u64,
+    now: Millis,
+) -> f64 {
+    match &demand.capacity {
+        Some(capacity) => {
+            pause_risk::own_cost_ms(demand, state, capacity, now)
+                + pause_risk::caused_cost_ms(demand, state, capacity, unread, now)
+        }
+        None => interference_price_ms(demand, state, unread) + partition_price_ms(demand, state),
+    }
+}
+
 /// Price of prefilling shared tokens that are cached at another endpoint, or that no endpoint has
 /// cached and that belong at another home. Without it, entries that don't hear of each other's
 /// placements would have the tokens prefilled at every endpoint. At their home the price is lower:
@@ -138,7 +155,7 @@
         Some(_) => REPEATED_PREFILL_WEIGHT_HOME,
         None => REPEATED_PREFILL_WEIGHT,
     };
-    prefill_ms(repeated as f64)
+    prefill_ms(demand, repeated as f64)
         * (insensitive_weight * (1.0 - own) + REPEATED_PREFILL_WEIGHT_SENSITIVE * own)
 }
 
@@ -174,27 +191,41 @@
 fn random_price_ms(demand: &Demand<'_>, state: &CandidateState<'_>, unread: u64) -> f64 {
     let draw = demand.draw_for(state.candidate.endpoint.digest);
     let fraction = draw as f64 / u64::MAX as f64;
-    let prefill = prefill_ms(unread as f64);
+    let prefill = prefill_ms(demand, unread as f64);
     let visibility_factor = (demand.visibility_delay.0 as f64 / FULL_RANDOM_DELAY_MS).min(1.0);
     fraction * visibility_factor * (RANDOM_MS + prefill * RANDOM_PREFILL_WEIGHT)
 }
 
-/// Time that an engine takes to prefill tokens, in ms.
-fn prefill_ms(tokens: f64) -> f64 {
-    tokens / PREFILL_TOKENS_PER_MS
+/// Time that a typical engine of the pool takes to prefill tokens, in ms.
+fn prefill_ms(demand: &Demand<'_>, tokens: f64) -> f64 {
+    let tokens_per_ms = demand.capacity.map_or(PREFILL_TOKENS_PER_MS, |capacity| {
+        capacity.prefill_tokens_per_ms
+    });
+    tokens / tokens_per_ms
+}
+
+/// Time that work takes at an endpoint relative to the typical one, as far as it is known for the
+/// pool.
+fn relative_time(demand: &Demand<'_>, candidate: &Candidate<'_>) -> f64 {
+    demand.capacity.map_or(1.0, |_| candidate.relative_time)
 }
 
 /// Mean time that endpoints need to prefill the prompts already assigned to them, in ms; 0 if there
 /// are none.
-pub fn backlog_ms(states: &[CandidateState<'_>]) -> f64 {
+pub fn backlog_ms(demand: &Demand<'_>, states: &[CandidateState<'_>]) -> f64 {
     let unread: f64 = states
         .iter()
         .map(|state| f64::from(state.total.total_unread()))
         .sum();
-    prefill_ms(unread) / states.len().max(1) as f64
+    // Endpoints of the typical speed that prefill as much as all together.
+    let typical: f64 = states
+        .iter()
+        .map(|state| 1.0 / relative_time(demand, &state.candidate))
+        .sum();
+    prefill_ms(demand, unread) / typical.max(1.0)
 }
 
-/// Estimated time until the first event at an endpoint of nominal speed, in ms: prefill of the
+/// Estimated time until the first event at an endpoint that works as fast as it is known to, in ms: prefill of the
 /// prompts ahead and of the request itself, transfer, batch, and queued requests.
 pub fn nominal_time_ms(
     demand: &Demand<'_>,
@@ -207,10 +238,11 @@
     if demand.engine.is_none() {
         return BASE_MS + plain_time_ms(state, now);
     }
-    let prefill = prefill_ms(tokens_before(demand, total) + unread as f64);
+    let prefill = prefill_ms(demand, tokens_before(demand, total) + unread as f64);
     let batch = f64::from(total.running) * BATCHED_REQUEST_MS;
     let waiting = f64::from(candidate.load.waiting(now)) * QUEUED_REQUEST_MS;
-    BASE_MS + prefill + reuse.transfer_ms(demand) + batch + waiting
+    let relative_time = relative_time(demand, candidate);
+    BASE_MS + (prefill + batch) * relative_time + reuse.transfer_ms(demand) + waiting
 }
 
 /// Prompt tokens that are prefilled before the request's own; less urgent ones count in part.
@@ -262,8 +294,8 @@
     let total = state.total;
     let own = stream_equivalents(demand.pause_sensitivity);
     let others = stream_equivalents(total.pause_sensitivity);
-    let prefill = prefill_ms(unread as f64);
-    let queued = prefill_ms(f64::from(total.total_unread()));
+    let prefill = prefill_ms(demand, unread as f64);
+    let queued = prefill_ms(demand, f64::from(total.total_unread()));
     let beyond = (queued + prefill - demand.pause.0 as f64 * PAUSE_FRACTION).clamp(0.0, prefill);
     let interference =
         others * (prefill * (1.0 - own) * PREFILL_WEIGHT + beyond * EXCESS_PREFILL_WEIGHT);
@@ -273,7 +305,7 @@
         return interference;
     }
     let exposure = EXPOSURE_WEIGHT / visibility_factor(demand).powi(2);
-    interference + prefill_ms(f64::from(total.pressure)) * own * exposure
+    interference + prefill_ms(demand, f64::from(total.pressure)) * own * exposure
 }
 
 /// Price of overfull memory; 0 for plain services.
