--- a/src/direct/admission/waiting.rs
+++ b/src/direct/admission/waiting.rs
@@ -1,17 +1,18 @@
-//! Requests that wait at one entry for capacity of a mixed pool, and when each of them is sent.
+//! Requests that wait at one entry for capacity of a mixed pool, and which of them is tried next.
 //!
 //! It handles bursts of several times the load that the engines can take, over many entries that
-//! see each other's choices some hundred ms late. Work that is queued at an engine holds memory,
-//! slows streams and is lost with the engine; work that waits here does none of that.
+//! see each other's choices some hundred ms late. Only requests that admission refuses wait; each
+//! is tried again, by the same admission, while capacity becomes free.
 //!
 //! The queue of the granted path ([`crate::queue`]) does not fit: it serves one endpoint, orders a
 //! class by its teams' virtual times and arrivals, and hands out slots that it alone owns. Here the
-//! order is by the latest useful start, fairness between teams is decided over all entries, and the
-//! capacity is shared with entries that do not see each other's sends at once.
+//! order is by the time at which answers are due, fairness between teams is decided over all
+//! entries, and the capacity is shared with entries that do not see each other's sends at once.
 //!
-//! An entry takes its part of the free capacity: in proportion to its waiting tokens among those
-//! that entries reported. What it sent within the time for which peers can't see it counts as used
-//! from that part, so that all entries together don't take the same capacity twice.
+//! After a full stop all entries see the same free capacity. Each sends from its queue at a bounded
+//! rate: its part, by waiting tokens, of somewhat more than the engines can prefill, and no more
+//! than admission lets in of its arrivals. Requests that admission would send on arrival don't
+//! count.
 
 use std::collections::VecDeque;
 
@@ -29,62 +30,22 @@
 
 /// Window over which the pace of sending is measured.
 const PACE_WINDOW: Millis = Millis(4_000);
-/// Part of the engines' prefill capacity that is assumed to be available to this kind of requests
-/// until the pace is known: more urgent kinds and repeated prefill take the rest.
-const ASSUMED_PACE_FRACTION: f64 = 0.5;
-/// Multiple of an equal share of the free capacity that an entry may take while it can't know how
-/// much waits at others, since some entries have more callers than others.
+/// Number of requests of the usual length that must have been sent within [`PACE_WINDOW`] for the
+/// pace to count as measured.
+const MIN_PACE_SAMPLE: f64 = 8.0;
+/// Ratio of the rate at which queues may be emptied to the rate at which the typical engines
+/// prefill: the queue must not be slower than the engines, some of which are faster.
+const RELEASE_FACTOR: f64 = 2.0;
+/// Multiple of an equal share of the capacity that an entry may take while it can't know how much
+/// waits at others, since some entries have more callers than others.
 const BURST_FACTOR: f64 = 2.0;
-/// Multiple of the time left at which the expected wait of a request that already waits leads to a
-/// refusal: the estimate varies, and a wait that ends in a refusal is the worst for a caller.
-const WORSE_FACTOR: f64 = 2.0;
-/// Weight of the newest run in the mean time of runs.
-const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Requests that admission may refuse in one look before the look ends: each costs the choice of
+/// an endpoint.
+const MAX_FAILED_TRIALS: u32 = 2;
+/// Weight of the newest run in the mean times of runs.
+const RUN_WEIGHT: f64 = 0.1;
 
-/// Capacity of engines, or its use.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Capacity {
-    /// Prompt tokens to be prefilled.
-    pub unread: f64,
-    /// Memory, in tokens.
-    pub held: f64,
-    /// Slots of batches.
-    pub slots: f64,
-}
-
-impl Capacity {
-    /// The sum of both.
-    #[must_use]
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            unread: self.unread + other.unread,
-            held: self.held + other.held,
-            slots: self.slots + other.slots,
-        }
-    }
-
-    fn times(self, factor: f64) -> Self {
-        Self {
-            unread: self.unread * factor,
-            held: self.held * factor,
-            slots: self.slots * factor,
-        }
-    }
-
-    fn minus(self, other: Self) -> Self {
-        self.plus(other.times(-1.0))
-    }
-
-    fn is_positive(&self) -> bool {
-        self.unread > 0.0 && self.held > 0.0 && self.slots > 0.0
-    }
-
-    fn covers(&self, need: Self) -> bool {
-        self.unread >= need.unread && self.held >= need.held && self.slots >= need.slots
-    }
-}
-
-/// A request that waits, or asks whether it has to.
+/// A request that waits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WaitingRequest {
     /// Urgency band; 0 is the most urgent.
@@ -93,77 +54,75 @@
     pub excess: f64,
     /// Prompt tokens that an engine will have to prefill for it.
     pub unread: u32,
-    /// Memory of an engine that it will use, in tokens.
-    pub held: u32,
     /// Length of its body, in bytes.
     pub body_bytes: usize,
-    /// Latest start at which the answer still serves its caller.
-    pub latest_start: Millis,
+    /// When its answer is due to begin.
+    pub due: Millis,
+    /// When the time for its whole answer is over.
+    pub deadline: Millis,
 }
 
-impl WaitingRequest {
-    fn need(&self) -> Capacity {
-        Capacity {
-            unread: f64::from(self.unread),
-            held: f64::from(self.held),
-            slots: 1.0,
-        }
-    }
-
-    /// Order in which requests are sent, first to last: by band, then those within their team's
-    /// share, then by latest start.
-    fn rank(&self) -> (usize, bool, Millis) {
-        (self.band, self.excess > 1.0, self.latest_start)
-    }
-}
+/// Order in which requests are tried, first to last: by band, within or beyond the team's share, in
+/// time or late, and the time at which the answer is due or, if late, at which its time is over.
+type Rank = (usize, bool, bool, Millis);
 
-/// What an entry knows of a pool's free capacity when it decides.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Room {
+/// What an entry knows of a pool and of the other entries when it looks for capacity.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Supply {
     /// Number of endpoints that accept requests.
     pub endpoints: usize,
-    /// Capacity that the engines have left for requests that may wait.
-    pub free: Capacity,
     /// Prompt tokens that all engines together prefill in a millisecond.
     pub prefill_tokens_per_ms: f64,
-    /// Number of entries that send to the pool and are known, including this one.
+    /// Number of entries that send to the pool, as assumed while not all may be known.
     pub entries: usize,
-    /// The same, or more while not all may be known.
-    pub assumed_entries: usize,
     /// Mean time until other entries see what this one sends.
     pub visibility_delay: Millis,
     /// Time in which every entry nearby is heard.
     pub hearing_time: Millis,
     /// Part of the other entries whose reports are heard within their lifetime, from 0 to 1.
     pub heard_fraction: f64,
-    /// Random number from 0 to 1. It decides who takes capacity that is less than one request for
-    /// each entry.
-    pub draw: f64,
 }
 
-/// A request that was sent, or is about to be.
-#[derive(Debug, Clone, Copy)]
-struct Sent {
-    at: Millis,
-    need: Capacity,
+/// A waiting request and when it was tried.
+#[derive(Debug)]
+struct Waiting {
+    req: WaitingRequest,
+    /// Number of the look in which it was last tried; 0 if it was not.
+    tried_in: u64,
+}
+
+/// Mean times of the runs of a band, in ms; `None` before the first one.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunTimes {
+    first_event: Option<f64>,
+    end: Option<f64>,
 }
 
 /// The requests that wait at one entry for one pool.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct WaitingQueue {
-    waiting: SlotMap<WaitingKey, WaitingRequest>,
+    waiting: SlotMap<WaitingKey, Waiting>,
     /// Since when something waits without a break; `None` while nothing does.
     since: Option<Millis>,
-    /// Requests that may wait and were sent within [`PACE_WINDOW`], oldest first.
-    sent: VecDeque<Sent>,
-    /// What was allowed to start and is not counted as load of an endpoint yet.
-    starting: Capacity,
-    /// Number from 0 to 1 drawn for the current decision, and when it was drawn.
-    draw: Option<(Millis, f64)>,
-    /// What peers reported.
+    /// The request that is being tried.
+    trying: Option<WaitingKey>,
+    /// Number of the current look, from 1.
+    look: u64,
+    /// Requests that were tried in the current look, and those of them that were not sent.
+    trials: u32,
+    failed: u32,
+    /// Number of requests that may be sent from the queue now.
+    allowance: f64,
+    /// When the allowance was last increased.
+    allowance_at: Millis,
+    /// Requests that admission lets this entry send within the visibility delay, by the last trial;
+    /// `None` if it sets no limit.
+    admitted: Option<f64>,
+    /// Requests that may wait and were sent within [`PACE_WINDOW`], oldest first: when, and their
+    /// unread tokens.
+    sent: VecDeque<(Millis, u32)>,
     peers: WaitingPeers,
-    /// Mean time of runs by band, in ms; `None` before the first one.
-    run_ms: [Option<f64>; BANDS],
+    runs: [RunTimes; BANDS],
     /// When the process stops at the latest.
     stop_at: Option<Millis>,
 }
@@ -171,16 +130,7 @@
 impl WaitingQueue {
     /// Creates an empty queue.
     pub fn new() -> Self {
-        Self {
-            waiting: SlotMap::with_key(),
-            since: None,
-            sent: VecDeque::new(),
-            starting: Capacity::default(),
-            draw: None,
-            peers: WaitingPeers::default(),
-            run_ms: [None; BANDS],
-            stop_at: None,
-        }
+        Self::default()
     }
 
     /// Number of requests that wait.
@@ -195,129 +145,151 @@
 
     /// Bytes of the bodies of waiting requests.
     pub fn body_bytes(&self) -> usize {
-        self.waiting.values().map(|req| req.body_bytes).sum()
+        self.waiting.values().map(|w| w.req.body_bytes).sum()
     }
 
     /// Prompt tokens of the waiting requests.
     pub fn unread_tokens(&self) -> u64 {
-        self.waiting.values().map(|req| u64::from(req.unread)).sum()
+        self.waiting.values().map(|w| u64::from(w.req.unread)).sum()
     }
 
-    /// Adds a request; it keeps its place in the order if it waited before.
+    /// Adds a request that admission refused just now.
     pub fn push(&mut self, req: WaitingRequest, now: Millis) -> WaitingKey {
         self.since.get_or_insert(now);
-        self.waiting.insert(req)
+        let tried_in = self.look;
+        self.waiting.insert(Waiting { req, tried_in })
     }
 
-    /// Removes a request whose caller left, or that is refused; does nothing if it waits no more.
+    /// Adds a request that admission would send, behind those that go first. As many requests may
+    /// be sent as without those.
+    pub fn push_admitted(&mut self, req: WaitingRequest, now: Millis) -> WaitingKey {
+        self.allowance += 1.0;
+        self.since.get_or_insert(now);
+        self.waiting.insert(Waiting { req, tried_in: 0 })
+    }
+
+    /// Whether a request that waits here goes before one that arrives now.
+    pub fn goes_behind(&self, req: &WaitingRequest, now: Millis) -> bool {
+        let rank = self.rank(req, now);
+        let mut waiting = self.waiting.values();
+        waiting.any(|w| self.rank(&w.req, now) < rank)
+    }
+
+    /// Removes a request: it is sent, or its caller left, or it is refused.
     pub fn remove(&mut self, key: WaitingKey) -> Option<WaitingRequest> {
         let removed = self.waiting.remove(key);
+        if self.trying == Some(key) {
+            self.trying = None;
+        }
         if self.waiting.is_empty() {
             self.since = None;
         }
-        removed
+        removed.map(|w| w.req)
     }
 
-    /// Takes the next request off the queue if the capacity that is free lets it start now. The
-    /// caller ends the start with [`Self::started`].
-    pub fn next(&mut self, now: Millis, room: &Room) -> Option<WaitingKey> {
-        let (key, req) = self.first(now)?;
-        if room.endpoints > 0 && !self.may_start(&req, now, room) {
+    /// Begins a look at the pool's capacity: requests may be tried again.
+    pub fn begin_look(&mut self, now: Millis, supply: &Supply) {
+        self.look += 1;
+        (self.trials, self.failed) = (0, 0);
+        self.refill(now, supply);
+    }
+
+    /// The request that is to be tried now. The caller ends the trial with [`Self::fail`],
+    /// [`Self::send`] or [`Self::remove`]; until then there is no other. `None` if the look is over.
+    ///
+    /// The first in order is tried first. After one that failed come those that have not been tried
+    /// for longest, so that a request which no endpoint can take does not keep others waiting. One
+    /// is tried even if none may be sent, since the trial tells how many admission lets in.
+    pub fn next(&mut self, now: Millis) -> Option<WaitingKey> {
+        let is_used_up = self.trials > 0 && self.allowance < 1.0;
+        if self.trying.is_some() || self.failed >= MAX_FAILED_TRIALS || is_used_up {
             return None;
         }
-        self.draw = None;
-        self.remove(key);
-        self.start(&req, now);
+        let untried = self.waiting.iter().filter(|(_, w)| w.tried_in < self.look);
+        let turn = |w: &Waiting| if self.failed > 0 { w.tried_in } else { 0 };
+        let first = untried.min_by_key(|(_, w)| (turn(w), self.rank(&w.req, now)));
+        let key = first?.0;
+        self.waiting[key].tried_in = self.look;
+        self.trials += 1;
+        self.trying = Some(key);
         Some(key)
     }
 
-    /// Whether a request that just arrived may start without waiting: nothing that goes first waits
-    /// here or at a peer, and the capacity that is free suffices.
-    pub fn starts_at_once(&self, req: &WaitingRequest, now: Millis, room: &Room) -> bool {
-        let goes_first = |waiting: &WaitingRequest| waiting.band <= req.band;
-        let is_first = !self.waiting.values().any(goes_first)
-            && self.peers.waiting_up_to(req.band, now).unread <= 0.0;
-        is_first && self.is_within_part(req, equal_share(room), 1.0, now, room)
+    /// Whether this request is the one that is to be tried now.
+    pub fn is_trying(&self, key: WaitingKey) -> bool {
+        self.trying == Some(key)
     }
 
-    /// Counts a request as starting.
-    pub fn start(&mut self, req: &WaitingRequest, now: Millis) {
-        while self.sent.front().is_some_and(|s| s.at + PACE_WINDOW < now) {
-            self.sent.pop_front();
+    /// Ends a trial: the request is not sent now.
+    pub fn fail(&mut self, key: WaitingKey) {
+        if self.trying == Some(key) {
+            self.trying = None;
+            self.failed += 1;
         }
-        let need = req.need();
-        self.sent.push_back(Sent { at: now, need });
-        self.starting = self.starting.plus(need);
     }
 
-    /// Ends a start: the request counts as load of an endpoint from now on, or was given up.
-    pub fn started(&mut self, req: &WaitingRequest) {
-        self.starting = self.starting.minus(req.need());
+    /// Ends a trial in which admission let the request pass: sends it, if one more may be sent from
+    /// the queue. False if it has to be tried again.
+    pub fn send(&mut self, key: WaitingKey, now: Millis) -> bool {
+        if self.allowance < 1.0 {
+            self.fail(key);
+            return false;
+        }
+        if let Some(req) = self.remove(key) {
+            self.allowance -= 1.0;
+            self.record_sent(&req, now);
+        }
+        true
     }
 
-    /// Takes back a start that found no endpoint with room.
-    pub fn undo_start(&mut self, req: &WaitingRequest) {
-        let need = req.need();
-        if let Some(at) = self.sent.iter().rposition(|sent| sent.need == need) {
-            self.sent.remove(at);
+    /// Records that a request that may wait is sent.
+    pub fn record_sent(&mut self, req: &WaitingRequest, now: Millis) {
+        while self.sent.front().is_some_and(|s| s.0 + PACE_WINDOW < now) {
+            self.sent.pop_front();
         }
+        self.sent.push_back((now, req.unread));
     }
 
-    /// The requests that are to be refused now, since no answer could come in a time that serves
-    /// their callers: their latest start is over, or the work ahead of them takes much longer than
-    /// when they arrived.
-    pub fn hopeless(&self, now: Millis, room: &Room) -> Vec<WaitingKey> {
-        let mut all: Vec<_> = self.waiting.iter().collect();
-        all.sort_by_key(|(_, req)| req.rank());
-        let own = self.own_tokens(BANDS - 1);
-        let ms_per_token = self.wait_ms(1.0, own, BANDS - 1, now, room);
-        let mut ahead = 0.0;
-        let mut hopeless = Vec::new();
-        for (key, req) in all {
-            let left_ms = (self.latest_start(req) - now).0 as f64;
-            let factor = if self.stop_at.is_some() {
-                1.0
-            } else {
-                WORSE_FACTOR
-            };
-            if left_ms <= 0.0 || ahead * ms_per_token > left_ms * factor {
-                hopeless.push(key);
-            } else {
-                ahead += f64::from(req.unread);
-            }
-        }
-        hopeless
+    /// Records how many requests admission would let this entry send within the visibility delay;
+    /// `None` if it sets no limit.
+    pub fn record_admitted(&mut self, requests: Option<f64>) {
+        self.admitted = requests;
     }
 
-    /// Whether a request that arrives now could start in time, behind everything that goes first.
-    pub fn can_serve(&self, req: &WaitingRequest, now: Millis, room: &Room) -> bool {
-        now + self.expected_wait(req, now, room) <= self.latest_start(req)
+    /// Whether an answer to a request that arrives now could come before its time is over: it can
+    /// be sent while its answer would be in time, or what waits here and at peers is sent early
+    /// enough. Also if the pace is not known.
+    pub fn can_serve(&self, req: &WaitingRequest, now: Millis) -> bool {
+        if now > self.latest_start(req) {
+            return false;
+        }
+        let Some(expected) = self.expected_wait(req, now) else {
+            return true;
+        };
+        now + expected <= self.latest_start(req) || self.comes_in_time(req, now)
     }
 
-    /// Expected time until a request that arrives now could start: the work ahead of it, here and
-    /// at peers, at the pace of the last seconds.
-    pub fn expected_wait(&self, req: &WaitingRequest, now: Millis, room: &Room) -> Millis {
-        let ahead: f64 = self
-            .waiting
-            .values()
-            .filter(|waiting| waiting.rank() <= req.rank())
-            .map(|waiting| f64::from(waiting.unread))
-            .sum();
-        let new = f64::from(req.unread);
-        let own = self.own_tokens(req.band) + new;
-        Millis(self.wait_ms(ahead + new, own, req.band, now, room) as u64)
+    /// Expected time until all is sent that waits here and at peers, and a request that arrives
+    /// now, at the pace of the last seconds; `None` if that is not known.
+    pub fn expected_wait(&self, req: &WaitingRequest, now: Millis) -> Option<Millis> {
+        let pace = self.pace(now) + self.peers.pace(now);
+        let sample = pace * PACE_WINDOW.0 as f64 / f64::from(req.unread.max(1));
+        let tokens = self.own_tokens(|w| w.band <= req.band)
+            + self.peers.tokens_up_to(req.band, now)
+            + f64::from(req.unread);
+        (sample >= MIN_PACE_SAMPLE).then(|| Millis((tokens / pace) as u64))
     }
 
     /// What is told to peers; `None` while nothing waits.
-    pub fn summary(&self, now: Millis, room: &Room) -> Option<PoolSummary> {
+    pub fn summary(&self, now: Millis) -> Option<PoolSummary> {
         if self.waiting.is_empty() {
             return None;
         }
         let mut bands = [BandSummary::default(); BANDS];
-        for req in self.waiting.values() {
+        for Waiting { req, .. } in self.waiting.values() {
             bands[req.band].add(req.unread);
         }
-        Some(PoolSummary::new(bands, self.pace(now, room)))
+        Some(PoolSummary::new(bands, self.pace(now)))
     }
 
     /// Takes a peer's summary. It replaces the one before.
@@ -325,16 +297,22 @@
         self.peers.record(from, summary, now);
     }
 
-    /// Notes how long a run took, from its start to the end of its answer.
+    /// Records how long a run took until its first event.
+    pub fn record_first_event(&mut self, band: usize, time: Millis) {
+        update_mean(&mut self.runs[band].first_event, time);
+    }
+
+    /// Records how long a run took until the end of its answer.
     pub fn record_run(&mut self, band: usize, time: Millis) {
-        let new = time.0 as f64;
-        let mean = self.run_ms[band].map_or(new, |old| old + (new - old) * RUN_TIME_WEIGHT);
-        self.run_ms[band] = Some(mean);
+        update_mean(&mut self.runs[band].end, time);
     }
 
-    /// Mean time of the runs of a band, from start to end; `None` before the first one.
-    pub fn run_time(&self, band: usize) -> Option<Millis> {
-        self.run_ms[band].map(|ms| Millis(ms as u64))
+    /// Latest start at which the answer can still end in time, also before the process stops.
+    pub fn latest_start(&self, req: &WaitingRequest) -> Millis {
+        let end = self
+            .stop_at
+            .map_or(req.deadline, |stop| req.deadline.min(stop));
+        end - self.runs[req.band].end.map(millis).unwrap_or_default()
     }
 
     /// Sets when the process stops at the latest: requests that would not be answered by then are
@@ -347,131 +325,95 @@
     /// entry's requests any more, so it takes no more than an equal share until peers were heard.
     pub fn resume(&mut self, now: Millis) {
         self.since = (!self.waiting.is_empty()).then_some(now);
+        self.allowance_at = now;
         self.peers.clear();
     }
 
-    /// The request that goes first, of those that can still be served.
-    fn first(&self, now: Millis) -> Option<(WaitingKey, WaitingRequest)> {
-        let useful = self
-            .waiting
-            .iter()
-            .filter(|(_, req)| now <= self.latest_start(req));
-        let first = useful.min_by_key(|(_, req)| req.rank())?;
-        Some((first.0, *first.1))
+    fn rank(&self, req: &WaitingRequest, now: Millis) -> Rank {
+        let is_late = now + self.first_event_time(req.band) > req.due;
+        let at = if is_late { req.deadline } else { req.due };
+        (req.band, req.excess > 1.0, is_late, at)
     }
 
-    /// The latest useful start of a request; earlier if the process stops before it would end.
-    fn latest_start(&self, req: &WaitingRequest) -> Millis {
-        let run = self.run_time(req.band).unwrap_or_default();
-        match self.stop_at {
-            Some(stop) => req.latest_start.min(stop - run),
-            None => req.latest_start,
-        }
+    fn first_event_time(&self, band: usize) -> Millis {
+        self.runs[band].first_event.map(millis).unwrap_or_default()
     }
 
-    /// Whether the capacity that is free lets a request start that goes first here.
-    fn may_start(&mut self, req: &WaitingRequest, now: Millis, room: &Room) -> bool {
-        let draw = match self.draw {
-            Some((at, draw)) if now < at + room.visibility_delay => draw,
-            _ => {
-                self.draw = Some((now, room.draw));
-                room.draw
-            }
+    /// Whether the answer to a request that arrives now would begin in time, behind those that go
+    /// first here at this entry's own pace.
+    fn comes_in_time(&self, req: &WaitingRequest, now: Millis) -> bool {
+        let rank = self.rank(req, now);
+        let tokens = self.own_tokens(|w| self.rank(w, now) <= rank) + f64::from(req.unread);
+        let wait = Millis((tokens / self.pace(now).max(f64::EPSILON)) as u64);
+        now + wait + self.first_event_time(req.band) <= req.due
+    }
+
+    /// Increases the allowance for the time since the last look.
+    fn refill(&mut self, now: Millis, supply: &Supply) {
+        let rate = self.release_rate(now, supply);
+        let added = rate * (now - self.allowance_at).0 as f64;
+        let most = (rate * supply.visibility_delay.0 as f64).max(1.0);
+        self.allowance = match supply.endpoints {
+            // Each trial ends a wait.
+            0 => f64::INFINITY,
+            _ => (self.allowance + added).min(most),
         };
-        let share = self.share(req.band, now, room);
-        self.is_within_part(req, share, draw, now, room)
-    }
-
-    /// Whether a request fits this entry's part of the free capacity. A request may take up to
-    /// `1 - draw` of its need beyond that part, so that on average the part is used up where it is
-    /// less than one request.
-    fn is_within_part(
-        &self,
-        req: &WaitingRequest,
-        share: f64,
-        draw: f64,
-        now: Millis,
-        room: &Room,
-    ) -> bool {
-        let more_urgent = match req.band.checked_sub(1) {
-            Some(band) => self.peers.waiting_up_to(band, now),
-            None => Capacity::default(),
+        self.allowance_at = now;
+    }
+
+    /// Requests per millisecond that may be sent from the queue; 0 while more urgent ones wait at
+    /// a peer.
+    fn release_rate(&self, now: Millis, supply: &Supply) -> f64 {
+        let Some(band) = self.waiting.values().map(|w| w.req.band).min() else {
+            return 0.0;
         };
-        let more_urgent = more_urgent.times(1.0 / room.heard_fraction.max(f64::EPSILON));
-        let free = room.free.minus(self.starting).minus(more_urgent);
-        if !free.is_positive() {
-            return false;
-        }
-        let recent = self.sent_since(now - room.visibility_delay);
-        // One request is never less than the part of an entry that hears nothing of others' needs.
-        let is_alone = self.peers.waiting_up_to(req.band, now).unread <= 0.0;
-        if is_alone && recent.slots < 1.0 {
-            return true;
+        if band > 0 && self.peers.tokens_up_to(band - 1, now) > 0.0 {
+            return 0.0;
         }
-        let part = free.plus(recent).times(share).minus(recent);
-        part.covers(req.need().times(draw))
+        let mean_tokens = (self.unread_tokens() as f64 / self.len() as f64).max(1.0);
+        let prefilled = supply.prefill_tokens_per_ms * RELEASE_FACTOR / mean_tokens;
+        let admitted = self.admitted.unwrap_or(f64::INFINITY);
+        let admitted = admitted / supply.visibility_delay.0.max(1) as f64;
+        (prefilled * self.share(band, now, supply)).min(admitted)
     }
 
-    /// This entry's share of the free capacity for requests of a band, from 0 to 1.
-    fn share(&self, band: usize, now: Millis, room: &Room) -> f64 {
-        let of_band = |req: &&WaitingRequest| req.band == band;
-        let waiting = self.waiting.values().filter(of_band);
-        let waiting: f64 = waiting.map(|req| f64::from(req.unread)).sum();
+    /// This entry's share of the capacity for requests of a band, from 0 to 1.
+    fn share(&self, band: usize, now: Millis, supply: &Supply) -> f64 {
         // Peers' reports are of the time before these were sent.
-        let own = waiting + self.sent_since(now - room.visibility_delay).unread;
-        let peers = self.peers.waiting_in(band, now).unread / room.heard_fraction.max(f64::EPSILON);
+        let since = now - supply.visibility_delay;
+        let own = self.own_tokens(|w| w.band == band) + self.sent_since(since);
+        let peers = self.peers.tokens_in(band, now) / supply.heard_fraction.max(f64::EPSILON);
         let share = own / (own + peers).max(1.0);
-        let is_new = self.since.is_some_and(|at| now < at + room.hearing_time);
-        if is_new {
-            share.min(equal_share(room))
-        } else {
-            share
+        let equal_share = BURST_FACTOR / supply.entries.max(1) as f64;
+        match self.since {
+            Some(at) if now < at + supply.hearing_time => share.min(equal_share),
+            _ => share,
         }
     }
 
-    /// Expected time until the work ahead of a request is sent, here and at peers, if `ahead` of
-    /// the `own` tokens that wait here go first. Entries take their parts of the capacity in
-    /// proportion to their waiting tokens, so all queues end at about the same time.
-    fn wait_ms(&self, ahead: f64, own: f64, band: usize, now: Millis, room: &Room) -> f64 {
-        let peers = self.peers.waiting_up_to(band, now).unread;
-        let pace = self.pace(now, room) + self.peers.pace(now);
-        (own + peers) / pace.max(f64::EPSILON) * (ahead / own.max(1.0))
+    /// Prompt tokens that wait here in requests for which `counts` is true.
+    fn own_tokens(&self, counts: impl Fn(&WaitingRequest) -> bool) -> f64 {
+        let counted = self.waiting.values().filter(|w| counts(&w.req));
+        counted.map(|w| f64::from(w.req.unread)).sum()
     }
 
-    /// Prompt tokens that wait here, of bands up to `band`.
-    fn own_tokens(&self, band: usize) -> f64 {
-        let of_band = |req: &&WaitingRequest| req.band <= band;
-        let waiting = self.waiting.values().filter(of_band);
-        waiting.map(|req| f64::from(req.unread)).sum()
+    /// Prompt tokens per millisecond that this entry sent in the last seconds.
+    fn pace(&self, now: Millis) -> f64 {
+        self.sent_since(now - PACE_WINDOW) / PACE_WINDOW.0 as f64
     }
 
-    /// Prompt tokens per millisecond that this entry sent in the last seconds. For the time in
-    /// which nothing waited, it is at least this entry's equal part of what the engines can take.
-    fn pace(&self, now: Millis, room: &Room) -> f64 {
-        let since = self.since.unwrap_or(now);
-        let calm_ms = (PACE_WINDOW - (now - since)).0 as f64;
-        let sent = self.sent_since(now - PACE_WINDOW).unread;
-        let while_waiting = self.sent_since(since.max(now - PACE_WINDOW)).unread;
-        let while_calm = sent - while_waiting;
-        let assumed =
-            room.prefill_tokens_per_ms * ASSUMED_PACE_FRACTION / room.entries.max(1) as f64;
-        (while_waiting + while_calm.max(assumed * calm_ms)) / PACE_WINDOW.0 as f64
-    }
-
-    /// What was sent since a point in time.
-    fn sent_since(&self, since: Millis) -> Capacity {
-        let recent = self.sent.iter().rev().take_while(|sent| sent.at > since);
-        recent.fold(Capacity::default(), |sum, sent| sum.plus(sent.need))
+    /// Prompt tokens that were sent since a point in time.
+    fn sent_since(&self, since: Millis) -> f64 {
+        let recent = self.sent.iter().rev().take_while(|(at, _)| *at > since);
+        recent.map(|(_, tokens)| f64::from(*tokens)).sum()
     }
 }
 
-impl Default for WaitingQueue {
-    fn default() -> Self {
-        Self::new()
-    }
+fn update_mean(mean: &mut Option<f64>, time: Millis) {
+    let new = time.0 as f64;
+    *mean = Some(mean.map_or(new, |old| old + (new - old) * RUN_WEIGHT));
 }
 
-/// The share of an entry that can't know how much waits at others.
-fn equal_share(room: &Room) -> f64 {
-    (BURST_FACTOR / room.assumed_entries.max(1) as f64).min(1.0)
+fn millis(ms: f64) -> Millis {
+    Millis(ms as u64)
 }
--- a/src/direct/admission/waiting_peers.rs
+++ b/src/direct/admission/waiting_peers.rs
@@ -8,7 +8,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::direct::admission::waiting::Capacity;
 use crate::direct::known::load::BANDS;
 use crate::direct::peers::PeerId;
 
@@ -45,13 +44,8 @@
             .saturating_add(u32::try_from(blocks).unwrap_or(u32::MAX));
     }
 
-    fn capacity(self) -> Capacity {
-        let tokens = (u64::from(self.blocks) * BLOCK_TOKENS) as f64;
-        Capacity {
-            unread: tokens,
-            held: tokens,
-            slots: f64::from(self.count),
-        }
+    fn tokens(self) -> f64 {
+        (u64::from(self.blocks) * BLOCK_TOKENS) as f64
     }
 
     /// The same within what one entry can have.
@@ -112,18 +106,16 @@
         self.reports.clear();
     }
 
-    /// What waits at the peers that are heard, of bands up to `band`.
-    pub fn waiting_up_to(&self, band: usize, now: Millis) -> Capacity {
-        (0..=band)
-            .map(|band| self.waiting_in(band, now))
-            .fold(Capacity::default(), Capacity::plus)
+    /// Prompt tokens that wait at the peers that are heard, of bands up to `band`.
+    pub fn tokens_up_to(&self, band: usize, now: Millis) -> f64 {
+        (0..=band).map(|band| self.tokens_in(band, now)).sum()
     }
 
-    /// What waits at the peers that are heard, of one band.
-    pub fn waiting_in(&self, band: usize, now: Millis) -> Capacity {
+    /// Prompt tokens that wait at the peers that are heard, of one band.
+    pub fn tokens_in(&self, band: usize, now: Millis) -> f64 {
         self.valid(now)
-            .map(|summary| summary.bands[band].capacity())
-            .fold(Capacity::default(), Capacity::plus)
+            .map(|summary| summary.bands[band].tokens())
+            .sum()
     }
 
     /// Prompt tokens per millisecond that these peers sent in the last seconds.
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -180,9 +180,10 @@
         route: String,
         /// Prompt tokens that an endpoint will have to prefill.
         unread: u32,
-        /// Estimated time until it can be sent, in ms.
-        expected_ms: u64,
-        /// Time until the latest start at which its answer still serves the caller, in ms.
+        /// Estimated time until all that waits is sent, in ms; `None` if it is not known.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        expected_ms: Option<u64>,
+        /// Time until the latest start at which its answer can end in time, in ms.
         latest_start_ms: u64,
         /// Number of requests that wait here, this one included.
         waiting: usize,
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -378,8 +378,18 @@
 }
 
 impl RunGuard {
-    /// Records that the endpoint has read the prompt.
+    /// Records that the endpoint has read the prompt and begins to answer.
     pub fn read(&self) {
+        if !self.is_read.get() {
+            let time = self.entry.clock.now() - self.began;
+            let band = self.footprint.band;
+            self.entry.record_first_event(&self.pool, band, time);
+        }
+        self.end_reading();
+    }
+
+    /// Removes the prompt from what the endpoint has to read.
+    fn end_reading(&self) {
         if !self.is_read.replace(true) {
             let footprint = self.footprint;
             self.entry
@@ -408,7 +418,7 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.read();
+        self.end_reading();
         let now = self.entry.clock.now();
         self.entry.turnover(&self.pool, |t| t.record_end(now));
         let footprint = self.footprint;
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -22,9 +22,7 @@
 pub use self::endpoint_states::{EndpointState, EndpointStates, RunGuard};
 use self::limited::PendingRequests;
 use self::store::LargeAnswer;
-pub use self::waiting::{
-    release_waiting, Entered, Entering, Reservation, StartGuard, Verdict, WaitGuard, WaitingRoom,
-};
+pub use self::waiting::{release_waiting, Entered, Reservation, WaitGuard, WaitingRoom};
 use crate::clock::{Clock, Millis};
 use crate::direct::admission::budget::RetryWindow;
 use crate::direct::admission::turnover::PoolActivity;
--- a/src/direct/entry/waiting.rs
+++ b/src/direct/entry/waiting.rs
@@ -1,5 +1,5 @@
-//! The requests of this entry that wait for capacity of a mixed pool: what they wait for, and the
-//! task that lets them start.
+//! The requests of this entry that wait for capacity of a mixed pool, and the task that lets them
+//! try again.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -8,18 +8,18 @@
 use std::time::Duration;
 
 use slotmap::SecondaryMap;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use super::Entry;
 use crate::clock::Millis;
-use crate::direct::admission::waiting::{Capacity, Room, WaitingKey, WaitingQueue, WaitingRequest};
+use crate::direct::admission::waiting::{Supply, WaitingKey, WaitingQueue, WaitingRequest};
 use crate::direct::admission::waiting_peers::{PoolSummary, MAX_WAITING, REPORT_TTL};
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::EndpointKey;
+use crate::direct::known::capacity::LearnedCapacity;
 use crate::direct::known::load::Footprint;
 use crate::direct::peers::{self, pool_digest, PeerId, SharedKind};
-use crate::direct::placement::price::PREFILL_TOKENS_PER_MS;
 
 /// Largest total length of the bodies of waiting requests, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -27,15 +27,8 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Shortest time between two looks, however much changes.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(10);
-/// Interval between two looks for requests that can't be served any more.
-const HOPELESS_INTERVAL: Millis = Millis(100);
 /// Time after the start of the process in which entries may not have been heard yet.
 const DISCOVERY_TIME: Millis = Millis(3_000);
-/// Fraction of an engine's slots that waiting requests leave to more urgent ones.
-const RESERVED_SLOT_FRACTION: f64 = 0.25;
-/// Fraction of an engine's memory up to which waiting requests are sent; beyond about this an
-/// engine may have to preempt.
-const USABLE_MEMORY_FRACTION: f64 = 0.85;
 /// Most pools in a datagram.
 const MAX_POOLS: usize = 16;
 
@@ -43,7 +36,7 @@
 #[derive(Debug, Default)]
 pub struct WaitingRoom {
     pools: RefCell<HashMap<String, PoolWaiting>>,
-    /// Wakes the task that lets requests start.
+    /// Wakes the task that lets requests be tried.
     changed: Notify,
     /// When this process stops at the latest, once it stops.
     stop_at: Cell<Option<Millis>>,
@@ -56,31 +49,15 @@
 struct PoolWaiting {
     queue: WaitingQueue,
     /// Whom to wake, by request.
-    wakers: SecondaryMap<WaitingKey, (WaitingRequest, oneshot::Sender<Verdict>)>,
-    /// When requests that can't be served any more were looked for.
-    checked_at: Millis,
+    wakers: SecondaryMap<WaitingKey, Rc<Notify>>,
 }
 
-/// How a wait ends.
-#[derive(Debug)]
-pub enum Verdict {
-    /// The request may be sent now.
-    Start(StartGuard),
-    /// No answer can come in time; `expected` is how long it would still have to wait.
-    Refuse {
-        /// Expected time until capacity is available.
-        expected: Millis,
-    },
-}
-
-/// What became of a request that asked to start.
+/// What became of a request that can't be sent at once.
 #[derive(Debug)]
 pub enum Entered {
-    /// It may be sent now.
-    Start(StartGuard),
     /// It waits.
-    Wait(WaitGuard),
-    /// It would wait too long.
+    Waits(WaitGuard),
+    /// No answer could come in time.
     TooLong {
         /// Expected time until capacity is available.
         expected: Millis,
@@ -92,43 +69,9 @@
     },
 }
 
-/// Whether a request has to wait although capacity may be available.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Entering {
-    /// It starts at once if the pool has room for it.
-    Arrived,
-    /// The admission at its arrival would refuse it.
-    NotAdmitted,
-    /// It was let start, and found no endpoint with room.
-    NoRoomFound,
-}
-
-/// A request that may start, until it counts as load of an endpoint or is given up.
-#[derive(Debug)]
-pub struct StartGuard {
-    entry: Rc<Entry>,
-    pool: String,
-    req: WaitingRequest,
-}
-
-impl StartGuard {
-    /// Gives the start up, since no endpoint has room.
-    pub fn undo(self) {
-        self.entry
-            .with_queue(&self.pool, |queue| queue.undo_start(&self.req));
-    }
-}
-
-impl Drop for StartGuard {
-    fn drop(&mut self) {
-        self.entry
-            .with_queue(&self.pool, |queue| queue.started(&self.req));
-    }
-}
-
 /// Counts a request as load of the endpoint that was chosen for it, until it is sent there.
 ///
-/// Requests that are let start together choose their endpoints within a millisecond, before the
+/// Requests that waited and are sent together choose their endpoints within a millisecond, before the
 /// first of them has a connection. Without this they all choose the same endpoint.
 #[derive(Debug)]
 pub struct Reservation {
@@ -151,18 +94,38 @@
     entry: Rc<Entry>,
     pool: String,
     key: WaitingKey,
-    verdict: oneshot::Receiver<Verdict>,
+    waker: Rc<Notify>,
 }
 
 impl WaitGuard {
-    /// The verdict, if there is one already.
-    pub fn try_verdict(&mut self) -> Option<Verdict> {
-        self.verdict.try_recv().ok()
+    /// Waits until the request is to be tried, or something else changed for it.
+    pub async fn changed(&self) {
+        self.waker.notified().await;
+    }
+
+    /// Whether the request is to be tried now.
+    pub fn is_trying(&self) -> bool {
+        self.entry
+            .with_queue(&self.pool, |queue| queue.is_trying(self.key))
     }
 
-    /// Waits for the verdict; `None` if the process ends.
-    pub async fn verdict(&mut self) -> Option<Verdict> {
-        (&mut self.verdict).await.ok()
+    /// Ends a trial in which admission refused the request.
+    pub fn fail(&self) {
+        self.entry
+            .with_queue(&self.pool, |queue| queue.fail(self.key));
+        self.entry.try_next(&self.pool);
+    }
+
+    /// Ends a trial in which admission let the request pass: it is sent, or, if false, tried again.
+    pub fn send(&self) -> bool {
+        let now = self.entry.clock.now();
+        let is_sent = self
+            .entry
+            .with_queue(&self.pool, |queue| queue.send(self.key, now));
+        if !is_sent {
+            self.entry.try_next(&self.pool);
+        }
+        is_sent
     }
 }
 
@@ -173,6 +136,8 @@
             waiting.queue.remove(self.key);
             waiting.wakers.remove(self.key);
         }
+        drop(pools);
+        self.entry.try_next(&self.pool);
     }
 }
 
@@ -213,7 +178,12 @@
             .sum()
     }
 
-    /// Looks again whether requests may start: capacity may have become free.
+    /// Whether one more request may wait.
+    fn has_place(&self, req: &WaitingRequest) -> bool {
+        self.len() < MAX_WAITING && self.body_bytes() + req.body_bytes <= MAX_BODY_BYTES
+    }
+
+    /// Lets waiting requests be tried again: capacity may have become free.
     pub fn capacity_changed(&self) {
         if !self.is_empty() {
             self.changed.notify_one();
@@ -223,7 +193,11 @@
     /// Refuses from now on what can't be answered before the process stops.
     pub fn begin_stop(&self, stop_at: Millis) {
         self.stop_at.set(Some(stop_at));
-        self.changed.notify_one();
+        for waiting in self.pools.borrow_mut().values_mut() {
+            waiting.queue.stop_at(stop_at);
+            // Each waits until its latest start, which is earlier now.
+            waiting.wakers.values().for_each(|waker| waker.notify_one());
+        }
     }
 
     /// Handles the end of a suspension of the machine.
@@ -255,37 +229,53 @@
 }
 
 impl Entry {
-    /// Lets a request start in a pool, puts it into the pool's queue, or says that it can't wait.
-    pub fn enter_queue(
-        self: &Rc<Self>,
-        pool: &str,
-        req: WaitingRequest,
-        entering: Entering,
-    ) -> Entered {
+    /// Whether a request that admission would send has to wait behind others.
+    pub fn goes_behind(&self, pool: &str, req: &WaitingRequest) -> bool {
+        let pools = self.waiting.pools.borrow();
+        let waiting = pools.get(pool);
+        waiting.is_some_and(|waiting| waiting.queue.goes_behind(req, self.clock.now()))
+    }
+
+    /// Puts a request that admission refused into a pool's queue, unless it can't wait.
+    pub fn wait_refused(self: &Rc<Self>, pool: &str, req: WaitingRequest) -> Entered {
         let now = self.clock.now();
-        let room = self.waiting_room(pool, now);
-        if entering == Entering::Arrived
-            && self.with_queue(pool, |queue| queue.starts_at_once(&req, now, &room))
-        {
-            return Entered::Start(self.start(pool, req, now));
+        if !self.with_queue(pool, |queue| queue.can_serve(&req, now)) {
+            let expected = self.expected_wait(pool, &req).unwrap_or_default();
+            return Entered::TooLong { expected };
         }
-        let expected = self.with_queue(pool, |queue| queue.expected_wait(&req, now, &room));
-        if entering != Entering::NoRoomFound {
-            if !self.with_queue(pool, |queue| queue.can_serve(&req, now, &room)) {
-                return Entered::TooLong { expected };
-            }
+        if !self.waiting.has_place(&req) {
             let waiting = self.waiting.len();
-            if waiting >= MAX_WAITING || self.waiting.body_bytes() + req.body_bytes > MAX_BODY_BYTES
-            {
-                return Entered::Full { waiting };
-            }
+            return Entered::Full { waiting };
+        }
+        let key = self.with_queue(pool, |queue| queue.push(req, now));
+        Entered::Waits(self.wait_guard(pool, key))
+    }
+
+    /// Puts a request that admission would send into a pool's queue, behind those that go first;
+    /// `None` if it has no place there.
+    pub fn wait_behind(self: &Rc<Self>, pool: &str, req: WaitingRequest) -> Option<WaitGuard> {
+        if !self.waiting.has_place(&req) {
+            return None;
         }
-        let guard = self.push_waiting(pool, req, now);
-        if entering != Entering::NoRoomFound {
-            self.release_pool(pool, &room, now);
+        let now = self.clock.now();
+        let key = self.with_queue(pool, |queue| queue.push_admitted(req, now));
+        let guard = self.wait_guard(pool, key);
+        self.look_for_capacity(pool, now);
+        Some(guard)
+    }
+
+    fn wait_guard(self: &Rc<Self>, pool: &str, key: WaitingKey) -> WaitGuard {
+        let waker = Rc::new(Notify::new());
+        if let Some(waiting) = self.waiting.pools.borrow_mut().get_mut(pool) {
+            waiting.wakers.insert(key, Rc::clone(&waker));
         }
         self.waiting.changed.notify_one();
-        Entered::Wait(guard)
+        WaitGuard {
+            entry: Rc::clone(self),
+            pool: pool.to_owned(),
+            key,
+            waker,
+        }
     }
 
     /// Counts a request as load of the endpoint that was chosen for it.
@@ -298,20 +288,37 @@
         }
     }
 
-    /// Expected time until a request that waits in a pool could start.
-    pub fn expected_wait(&self, pool: &str, req: &WaitingRequest) -> Millis {
+    /// Expected time until a request that arrives now would be sent; `None` if that is not known.
+    pub fn expected_wait(&self, pool: &str, req: &WaitingRequest) -> Option<Millis> {
         let now = self.clock.now();
-        let room = self.waiting_room(pool, now);
-        self.with_queue(pool, |queue| queue.expected_wait(req, now, &room))
+        self.with_queue(pool, |queue| queue.expected_wait(req, now))
     }
 
-    /// Mean time of the runs of a band in a pool; `None` where none is known.
-    pub fn run_time(&self, pool: &str, band: usize) -> Option<Millis> {
-        let pools = self.waiting.pools.borrow();
-        pools.get(pool)?.queue.run_time(band)
+    /// Latest start of a request at which its answer can still end in time.
+    pub fn latest_start(&self, pool: &str, req: &WaitingRequest) -> Millis {
+        self.with_queue(pool, |queue| queue.latest_start(req))
+    }
+
+    /// Records that a request that may wait is sent without having waited.
+    pub fn record_sent_at_once(&self, pool: &str, req: &WaitingRequest) {
+        let now = self.clock.now();
+        self.with_queue(pool, |queue| queue.record_sent(req, now));
+    }
+
+    /// Records how many requests admission would let this entry send within the visibility delay;
+    /// `None` if it sets no limit.
+    pub fn record_admitted(&self, pool: &str, requests: Option<f64>) {
+        self.with_queue(pool, |queue| queue.record_admitted(requests));
+    }
+
+    /// Records the time of a run until its first event, where the pool has a queue.
+    pub(super) fn record_first_event(&self, pool: &str, band: usize, time: Millis) {
+        if let Some(waiting) = self.waiting.pools.borrow_mut().get_mut(pool) {
+            waiting.queue.record_first_event(band, time);
+        }
     }
 
-    /// Notes the time of a run that was answered, where the pool has a queue.
+    /// Records the time of a run that was answered, where the pool has a queue.
     pub(super) fn record_run_time(&self, pool: &str, band: usize, time: Millis) {
         if let Some(waiting) = self.waiting.pools.borrow_mut().get_mut(pool) {
             waiting.queue.record_run(band, time);
@@ -321,13 +328,13 @@
     /// Tells a peer what waits here; nothing if nothing does.
     pub(super) fn send_waiting(&self, to: SocketAddr) {
         let now = self.clock.now();
-        let names = self.waiting.busy_pools();
-        let summaries: Vec<(u32, PoolSummary)> = names
+        let summaries: Vec<(u32, PoolSummary)> = self
+            .waiting
+            .busy_pools()
             .iter()
             .take(MAX_POOLS)
             .filter_map(|pool| {
-                let room = self.waiting_room(pool, now);
-                let summary = self.with_queue(pool, |queue| queue.summary(now, &room))?;
+                let summary = self.with_queue(pool, |queue| queue.summary(now))?;
                 Some((pool_digest(pool), summary))
             })
             .collect();
@@ -353,76 +360,26 @@
                 self.with_queue(&pool, |queue| queue.record_peer(from, summary, now));
             }
         }
-        self.waiting.capacity_changed();
     }
 
-    /// Lets waiting requests of all pools start as far as there is room, and refuses those that
-    /// can't be served any more.
-    fn release_waiting(self: &Rc<Self>) {
-        let now = self.clock.now();
-        for pool in self.waiting.busy_pools() {
-            let room = self.waiting_room(&pool, now);
-            self.release_pool(&pool, &room, now);
+    /// Lets waiting requests of a pool be tried again, one after the other.
+    fn look_for_capacity(&self, pool: &str, now: Millis) {
+        let supply = self.supply(pool, now);
+        if let Some(waiting) = self.waiting.pools.borrow_mut().get_mut(pool) {
+            waiting.queue.begin_look(now, &supply);
         }
+        self.try_next(pool);
     }
 
-    fn release_pool(self: &Rc<Self>, pool: &str, room: &Room, now: Millis) {
-        let mut verdicts = Vec::new();
-        let mut pools = self.waiting.pools.borrow_mut();
-        let Some(waiting) = pools.get_mut(pool) else {
-            return;
-        };
-        if let Some(stop_at) = self.waiting.stop_at.get() {
-            waiting.queue.stop_at(stop_at);
-        }
-        while let Some(key) = waiting.queue.next(now, room) {
-            if let Some((req, waker)) = waiting.wakers.remove(key) {
-                let start = StartGuard {
-                    entry: Rc::clone(self),
-                    pool: pool.to_owned(),
-                    req,
-                };
-                verdicts.push((waker, Verdict::Start(start)));
-            }
-        }
-        if now >= waiting.checked_at + HOPELESS_INTERVAL {
-            waiting.checked_at = now;
-            for key in waiting.queue.hopeless(now, room) {
-                waiting.queue.remove(key);
-                if let Some((req, waker)) = waiting.wakers.remove(key) {
-                    let expected = waiting.queue.expected_wait(&req, now, room);
-                    verdicts.push((waker, Verdict::Refuse { expected }));
-                }
+    /// Wakes the request that is to be tried next in the current look, if there is one.
+    fn try_next(&self, pool: &str) {
+        let now = self.clock.now();
+        if let Some(waiting) = self.waiting.pools.borrow_mut().get_mut(pool) {
+            let key = waiting.queue.next(now);
+            if let Some(waker) = key.and_then(|key| waiting.wakers.get(key)) {
+                waker.notify_one();
             }
         }
-        // A verdict that no one takes is dropped, which needs the queue.
-        drop(pools);
-        for (waker, verdict) in verdicts {
-            let _ = waker.send(verdict);
-        }
-    }
-
-    fn start(self: &Rc<Self>, pool: &str, req: WaitingRequest, now: Millis) -> StartGuard {
-        self.with_queue(pool, |queue| queue.start(&req, now));
-        StartGuard {
-            entry: Rc::clone(self),
-            pool: pool.to_owned(),
-            req,
-        }
-    }
-
-    fn push_waiting(self: &Rc<Self>, pool: &str, req: WaitingRequest, now: Millis) -> WaitGuard {
-        let (waker, verdict) = oneshot::channel();
-        let mut pools = self.waiting.pools.borrow_mut();
-        let waiting = pools.entry(pool.to_owned()).or_default();
-        let key = waiting.queue.push(req, now);
-        waiting.wakers.insert(key, (req, waker));
-        WaitGuard {
-            entry: Rc::clone(self),
-            pool: pool.to_owned(),
-            key,
-            verdict,
-        }
     }
 
     fn with_queue<T>(&self, pool: &str, look: impl FnOnce(&mut WaitingQueue) -> T) -> T {
@@ -430,65 +387,52 @@
         if let Some(waiting) = pools.get_mut(pool) {
             return look(&mut waiting.queue);
         }
-        look(&mut pools.entry(pool.to_owned()).or_default().queue)
+        let waiting = pools.entry(pool.to_owned()).or_default();
+        if let Some(stop_at) = self.waiting.stop_at.get() {
+            waiting.queue.stop_at(stop_at);
+        }
+        look(&mut waiting.queue)
     }
 
-    /// What is known of a pool's free capacity.
-    fn waiting_room(&self, pool: &str, now: Millis) -> Room {
+    /// What is known of a pool and of the other entries.
+    fn supply(&self, pool: &str, now: Millis) -> Supply {
         let peers = self.peers.borrow();
-        let entries = peers.entries(now);
-        let assumed_entries = match self.age() < DISCOVERY_TIME {
-            true => entries.max(self.assumed_entries()),
-            false => entries,
+        let known = peers.entries(now);
+        let entries = match self.age() < DISCOVERY_TIME {
+            true => known.max(self.assumed_entries()),
+            false => known,
         };
-        let mut room = Room {
-            endpoints: 0,
-            free: Capacity::default(),
-            prefill_tokens_per_ms: 0.0,
+        let (endpoints, prefill_tokens_per_ms) = self.prefill_rate(pool, now);
+        Supply {
+            endpoints,
+            prefill_tokens_per_ms,
             entries,
-            assumed_entries,
             visibility_delay: peers.visibility_delay(now),
             hearing_time: peers.hearing_time(),
             heard_fraction: peers.heard_fraction(REPORT_TTL),
-            draw: rand::random(),
-        };
-        if let Some(catalog) = self.catalog() {
-            self.add_free_capacity(&catalog, pool, &mut room, now);
         }
-        room
     }
 
-    /// Adds up what the pool's engines have left. Their backlog may reach the shortest target of
-    /// the pool's routes: behind more, the first events of the most urgent streams are late.
-    fn add_free_capacity(&self, catalog: &Catalog, pool: &str, room: &mut Room, now: Millis) {
-        let target_ms = catalog.shortest_target(pool).0 as f64;
-        let engine = catalog.pool(pool).and_then(|pool| pool.engine);
-        let memory = engine.map_or(f64::INFINITY, |engine| engine.memory_tokens as f64);
+    /// Number of a pool's endpoints that accept requests, and the prompt tokens that they prefill
+    /// together in a millisecond.
+    fn prefill_rate(&self, pool: &str, now: Millis) -> (usize, f64) {
+        let capacities = self.capacities.borrow();
+        let capacity = capacities.get(pool).map(LearnedCapacity::capacity);
+        let nominal = capacity.unwrap_or_default().prefill_tokens_per_ms;
         let directory = self.directory();
         let endpoint_states = self.endpoint_states();
-        for (key, endpoint) in directory.available_in_pool(pool, now) {
-            let Some(state) = endpoint_states.get(key) else {
-                continue;
-            };
-            room.endpoints += 1;
-            if state.record.is_ejected() || state.load.is_full(now) {
-                continue;
-            }
-            let total = state.load.total(now);
-            let speed = PREFILL_TOKENS_PER_MS / state.load.slowdown(now).max(1.0);
-            let slots = f64::from(endpoint.listed.slots) * (1.0 - RESERVED_SLOT_FRACTION);
-            let running = f64::from(state.load.occupancy(now));
-            room.prefill_tokens_per_ms += speed;
-            room.free = room.free.plus(Capacity {
-                unread: target_ms * speed - f64::from(total.total_unread()),
-                held: (memory * USABLE_MEMORY_FRACTION - f64::from(total.held)).max(0.0),
-                slots: (slots - running).max(0.0),
+        let rates = directory
+            .available_in_pool(pool, now)
+            .filter_map(|(key, _)| endpoint_states.get(key))
+            .map(|state| match state.record.is_ejected() {
+                true => 0.0,
+                false => nominal / state.load.slowdown(now).max(1.0),
             });
-        }
+        rates.fold((0, 0.0), |(count, sum), rate| (count + 1, sum + rate))
     }
 }
 
-/// Lets waiting requests start while capacity becomes free; idle while nothing waits.
+/// Lets waiting requests be tried again as capacity becomes free; idle while nothing waits.
 pub async fn release_waiting(entry: Rc<Entry>) -> anyhow::Result<()> {
     loop {
         let changed = entry.waiting.changed.notified();
@@ -498,7 +442,10 @@
             // It looks again whether something changed or the time is over.
             let _ = timeout(TICK, changed).await;
         }
-        entry.release_waiting();
+        let now = entry.clock.now();
+        for pool in entry.waiting.busy_pools() {
+            entry.look_for_capacity(&pool, now);
+        }
         sleep(MIN_LOOK_INTERVAL).await;
     }
 }
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -87,7 +87,7 @@
             expected_ms: choice.expected_ms,
             backlog_ms: choice.backlog_ms,
             shortest_target: self.catalog.shortest_target(&self.pool),
-            time_left: self.deadline - self.entry.clock.now(),
+            time_left: self.time_left_for_admission(),
             longest_less_urgent_time: self.catalog.longest_less_urgent_timeout(&self.pool, band),
             has_more_urgent: self.has_more_urgent(self.entry.clock.now()),
         }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -94,9 +94,9 @@
     permit_deadline: Option<Millis>,
     /// Time for which it waited for capacity.
     waited: Millis,
-    /// Whether it waited and was let start.
-    was_let_start: bool,
-    /// Held from the choice of its endpoint until it is sent there, if it may wait for capacity.
+    /// Time that it had left when it began to wait for capacity; `None` if it has not.
+    time_left_before_wait: Option<Millis>,
+    /// Held from the choice of its endpoint until it is sent there, if it waited for capacity.
     reservation: Option<Reservation>,
     /// Name of the pool whose endpoints it is sent to.
     pool: String,
@@ -151,7 +151,7 @@
             permit_refusals: 0,
             permit_deadline: None,
             waited: Millis(0),
-            was_let_start: false,
+            time_left_before_wait: None,
             reservation: None,
             pool,
             deadline,
--- a/src/direct/job/room.rs
+++ b/src/direct/job/room.rs
@@ -12,9 +12,26 @@
     /// kept for more urgent ones. A second attempt gets no precedence over them.
     pub(super) fn must_leave_room(&self, choice: &Choice) -> bool {
         let now = self.entry.clock.now();
-        let is_drawn = rand::random::<f64>() < choice.admitted_fraction;
-        let leaves = self.has_more_urgent(now) && !self.has_less_urgent(now);
-        leaves && !self.may_have_run && !(choice.has_room && is_drawn)
+        let is_drawn = match self.has_waited() {
+            // It is tried again and again; how many are sent is limited in the queue.
+            true => choice.admitted_fraction > 0.0,
+            false => rand::random::<f64>() < choice.admitted_fraction,
+        };
+        self.leaves_room(now) && !self.may_have_run && !(choice.has_room && is_drawn)
+    }
+
+    /// Whether the request is one of those that leave slots free for more urgent ones.
+    fn leaves_room(&self, now: Millis) -> bool {
+        self.has_more_urgent(now) && !self.has_less_urgent(now)
+    }
+
+    /// Number of such requests that this entry may send within the visibility delay; `None` if the
+    /// request is not one of them.
+    pub(super) fn admitted_requests(&self, choice: &Choice) -> Option<f64> {
+        let now = self.entry.clock.now();
+        let arrivals = self.room(now).recent.yielding_arrivals.max(1);
+        self.leaves_room(now)
+            .then_some(choice.admitted_fraction * arrivals as f64)
     }
 
     /// Whether requests of more urgent bands were seen in the pool lately.
--- a/src/direct/job/wait.rs
+++ b/src/direct/job/wait.rs
@@ -5,37 +5,30 @@
 use crate::clock::Millis;
 use crate::direct::admission::waiting::WaitingRequest;
 use crate::direct::decision::{Decision, RefusalReason};
-use crate::direct::entry::{Entered, Entering, Verdict, WaitGuard};
+use crate::direct::entry::{Entered, WaitGuard};
 use crate::direct::placement::choose::Choice;
 
-/// Time for a token of the answer where the time of runs is not known, in ms.
-const ASSUMED_TOKEN_MS: f64 = 4.0;
-/// Divisor of the route's timeout that gives the longest time that a run is assumed to take.
-const RUN_TIME_DIVISOR: u64 = 2;
-
 impl Job<'_> {
-    /// Decides whether the request is sent to the chosen endpoint. If it may wait, it does so until
-    /// the pool has room, and the endpoint is then chosen anew. Returns the choice, or how the
-    /// attempt ends.
+    /// Decides whether the request is sent to the chosen endpoint. If it is not, and may wait, it
+    /// is tried again as capacity becomes free, and the endpoint is then chosen anew. Returns the
+    /// choice, or how the attempt ends.
     pub(super) async fn admit(&mut self, choice: Choice) -> Result<Choice, AttemptOutcome> {
-        if self.was_let_start {
-            return Ok(self.reserve(choice));
-        }
         let refusal = self.admission_refusal(&choice);
         if !self.may_wait() {
-            return match refusal {
-                Some(why) => Err(AttemptOutcome::NotAdmitted(why)),
-                None => Ok(choice),
-            };
+            return refusal.map_or(Ok(choice), |why| Err(AttemptOutcome::NotAdmitted(why)));
         }
         let req = self.waiting_request(&choice);
-        let entering = match refusal {
-            None if has_room(&choice) => Entering::Arrived,
-            _ => Entering::NotAdmitted,
+        let Some(why) = refusal else {
+            return self.send_in_order(choice, req).await;
         };
-        match self.entry.enter_queue(&self.pool, req, entering) {
-            Entered::Start(_) => Ok(self.reserve(choice)),
-            Entered::Wait(guard) => self.wait_for_capacity(guard, req).await,
+        self.entry
+            .record_admitted(&self.pool, self.admitted_requests(&choice));
+        match self.entry.wait_refused(&self.pool, req) {
+            Entered::Waits(place) => self.wait_for_capacity(place, req).await,
+            // Too little time is left, whatever waits.
+            Entered::TooLong {
+                expected: Millis(0),
+            } => Err(AttemptOutcome::NotAdmitted(why)),
             Entered::TooLong { expected } => Err(self.wait_refusal(expected)),
             Entered::Full { waiting } => {
                 self.count_wait("full");
@@ -45,10 +38,31 @@
         }
     }
 
-    /// Counts the request as load of its endpoint until it is sent there.
-    fn reserve(&mut self, choice: Choice) -> Choice {
-        self.reservation = Some(self.entry.reserve(choice.key, choice.footprint));
-        choice
+    /// Whether the request has waited for capacity.
+    pub(super) fn has_waited(&self) -> bool {
+        self.time_left_before_wait.is_some()
+    }
+
+    /// Time left by which admission judges the request. It does not shrink while the request waits:
+    /// otherwise waiting requests would be refused what new ones get.
+    pub(super) fn time_left_for_admission(&self) -> Millis {
+        let time_left = self.deadline - self.entry.clock.now();
+        self.time_left_before_wait.unwrap_or(time_left)
+    }
+
+    /// Sends a request that admission lets pass, after those that wait and go first.
+    async fn send_in_order(
+        &mut self,
+        choice: Choice,
+        req: WaitingRequest,
+    ) -> Result<Choice, AttemptOutcome> {
+        if self.entry.goes_behind(&self.pool, &req) {
+            if let Some(place) = self.entry.wait_behind(&self.pool, req) {
+                return self.wait_for_capacity(place, req).await;
+            }
+        }
+        self.entry.record_sent_at_once(&self.pool, &req);
+        Ok(choice)
     }
 
     /// Whether the request may wait: its route's requests may, and it was not sent yet.
@@ -59,87 +73,56 @@
             && self.catalog.may_wait(self.route(), &self.pool)
     }
 
-    /// Waits until the request may start, and chooses its endpoint then.
+    /// Waits until admission lets the request pass, and chooses its endpoint then.
     async fn wait_for_capacity(
         &mut self,
-        mut guard: WaitGuard,
+        place: WaitGuard,
         req: WaitingRequest,
     ) -> Result<Choice, AttemptOutcome> {
         let since = self.entry.clock.now();
-        let mut is_logged = false;
+        self.time_left_before_wait
+            .get_or_insert(self.deadline - since);
+        self.log_waiting(&req);
         loop {
-            let verdict = match guard.try_verdict() {
-                Some(verdict) => verdict,
-                None => {
-                    if !std::mem::replace(&mut is_logged, true) {
-                        self.log_waiting(&req);
-                    }
-                    self.await_verdict(&mut guard).await?
-                }
-            };
+            let latest_start = self.entry.latest_start(&self.pool, &req);
+            let changed = self.entry.clock.timeout_at(latest_start, place.changed());
+            let is_over = changed.await.is_none();
             self.waited = self.entry.clock.now() - since;
-            let start = match verdict {
-                Verdict::Start(start) => start,
-                Verdict::Refuse { expected } => return Err(self.wait_refusal(expected)),
-            };
+            if is_over {
+                let expected = self.entry.expected_wait(&self.pool, &req);
+                return Err(self.wait_refusal(expected.unwrap_or_default()));
+            }
+            if !place.is_trying() {
+                continue;
+            }
             let Some(choice) = self.next_choice() else {
-                drop(start);
-                self.was_let_start = true;
+                drop(place);
                 return Err(self.wait_for_permit().await);
             };
-            if has_room(&choice) {
-                self.was_let_start = true;
-                if is_logged {
-                    self.log_wait_ended();
-                }
-                return Ok(self.reserve(choice));
-            }
-            start.undo();
-            let entered = self
-                .entry
-                .enter_queue(&self.pool, req, Entering::NoRoomFound);
-            if let Entered::Wait(again) = entered {
-                guard = again;
-            }
-        }
-    }
-
-    async fn await_verdict(&self, guard: &mut WaitGuard) -> Result<Verdict, AttemptOutcome> {
-        let verdict = self
-            .entry
-            .clock
-            .timeout_at(self.deadline, guard.verdict())
-            .await;
-        match verdict.flatten() {
-            Some(verdict) => Ok(verdict),
-            None => {
-                self.count_wait("time_over");
-                Err(AttemptOutcome::TimeOver)
+            self.entry
+                .record_admitted(&self.pool, self.admitted_requests(&choice));
+            if self.admission_refusal(&choice).is_some() {
+                place.fail();
+            } else if place.send() {
+                self.reservation = Some(self.entry.reserve(choice.key, choice.footprint));
+                self.log_wait_ended();
+                return Ok(choice);
             }
         }
     }
 
     /// What the entry's queue has to know of the request.
     fn waiting_request(&self, choice: &Choice) -> WaitingRequest {
-        let latest_start = self.deadline - self.run_time(choice);
         WaitingRequest {
             band: self.band(),
             excess: 1.0,
             unread: choice.footprint.unread,
-            held: choice.footprint.held,
             body_bytes: self.incoming.body.len(),
-            latest_start,
+            due: self.incoming.received_at + self.route().target,
+            deadline: self.deadline,
         }
     }
 
-    /// Time from the start of the request to the end of its answer, as known of earlier ones.
-    fn run_time(&self, choice: &Choice) -> Millis {
-        let known = self.entry.run_time(&self.pool, self.band());
-        let assumed = choice.expected_ms + self.ask.output_tokens as f64 * ASSUMED_TOKEN_MS;
-        let longest = Millis(self.route().timeout.0 / RUN_TIME_DIVISOR);
-        known.unwrap_or(Millis(assumed as u64)).min(longest)
-    }
-
     fn wait_refusal(&self, expected: Millis) -> AttemptOutcome {
         self.count_wait("refused");
         AttemptOutcome::NotAdmitted(RefusalReason::WaitTooLong {
@@ -149,11 +132,13 @@
     }
 
     fn log_waiting(&self, req: &WaitingRequest) {
+        let latest_start = self.entry.latest_start(&self.pool, req);
+        let expected = self.entry.expected_wait(&self.pool, req);
         let waiting = Decision::Waiting {
             route: self.route().name.clone(),
             unread: req.unread,
-            expected_ms: self.entry.expected_wait(&self.pool, req).0,
-            latest_start_ms: (req.latest_start - self.entry.clock.now()).0,
+            expected_ms: expected.map(|expected| expected.0),
+            latest_start_ms: (latest_start - self.entry.clock.now()).0,
             waiting: self.entry.waiting.len(),
         };
         self.entry.log.request(self.ask.id.as_bytes(), waiting);
@@ -176,8 +161,3 @@
             .waited(&self.pool, urgency, outcome, waited_ms);
     }
 }
-
-/// Whether the chosen endpoint has a slot for the request.
-fn has_room(choice: &Choice) -> bool {
-    choice.has_room && !choice.is_full
-}
