Late waiting requests are sent only into a calm pool

Change: a waiting request counts as late when 1.6 times the mean time to the first event is more than it has left. Late requests are sent only while the mean backlog of unread prompts is at most the calm bound of admission, at most at the recent pace of the pool, and none while a request in time waits here or at a peer, which summaries now tell. Requests in time therefore go before all late ones, also before those of a more urgent band. Requests that admission would send on arrival go only behind those in time.

--- a/src/direct/admission/overload.rs
+++ b/src/direct/admission/overload.rs
@@ -91,6 +91,11 @@
         self.expected_ms <= self.max_wait_ms()
     }
 
+    /// Whether the pool's mean backlog leaves room beside the most urgent streams.
+    pub fn is_calm(&self) -> bool {
+        self.overload() == 0.0
+    }
+
     /// Longest accepted wait, in ms. It is longer than that of any less urgent request: otherwise a
     /// short urgent request with little time would be refused while long ones with more time are
     /// sent.
--- a/src/direct/admission/waiting.rs
+++ b/src/direct/admission/waiting.rs
@@ -13,6 +13,11 @@
 //! rate: its part, by waiting tokens, of somewhat more than the engines can prefill, and no more
 //! than admission lets in of its arrivals. Requests that admission would send on arrival don't
 //! count.
+//!
+//! Late requests, whose answers can no longer begin within the target, would make others late by
+//! their prompts. They are sent only into capacity that requests in time don't need: while the pool
+//! is calm, at most at its recent pace, and none while a request that can be in time waits here or
+//! at a peer.
 
 use std::collections::VecDeque;
 
@@ -42,6 +47,9 @@
 /// Requests that admission may refuse in one look before the look ends: each costs the choice of
 /// an endpoint.
 const MAX_FAILED_TRIALS: u32 = 2;
+/// Multiple of the expected time to the first event that a request must have left to count as in
+/// time. The expected time is a mean, and many answers take longer.
+const LATE_MARGIN: f64 = 1.6;
 /// Weight of the newest run in the mean times of runs.
 const RUN_WEIGHT: f64 = 0.1;
 
@@ -62,9 +70,9 @@
     pub deadline: Millis,
 }
 
-/// Order in which requests are tried, first to last: by band, within or beyond the team's share, in
-/// time or late, and the time at which the answer is due or, if late, at which its time is over.
-type Rank = (usize, bool, bool, Millis);
+/// Order in which requests are tried, first to last: in time or late, by band, within or beyond the
+/// team's share, and the time at which the answer is due or, if late, at which its time is over.
+type Rank = (bool, usize, bool, Millis);
 
 /// What an entry knows of a pool and of the other entries when it looks for capacity.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -118,6 +126,8 @@
     /// Requests that admission lets this entry send within the visibility delay, by the last trial;
     /// `None` if it sets no limit.
     admitted: Option<f64>,
+    /// Whether the pool was calm at the last trial.
+    is_calm: bool,
     /// Requests that may wait and were sent within [`PACE_WINDOW`], oldest first: when, and their
     /// unread tokens.
     sent: VecDeque<(Millis, u32)>,
@@ -168,11 +178,12 @@
         self.waiting.insert(Waiting { req, tried_in: 0 })
     }
 
-    /// Whether a request that waits here goes before one that arrives now.
+    /// Whether a request that waits here goes before one that arrives now and that admission would
+    /// send. Late ones don't: they have a stricter bound.
     pub fn goes_behind(&self, req: &WaitingRequest, now: Millis) -> bool {
         let rank = self.rank(req, now);
-        let mut waiting = self.waiting.values();
-        waiting.any(|w| self.rank(&w.req, now) < rank)
+        let mut in_time = self.in_time(now);
+        in_time.any(|waiting| self.rank(waiting, now) < rank)
     }
 
     /// Removes a request: it is sent, or its caller left, or it is refused.
@@ -205,7 +216,11 @@
         if self.trying.is_some() || self.failed >= MAX_FAILED_TRIALS || is_used_up {
             return None;
         }
-        let untried = self.waiting.iter().filter(|(_, w)| w.tried_in < self.look);
+        let tries_late = self.allowance.is_infinite() || !self.yields_to_in_time(now);
+        let untried = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.tried_in < self.look && (tries_late || !self.is_late(&w.req, now)));
         let turn = |w: &Waiting| if self.failed > 0 { w.tried_in } else { 0 };
         let first = untried.min_by_key(|(_, w)| (turn(w), self.rank(&w.req, now)));
         let key = first?.0;
@@ -229,8 +244,15 @@
     }
 
     /// Ends a trial in which admission let the request pass: sends it, if one more may be sent from
-    /// the queue. False if it has to be tried again.
+    /// the queue, and the pool is calm if it is late. False if it has to be tried again.
     pub fn send(&mut self, key: WaitingKey, now: Millis) -> bool {
+        let waiting = self.waiting.get(key);
+        if !self.is_calm && waiting.is_some_and(|w| self.is_late(&w.req, now)) {
+            self.fail(key);
+            // Nor may any other late one be sent.
+            self.failed = MAX_FAILED_TRIALS;
+            return false;
+        }
         if self.allowance < 1.0 {
             self.fail(key);
             return false;
@@ -250,10 +272,10 @@
         self.sent.push_back((now, req.unread));
     }
 
-    /// Records how many requests admission would let this entry send within the visibility delay;
-    /// `None` if it sets no limit.
-    pub fn record_admitted(&mut self, requests: Option<f64>) {
-        self.admitted = requests;
+    /// Records what a trial shows of the pool: how many requests admission would let this entry
+    /// send within the visibility delay, `None` if it sets no limit, and whether the pool is calm.
+    pub fn record_trial(&mut self, admitted: Option<f64>, is_calm: bool) {
+        (self.admitted, self.is_calm) = (admitted, is_calm);
     }
 
     /// Whether an answer to a request that arrives now could come before its time is over: it can
@@ -272,12 +294,19 @@
     /// Expected time until all is sent that waits here and at peers, and a request that arrives
     /// now, at the pace of the last seconds; `None` if that is not known.
     pub fn expected_wait(&self, req: &WaitingRequest, now: Millis) -> Option<Millis> {
-        let pace = self.pace(now) + self.peers.pace(now);
-        let sample = pace * PACE_WINDOW.0 as f64 / f64::from(req.unread.max(1));
+        let pace = self.pool_pace(f64::from(req.unread), now)?;
         let tokens = self.own_tokens(|w| w.band <= req.band)
             + self.peers.tokens_up_to(req.band, now)
             + f64::from(req.unread);
-        (sample >= MIN_PACE_SAMPLE).then(|| Millis((tokens / pace) as u64))
+        Some(Millis((tokens / pace) as u64))
+    }
+
+    /// Prompt tokens per millisecond that this entry and the peers at which requests wait sent in
+    /// the last seconds; `None` if these were too few requests of this many tokens.
+    fn pool_pace(&self, request_tokens: f64, now: Millis) -> Option<f64> {
+        let pace = self.pace(now) + self.peers.pace(now);
+        let sample = pace * PACE_WINDOW.0 as f64 / request_tokens.max(1.0);
+        (sample >= MIN_PACE_SAMPLE).then_some(pace)
     }
 
     /// What is told to peers; `None` while nothing waits.
@@ -289,7 +318,8 @@
         for Waiting { req, .. } in self.waiting.values() {
             bands[req.band].add(req.unread);
         }
-        Some(PoolSummary::new(bands, self.pace(now)))
+        let has_in_time = self.in_time(now).next().is_some();
+        Some(PoolSummary::new(bands, self.pace(now), has_in_time))
     }
 
     /// Takes a peer's summary. It replaces the one before.
@@ -330,9 +360,26 @@
     }
 
     fn rank(&self, req: &WaitingRequest, now: Millis) -> Rank {
-        let is_late = now + self.first_event_time(req.band) > req.due;
+        let is_late = self.is_late(req, now);
         let at = if is_late { req.deadline } else { req.due };
-        (req.band, req.excess > 1.0, is_late, at)
+        (is_late, req.band, req.excess > 1.0, at)
+    }
+
+    /// Whether the answer to a request that is sent now can't be counted on to begin in time.
+    fn is_late(&self, req: &WaitingRequest, now: Millis) -> bool {
+        let expected = self.runs[req.band].first_event.unwrap_or_default();
+        now + millis(expected * LATE_MARGIN) > req.due
+    }
+
+    /// Requests that wait here and can be in time.
+    fn in_time(&self, now: Millis) -> impl Iterator<Item = &WaitingRequest> {
+        let waiting = self.waiting.values().map(|w| &w.req);
+        waiting.filter(move |req| !self.is_late(req, now))
+    }
+
+    /// Whether late requests are held for one here or at a peer that can be in time.
+    fn yields_to_in_time(&self, now: Millis) -> bool {
+        self.in_time(now).next().is_some() || self.peers.have_in_time(now)
     }
 
     fn first_event_time(&self, band: usize) -> Millis {
@@ -374,7 +421,16 @@
         let prefilled = supply.prefill_tokens_per_ms * RELEASE_FACTOR / mean_tokens;
         let admitted = self.admitted.unwrap_or(f64::INFINITY);
         let admitted = admitted / supply.visibility_delay.0.max(1) as f64;
-        (prefilled * self.share(band, now, supply)).min(admitted)
+        let pace = match self.in_time(now).next() {
+            Some(_) => f64::INFINITY,
+            // Only late ones wait.
+            None => {
+                self.pool_pace(mean_tokens, now)
+                    .unwrap_or(supply.prefill_tokens_per_ms)
+                    / mean_tokens
+            }
+        };
+        (prefilled.min(pace) * self.share(band, now, supply)).min(admitted)
     }
 
     /// This entry's share of the capacity for requests of a band, from 0 to 1.
--- a/src/direct/admission/waiting_peers.rs
+++ b/src/direct/admission/waiting_peers.rs
@@ -65,14 +65,17 @@
     bands: [BandSummary; BANDS],
     /// Prompt tokens that the entry sent in the last seconds, per second.
     tokens_per_s: u32,
+    /// Whether one of the requests can still be answered in time.
+    has_in_time: bool,
 }
 
 impl PoolSummary {
     /// A summary of an entry that sends `pace` prompt tokens in a millisecond.
-    pub fn new(bands: [BandSummary; BANDS], pace: f64) -> Self {
+    pub fn new(bands: [BandSummary; BANDS], pace: f64, has_in_time: bool) -> Self {
         Self {
             bands,
             tokens_per_s: (pace * 1_000.0) as u32,
+            has_in_time,
         }
     }
 
@@ -80,6 +83,7 @@
         Self {
             bands: self.bands.map(BandSummary::bounded),
             tokens_per_s: self.tokens_per_s.min(MAX_PACE * 1_000),
+            has_in_time: self.has_in_time,
         }
     }
 }
@@ -127,6 +131,11 @@
         per_s / 1_000.0
     }
 
+    /// Whether a request that can be in time waits at a peer that is heard.
+    pub fn have_in_time(&self, now: Millis) -> bool {
+        self.valid(now).any(|summary| summary.has_in_time)
+    }
+
     fn valid(&self, now: Millis) -> impl Iterator<Item = &PoolSummary> {
         let valid = move |(at, _): &&(Millis, PoolSummary)| now < *at + REPORT_TTL;
         self.reports
--- a/src/direct/entry/waiting.rs
+++ b/src/direct/entry/waiting.rs
@@ -305,10 +305,10 @@
         self.with_queue(pool, |queue| queue.record_sent(req, now));
     }
 
-    /// Records how many requests admission would let this entry send within the visibility delay;
-    /// `None` if it sets no limit.
-    pub fn record_admitted(&self, pool: &str, requests: Option<f64>) {
-        self.with_queue(pool, |queue| queue.record_admitted(requests));
+    /// Records what a trial shows of the pool: how many requests admission would let this entry
+    /// send within the visibility delay, `None` if it sets no limit, and whether the pool is calm.
+    pub fn record_trial(&self, pool: &str, admitted: Option<f64>, is_calm: bool) {
+        self.with_queue(pool, |queue| queue.record_trial(admitted, is_calm));
     }
 
     /// Records the time of a run until its first event, where the pool has a queue.
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -80,6 +80,11 @@
         })
     }
 
+    /// Whether the pool's backlog leaves room for requests that are late anyway.
+    pub(super) fn is_calm(&self, choice: &Choice) -> bool {
+        self.outlook(choice).is_calm()
+    }
+
     fn outlook(&self, choice: &Choice) -> EngineAdmission {
         let band = self.band();
         EngineAdmission {
--- a/src/direct/job/wait.rs
+++ b/src/direct/job/wait.rs
@@ -21,8 +21,7 @@
         let Some(why) = refusal else {
             return self.send_in_order(choice, req).await;
         };
-        self.entry
-            .record_admitted(&self.pool, self.admitted_requests(&choice));
+        self.record_trial(&choice);
         match self.entry.wait_refused(&self.pool, req) {
             Entered::Waits(place) => self.wait_for_capacity(place, req).await,
             // Too little time is left, whatever waits.
@@ -99,8 +98,7 @@
                 drop(place);
                 return Err(self.wait_for_permit().await);
             };
-            self.entry
-                .record_admitted(&self.pool, self.admitted_requests(&choice));
+            self.record_trial(&choice);
             if self.admission_refusal(&choice).is_some() {
                 place.fail();
             } else if place.send() {
@@ -111,6 +109,11 @@
         }
     }
 
+    fn record_trial(&self, choice: &Choice) {
+        let (admitted, is_calm) = (self.admitted_requests(choice), self.is_calm(choice));
+        self.entry.record_trial(&self.pool, admitted, is_calm);
+    }
+
     /// What the entry's queue has to know of the request.
     fn waiting_request(&self, choice: &Choice) -> WaitingRequest {
         WaitingRequest {
