Shares of teams in mixed pools

Cause: a team that sends 7.5 times its usual rate fills a pool, and the admission refuses requests of all teams alike.

Shares are max-min fair. While a band or a more urgent one lacks capacity, the accepted wait is shorter for a team that asks for more than its share and longer for the others, and the lottery for free slots gives the same total by shares. Only refusals that the admission would make whatever the team is count as lack of capacity, so the shares don't keep themselves in force. A refused team beyond its share gets the reason team_share and a Retry-After that is spread over the time in which its excess decays, at most a quarter of the time left. Pools that are not mixed, and configurations with one team, are served as before.

No decision changes where the pool has capacity.

--- a/src/direct/admission/overload.rs
+++ b/src/direct/admission/overload.rs
@@ -88,7 +88,14 @@
 impl EngineAdmission {
     /// Whether the request is sent.
     pub fn is_admitted(&self) -> bool {
-        self.expected_ms <= self.max_wait_ms()
+        self.is_admitted_with(1.0)
+    }
+
+    /// Whether the request is sent if the accepted wait is changed by a factor, which depends on
+    /// the share of its team.
+    pub fn is_admitted_with(&self, wait_factor: f64) -> bool {
+        let max_wait_ms = self.max_wait_ms() * wait_factor;
+        self.expected_ms <= max_wait_ms.min(self.time_left.0 as f64)
     }
 
     /// Longest accepted wait, in ms. It is longer than that of any less urgent request: otherwise a
--- /dev/null
+++ b/src/direct/admission/shares.rs
@@ -0,0 +1,382 @@
+//! Max-min fair shares of teams in what a mixed pool handles.
+//!
+//! It handles the load of one team that sends many times its usual rate to a pool at the limit of
+//! its capacity. A team that asks for less than an equal share gets all that it asks for, and the
+//! rest is divided equally among the others. While the pool lacks capacity, the requests of teams
+//! that ask for more than their share are refused before those of the others. The shares decide
+//! only which requests are refused, not how many: the pool lacks capacity only where the admission
+//! would refuse requests of any team.
+//!
+//! An entry sees a part of the requests, and hears late of some of the others. Shares are ratios,
+//! for which a sample of the fleet suffices.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::direct::known::load::BANDS;
+use crate::direct::peers::{
+    NameDigest, PeerId, ReportedUsage, UsageReport, BLOCK_TOKENS, MAX_REPORTED_TEAMS,
+};
+
+/// Half-life of usage and demand.
+pub const USAGE_HALF_LIFE: Millis = Millis(5_000);
+/// Age from which the report of a peer is ignored.
+const REPORT_TTL: Millis = Millis(3_000);
+/// Time for which a pool counts as contended after a request found no capacity.
+const CONTENTION_TIME: Millis = Millis(1_000);
+/// Time for which computed shares are used before they are computed again.
+const SHARES_TTL: Millis = Millis(100);
+/// Maximum number of peers whose reports are kept.
+const MAX_SOURCES: usize = 512;
+/// Largest sum of the figures of one peer, relative to the median of all, so that corrupted figures
+/// change the shares little.
+const MAX_RELATIVE_SUM: f64 = 4.0;
+/// Largest factor on the usage of a team that asks for more than its share. Without it, the team
+/// would never count as beyond its share while the others get all that they ask for, and by late
+/// figures would take from them.
+const MAX_DEMAND_FACTOR: f64 = 1.1;
+/// Bounds of the factor on the accepted wait by what a team asks for. With a larger one, many of the
+/// requests that are sent would be late.
+const WAIT_FACTORS: (f64, f64) = (0.5, 1.4);
+/// Relative error of sums of figures.
+const ROUNDING: f64 = 1e-9;
+/// Power of the excess by which the accepted wait of a team beyond its share is divided. More urgent
+/// requests are sent first whatever their team is, so a team that has its share by these must get
+/// next to nothing by the others.
+const EXCESS_EXPONENT: i32 = 4;
+
+/// Tokens of a team within the last seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Usage {
+    /// Prompt and answer tokens of requests that were sent to endpoints.
+    used: f64,
+    /// The same of requests that arrived.
+    asked: f64,
+}
+
+impl Usage {
+    fn from_report(reported: ReportedUsage) -> Self {
+        Self {
+            used: f64::from(reported.used) * BLOCK_TOKENS,
+            asked: f64::from(reported.asked) * BLOCK_TOKENS,
+        }
+    }
+
+    fn to_report(self) -> ReportedUsage {
+        // Rounded; `as` limits what does not fit.
+        let blocks = |tokens: f64| (tokens / BLOCK_TOKENS).round() as u32;
+        ReportedUsage {
+            used: blocks(self.used),
+            asked: blocks(self.asked),
+        }
+    }
+
+    fn add(&mut self, other: Self, factor: f64) {
+        self.used += other.used * factor;
+        self.asked += other.asked * factor;
+    }
+
+    /// What the team asks for. Requests that are sent again or wait before they are sent count as
+    /// usage when they no longer do as demand.
+    fn demand(self) -> f64 {
+        self.asked.max(self.used)
+    }
+}
+
+/// Usage of one team at this entry, as of a time.
+#[derive(Debug, Clone, Copy)]
+struct DecayingUsage {
+    usage: Usage,
+    at: Millis,
+}
+
+impl DecayingUsage {
+    fn at(self, now: Millis) -> Usage {
+        let half_lives = (now - self.at).0 as f64 / USAGE_HALF_LIFE.0 as f64;
+        let left = (-half_lives).exp2();
+        Usage {
+            used: self.usage.used * left,
+            asked: self.usage.asked * left,
+        }
+    }
+}
+
+/// What a peer reported.
+#[derive(Debug)]
+struct PeerReport {
+    at: Millis,
+    report: UsageReport,
+}
+
+impl PeerReport {
+    /// Sum of all figures, in tokens.
+    fn sum(&self) -> f64 {
+        let teams = self.report.teams.iter().map(|(_, usage)| *usage);
+        let all = teams.chain([self.report.others]);
+        all.map(|usage| Usage::from_report(usage).demand()).sum()
+    }
+}
+
+/// Where a team stands in a pool that lacks capacity.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TeamStanding {
+    /// The team's usage over its share; 1 or less is within it.
+    pub excess: f64,
+    /// What the team asks for over its share; 1 where it asks for no more.
+    pub relative_demand: f64,
+    /// Factor on the accepted wait of the team's requests: 1 where it asks for just its share.
+    pub wait_factor: f64,
+}
+
+/// Recent usage of one pool by teams, and their shares.
+#[derive(Debug, Default)]
+pub struct TeamShares {
+    /// Number of teams in the configuration.
+    team_count: usize,
+    /// Usage at this entry.
+    own: HashMap<NameDigest, DecayingUsage>,
+    /// Newest reports of peers.
+    reports: HashMap<PeerId, PeerReport>,
+    /// When a request of each band last found no capacity here.
+    own_contention: [Option<Millis>; BANDS],
+    /// The same, here or at peers.
+    contention: [Option<Millis>; BANDS],
+    shares: Option<(Millis, Shares)>,
+}
+
+impl TeamShares {
+    /// Sets the number of teams in the configuration.
+    pub fn set_team_count(&mut self, teams: usize) {
+        self.team_count = teams;
+    }
+
+    /// Records that a request arrived that endpoints could run; `tokens` are those of its prompt
+    /// and answer.
+    pub fn record_arrival(&mut self, team: NameDigest, tokens: u64, now: Millis) {
+        let asked = tokens as f64;
+        self.add_own(team, Usage { used: 0.0, asked }, now);
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub fn record_sent(&mut self, team: NameDigest, tokens: u64, now: Millis) {
+        let used = tokens as f64;
+        self.add_own(team, Usage { used, asked: 0.0 }, now);
+    }
+
+    /// Takes back what was recorded for a request that no endpoint ran after all.
+    pub fn record_not_run(&mut self, team: NameDigest, tokens: u64, now: Millis) {
+        let used = -(tokens as f64);
+        self.add_own(team, Usage { used, asked: 0.0 }, now);
+    }
+
+    /// Records that a request of a band found no capacity: it waits, or the admission would refuse
+    /// it whatever its team is.
+    pub fn record_contention(&mut self, band: usize, now: Millis) {
+        self.own_contention[band] = Some(now);
+        self.contention[band] = Some(now);
+    }
+
+    /// Keeps a peer's report for [`REPORT_TTL`]. A malformed one is discarded.
+    pub fn record_report(&mut self, from: PeerId, report: UsageReport, now: Millis) {
+        self.reports.retain(|_, known| now < known.at + REPORT_TTL);
+        let is_full = self.reports.len() >= MAX_SOURCES && !self.reports.contains_key(&from);
+        if is_full || !report.is_valid() {
+            return;
+        }
+        let band = report.contended_band.map(usize::from);
+        if let Some(at) = band.and_then(|band| self.contention.get_mut(band)) {
+            *at = Some(now);
+        }
+        self.reports.insert(from, PeerReport { at: now, report });
+    }
+
+    /// What peers are told of this entry's usage; `None` if there was none lately.
+    pub fn report(&mut self, pool: NameDigest, now: Millis) -> Option<UsageReport> {
+        self.own
+            .retain(|_, known| known.at(now).demand() >= BLOCK_TOKENS / 2.0);
+        let own = self.own.iter();
+        let mut teams: Vec<_> = own.map(|(team, known)| (*team, known.at(now))).collect();
+        teams.sort_by(|(_, a), (_, b)| b.demand().total_cmp(&a.demand()));
+        let mut others = Usage::default();
+        for (_, usage) in teams.iter().skip(MAX_REPORTED_TEAMS) {
+            others.add(*usage, 1.0);
+        }
+        teams.truncate(MAX_REPORTED_TEAMS);
+        let contended_band = first_recent(&self.own_contention, now);
+        (!teams.is_empty()).then(|| UsageReport {
+            pool,
+            contended_band: contended_band.and_then(|band| u8::try_from(band).ok()),
+            teams: teams
+                .into_iter()
+                .map(|(team, usage)| (team, usage.to_report()))
+                .collect(),
+            others: others.to_report(),
+        })
+    }
+
+    /// Whether requests of a band, or of more urgent ones, found no capacity lately.
+    pub fn is_contended(&self, band: usize, now: Millis) -> bool {
+        first_recent(&self.contention, now).is_some_and(|first| first <= band)
+    }
+
+    /// A team's usage over its share; 1 or less is within it.
+    pub fn excess(&mut self, team: NameDigest, now: Millis) -> f64 {
+        self.shares(now).excess(team)
+    }
+
+    /// Where a team stands; `None` while requests of the band lack no capacity.
+    pub fn standing(&mut self, team: NameDigest, band: usize, now: Millis) -> Option<TeamStanding> {
+        self.is_contended(band, now).then(|| {
+            let shares = self.shares(now);
+            TeamStanding {
+                excess: shares.excess(team),
+                relative_demand: shares.relative_demand(team),
+                wait_factor: shares.wait_factor(team),
+            }
+        })
+    }
+
+    /// Fraction of a team's requests to send where only a fraction of all can be: the same number
+    /// of tokens in total, divided by shares.
+    pub fn sent_fraction(&mut self, team: NameDigest, of_all: f64, now: Millis) -> f64 {
+        self.shares(now).sent_fraction(team, of_all)
+    }
+
+    /// The teams beyond their shares, with their excess, the largest first.
+    pub fn teams_beyond(&mut self, now: Millis) -> Vec<(NameDigest, f64)> {
+        let shares = self.shares(now);
+        let all = shares
+            .teams
+            .keys()
+            .map(|team| (*team, shares.excess(*team)));
+        let mut beyond: Vec<_> = all.filter(|(_, excess)| *excess > 1.0).collect();
+        beyond.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        beyond
+    }
+
+    fn add_own(&mut self, team: NameDigest, usage: Usage, now: Millis) {
+        let known = self.own.get(&team).map(|known| known.at(now));
+        let mut sum = known.unwrap_or_default();
+        sum.add(usage, 1.0);
+        sum.used = sum.used.max(0.0);
+        self.own.insert(
+            team,
+            DecayingUsage {
+                usage: sum,
+                at: now,
+            },
+        );
+    }
+
+    /// The shares, computed again if they are older than [`SHARES_TTL`].
+    fn shares(&mut self, now: Millis) -> &Shares {
+        let known = self.shares.take();
+        let fresh = known.filter(|(at, _)| now < *at + SHARES_TTL);
+        let computed = fresh.unwrap_or_else(|| (now, self.compute_shares(now)));
+        &self.shares.insert(computed).1
+    }
+
+    fn compute_shares(&self, now: Millis) -> Shares {
+        let mut teams: HashMap<NameDigest, Usage> = HashMap::new();
+        for (team, known) in &self.own {
+            teams.insert(*team, known.at(now));
+        }
+        let own_sum: f64 = teams.values().map(|usage| usage.demand()).sum();
+        let reports = self.reports.values();
+        let recent: Vec<_> = reports.filter(|r| now < r.at + REPORT_TTL).collect();
+        let mut sums: Vec<f64> = recent.iter().map(|report| report.sum()).collect();
+        sums.push(own_sum);
+        sums.sort_by(f64::total_cmp);
+        let max_sum = sums[(sums.len() - 1) / 2] * MAX_RELATIVE_SUM;
+        let mut others = Usage::default();
+        for known in recent {
+            let factor = (max_sum / known.sum().max(1.0)).min(1.0);
+            for (team, usage) in &known.report.teams {
+                let sum = teams.entry(*team).or_default();
+                sum.add(Usage::from_report(*usage), factor);
+            }
+            others.add(Usage::from_report(known.report.others), factor);
+        }
+        Shares::new(teams, others, self.team_count)
+    }
+}
+
+/// First band in which a request found no capacity within [`CONTENTION_TIME`].
+fn first_recent(contention: &[Option<Millis>; BANDS], now: Millis) -> Option<usize> {
+    let is_recent = |at: &Option<Millis>| at.is_some_and(|at| now < at + CONTENTION_TIME);
+    contention.iter().position(is_recent)
+}
+
+/// Shares computed from the usage at one time.
+#[derive(Debug)]
+struct Shares {
+    teams: HashMap<NameDigest, Usage>,
+    /// Demands of teams with their numbers, the smallest first.
+    demands: Vec<(f64, f64)>,
+    /// What all teams asked for, in tokens.
+    asked: f64,
+    /// The largest share, in tokens: that of every team that asks for as much or more.
+    level: f64,
+}
+
+impl Shares {
+    /// Shares of `teams`. `others` is the usage of the teams that peers did not name, which are
+    /// taken as equal.
+    fn new(teams: HashMap<NameDigest, Usage>, others: Usage, team_count: usize) -> Self {
+        let unnamed = team_count.saturating_sub(teams.len()).max(1) as f64;
+        let mut demands: Vec<_> = teams.values().map(|usage| (usage.demand(), 1.0)).collect();
+        demands.push((others.demand() / unnamed, unnamed));
+        demands.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let used = teams.values().map(|usage| usage.used).sum::<f64>() + others.used;
+        let asked = demands.iter().map(|(demand, teams)| demand * teams).sum();
+        let level = level(&demands, used);
+        Self {
+            teams,
+            demands,
+            asked,
+            level,
+        }
+    }
+
+    fn usage(&self, team: NameDigest) -> Usage {
+        self.teams.get(&team).copied().unwrap_or_default()
+    }
+
+    fn relative_demand(&self, team: NameDigest) -> f64 {
+        (self.usage(team).demand() / self.level.max(1.0)).max(1.0)
+    }
+
+    fn excess(&self, team: NameDigest) -> f64 {
+        let relative_usage = self.usage(team).used / self.level.max(1.0);
+        relative_usage * self.relative_demand(team).min(MAX_DEMAND_FACTOR)
+    }
+
+    fn wait_factor(&self, team: NameDigest) -> f64 {
+        let (min, max) = WAIT_FACTORS;
+        let of_demand = (self.level / self.usage(team).demand().max(1.0)).clamp(min, max);
+        of_demand / self.excess(team).max(1.0).powi(EXCESS_EXPONENT)
+    }
+
+    fn sent_fraction(&self, team: NameDigest, of_all: f64) -> f64 {
+        let demand = self.usage(team).demand();
+        if of_all >= 1.0 || demand <= 0.0 {
+            return 1.0;
+        }
+        (level(&self.demands, self.asked * of_all) / demand).min(1.0)
+    }
+}
+
+/// The largest share where `capacity` is divided among demands with their numbers, the smallest
+/// first; the largest demand if there is enough for all.
+fn level(demands: &[(f64, f64)], capacity: f64) -> f64 {
+    let mut left = capacity;
+    let mut teams: f64 = demands.iter().map(|(_, teams)| teams).sum();
+    for (demand, count) in demands {
+        if demand * teams > left * (1.0 + ROUNDING) {
+            return left / teams;
+        }
+        left -= demand * count;
+        teams -= count;
+    }
+    demands.last().map_or(0.0, |(demand, _)| *demand)
+}
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -62,6 +62,15 @@
         /// Percentage of such requests that are sent.
         sent_percent: u32,
     },
+    /// The pool lacks capacity, and the team asks for more than its share of it.
+    TeamShare {
+        /// Usage of the team in percent of its share.
+        used_percent: u32,
+        /// What the team asks for in percent of its share.
+        asked_percent: u32,
+        /// Estimated time until the first event at the best endpoint, in ms.
+        expected_ms: u64,
+    },
     /// Several endpoints in a row ended while they ran a request with the same fingerprint.
     EndsEndpoints {
         /// Digest of what the request asks for.
@@ -326,6 +335,17 @@
         /// Time for which it is refused, in ms.
         for_ms: u64,
     },
+    /// Teams ask for more than their shares of a pool that lacks capacity; logged once a second.
+    TeamsBeyondShare {
+        /// The pool.
+        pool: String,
+        /// Number of such teams.
+        teams: usize,
+        /// The one that is furthest beyond its share; empty where it is not in the configuration.
+        team: String,
+        /// Its usage in percent of its share.
+        used_percent: u32,
+    },
     /// The configuration store stopped answering, or answers again.
     Store {
         /// Whether it answers.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -8,6 +8,7 @@
 mod shared;
 mod store;
 mod suspicion;
+mod team_shares;
 mod watch_role;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -23,6 +24,7 @@
 use self::store::LargeAnswer;
 use crate::clock::{Clock, Millis};
 use crate::direct::admission::budget::RetryWindow;
+use crate::direct::admission::shares::TeamShares;
 use crate::direct::admission::turnover::PoolActivity;
 use crate::direct::admission::warmup::FleetSize;
 use crate::direct::catalog::Catalog;
@@ -96,6 +98,8 @@
     turnovers: RefCell<HashMap<String, PoolActivity>>,
     /// Retry budgets, by pool.
     pub retries: RefCell<HashMap<String, RetryWindow>>,
+    /// Shares of teams, by pool.
+    team_shares: RefCell<HashMap<String, TeamShares>>,
     /// Requests that are suspected of ending endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// Wakes requests under suspicion that wait for their turn to be sent.
@@ -186,6 +190,7 @@
             peer_socket: OnceCell::new(),
             turnovers: RefCell::default(),
             retries: RefCell::default(),
+            team_shares: RefCell::default(),
             quarantine: RefCell::new(Quarantine::started_at(clock.now())),
             quarantine_changed: Notify::new(),
             gossip_requested: Notify::new(),
@@ -335,6 +340,7 @@
             "proof_age_ms",
             self.proof_age().map_or(u64::MAX, |age| age.0),
         );
+        self.update_team_metrics(now);
         let quarantine = self.quarantine.borrow();
         metrics.set("requests_suspected", quarantine.len() as u64);
         metrics.set(
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -8,7 +8,9 @@
 
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
-    pub fn send_shared_state(&self, _to: SocketAddr) {}
+    pub fn send_shared_state(&self, to: SocketAddr) {
+        self.send_team_usage(to);
+    }
 
     /// Handles a datagram of shared state; false if it is of another format.
     pub fn handle_shared_state(&self, bytes: &[u8]) -> bool {
@@ -26,6 +28,4 @@
     fn handle_observations(&self, _from: PeerId, _payload: &[u8]) {}
 
     fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
-
-    fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
 }
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -41,6 +41,7 @@
     let fingerprints: BTreeSet<String> =
         lines.iter().filter(about).filter_map(fingerprint).collect();
     let has_no_endpoint = lines.iter().filter(about).any(found_no_endpoint);
+    let has_no_capacity = lines.iter().filter(about).any(found_no_capacity);
     let mut text = String::new();
     for line in &lines {
         let is_about_request = about(&line);
@@ -51,6 +52,7 @@
         if is_about_request
             || is_related
             || reports_end
+            || (has_no_capacity && is_recent && reports_shares(&line.decision))
             || (line.up <= last && reports_announcement(line, &endpoints, has_no_endpoint))
         {
             let mark = if is_about_request { "*" } else { " " };
@@ -125,6 +127,24 @@
     }
 }
 
+/// Whether a line reports that a request was refused because its pool lacked capacity.
+fn found_no_capacity(line: &LogLine) -> bool {
+    match &line.decision {
+        Decision::Refused { why, .. } => matches!(
+            why,
+            RefusalReason::Overload { .. }
+                | RefusalReason::RoomKept { .. }
+                | RefusalReason::TeamShare { .. }
+        ),
+        _ => false,
+    }
+}
+
+/// Whether a line reports teams beyond their shares of a pool, for whom it lacks capacity.
+fn reports_shares(decision: &Decision) -> bool {
+    matches!(decision, Decision::TeamsBeyondShare { .. })
+}
+
 /// Whether a line reports that one of these endpoints (any endpoint, with `any`) wants no requests
 /// or limits their rate. Such lines are shown however old they are.
 fn reports_announcement(line: &LogLine, endpoints: &BTreeSet<&str>, any: bool) -> bool {
@@ -144,6 +164,7 @@
         | Decision::EndpointHealth { endpoint, .. }
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
         Decision::Peer { .. }
+        | Decision::TeamsBeyondShare { .. }
         | Decision::RequestRefused { .. }
         | Decision::EndpointAnnounced { .. }
         | Decision::EndpointLimited { .. } => false,
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -48,6 +48,9 @@
         self.entry.record_announcement(key, announcement, id);
         self.entry
             .record_announced_limit(key, announcement.limit, answer.sent_at, id);
+        if response_info.misdirected || response_info.not_run {
+            self.take_back_team_usage();
+        }
         if response_info.misdirected {
             answer.run_guard.undecided();
             return self.handle_misdirected(key);
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -63,17 +63,18 @@
         let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
         if !is_plain && self.must_leave_room(choice) {
             let sent_percent = (choice.admitted_fraction.min(1.0) * 100.0) as u32;
-            return Some(RefusalReason::RoomKept { sent_percent });
+            return Some(self.team_refusal(choice, RefusalReason::RoomKept { sent_percent }));
         }
         let is_admitted = match is_plain {
             _ if self.attempts > 0 => true,
             true => self.plain_outlook(choice).is_admitted(),
-            false => self.outlook(choice).is_admitted(),
+            false => self.is_team_admitted(&self.outlook(choice)),
         };
-        (!is_admitted).then_some(RefusalReason::Overload {
+        let overload = RefusalReason::Overload {
             expected_ms: choice.expected_ms as u64,
             backlog_ms: choice.backlog_ms as u64,
-        })
+        };
+        (!is_admitted).then(|| self.team_refusal(choice, overload))
     }
 
     fn outlook(&self, choice: &Choice) -> EngineAdmission {
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -4,6 +4,7 @@
 
 use super::Job;
 use crate::clock::Millis;
+use crate::direct::admission::shares::USAGE_HALF_LIFE;
 use crate::direct::answerer::Answerer;
 use crate::direct::decision::{RefusalReason, RequestOutcome};
 use crate::direct::dialect::ErrorResponse;
@@ -41,6 +42,18 @@
     RETRY_DELAY + Millis((spread.0 as f64 * draw) as u64)
 }
 
+/// The retry delay of a team that asks for `asked_percent` of its share, at most `longest`; `draw`
+/// is a random number from 0 to 1. Retries are spread over the time in which that much usage decays
+/// to the share, so that they don't meet the requests of the other teams.
+fn delay_beyond_share(asked_percent: u32, longest: Millis, draw: f64) -> Millis {
+    let half_lives = (f64::from(asked_percent) / 100.0).max(1.0).log2();
+    let spread = Millis((USAGE_HALF_LIFE.0 as f64 * half_lives) as u64);
+    let spread = spread
+        .max(Millis(RETRY_JITTER_MS))
+        .min(longest - RETRY_DELAY);
+    RETRY_DELAY + Millis((spread.0 as f64 * draw) as u64)
+}
+
 impl Job<'_> {
     /// Ends the request with a refusal: nothing ran, and nothing will. A stream that has begun is
     /// cut off. False if the connection is to be closed.
@@ -72,6 +85,7 @@
         let outcome = match why {
             RefusalReason::Overload { .. } => "turned_away",
             RefusalReason::RoomKept { .. } => "room_kept",
+            RefusalReason::TeamShare { .. } => "team_share",
             RefusalReason::EndsEndpoints { .. } => "ends_endpoints",
             RefusalReason::EndpointsRest { .. } => "endpoints_rest",
             RefusalReason::EndpointsLimited { .. } => "endpoints_limited",
@@ -114,6 +128,11 @@
                     Millis((self.deadline - self.entry.clock.now()).0 / MAX_DELAY_DIVISOR);
                 delay_after_partial_admission(sent_percent, longest, random.gen())
             }
+            (RefusalReason::TeamShare { asked_percent, .. }, None) => {
+                let longest =
+                    Millis((self.deadline - self.entry.clock.now()).0 / MAX_DELAY_DIVISOR);
+                delay_beyond_share(asked_percent, longest, random.gen())
+            }
             (_, None) => RETRY_DELAY + Millis(spread),
         }
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -8,6 +8,7 @@
 mod permit;
 mod room;
 mod send;
+mod share;
 mod turn;
 
 use std::cell::{Cell, RefCell};
@@ -96,6 +97,8 @@
     deadline: Millis,
     /// Endpoints that it is not sent to again.
     tried: Vec<EndpointKey>,
+    /// Whether it counts in what its team asks for.
+    is_arrival_counted: bool,
     /// Number of attempts that were sent, or are about to be.
     attempts: u32,
     /// Whether an endpoint may have run any of it.
@@ -145,6 +148,7 @@
             pool,
             deadline,
             tried: Vec::new(),
+            is_arrival_counted: false,
             attempts: 0,
             may_have_run: false,
             last_address: None,
--- a/src/direct/job/room.rs
+++ b/src/direct/job/room.rs
@@ -12,9 +12,16 @@
     /// kept for more urgent ones. A second attempt gets no precedence over them.
     pub(super) fn must_leave_room(&self, choice: &Choice) -> bool {
         let now = self.entry.clock.now();
-        let is_drawn = rand::random::<f64>() < choice.admitted_fraction;
         let leaves = self.has_more_urgent(now) && !self.has_less_urgent(now);
-        leaves && !self.may_have_run && !(choice.has_room && is_drawn)
+        if !leaves || self.may_have_run {
+            return false;
+        }
+        let draw = rand::random::<f64>();
+        let is_kept = |sent_fraction| !(choice.has_room && draw < sent_fraction);
+        if is_kept(choice.admitted_fraction) {
+            self.record_team_contention();
+        }
+        is_kept(self.team_fraction(choice.admitted_fraction))
     }
 
     /// Whether requests of more urgent bands were seen in the pool lately.
@@ -75,6 +82,7 @@
             why,
             RefusalReason::Overload { .. }
                 | RefusalReason::RoomKept { .. }
+                | RefusalReason::TeamShare { .. }
                 | RefusalReason::EndpointRefused
         );
         if is_for_room {
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -35,6 +35,7 @@
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
+        self.count_team_arrival();
         if let Some(why) = self.admission_refusal(&choice) {
             return AttemptOutcome::NotAdmitted(why);
         }
@@ -121,6 +122,7 @@
             return AttemptOutcome::NotSent(key);
         };
         self.record_placement(&choice);
+        self.record_team_usage();
         let run_guard = self
             .entry
             .begin_run(key, &self.pool, choice.footprint, self.fingerprint);
@@ -130,6 +132,7 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(ExchangeError::Refused | ExchangeError::Connect | ExchangeError::NotSent)) => {
                 run_guard.undecided();
+                self.take_back_team_usage();
                 self.attempts -= 1;
                 self.log_failed(key, "connection failed before sending", false);
                 return AttemptOutcome::NotSent(key);
--- /dev/null
+++ b/src/direct/job/share.rs
@@ -0,0 +1,90 @@
+//! What a request does for the shares of teams, and what these do for its admission. Nothing in
+//! pools that are not mixed, and without at least two teams.
+
+use super::Job;
+use crate::direct::admission::overload::EngineAdmission;
+use crate::direct::admission::shares::{TeamShares, TeamStanding};
+use crate::direct::decision::RefusalReason;
+use crate::direct::peers::NameDigest;
+use crate::direct::placement::choose::Choice;
+
+impl Job<'_> {
+    /// Counts the request once in what its team asks for. Requests that no endpoint may run don't
+    /// count: they take no part of the pool.
+    pub(super) fn count_team_arrival(&mut self) {
+        if !self.is_arrival_counted {
+            self.is_arrival_counted = true;
+            let (tokens, now) = (self.total_tokens(), self.entry.clock.now());
+            self.team_shares(|shares, team| shares.record_arrival(team, tokens, now));
+        }
+    }
+
+    /// Records that the request is sent.
+    pub(super) fn record_team_usage(&self) {
+        let (tokens, now) = (self.total_tokens(), self.entry.clock.now());
+        self.team_shares(|shares, team| shares.record_sent(team, tokens, now));
+    }
+
+    /// Takes back what [`Self::record_team_usage`] recorded, since the endpoint did not run it.
+    pub(super) fn take_back_team_usage(&self) {
+        let (tokens, now) = (self.total_tokens(), self.entry.clock.now());
+        self.team_shares(|shares, team| shares.record_not_run(team, tokens, now));
+    }
+
+    /// Records that the request found no capacity, whatever its team is.
+    pub(super) fn record_team_contention(&self) {
+        let (band, now) = (self.band(), self.entry.clock.now());
+        self.team_shares(|shares, _| shares.record_contention(band, now));
+    }
+
+    /// Whether the request is sent by the wait that is accepted of its team.
+    pub(super) fn is_team_admitted(&self, outlook: &EngineAdmission) -> bool {
+        if !outlook.is_admitted() {
+            self.record_team_contention();
+        }
+        let standing = self.team_standing();
+        outlook.is_admitted_with(standing.map_or(1.0, |standing| standing.wait_factor))
+    }
+
+    /// Fraction of the team's requests to send where only a fraction of all can be.
+    pub(super) fn team_fraction(&self, of_all: f64) -> f64 {
+        let (band, now) = (self.band(), self.entry.clock.now());
+        let fraction = self.team_shares(|shares, team| match shares.is_contended(band, now) {
+            true => shares.sent_fraction(team, of_all, now),
+            false => of_all,
+        });
+        fraction.unwrap_or(of_all)
+    }
+
+    /// The reason for a refusal for lack of capacity: the team's share, if the team asks for more.
+    pub(super) fn team_refusal(&self, choice: &Choice, why: RefusalReason) -> RefusalReason {
+        let percent = |relative: f64| (relative * 100.0) as u32;
+        match self.team_standing() {
+            Some(standing) if standing.relative_demand > 1.0 => RefusalReason::TeamShare {
+                used_percent: percent(standing.excess),
+                asked_percent: percent(standing.relative_demand),
+                expected_ms: choice.expected_ms as u64,
+            },
+            _ => why,
+        }
+    }
+
+    /// Where the team stands; `None` without shares, or while nothing lacks capacity.
+    fn team_standing(&self) -> Option<TeamStanding> {
+        let (band, now) = (self.band(), self.entry.clock.now());
+        self.team_shares(|shares, team| shares.standing(team, band, now))?
+    }
+
+    fn team_shares<T>(&self, look: impl FnOnce(&mut TeamShares, NameDigest) -> T) -> Option<T> {
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let team = NameDigest::of_team(team.map(|team| team.name.as_str()));
+        let look = |shares: &mut TeamShares| look(shares, team);
+        self.entry.team_shares(&self.catalog, &self.pool, look)
+    }
+
+    /// Tokens of the whole prompt and of the longest answer.
+    fn total_tokens(&self) -> u64 {
+        let parts = self.ask.parts.iter().map(|part| part.tokens);
+        parts.sum::<u64>() + self.ask.output_tokens
+    }
+}
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -14,6 +14,7 @@
 mod placements;
 mod rounds;
 mod shared;
+mod usage;
 mod watchers;
 mod zones;
 
@@ -31,6 +32,7 @@
     ROUND_INTERVAL,
 };
 pub use self::shared::{decode_shared, encode_shared, split_shared, SharedKind};
+pub use self::usage::{NameDigest, ReportedUsage, UsageReport, BLOCK_TOKENS, MAX_REPORTED_TEAMS};
 use self::watchers::StoreRole;
 pub use self::zones::ZoneId;
 use self::zones::ZoneReports;
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -255,3 +255,37 @@
     log.request(b"urgent", refused(0));
     assert!(output.text().contains("\"request\":\"urgent\""));
 }
+
+/// `explain` of a request that was refused for its team's share shows which teams were beyond
+/// theirs; other requests don't show it.
+#[test]
+fn cause_of_share() {
+    let (clock, output, log) = log();
+    log.state_change(Decision::TeamsBeyondShare {
+        pool: "engines".into(),
+        teams: 2,
+        team: "t-4".into(),
+        used_percent: 260,
+    });
+    clock.advance(Millis(800));
+    log.request(b"9c40", placed("i-1"));
+    let refused = Decision::Refused {
+        why: RefusalReason::TeamShare {
+            used_percent: 260,
+            asked_percent: 700,
+            expected_ms: 900,
+        },
+        target: "ficu95.example/lohu930/2f".into(),
+        catalog: 7,
+        proof_age_ms: Some(200),
+        held_ms: 0,
+        urgency: Some(2),
+        free_endpoints: Some(3),
+    };
+    log.request(b"9c41", refused);
+    let text = explain(&output.text(), "9c41").unwrap().text;
+    assert!(text.contains("teams_beyond_share"), "{text}");
+    assert!(text.contains("asked_percent"), "{text}");
+    let text = explain(&output.text(), "9c40").unwrap().text;
+    assert!(!text.contains("teams_beyond_share"), "{text}");
+}
