--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -22,6 +22,7 @@
         if let Some(due) = due {
             self.send_observations(to, due);
         }
+        self.send_team_usage(to);
     }
 
     /// Sends a peer that is new all that it is to know of the shared state.
@@ -116,6 +117,4 @@
             tracing::debug!(%err, %to, "datagram of shared state not sent");
         }
     }
-
-    fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
 }
--- a/src/direct/entry/waiting.rs
+++ b/src/direct/entry/waiting.rs
@@ -395,8 +395,13 @@
                 }
             }
         }
+        let bands = waiting.wakers.values().map(|(req, _)| req.band);
+        let most_urgent = bands.min();
         // A verdict that no one takes is dropped, which needs the queue.
         drop(pools);
+        if let Some(band) = most_urgent {
+            self.record_team_wait(pool, band, now);
+        }
         for (waker, verdict) in verdicts {
             let _ = waker.send(verdict);
         }
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -4,6 +4,7 @@
 
 use super::Job;
 use crate::clock::Millis;
+use crate::direct::admission::shares::USAGE_HALF_LIFE;
 use crate::direct::answerer::Answerer;
 use crate::direct::decision::{RefusalReason, RequestOutcome};
 use crate::direct::dialect::ErrorResponse;
@@ -49,6 +50,18 @@
     Millis((wait.0 as f64 * (1.0 + draw) / 2.0) as u64)
 }
 
+/// The retry delay of a team that asks for `asked_percent` of its share, at most `longest`; `draw`
+/// is a random number from 0 to 1. Retries are spread over the time in which that much usage decays
+/// to the share, so that they don't meet the requests of the other teams.
+fn delay_beyond_share(asked_percent: u32, longest: Millis, draw: f64) -> Millis {
+    let half_lives = (f64::from(asked_percent) / 100.0).max(1.0).log2();
+    let spread = Millis((USAGE_HALF_LIFE.0 as f64 * half_lives) as u64);
+    let spread = spread
+        .max(Millis(RETRY_JITTER_MS))
+        .min(longest - RETRY_DELAY);
+    RETRY_DELAY + Millis((spread.0 as f64 * draw) as u64)
+}
+
 impl Job<'_> {
     /// Ends the request with a refusal: nothing ran, and nothing will. A stream that has begun is
     /// cut off. False if the connection is to be closed.
@@ -82,6 +95,7 @@
             RefusalReason::RoomKept { .. } => "room_kept",
             RefusalReason::WaitTooLong { .. } => "wait_too_long",
             RefusalReason::QueueFull { .. } => "queue_full",
+            RefusalReason::TeamShare { .. } => "team_share",
             RefusalReason::EndsEndpoints { .. } => "ends_endpoints",
             RefusalReason::EndpointsRest { .. } => "endpoints_rest",
             RefusalReason::EndpointsLimited { .. } => "endpoints_limited",
@@ -128,6 +142,9 @@
             (RefusalReason::QueueFull { .. }, None) => {
                 delay_until_capacity(self.longest_delay(), self.longest_delay(), random.gen())
             }
+            (RefusalReason::TeamShare { asked_percent, .. }, None) => {
+                delay_beyond_share(asked_percent, self.longest_delay(), random.gen())
+            }
             (_, None) => RETRY_DELAY + Millis(spread),
         }
     }
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -36,6 +36,7 @@
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
+        self.count_team_arrival();
         let choice = match self.admit(choice).await {
             Ok(choice) => choice,
             Err(outcome) => return outcome,
@@ -125,6 +126,7 @@
         self.record_placement(&choice);
         let was_idle = self.has_nothing_to_prefill(key, now);
         self.reservation = None;
+        self.record_team_usage();
         let run_guard = self
             .entry
             .begin_run(key, &self.pool, choice.footprint, self.fingerprint);
@@ -134,6 +136,7 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(ExchangeError::Refused | ExchangeError::Connect | ExchangeError::NotSent)) => {
                 run_guard.undecided();
+                self.take_back_team_usage();
                 self.attempts -= 1;
                 self.log_failed(key, "connection failed before sending", false);
                 return AttemptOutcome::NotSent(key);
--- a/src/direct/job/wait.rs
+++ b/src/direct/job/wait.rs
@@ -124,7 +124,7 @@
         let latest_start = self.deadline - self.run_time(choice);
         WaitingRequest {
             band: self.band(),
-            excess: 1.0,
+            excess: self.team_excess(),
             unread: choice.footprint.unread,
             held: choice.footprint.held,
             body_bytes: self.incoming.body.len(),
