Test by count what the flood of a team takes from the others

Cause: at 0.95 of the capacity the test accepted whatever loss fits the more urgent requests of the flooding team, without showing that these cause it.

Change: the replay counts by urgency. Where the more urgent requests of the flooding team leave enough, the others lose under a flat 2%. Where they don't, the flooding team must get under 2% of the least urgent kind, of what the others ask for, from 2 s after the start of the flood. In all cases the others get 98% of their more urgent requests.

Tests run: team_shares.

--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -24,6 +24,9 @@
 const SEEN_LATE_MS: u64 = 300;
 const FLOOD_MS: std::ops::Range<u64> = 10_000..20_000;
 const END_MS: u64 = 22_000;
+/// Time from the start of the flood until the pool lacks capacity and entries have heard of it.
+/// Before, nothing is refused for a team.
+const SETTLE_MS: u64 = 2_000;
 const POOL: NameDigest = NameDigest(1);
 
 #[derive(Clone, Copy)]
@@ -110,6 +113,13 @@
     /// Tokens asked for and served by team within the flood.
     asked: Vec<f64>,
     served: Vec<f64>,
+    /// The same by band, of the first team and of the others.
+    asked_by_band: [[f64; 2]; 3],
+    served_by_band: [[f64; 2]; 3],
+    /// Tokens of the least urgent kind served to the first team, and asked for by the others, once
+    /// the flood has settled.
+    settled_first: f64,
+    settled_others: f64,
     refused: u32,
     changed: u32,
     busy_ms: u64,
@@ -117,6 +127,35 @@
     reports: usize,
 }
 
+impl Outcome {
+    fn count_asked(&mut self, team: usize, kind: &Kind, now: u64) {
+        if FLOOD_MS.contains(&now) {
+            let tokens = kind.tokens as f64;
+            self.asked[team] += tokens;
+            self.asked_by_band[kind.band][usize::from(team > 0)] += tokens;
+            if is_settled(kind, now) && team > 0 {
+                self.settled_others += tokens;
+            }
+        }
+    }
+
+    fn count_served(&mut self, team: usize, kind: &Kind, now: u64) {
+        if FLOOD_MS.contains(&now) {
+            let tokens = kind.tokens as f64;
+            self.served[team] += tokens;
+            self.served_by_band[kind.band][usize::from(team > 0)] += tokens;
+            if is_settled(kind, now) && team == 0 {
+                self.settled_first += tokens;
+            }
+        }
+    }
+}
+
+/// Whether a request is of the least urgent kind and within the settled part of the flood.
+fn is_settled(kind: &Kind, now: u64) -> bool {
+    kind.band == 2 && now >= FLOOD_MS.start + SETTLE_MS
+}
+
 struct Replay {
     cfg: Scenario,
     rng: SmallRng,
@@ -199,9 +238,7 @@
                     deadline: now + KINDS[kind].time_left,
                     is_retry: false,
                 };
-                if FLOOD_MS.contains(&now) {
-                    self.outcome.asked[team] += KINDS[kind].tokens as f64;
-                }
+                self.outcome.count_asked(team, &KINDS[kind], now);
                 self.place(ask, now);
             }
         }
@@ -257,9 +294,7 @@
             entry.shares.record_sent(team, kind.tokens, now_ms);
             entry.unseen.push_back((now, kind.band, kind.tokens as f64));
             self.backlog[kind.band] += kind.tokens as f64;
-            if FLOOD_MS.contains(&now) {
-                self.outcome.served[ask.team] += kind.tokens as f64;
-            }
+            self.outcome.count_served(ask.team, &kind, now);
             return;
         }
         self.outcome.refused += 1;
@@ -379,20 +414,25 @@
     outcome.served[1..].iter().sum::<f64>() / outcome.asked[1..].iter().sum::<f64>()
 }
 
-/// Part of what the teams but the first ask for that fits beside the more urgent requests of the
-/// first: shares apply within an urgency only.
-fn possible_for_others(scenario: &Scenario, outcome: &Outcome) -> f64 {
+/// Tokens that the pool can serve within the flood.
+fn capacity(scenario: &Scenario) -> f64 {
     let mean: f64 = KINDS.iter().map(|k| k.part * k.tokens as f64).sum();
-    let urgent = KINDS[1].part * KINDS[1].tokens as f64 + KINDS[2].part * KINDS[2].tokens as f64;
     let span_s = (FLOOD_MS.end - FLOOD_MS.start) as f64 / 1_000.0;
-    let capacity = scenario.per_s * mean / scenario.load * span_s;
+    scenario.per_s * mean / scenario.load * span_s
+}
+
+/// Part of what the teams but the first ask for that fits beside the more urgent requests of the
+/// first.
+fn possible_for_others(scenario: &Scenario, outcome: &Outcome) -> f64 {
+    let urgent: f64 = outcome.asked_by_band[..2].iter().map(|b| b[0]).sum();
     let asked: f64 = outcome.asked[1..].iter().sum();
-    ((capacity - outcome.asked[0] * urgent / mean) / asked).min(1.0)
+    ((capacity(scenario) - urgent) / asked).min(1.0)
 }
 
 fn show(name: &str, outcome: &Outcome) {
     println!(
-        "{name}: others {:.4}, first {:.3}, fairness {:.3}, busy {:.3}, refused {}, changed {}, {} B a report",
+        "{name}: taken within the urgency {:.3}, others {:.4}, first {:.3}, fairness {:.3}, busy {:.3}, refused {}, changed {}, {} B a report",
+        outcome.settled_first / outcome.settled_others,
         others_served(outcome),
         outcome.served[0] / outcome.asked[0],
         fairness(outcome),
@@ -403,6 +443,28 @@
     );
 }
 
+/// Asserts that the other teams lose under 2% of what they get without the flood, if the more
+/// urgent requests of the flooding team leave enough for that.
+///
+/// If they don't, the others lose what these take, since shares apply within an urgency and never
+/// above it. The count that shows this: the flooding team gets next to nothing of the least urgent
+/// kind, so nothing else of it stands in the way of the others.
+fn check_others(scenario: &Scenario, with: &Outcome, calm: &Outcome) {
+    for band in 0..2 {
+        let others = with.served_by_band[band][1] / with.asked_by_band[band][1];
+        assert!(others > 0.98, "{others} of band {band}");
+    }
+    let possible = possible_for_others(scenario, with);
+    let lost = others_served(calm) - others_served(with);
+    if possible >= 1.0 {
+        assert!(lost < 0.02, "{lost}");
+    } else {
+        let taken = with.settled_first / with.settled_others;
+        assert!(taken < 0.02, "{taken} taken within the urgency");
+        assert!(lost < 1.0 - possible + 0.02, "{lost} of {possible}");
+    }
+}
+
 fn check_flood(scenario: Scenario, seed: u64) {
     let calm = Scenario {
         flood: 1.0,
@@ -418,8 +480,7 @@
     show("calm", &calm);
     show("without shares", &without);
     show("with shares", &with);
-    let possible = possible_for_others(&scenario, &with).min(others_served(&calm));
-    assert!(others_served(&with) > possible - 0.02);
+    check_others(&scenario, &with, &calm);
     assert!(fairness(&with) >= 0.95);
     // The shares change who is refused, not how much the pool serves.
     assert!(with.busy_ms as f64 > 0.98 * without.busy_ms as f64);
