Shares of teams never lengthen the accepted wait

Factors above 1 admitted more in total than the admission without shares, and a peer's report alone could refuse requests of a pool with room.

The factor is at most 1 and at least 0.25. Datagrams no longer carry the contended band. A refusal marks a band as contended only if the request would be refused with its route's whole time too.

--- a/src/direct/admission/overload.rs
+++ b/src/direct/admission/overload.rs
@@ -98,6 +98,13 @@
         self.expected_ms <= max_wait_ms.min(self.time_left.0 as f64)
     }
 
+    /// Whether a request would be refused even with all the time of its route: the pool lacks
+    /// capacity, and not just this request time.
+    pub fn lacks_capacity(&self, timeout: Millis) -> bool {
+        let time_left = self.time_left.max(timeout);
+        !Self { time_left, ..*self }.is_admitted()
+    }
+
     /// Longest accepted wait, in ms. It is longer than that of any less urgent request: otherwise a
     /// short urgent request with little time would be refused while long ones with more time are
     /// sent.
@@ -123,7 +130,7 @@
     }
 
     /// How overloaded the pool is, from 0 (calm) to 1 (overloaded); 0 if no route has a target.
-    fn overload(&self) -> f64 {
+    pub fn overload(&self) -> f64 {
         if self.shortest_target == Millis(0) {
             return 0.0;
         }
--- a/src/direct/admission/shares.rs
+++ b/src/direct/admission/shares.rs
@@ -31,19 +31,19 @@
 /// Largest sum of the figures of one peer, relative to the median of all, so that corrupted figures
 /// change the shares little.
 const MAX_RELATIVE_SUM: f64 = 4.0;
-/// Largest factor on the usage of a team that asks for more than its share. Without it, the team
-/// would never count as beyond its share while the others get all that they ask for, and by late
-/// figures would take from them.
+/// Largest factor on the usage of a team that asks for more than its share of a pool that lacks
+/// capacity. Without it, the team would never count as beyond its share while the others get all
+/// that they ask for, and by late figures would take from them.
 const MAX_DEMAND_FACTOR: f64 = 1.1;
-/// Bounds of the factor on the accepted wait by what a team asks for. With a larger one, many of the
-/// requests that are sent would be late.
-const WAIT_FACTORS: (f64, f64) = (0.5, 1.4);
+/// Smallest factor on the accepted wait: whatever a team used before, its request is sent to a pool
+/// that would start it soon.
+const MIN_WAIT_FACTOR: f64 = 0.25;
 /// Relative error of sums of figures.
 const ROUNDING: f64 = 1e-9;
 /// Power of the excess by which the accepted wait of a team beyond its share is divided. More urgent
 /// requests are sent first whatever their team is, so a team that has its share by these must get
 /// next to nothing by the others.
-const EXCESS_EXPONENT: i32 = 4;
+const EXCESS_EXPONENT: i32 = 8;
 
 /// Tokens of a team within the last seconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -124,8 +124,6 @@
     pub excess: f64,
     /// What the team asks for over its share; 1 where it asks for no more.
     pub relative_demand: f64,
-    /// Factor on the accepted wait of the team's requests: 1 where it asks for just its share.
-    pub wait_factor: f64,
 }
 
 /// Recent usage of one pool by teams, and their shares.
@@ -137,9 +135,8 @@
     own: HashMap<NameDigest, DecayingUsage>,
     /// Newest reports of peers.
     reports: HashMap<PeerId, PeerReport>,
-    /// When a request of each band last found no capacity here.
-    own_contention: [Option<Millis>; BANDS],
-    /// The same, here or at peers.
+    /// When a request of each band last found no capacity here. What peers see is no reason to
+    /// refuse here: a corrupted report would refuse requests of a pool that has room.
     contention: [Option<Millis>; BANDS],
     shares: Option<(Millis, Shares)>,
 }
@@ -172,7 +169,6 @@
     /// Records that a request of a band found no capacity: it waits, or the admission would refuse
     /// it whatever its team is.
     pub fn record_contention(&mut self, band: usize, now: Millis) {
-        self.own_contention[band] = Some(now);
         self.contention[band] = Some(now);
     }
 
@@ -183,10 +179,6 @@
         if is_full || !report.is_valid() {
             return;
         }
-        let band = report.contended_band.map(usize::from);
-        if let Some(at) = band.and_then(|band| self.contention.get_mut(band)) {
-            *at = Some(now);
-        }
         self.reports.insert(from, PeerReport { at: now, report });
     }
 
@@ -202,10 +194,8 @@
             others.add(*usage, 1.0);
         }
         teams.truncate(MAX_REPORTED_TEAMS);
-        let contended_band = first_recent(&self.own_contention, now);
         (!teams.is_empty()).then(|| UsageReport {
             pool,
-            contended_band: contended_band.and_then(|band| u8::try_from(band).ok()),
             teams: teams
                 .into_iter()
                 .map(|(team, usage)| (team, usage.to_report()))
@@ -216,7 +206,8 @@
 
     /// Whether requests of a band, or of more urgent ones, found no capacity lately.
     pub fn is_contended(&self, band: usize, now: Millis) -> bool {
-        first_recent(&self.contention, now).is_some_and(|first| first <= band)
+        let is_recent = |at: &Option<Millis>| at.is_some_and(|at| now < at + CONTENTION_TIME);
+        self.contention[..=band].iter().any(is_recent)
     }
 
     /// A team's usage over its share; 1 or less is within it.
@@ -224,6 +215,29 @@
         self.shares(now).excess(team)
     }
 
+    /// Factor on the accepted wait of a team's request, at most 1. It is less only for a team beyond
+    /// its share, and only while this entry sees the pool overloaded (`overload` from 0 to 1) or
+    /// requests found no capacity here lately.
+    pub fn wait_factor(
+        &mut self,
+        team: NameDigest,
+        band: usize,
+        overload: f64,
+        now: Millis,
+    ) -> f64 {
+        let is_contended = self.is_contended(band, now);
+        if !is_contended && overload <= 0.0 {
+            return 1.0;
+        }
+        let shares = self.shares(now);
+        let excess = match is_contended {
+            true => shares.excess(team),
+            // Requests that are about to be sent are no lack of capacity.
+            false => shares.relative_usage(team),
+        };
+        excess.max(1.0).powi(-EXCESS_EXPONENT).max(MIN_WAIT_FACTOR)
+    }
+
     /// Where a team stands; `None` while requests of the band lack no capacity.
     pub fn standing(&mut self, team: NameDigest, band: usize, now: Millis) -> Option<TeamStanding> {
         self.is_contended(band, now).then(|| {
@@ -231,7 +245,6 @@
             TeamStanding {
                 excess: shares.excess(team),
                 relative_demand: shares.relative_demand(team),
-                wait_factor: shares.wait_factor(team),
             }
         })
     }
@@ -301,12 +314,6 @@
     }
 }
 
-/// First band in which a request found no capacity within [`CONTENTION_TIME`].
-fn first_recent(contention: &[Option<Millis>; BANDS], now: Millis) -> Option<usize> {
-    let is_recent = |at: &Option<Millis>| at.is_some_and(|at| now < at + CONTENTION_TIME);
-    contention.iter().position(is_recent)
-}
-
 /// Shares computed from the usage at one time.
 #[derive(Debug)]
 struct Shares {
@@ -346,15 +353,12 @@
         (self.usage(team).demand() / self.level.max(1.0)).max(1.0)
     }
 
-    fn excess(&self, team: NameDigest) -> f64 {
-        let relative_usage = self.usage(team).used / self.level.max(1.0);
-        relative_usage * self.relative_demand(team).min(MAX_DEMAND_FACTOR)
+    fn relative_usage(&self, team: NameDigest) -> f64 {
+        self.usage(team).used / self.level.max(1.0)
     }
 
-    fn wait_factor(&self, team: NameDigest) -> f64 {
-        let (min, max) = WAIT_FACTORS;
-        let of_demand = (self.level / self.usage(team).demand().max(1.0)).clamp(min, max);
-        of_demand / self.excess(team).max(1.0).powi(EXCESS_EXPONENT)
+    fn excess(&self, team: NameDigest) -> f64 {
+        self.relative_usage(team) * self.relative_demand(team).min(MAX_DEMAND_FACTOR)
     }
 
     fn sent_fraction(&self, team: NameDigest, of_all: f64) -> f64 {
--- a/src/direct/job/share.rs
+++ b/src/direct/job/share.rs
@@ -46,11 +46,13 @@
 
     /// Whether the request is sent by the wait that is accepted of its team.
     pub(super) fn is_team_admitted(&self, outlook: &EngineAdmission) -> bool {
-        if !outlook.is_admitted() {
+        if outlook.lacks_capacity(self.route().timeout) {
             self.record_team_contention();
         }
-        let standing = self.team_standing();
-        outlook.is_admitted_with(standing.map_or(1.0, |standing| standing.wait_factor))
+        let (band, now) = (self.band(), self.entry.clock.now());
+        let factor = self
+            .team_shares(|shares, team| shares.wait_factor(team, band, outlook.overload(), now));
+        outlook.is_admitted_with(factor.unwrap_or(1.0))
     }
 
     /// Fraction of the team's requests to send where only a fraction of all can be.
--- a/src/direct/peers/usage.rs
+++ b/src/direct/peers/usage.rs
@@ -47,8 +47,6 @@
 pub struct UsageReport {
     /// The pool.
     pub pool: NameDigest,
-    /// Most urgent band in which the entry lacked capacity lately; `None` if it lacked none.
-    pub contended_band: Option<u8>,
     /// The teams with the most usage or demand.
     pub teams: Vec<(NameDigest, ReportedUsage)>,
     /// All other teams together.
--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -281,11 +281,13 @@
         let mut is_admitted = usual;
         let mut relative_demand = 1.0;
         if self.cfg.with_shares {
-            if !usual {
+            if outlook.lacks_capacity(Millis(kind.time_left)) {
                 entry.shares.record_contention(kind.band, now_ms);
             }
+            let overload = outlook.overload();
+            let factor = entry.shares.wait_factor(team, kind.band, overload, now_ms);
+            is_admitted = outlook.is_admitted_with(factor);
             if let Some(standing) = entry.shares.standing(team, kind.band, now_ms) {
-                is_admitted = outlook.is_admitted_with(standing.wait_factor);
                 relative_demand = standing.relative_demand;
             }
         }
@@ -555,7 +557,6 @@
 fn report_of(team: u32, used: u32, asked: u32) -> UsageReport {
     UsageReport {
         pool: POOL,
-        contended_band: None,
         teams: vec![(NameDigest(team), ReportedUsage { used, asked })],
         others: ReportedUsage::default(),
     }
