Excess of waiting requests is refreshed at each look at the queue

A request kept the excess of its arrival, and a flood counted only once it was sent. Waiting requests carry their team, and the release of the queue sets the excess anew. It is what the team asks for over its share, from the arrival on. The log line teams_beyond_share reports asked_percent for the same reason.

--- a/src/direct/admission/shares.rs
+++ b/src/direct/admission/shares.rs
@@ -120,10 +120,10 @@
 /// Where a team stands in a pool that lacks capacity.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TeamStanding {
-    /// The team's usage over its share; 1 or less is within it.
+    /// What the team asks for over its share; 1 or less is within it.
     pub excess: f64,
-    /// What the team asks for over its share; 1 where it asks for no more.
-    pub relative_demand: f64,
+    /// What was sent for the team over its share.
+    pub relative_usage: f64,
 }
 
 /// Recent usage of one pool by teams, and their shares.
@@ -210,7 +210,8 @@
         self.contention[..=band].iter().any(is_recent)
     }
 
-    /// A team's usage over its share; 1 or less is within it.
+    /// What a team asks for over its share; 1 or less is within it. Requests count from their
+    /// arrival, so that those of a flood are behind the others before any of them is sent.
     pub fn excess(&mut self, team: NameDigest, now: Millis) -> f64 {
         self.shares(now).excess(team)
     }
@@ -231,7 +232,7 @@
         }
         let shares = self.shares(now);
         let excess = match is_contended {
-            true => shares.excess(team),
+            true => shares.relative_usage(team) * shares.excess(team).clamp(1.0, MAX_DEMAND_FACTOR),
             // Requests that are about to be sent are no lack of capacity.
             false => shares.relative_usage(team),
         };
@@ -244,7 +245,7 @@
             let shares = self.shares(now);
             TeamStanding {
                 excess: shares.excess(team),
-                relative_demand: shares.relative_demand(team),
+                relative_usage: shares.relative_usage(team),
             }
         })
     }
@@ -349,18 +350,14 @@
         self.teams.get(&team).copied().unwrap_or_default()
     }
 
-    fn relative_demand(&self, team: NameDigest) -> f64 {
-        (self.usage(team).demand() / self.level.max(1.0)).max(1.0)
+    fn excess(&self, team: NameDigest) -> f64 {
+        self.usage(team).demand() / self.level.max(1.0)
     }
 
     fn relative_usage(&self, team: NameDigest) -> f64 {
         self.usage(team).used / self.level.max(1.0)
     }
 
-    fn excess(&self, team: NameDigest) -> f64 {
-        self.relative_usage(team) * self.relative_demand(team).min(MAX_DEMAND_FACTOR)
-    }
-
     fn sent_fraction(&self, team: NameDigest, of_all: f64) -> f64 {
         let demand = self.usage(team).demand();
         if of_all >= 1.0 || demand <= 0.0 {
--- a/src/direct/admission/waiting.rs
+++ b/src/direct/admission/waiting.rs
@@ -20,7 +20,7 @@
 use crate::clock::Millis;
 use crate::direct::admission::waiting_peers::{BandSummary, PoolSummary, WaitingPeers};
 use crate::direct::known::load::BANDS;
-use crate::direct::peers::PeerId;
+use crate::direct::peers::{NameDigest, PeerId};
 
 new_key_type! {
     /// Identifies a waiting request in its queue.
@@ -89,8 +89,13 @@
 pub struct WaitingRequest {
     /// Urgency band; 0 is the most urgent.
     pub band: usize,
-    /// Usage of its team over the team's share of the pool; 1 or less is within the share.
+    /// The request's team.
+    pub team: NameDigest,
+    /// What its team asks for over the team's share of the pool, as of the last look at the queue; 1
+    /// or less is within the share.
     pub excess: f64,
+    /// When it arrived.
+    pub arrived: Millis,
     /// Prompt tokens that an engine will have to prefill for it.
     pub unread: u32,
     /// Memory of an engine that it will use, in tokens.
@@ -218,6 +223,13 @@
         removed
     }
 
+    /// Sets the excess of all waiting requests anew, by their teams.
+    pub fn refresh_excess(&mut self, mut excess: impl FnMut(NameDigest) -> f64) {
+        for req in self.waiting.values_mut() {
+            req.excess = excess(req.team);
+        }
+    }
+
     /// Takes the next request off the queue if the capacity that is free lets it start now. The
     /// caller ends the start with [`Self::started`].
     pub fn next(&mut self, now: Millis, room: &Room) -> Option<WaitingKey> {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -376,8 +376,8 @@
         teams: usize,
         /// The one that is furthest beyond its share; empty where it is not in the configuration.
         team: String,
-        /// Its usage in percent of its share.
-        used_percent: u32,
+        /// What it asks for, in percent of its share.
+        asked_percent: u32,
     },
     /// The configuration store stopped answering, or answers again.
     Store {
--- a/src/direct/entry/team_shares.rs
+++ b/src/direct/entry/team_shares.rs
@@ -5,11 +5,11 @@
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::admission::shares::TeamShares;
+use crate::direct::admission::waiting::WaitingQueue;
 use crate::direct::catalog::{Catalog, Pool};
 use crate::direct::decision::Decision;
 use crate::direct::known::load::BANDS;
 use crate::direct::peers::{self, NameDigest, PeerId, SharedKind, UsageReport};
-use crate::ids::TeamKey;
 
 /// Fraction of the peers of a gossip round that are sent a usage report while a pool lacks capacity.
 /// That takes 1.3 KB/s at most, at nine peers in 150 ms and 220 bytes a report.
@@ -38,25 +38,21 @@
         Some(look(shares))
     }
 
-    /// A team's usage of a pool over its share; 1 or less is within it, and 1 is returned where
-    /// there are no shares. It applies only while requests wait or are refused for lack of
-    /// capacity; whoever holds a waiting request reports it by [`Entry::record_team_wait`].
-    ///
-    /// `catalog` is the version under which the request was allowed: the key of a team is its place
-    /// in that version.
-    pub fn team_excess(
-        &self,
-        catalog: &Catalog,
-        pool: &str,
-        team: Option<TeamKey>,
-        now: Millis,
-    ) -> f64 {
-        let team = team.and_then(|team| catalog.teams.get(team.0));
-        let team = NameDigest::of_team(team.map(|team| team.name.as_str()));
+    /// What a team asks for over its share of a pool; 1 where there are no shares. It applies only
+    /// while requests wait or are refused for lack of capacity; whoever holds a waiting request
+    /// reports it by [`Entry::record_team_wait`].
+    pub fn team_excess(&self, catalog: &Catalog, pool: &str, team: NameDigest, now: Millis) -> f64 {
         let excess = self.team_shares(catalog, pool, |shares| shares.excess(team, now));
         excess.unwrap_or(1.0)
     }
 
+    /// Sets the excess of waiting requests by what their teams ask for now.
+    pub(super) fn refresh_team_excess(&self, pool: &str, queue: &mut WaitingQueue, now: Millis) {
+        if let Some(catalog) = self.catalog() {
+            queue.refresh_excess(|team| self.team_excess(&catalog, pool, team, now));
+        }
+    }
+
     /// Records that a request of a band waits for capacity of a pool.
     pub fn record_team_wait(&self, pool: &str, band: usize, now: Millis) {
         if let Some(catalog) = self.catalog() {
@@ -134,7 +130,7 @@
                     pool: pool.name.clone(),
                     teams: beyond.len(),
                     team: team.map_or_else(String::new, |team| team.name.clone()),
-                    used_percent: (excess * 100.0) as u32,
+                    asked_percent: (excess * 100.0) as u32,
                 });
             }
         }
--- a/src/direct/entry/waiting.rs
+++ b/src/direct/entry/waiting.rs
@@ -375,6 +375,7 @@
         if let Some(stop_at) = self.waiting.stop_at.get() {
             waiting.queue.stop_at(stop_at);
         }
+        self.refresh_team_excess(pool, &mut waiting.queue, now);
         while let Some(key) = waiting.queue.next(now, room) {
             if let Some((req, waker)) = waiting.wakers.remove(key) {
                 let start = StartGuard {
--- a/src/direct/job/share.rs
+++ b/src/direct/job/share.rs
@@ -37,11 +37,17 @@
         self.team_shares(|shares, _| shares.record_contention(band, now));
     }
 
-    /// The usage of the request's team over its share, by which waiting requests are ordered.
+    /// What the request's team asks for over its share, by which waiting requests are ordered.
     pub(super) fn team_excess(&self) -> f64 {
         let now = self.entry.clock.now();
         self.entry
-            .team_excess(&self.catalog, &self.pool, self.allowed.team, now)
+            .team_excess(&self.catalog, &self.pool, self.team_digest(), now)
+    }
+
+    /// Digest of the name of the request's team.
+    pub(super) fn team_digest(&self) -> NameDigest {
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        NameDigest::of_team(team.map(|team| team.name.as_str()))
     }
 
     /// Whether the request is sent by the wait that is accepted of its team.
@@ -69,9 +75,9 @@
     pub(super) fn team_refusal(&self, choice: &Choice, why: RefusalReason) -> RefusalReason {
         let percent = |relative: f64| (relative * 100.0) as u32;
         match self.team_standing() {
-            Some(standing) if standing.relative_demand > 1.0 => RefusalReason::TeamShare {
-                used_percent: percent(standing.excess),
-                asked_percent: percent(standing.relative_demand),
+            Some(standing) if standing.excess > 1.0 => RefusalReason::TeamShare {
+                used_percent: percent(standing.relative_usage),
+                asked_percent: percent(standing.excess),
                 expected_ms: choice.expected_ms as u64,
             },
             _ => why,
@@ -85,8 +91,7 @@
     }
 
     fn team_shares<T>(&self, look: impl FnOnce(&mut TeamShares, NameDigest) -> T) -> Option<T> {
-        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
-        let team = NameDigest::of_team(team.map(|team| team.name.as_str()));
+        let team = self.team_digest();
         let look = |shares: &mut TeamShares| look(shares, team);
         self.entry.team_shares(&self.catalog, &self.pool, look)
     }
--- a/src/direct/job/wait.rs
+++ b/src/direct/job/wait.rs
@@ -124,7 +124,9 @@
         let latest_start = self.deadline - self.run_time(choice);
         WaitingRequest {
             band: self.band(),
+            team: self.team_digest(),
             excess: self.team_excess(),
+            arrived: self.incoming.received_at,
             unread: choice.footprint.unread,
             held: choice.footprint.held,
             body_bytes: self.incoming.body.len(),
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -265,7 +265,7 @@
         pool: "engines".into(),
         teams: 2,
         team: "t-4".into(),
-        used_percent: 260,
+        asked_percent: 260,
     });
     clock.advance(Millis(800));
     log.request(b"9c40", placed("i-1"));
--- a/tests/entry_waiting.rs
+++ b/tests/entry_waiting.rs
@@ -11,7 +11,9 @@
     Capacity, Room, WaitingKey, WaitingQueue, WaitingRequest,
 };
 use violetline::direct::admission::waiting_peers::{BandSummary, PoolSummary, REPORT_TTL};
-use violetline::direct::peers::{decode_shared, encode_shared, split_shared, PeerId, SharedKind};
+use violetline::direct::peers::{
+    decode_shared, encode_shared, split_shared, NameDigest, PeerId, SharedKind,
+};
 
 const ROOM: Room = Room {
     endpoints: 50,
@@ -40,7 +42,9 @@
 fn request(latest_start: u64) -> WaitingRequest {
     WaitingRequest {
         band: 2,
+        team: NameDigest(0),
         excess: 1.0,
+        arrived: Millis(0),
         unread: 6_610,
         held: 12_400,
         body_bytes: 50_000,
