A full queue refuses requests beyond their share first

A flood filled the 512 places, and requests within their share were refused with queue_full. Such a request now takes the place of the newest one beyond its share that is not more urgent; that one is refused with team_share and its Retry-After, and counted as displaced in direct_waits_total.

--- a/src/direct/admission/waiting.rs
+++ b/src/direct/admission/waiting.rs
@@ -223,6 +223,17 @@
         removed
     }
 
+    /// The request that gives its place in a full queue to one within its team's share: the newest
+    /// one beyond its share that is not more urgent. `None` if there is none.
+    pub fn displaced_by(&self, req: &WaitingRequest) -> Option<WaitingKey> {
+        let gives_way = |waiting: &WaitingRequest| {
+            waiting.excess > 1.0 && waiting.band >= req.band && req.excess <= 1.0
+        };
+        let beyond = self.waiting.iter().filter(|(_, req)| gives_way(req));
+        let newest = beyond.max_by_key(|(_, req)| req.arrived)?;
+        Some(newest.0)
+    }
+
     /// Sets the excess of all waiting requests anew, by their teams.
     pub fn refresh_excess(&mut self, mut excess: impl FnMut(NameDigest) -> f64) {
         for req in self.waiting.values_mut() {
--- a/src/direct/entry/waiting.rs
+++ b/src/direct/entry/waiting.rs
@@ -18,7 +18,7 @@
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::EndpointKey;
 use crate::direct::known::load::Footprint;
-use crate::direct::peers::{self, pool_digest, PeerId, SharedKind};
+use crate::direct::peers::{self, NameDigest, PeerId, SharedKind};
 use crate::direct::placement::price::PREFILL_TOKENS_PER_MS;
 
 /// Largest total length of the bodies of waiting requests, in bytes.
@@ -66,6 +66,8 @@
 pub enum Verdict {
     /// The request may be sent now.
     Start(StartGuard),
+    /// Its place in a full queue goes to a request within its team's share.
+    Displaced,
     /// No answer can come in time; `expected` is how long it would still have to wait.
     Refuse {
         /// Expected time until capacity is available.
@@ -213,6 +215,29 @@
             .sum()
     }
 
+    /// Refuses a waiting request in favor of one within its team's share; false if none gives way
+    /// or its body is too short.
+    fn displace(&self, pool: &str, req: &WaitingRequest) -> bool {
+        let all_bytes = self.body_bytes();
+        let mut pools = self.pools.borrow_mut();
+        let Some(waiting) = pools.get_mut(pool) else {
+            return false;
+        };
+        let displaced = waiting.queue.displaced_by(req);
+        let freed = displaced.and_then(|key| Some((key, waiting.wakers.get(key)?.0.body_bytes)));
+        let fits = |bytes: usize| all_bytes - bytes + req.body_bytes <= MAX_BODY_BYTES;
+        let Some((key, _)) = freed.filter(|(_, bytes)| fits(*bytes)) else {
+            return false;
+        };
+        waiting.queue.remove(key);
+        let removed = waiting.wakers.remove(key);
+        drop(pools);
+        if let Some((_, waker)) = removed {
+            let _ = waker.send(Verdict::Displaced);
+        }
+        true
+    }
+
     /// Looks again whether requests may start: capacity may have become free.
     pub fn capacity_changed(&self) {
         if !self.is_empty() {
@@ -246,7 +271,7 @@
         let mut known = self.mixed_pools.borrow_mut();
         if known.0 != catalog.version {
             let mixed = catalog.pools.iter().filter(|p| catalog.is_mixed(&p.name));
-            let by_digest = mixed.map(|pool| (pool_digest(&pool.name), pool.name.clone()));
+            let by_digest = mixed.map(|pool| (NameDigest::of(&pool.name).0, pool.name.clone()));
             *known = (catalog.version, by_digest.collect());
             self.forget_unused(catalog);
         }
@@ -275,8 +300,9 @@
                 return Entered::TooLong { expected };
             }
             let waiting = self.waiting.len();
-            if waiting >= MAX_WAITING || self.waiting.body_bytes() + req.body_bytes > MAX_BODY_BYTES
-            {
+            let is_full = waiting >= MAX_WAITING
+                || self.waiting.body_bytes() + req.body_bytes > MAX_BODY_BYTES;
+            if is_full && !self.waiting.displace(pool, &req) {
                 return Entered::Full { waiting };
             }
         }
@@ -328,7 +354,7 @@
             .filter_map(|pool| {
                 let room = self.waiting_room(pool, now);
                 let summary = self.with_queue(pool, |queue| queue.summary(now, &room))?;
-                Some((pool_digest(pool), summary))
+                Some((NameDigest::of(pool).0, summary))
             })
             .collect();
         if !summaries.is_empty() {
--- a/src/direct/job/share.rs
+++ b/src/direct/job/share.rs
@@ -2,6 +2,7 @@
 //! pools that are not mixed, and without at least two teams.
 
 use super::Job;
+use crate::clock::Millis;
 use crate::direct::admission::overload::EngineAdmission;
 use crate::direct::admission::shares::{TeamShares, TeamStanding};
 use crate::direct::decision::RefusalReason;
@@ -73,17 +74,26 @@
 
     /// The reason for a refusal for lack of capacity: the team's share, if the team asks for more.
     pub(super) fn team_refusal(&self, choice: &Choice, why: RefusalReason) -> RefusalReason {
-        let percent = |relative: f64| (relative * 100.0) as u32;
         match self.team_standing() {
-            Some(standing) if standing.excess > 1.0 => RefusalReason::TeamShare {
-                used_percent: percent(standing.relative_usage),
-                asked_percent: percent(standing.excess),
-                expected_ms: choice.expected_ms as u64,
-            },
+            Some(standing) if standing.excess > 1.0 => {
+                self.share_refusal(Millis(choice.expected_ms as u64))
+            }
             _ => why,
         }
     }
 
+    /// The refusal of a request for the share of its team, where a start was expected after
+    /// `expected`.
+    pub(super) fn share_refusal(&self, expected: Millis) -> RefusalReason {
+        let percent = |relative: f64| (relative * 100.0) as u32;
+        let standing = self.team_standing();
+        RefusalReason::TeamShare {
+            used_percent: standing.map_or(100, |standing| percent(standing.relative_usage)),
+            asked_percent: standing.map_or(100, |standing| percent(standing.excess)),
+            expected_ms: expected.0,
+        }
+    }
+
     /// Where the team stands; `None` without shares, or while nothing lacks capacity.
     fn team_standing(&self) -> Option<TeamStanding> {
         let (band, now) = (self.band(), self.entry.clock.now());
--- a/src/direct/job/wait.rs
+++ b/src/direct/job/wait.rs
@@ -80,6 +80,7 @@
             self.waited = self.entry.clock.now() - since;
             let start = match verdict {
                 Verdict::Start(start) => start,
+                Verdict::Displaced => return Err(self.displaced(&req)),
                 Verdict::Refuse { expected } => return Err(self.wait_refusal(expected)),
             };
             let Some(choice) = self.next_choice() else {
@@ -142,6 +143,12 @@
         known.unwrap_or(Millis(assumed as u64)).min(longest)
     }
 
+    fn displaced(&self, req: &WaitingRequest) -> AttemptOutcome {
+        self.count_wait("displaced");
+        let expected = self.entry.expected_wait(&self.pool, req);
+        AttemptOutcome::NotAdmitted(self.share_refusal(expected))
+    }
+
     fn wait_refusal(&self, expected: Millis) -> AttemptOutcome {
         self.count_wait("refused");
         AttemptOutcome::NotAdmitted(RefusalReason::WaitTooLong {
--- a/tests/entry_waiting.rs
+++ b/tests/entry_waiting.rs
@@ -58,6 +58,29 @@
     PoolSummary::new(bands, 10.0)
 }
 
+/// In a full queue a request within its share takes the place of the newest one beyond its share,
+/// never of a more urgent one.
+#[test]
+fn flood_gives_way() {
+    let mut queue = WaitingQueue::new();
+    let beyond = |band, arrived| WaitingRequest {
+        band,
+        excess: 2.0,
+        arrived: Millis(arrived),
+        ..request(9_000)
+    };
+    queue.push(request(9_000), Millis(0));
+    assert_eq!(queue.displaced_by(&request(9_000)), None);
+    queue.push(beyond(2, 10), Millis(10));
+    let newest = queue.push(beyond(2, 20), Millis(20));
+    queue.push(beyond(1, 30), Millis(30));
+    assert_eq!(queue.displaced_by(&request(9_000)), Some(newest));
+    assert_eq!(queue.displaced_by(&beyond(2, 40)), None);
+    // An excess that is over by now no longer counts.
+    queue.refresh_excess(|_| 1.0);
+    assert_eq!(queue.displaced_by(&request(9_000)), None);
+}
+
 /// The order is by band, then share, then latest start, whatever the order of arrival.
 #[test]
 fn served_in_order() {
