--- a/src/direct/admission/shares.rs
+++ b/src/direct/admission/shares.rs
@@ -133,6 +133,8 @@
     team_count: usize,
     /// Usage at this entry.
     own: HashMap<NameDigest, DecayingUsage>,
+    /// When teams without recent usage were last removed.
+    pruned_at: Millis,
     /// Newest reports of peers.
     reports: HashMap<PeerId, PeerReport>,
     /// When a request of each band last found no capacity here. What peers see is no reason to
@@ -184,8 +186,6 @@
 
     /// What peers are told of this entry's usage; `None` if there was none lately.
     pub fn report(&mut self, pool: NameDigest, now: Millis) -> Option<UsageReport> {
-        self.own
-            .retain(|_, known| known.at(now).demand() >= BLOCK_TOKENS / 2.0);
         let own = self.own.iter();
         let mut teams: Vec<_> = own.map(|(team, known)| (*team, known.at(now))).collect();
         teams.sort_by(|(_, a), (_, b)| b.demand().total_cmp(&a.demand()));
@@ -269,6 +269,11 @@
     }
 
     fn add_own(&mut self, team: NameDigest, usage: Usage, now: Millis) {
+        if now >= self.pruned_at + USAGE_HALF_LIFE {
+            self.pruned_at = now;
+            self.own
+                .retain(|_, known| known.at(now).demand() >= BLOCK_TOKENS / 2.0);
+        }
         let known = self.own.get(&team).map(|known| known.at(now));
         let mut sum = known.unwrap_or_default();
         sum.add(usage, 1.0);
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -35,7 +35,7 @@
     GossipTarget, MAX_REMOTE_BYTES, MAX_ROUND_BYTES, NEIGHBORS_PER_ROUND, REMOTES_PER_ROUND,
     ROUND_INTERVAL,
 };
-pub use self::shared::{decode_shared, encode_shared, pool_digest, split_shared, SharedKind};
+pub use self::shared::{decode_shared, encode_shared, split_shared, SharedKind};
 pub use self::usage::{NameDigest, ReportedUsage, UsageReport, BLOCK_TOKENS, MAX_REPORTED_TEAMS};
 use self::watchers::StoreRole;
 pub use self::zones::ZoneId;
--- a/src/direct/peers/shared.rs
+++ b/src/direct/peers/shared.rs
@@ -34,13 +34,6 @@
     }
 }
 
-/// Digest of a pool's name, by which datagrams name it.
-pub fn pool_digest(name: &str) -> u32 {
-    let mut head = [0; 4];
-    head.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..4]);
-    u32::from_be_bytes(head)
-}
-
 /// Encodes a datagram; `None` if it would not fit one packet, of [`MAX_REMOTE_BYTES`].
 pub fn encode_shared(kind: SharedKind, from: PeerId, payload: &impl Serialize) -> Option<Vec<u8>> {
     let mut bytes = MARKER.to_vec();
