Part of requests to send is divided by what competing bands ask for

sent_fraction used the demand of all bands, so less urgent requests of a team took from its urgent ones. Demand is counted and reported by band. More urgent demand counts as given, and the tokens of the band are divided so that their sum stays the same.

--- a/src/direct/admission/shares.rs
+++ b/src/direct/admission/shares.rs
@@ -2,10 +2,10 @@
 //!
 //! It handles the load of one team that sends many times its usual rate to a pool at the limit of
 //! its capacity. A team that asks for less than an equal share gets all that it asks for, and the
-//! rest is divided equally among the others. While the pool lacks capacity, the requests of teams
-//! that ask for more than their share are refused before those of the others. The shares decide
-//! only which requests are refused, not how many: the pool lacks capacity only where the admission
-//! would refuse requests of any team.
+//! rest is divided equally among the others. Within an urgency, waiting requests of teams that ask
+//! for more than their share are sent after those of the others. While this entry sees the pool
+//! overloaded or without capacity, a team that used more than its share has a shorter accepted wait;
+//! no team has a longer one than without shares.
 //!
 //! An entry sees a part of the requests, and hears late of some of the others. Shares are ratios,
 //! for which a sample of the fleet suffices.
@@ -50,15 +50,17 @@
 struct Usage {
     /// Prompt and answer tokens of requests that were sent to endpoints.
     used: f64,
-    /// The same of requests that arrived.
-    asked: f64,
+    /// The same of requests that arrived, by urgency band.
+    asked: [f64; BANDS],
 }
 
 impl Usage {
     fn from_report(reported: ReportedUsage) -> Self {
         Self {
             used: f64::from(reported.used) * BLOCK_TOKENS,
-            asked: f64::from(reported.asked) * BLOCK_TOKENS,
+            asked: reported
+                .asked
+                .map(|blocks| f64::from(blocks) * BLOCK_TOKENS),
         }
     }
 
@@ -67,19 +69,21 @@
         let blocks = |tokens: f64| (tokens / BLOCK_TOKENS).round() as u32;
         ReportedUsage {
             used: blocks(self.used),
-            asked: blocks(self.asked),
+            asked: self.asked.map(blocks),
         }
     }
 
     fn add(&mut self, other: Self, factor: f64) {
         self.used += other.used * factor;
-        self.asked += other.asked * factor;
+        for (asked, other) in self.asked.iter_mut().zip(other.asked) {
+            *asked += other * factor;
+        }
     }
 
     /// What the team asks for. Requests that are sent again or wait before they are sent count as
     /// usage when they no longer do as demand.
     fn demand(self) -> f64 {
-        self.asked.max(self.used)
+        self.asked.iter().sum::<f64>().max(self.used)
     }
 }
 
@@ -96,7 +100,7 @@
         let left = (-half_lives).exp2();
         Usage {
             used: self.usage.used * left,
-            asked: self.usage.asked * left,
+            asked: self.usage.asked.map(|asked| asked * left),
         }
     }
 }
@@ -151,21 +155,20 @@
 
     /// Records that a request arrived that endpoints could run; `tokens` are those of its prompt
     /// and answer.
-    pub fn record_arrival(&mut self, team: NameDigest, tokens: u64, now: Millis) {
-        let asked = tokens as f64;
-        self.add_own(team, Usage { used: 0.0, asked }, now);
+    pub fn record_arrival(&mut self, team: NameDigest, band: usize, tokens: u64, now: Millis) {
+        let mut usage = Usage::default();
+        usage.asked[band] = tokens as f64;
+        self.add_own(team, usage, now);
     }
 
     /// Records that a request is sent to an endpoint.
     pub fn record_sent(&mut self, team: NameDigest, tokens: u64, now: Millis) {
-        let used = tokens as f64;
-        self.add_own(team, Usage { used, asked: 0.0 }, now);
+        self.add_used(team, tokens as f64, now);
     }
 
     /// Takes back what was recorded for a request that no endpoint ran after all.
     pub fn record_not_run(&mut self, team: NameDigest, tokens: u64, now: Millis) {
-        let used = -(tokens as f64);
-        self.add_own(team, Usage { used, asked: 0.0 }, now);
+        self.add_used(team, -(tokens as f64), now);
     }
 
     /// Records that a request of a band found no capacity: it waits, or the admission would refuse
@@ -250,10 +253,17 @@
         })
     }
 
-    /// Fraction of a team's requests to send where only a fraction of all can be: the same number
-    /// of tokens in total, divided by shares.
-    pub fn sent_fraction(&mut self, team: NameDigest, of_all: f64, now: Millis) -> f64 {
-        self.shares(now).sent_fraction(team, of_all)
+    /// Fraction of a team's requests of a band to send where only a fraction of all of the band can
+    /// be: the same number of tokens in total, divided by shares of what the band and more urgent
+    /// ones ask for.
+    pub fn sent_fraction(
+        &mut self,
+        team: NameDigest,
+        band: usize,
+        of_all: f64,
+        now: Millis,
+    ) -> f64 {
+        self.shares(now).sent_fraction(team, band, of_all)
     }
 
     /// The teams beyond their shares, with their excess, the largest first.
@@ -268,6 +278,14 @@
         beyond
     }
 
+    fn add_used(&mut self, team: NameDigest, used: f64, now: Millis) {
+        let usage = Usage {
+            used,
+            ..Usage::default()
+        };
+        self.add_own(team, usage, now);
+    }
+
     fn add_own(&mut self, team: NameDigest, usage: Usage, now: Millis) {
         if now >= self.pruned_at + USAGE_HALF_LIFE {
             self.pruned_at = now;
@@ -320,14 +338,22 @@
     }
 }
 
+/// What one of several equal teams asks for, in tokens.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    teams: f64,
+    /// What it gets in any case, since it is more urgent.
+    more_urgent: f64,
+    /// What is divided by shares.
+    divided: f64,
+}
+
 /// Shares computed from the usage at one time.
 #[derive(Debug)]
 struct Shares {
     teams: HashMap<NameDigest, Usage>,
-    /// Demands of teams with their numbers, the smallest first.
-    demands: Vec<(f64, f64)>,
-    /// What all teams asked for, in tokens.
-    asked: f64,
+    /// Usage of each team that peers did not name, and the number of such teams.
+    unnamed: (Usage, f64),
     /// The largest share, in tokens: that of every team that asks for as much or more.
     level: f64,
 }
@@ -336,19 +362,33 @@
     /// Shares of `teams`. `others` is the usage of the teams that peers did not name, which are
     /// taken as equal.
     fn new(teams: HashMap<NameDigest, Usage>, others: Usage, team_count: usize) -> Self {
-        let unnamed = team_count.saturating_sub(teams.len()).max(1) as f64;
-        let mut demands: Vec<_> = teams.values().map(|usage| (usage.demand(), 1.0)).collect();
-        demands.push((others.demand() / unnamed, unnamed));
-        demands.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         let used = teams.values().map(|usage| usage.used).sum::<f64>() + others.used;
-        let asked = demands.iter().map(|(demand, teams)| demand * teams).sum();
-        let level = level(&demands, used);
-        Self {
+        let count = team_count.saturating_sub(teams.len()).max(1) as f64;
+        let mut each = Usage::default();
+        each.add(others, 1.0 / count);
+        let mut shares = Self {
             teams,
-            demands,
-            asked,
-            level,
-        }
+            unnamed: (each, count),
+            level: 0.0,
+        };
+        let demands = shares.demands(|usage| (0.0, usage.demand()));
+        shares.level = level(&demands, used);
+        shares
+    }
+
+    /// Demands of all teams, of which `parts` gives what is more urgent and what is divided.
+    fn demands(&self, parts: impl Fn(&Usage) -> (f64, f64)) -> Vec<Demand> {
+        let named = self.teams.values().map(|usage| (usage, 1.0));
+        let all = named.chain([(&self.unnamed.0, self.unnamed.1)]);
+        all.map(|(usage, teams)| {
+            let (more_urgent, divided) = parts(usage);
+            Demand {
+                teams,
+                more_urgent,
+                divided,
+            }
+        })
+        .collect()
     }
 
     fn usage(&self, team: NameDigest) -> Usage {
@@ -363,26 +403,36 @@
         self.usage(team).used / self.level.max(1.0)
     }
 
-    fn sent_fraction(&self, team: NameDigest, of_all: f64) -> f64 {
-        let demand = self.usage(team).demand();
-        if of_all >= 1.0 || demand <= 0.0 {
+    fn sent_fraction(&self, team: NameDigest, band: usize, of_all: f64) -> f64 {
+        let parts = |usage: &Usage| (usage.asked[..band].iter().sum(), usage.asked[band]);
+        let (more_urgent, asked): (f64, f64) = parts(&self.usage(team));
+        if of_all >= 1.0 || asked <= 0.0 {
             return 1.0;
         }
-        (level(&self.demands, self.asked * of_all) / demand).min(1.0)
+        let demands = self.demands(parts);
+        let all: f64 = demands.iter().map(|d| d.divided * d.teams).sum();
+        let share = level(&demands, all * of_all) - more_urgent;
+        (share / asked).clamp(0.0, 1.0)
     }
 }
 
-/// The largest share where `capacity` is divided among demands with their numbers, the smallest
-/// first; the largest demand if there is enough for all.
-fn level(demands: &[(f64, f64)], capacity: f64) -> f64 {
-    let mut left = capacity;
-    let mut teams: f64 = demands.iter().map(|(_, teams)| teams).sum();
-    for (demand, count) in demands {
-        if demand * teams > left * (1.0 + ROUNDING) {
-            return left / teams;
+/// The largest share, including what is more urgent, where `capacity` is divided; the largest
+/// demand if there is enough for all.
+fn level(demands: &[Demand], capacity: f64) -> f64 {
+    // From the first step of a team to its second, its part grows with the level.
+    let steps = |d: &Demand| {
+        let end = d.more_urgent + d.divided;
+        [(d.more_urgent, d.teams), (end, -d.teams)]
+    };
+    let mut steps: Vec<(f64, f64)> = demands.iter().flat_map(steps).collect();
+    steps.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let (mut level, mut growing, mut divided) = (0.0, 0.0, 0.0);
+    for (next, change) in steps {
+        let up_to_next = divided + growing * (next - level);
+        if up_to_next > capacity * (1.0 + ROUNDING) {
+            return level + (capacity - divided) / growing;
         }
-        left -= demand * count;
-        teams -= count;
+        (level, growing, divided) = (next, growing + change, up_to_next);
     }
-    demands.last().map_or(0.0, |(demand, _)| *demand)
+    level
 }
--- a/src/direct/entry/team_shares.rs
+++ b/src/direct/entry/team_shares.rs
@@ -12,7 +12,7 @@
 use crate::direct::peers::{self, NameDigest, PeerId, SharedKind, UsageReport};
 
 /// Fraction of the peers of a gossip round that are sent a usage report while a pool lacks capacity.
-/// That takes 1.3 KB/s at most, at nine peers in 150 ms and 220 bytes a report.
+/// That takes 1.8 KB/s at most, at nine peers in 150 ms and 300 bytes a report.
 const REPORTED_FRACTION: f64 = 0.1;
 /// The same while none does.
 const CALM_REPORTED_FRACTION: f64 = 0.03;
--- a/src/direct/job/share.rs
+++ b/src/direct/job/share.rs
@@ -15,8 +15,9 @@
     pub(super) fn count_team_arrival(&mut self) {
         if !self.is_arrival_counted {
             self.is_arrival_counted = true;
-            let (tokens, now) = (self.total_tokens(), self.entry.clock.now());
-            self.team_shares(|shares, team| shares.record_arrival(team, tokens, now));
+            let (band, tokens) = (self.band(), self.total_tokens());
+            let now = self.entry.clock.now();
+            self.team_shares(|shares, team| shares.record_arrival(team, band, tokens, now));
         }
     }
 
@@ -66,7 +67,7 @@
     pub(super) fn team_fraction(&self, of_all: f64) -> f64 {
         let (band, now) = (self.band(), self.entry.clock.now());
         let fraction = self.team_shares(|shares, team| match shares.is_contended(band, now) {
-            true => shares.sent_fraction(team, of_all, now),
+            true => shares.sent_fraction(team, band, of_all, now),
             false => of_all,
         });
         fraction.unwrap_or(of_all)
--- a/src/direct/peers/usage.rs
+++ b/src/direct/peers/usage.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::directory::digest;
+use crate::direct::known::load::BANDS;
 
 /// Maximum number of teams in one report, those with the most usage or demand.
 pub const MAX_REPORTED_TEAMS: usize = 16;
@@ -32,13 +33,14 @@
 pub struct ReportedUsage {
     /// What was sent to endpoints.
     pub used: u32,
-    /// What arrived.
-    pub asked: u32,
+    /// What arrived, by urgency band.
+    pub asked: [u32; BANDS],
 }
 
 impl ReportedUsage {
     fn is_valid(self) -> bool {
-        self.used.max(self.asked) <= MAX_BLOCKS
+        let all = [self.used].into_iter().chain(self.asked);
+        all.max().is_some_and(|largest| largest <= MAX_BLOCKS)
     }
 }
 
--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -288,7 +288,9 @@
         let (backlog, ahead) = self.visible(at, kind.band, now);
         let entry = &mut self.entries[at];
         let (team, now_ms) = (self.names[ask.team], Millis(now));
-        entry.shares.record_arrival(team, kind.tokens, now_ms);
+        entry
+            .shares
+            .record_arrival(team, kind.band, kind.tokens, now_ms);
         let outlook = EngineAdmission {
             band: kind.band,
             expected_ms: ahead / self.capacity_per_ms + kind.tokens as f64 / 68.0,
@@ -366,7 +368,15 @@
             entry.queue.started(&req);
             return self.send(at, ask, now);
         }
-        let is_full = entry.queue.len() >= MAX_WAITING;
+        let mut is_full = entry.queue.len() >= MAX_WAITING;
+        let displaced = entry.queue.displaced_by(&req).filter(|_| is_full);
+        if let Some(key) = displaced {
+            is_full = false;
+            entry.queue.remove(key);
+            let (ask, _) = entry.waiting.remove(&key).unwrap();
+            self.refuse(at, ask, now);
+        }
+        let entry = &mut self.entries[at];
         if is_full || !entry.queue.can_serve(&req, now_ms, &room) {
             return self.refuse(at, ask, now);
         }
@@ -632,7 +642,7 @@
     let mut shares = TeamShares::default();
     shares.set_team_count(sent.len());
     for (team, tokens) in sent {
-        shares.record_arrival(NameDigest(*team), *tokens, Millis(1_000));
+        shares.record_arrival(NameDigest(*team), 2, *tokens, Millis(1_000));
         shares.record_sent(NameDigest(*team), *tokens, Millis(1_000));
     }
     shares
@@ -641,7 +651,13 @@
 fn report_of(team: u32, used: u32, asked: u32) -> UsageReport {
     UsageReport {
         pool: POOL,
-        teams: vec![(NameDigest(team), ReportedUsage { used, asked })],
+        teams: vec![(
+            NameDigest(team),
+            ReportedUsage {
+                used,
+                asked: [0, 0, asked],
+            },
+        )],
         others: ReportedUsage::default(),
     }
 }
@@ -667,7 +683,7 @@
     let now = Millis(1_000);
     let standing = |refused: u64| {
         let mut shares = shares_of(&[&[(1, 50_000)], &others[..]].concat());
-        shares.record_arrival(NameDigest(1), refused, now);
+        shares.record_arrival(NameDigest(1), 2, refused, now);
         shares.record_contention(2, now);
         others.map(|(team, _)| shares.standing(NameDigest(team), 2, now))
     };
@@ -684,7 +700,7 @@
     let asked: u64 = teams.iter().map(|(_, tokens)| tokens).sum();
     for of_all in [0.05, 0.2, 0.4, 0.6, 0.9] {
         let sent = |shares: &mut TeamShares, team: u32, tokens: u64| {
-            tokens as f64 * shares.sent_fraction(NameDigest(team), of_all, now)
+            tokens as f64 * shares.sent_fraction(NameDigest(team), 2, of_all, now)
         };
         let sum: f64 = teams
             .iter()
@@ -692,8 +708,68 @@
             .sum();
         assert!((sum - of_all * asked as f64).abs() < 1.0, "{of_all}: {sum}");
     }
-    assert_eq!(shares.sent_fraction(NameDigest(2), 0.4, now), 1.0);
-    assert_eq!(shares.sent_fraction(NameDigest(9), 0.4, now), 1.0);
+    assert_eq!(shares.sent_fraction(NameDigest(2), 2, 0.4, now), 1.0);
+    assert_eq!(shares.sent_fraction(NameDigest(9), 2, 0.4, now), 1.0);
+}
+
+/// What a team asks for in less urgent bands takes nothing from its urgent requests, and what it asks
+/// for in more urgent ones counts as part of its share.
+#[test]
+fn competing_bands_only() {
+    let now = Millis(1_000);
+    let [first, second] = [1, 2].map(NameDigest);
+    let mut shares = TeamShares::default();
+    shares.set_team_count(2);
+    for team in [first, second] {
+        shares.record_arrival(team, 1, 50_000, now);
+    }
+    shares.record_arrival(first, 2, 900_000, now);
+    assert_eq!(shares.sent_fraction(first, 1, 0.5, now), 0.5);
+    assert_eq!(shares.sent_fraction(second, 1, 0.5, now), 0.5);
+    let mut shares = shares_of(&[(1, 50_000), (2, 50_000)]);
+    shares.record_arrival(first, 0, 50_000, now);
+    assert_eq!(shares.sent_fraction(first, 2, 0.5, now), 0.0);
+    assert_eq!(shares.sent_fraction(second, 2, 0.5, now), 1.0);
+}
+
+/// A lone request of a large team is sent to a pool that has room, whatever peers report, and a
+/// request with little time left does not count as lack of capacity.
+#[test]
+fn room_for_lone() {
+    let (team, now) = (NameDigest(1), Millis(1_000));
+    let mut shares = shares_of(&[(1, 900_000), (2, 10_000), (3, 10_000)]);
+    shares.record_arrival(NameDigest(2), 2, 500_000, now);
+    shares.record_report(PeerId(1), report_of(1, 9_000, 9_000), now);
+    assert!(shares.excess(team, now) > 1.0);
+    assert_eq!(shares.wait_factor(team, 2, 0.0, now), 1.0);
+    shares.record_contention(2, now);
+    assert_eq!(shares.wait_factor(NameDigest(3), 2, 1.0, now), 1.0);
+    let factor = shares.wait_factor(team, 2, 1.0, now);
+    assert!(factor < 1.0);
+    let outlook = EngineAdmission {
+        band: 2,
+        expected_ms: 180.0,
+        backlog_ms: 100.0,
+        shortest_target: SHORTEST_TARGET,
+        time_left: Millis(15_000),
+        longest_less_urgent_time: Millis(0),
+        has_more_urgent: true,
+    };
+    assert!(outlook.is_admitted_with(factor));
+    let late = EngineAdmission {
+        time_left: Millis(100),
+        ..outlook
+    };
+    assert!(!late.is_admitted() && !late.lacks_capacity(Millis(15_000)));
+}
+
+/// Requests of one team that arrive together don't make it a team beyond its share.
+#[test]
+fn arrivals_together() {
+    let (team, now) = (NameDigest(1), Millis(1_000));
+    let mut shares = shares_of(&[(1, 12_000), (2, 12_000)]);
+    shares.record_arrival(team, 2, 120_000, now);
+    assert_eq!(shares.wait_factor(team, 2, 1.0, now), 1.0);
 }
 
 /// An entry that hears nobody uses what it sees itself.
@@ -701,8 +777,8 @@
 fn cut_off_entry() {
     let mut shares = shares_of(&[(1, 50_000), (2, 10_000), (3, 10_000)]);
     let now = Millis(1_000);
-    shares.record_arrival(NameDigest(1), 400_000, now);
-    shares.record_arrival(NameDigest(2), 10_000, now);
+    shares.record_arrival(NameDigest(1), 2, 400_000, now);
+    shares.record_arrival(NameDigest(2), 2, 10_000, now);
     assert!(shares.excess(NameDigest(1), now) > 1.0);
     assert!(shares.excess(NameDigest(2), now) < 1.0);
 }
