Usage that is over is pruned by time and by reports

A report could name teams whose usage is over. The replay asks for the excess only of requests that may wait, as entries do.

--- a/src/direct/admission/shares.rs
+++ b/src/direct/admission/shares.rs
@@ -189,6 +189,7 @@
 
     /// What peers are told of this entry's usage; `None` if there was none lately.
     pub fn report(&mut self, pool: NameDigest, now: Millis) -> Option<UsageReport> {
+        self.prune_own(now);
         let own = self.own.iter();
         let mut teams: Vec<_> = own.map(|(team, known)| (*team, known.at(now))).collect();
         teams.sort_by(|(_, a), (_, b)| b.demand().total_cmp(&a.demand()));
@@ -278,6 +279,13 @@
         beyond
     }
 
+    /// Removes the teams without recent usage.
+    fn prune_own(&mut self, now: Millis) {
+        self.pruned_at = now;
+        self.own
+            .retain(|_, known| known.at(now).demand() >= BLOCK_TOKENS / 2.0);
+    }
+
     fn add_used(&mut self, team: NameDigest, used: f64, now: Millis) {
         let usage = Usage {
             used,
@@ -288,9 +296,7 @@
 
     fn add_own(&mut self, team: NameDigest, usage: Usage, now: Millis) {
         if now >= self.pruned_at + USAGE_HALF_LIFE {
-            self.pruned_at = now;
-            self.own
-                .retain(|_, known| known.at(now).demand() >= BLOCK_TOKENS / 2.0);
+            self.prune_own(now);
         }
         let known = self.own.get(&team).map(|known| known.at(now));
         let mut sum = known.unwrap_or_default();
--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -310,7 +310,9 @@
             let overload = outlook.overload();
             let factor = entry.shares.wait_factor(team, kind.band, overload, now_ms);
             is_admitted = outlook.is_admitted_with(factor);
-            excess = entry.shares.excess(team, now_ms);
+            if kind.band == 2 {
+                excess = entry.shares.excess(team, now_ms);
+            }
         }
         self.outcome.changed += u32::from(usual != is_admitted);
         match (is_admitted, kind.band) {
@@ -772,6 +774,16 @@
     assert_eq!(shares.wait_factor(team, 2, 1.0, now), 1.0);
 }
 
+/// Guards against reports of teams whose usage is over.
+#[test]
+fn usage_forgotten() {
+    let mut shares = shares_of(&[(1, 12_000), (2, 12_000)]);
+    assert_eq!(shares.report(POOL, Millis(1_000)).unwrap().teams.len(), 2);
+    shares.record_arrival(NameDigest(3), 2, 12_000, Millis(100_000));
+    assert_eq!(shares.report(POOL, Millis(100_000)).unwrap().teams.len(), 1);
+    assert_eq!(shares.report(POOL, Millis(200_000)), None);
+}
+
 /// An entry that hears nobody uses what it sees itself.
 #[test]
 fn cut_off_entry() {
