--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -29,6 +29,9 @@
 /// Number of [`LineKind`]s.
 const KIND_COUNT: usize = 4;
 
+/// Reason in [`Decision::EndpointHealth`] where no connection to the endpoint could be opened.
+pub const NO_CONNECTION: &str = "no connection";
+
 /// Why this entry refused a request that no endpoint ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -91,7 +94,7 @@
     Unknown,
     /// Its deadline passed.
     TimeOver,
-    /// The stream broke off and could not be resumed.
+    /// The stream broke off and could not be resumed, or the caller did not read the answer in time.
     Broken,
     /// The caller disconnected.
     CallerGone,
@@ -138,6 +141,12 @@
         moved_from: Option<String>,
         /// Prompt tokens that it has to prefill.
         unread: u32,
+        /// Number of endpoints of the pool that are reserved for latency-sensitive streams.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        reserved_endpoints: usize,
+        /// Whether the endpoint is one of them.
+        #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+        reserved: bool,
         /// Requests running at the endpoint, of all entries as far as known.
         running: u32,
         /// Version of the configuration in force.
@@ -160,6 +169,9 @@
         /// Whether the run continues from its copy, because the endpoint that ran it was lost.
         #[serde(skip_serializing_if = "std::ops::Not::not", default)]
         takes_over: bool,
+        /// Number of endpoints that were passed over before because they refused the connection.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        passed_over: u32,
     },
     /// A request was refused: it was not sent, or no endpoint ran it.
     Refused {
@@ -181,6 +193,9 @@
         /// requests.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         free_endpoints: Option<usize>,
+        /// Number of endpoints that were passed over because they refused the connection.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        passed_over: u32,
     },
     /// An attempt ended without a complete response for the caller.
     AttemptFailed {
@@ -308,6 +323,28 @@
         /// Reason.
         why: String,
     },
+    /// The time that work takes at an endpoint, compared with the others of its pool, has changed
+    /// by the streams of all entries.
+    EndpointSpeed {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// Time relative to the typical endpoint of its pool.
+        relative_time: f64,
+        /// Time between two events of a stream, in ms; `None` where it is no longer known.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        event_ms: Option<f64>,
+    },
+    /// The learned capacity of a pool's typical engine has changed.
+    PoolCapacity {
+        /// Name of the pool.
+        pool: String,
+        /// Prompt tokens that it prefills per millisecond.
+        prefill_tokens_per_ms: f64,
+        /// Time of one step, in ms.
+        step_ms: f64,
+        /// Tokens in one event of a stream.
+        tokens_per_event: f64,
+    },
     /// An endpoint ended, and the runs that it had not finished were lost.
     EndpointEnded {
         /// Identity of the endpoint.
@@ -406,8 +443,8 @@
 }
 
 /// Whether a count is 0, which leaves it out of a line.
-fn is_zero(count: &u64) -> bool {
-    *count == 0
+fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
+    *count == T::default()
 }
 
 /// One line of the log.
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -8,7 +8,18 @@
 
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
-    pub fn send_shared_state(&self, _to: SocketAddr) {}
+    pub fn send_shared_state(&self, to: SocketAddr) {
+        if self.has_mixed_pool() {
+            self.share_observations(to);
+        }
+    }
+
+    /// Sends a peer that is new all that it is to know of the shared state.
+    pub fn greet_with_shared_state(&self, to: SocketAddr) {
+        if self.has_mixed_pool() {
+            self.greet_with_observations(to);
+        }
+    }
 
     /// Handles a datagram of shared state; false if it is of another format.
     pub fn handle_shared_state(&self, bytes: &[u8]) -> bool {
@@ -23,7 +34,11 @@
         true
     }
 
-    fn handle_observations(&self, _from: PeerId, _payload: &[u8]) {}
+    /// Whether the configuration in force has a mixed pool.
+    fn has_mixed_pool(&self) -> bool {
+        self.catalog()
+            .is_some_and(|catalog| catalog.has_mixed_pool())
+    }
 
     fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
 
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 use crate::clock::Millis;
-use crate::direct::decision::{Decision, LogLine, RefusalReason};
+use crate::direct::decision::{Decision, LogLine, RefusalReason, NO_CONNECTION};
 
 /// How long before a request's first line a change of state is still shown: some reads of the
 /// store.
@@ -40,18 +40,22 @@
     let endpoints: BTreeSet<&str> = lines.iter().filter(about).filter_map(endpoint).collect();
     let fingerprints: BTreeSet<String> =
         lines.iter().filter(about).filter_map(fingerprint).collect();
+    let passes_over = lines.iter().filter(about).any(passes_over_endpoints);
     let has_no_endpoint = lines.iter().filter(about).any(found_no_endpoint);
     let mut text = String::new();
     for line in &lines {
         let is_about_request = about(&line);
         let is_recent = line.up >= first - LOOKBACK && line.up <= last;
-        let is_related =
-            line.request.is_none() && is_recent && may_affect(&line.decision, &endpoints);
+        let is_related = line.request.is_none()
+            && is_recent
+            && (may_affect(&line.decision, &endpoints)
+                || (passes_over && reports_unreachable(&line.decision)));
         let reports_end = reports_ended_endpoint(&line.decision, &fingerprints);
         if is_about_request
             || is_related
             || reports_end
             || (line.up <= last && reports_announcement(line, &endpoints, has_no_endpoint))
+            || (line.up <= last && reports_speed(&line.decision, &endpoints))
         {
             let mark = if is_about_request { "*" } else { " " };
             let at = line.up.0 as i64 - first.0 as i64;
@@ -125,6 +129,21 @@
     }
 }
 
+/// Whether a line reports that the request passed over endpoints that refused the connection.
+fn passes_over_endpoints(line: &LogLine) -> bool {
+    match line.decision {
+        Decision::Placed { passed_over, .. } | Decision::Refused { passed_over, .. } => {
+            passed_over > 0
+        }
+        _ => false,
+    }
+}
+
+/// Whether a line reports that an endpoint was ejected because no connection could be opened.
+fn reports_unreachable(decision: &Decision) -> bool {
+    matches!(decision, Decision::EndpointHealth { aside: true, why, .. } if why == NO_CONNECTION)
+}
+
 /// Whether a line reports that one of these endpoints (any endpoint, with `any`) wants no requests
 /// or limits their rate. Such lines are shown however old they are.
 fn reports_announcement(line: &LogLine, endpoints: &BTreeSet<&str>, any: bool) -> bool {
@@ -137,6 +156,15 @@
     }
 }
 
+/// Whether a line reports how fast one of these endpoints is. It is written only when that changes,
+/// so it is shown however old it is.
+fn reports_speed(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
+    match decision {
+        Decision::EndpointSpeed { endpoint, .. } => endpoints.contains(endpoint.as_str()),
+        _ => false,
+    }
+}
+
 /// Whether a recent change of state may have influenced a request that was sent to these endpoints.
 fn may_affect(decision: &Decision, endpoints: &BTreeSet<&str>) -> bool {
     match decision {
@@ -146,6 +174,7 @@
         Decision::Peer { .. }
         | Decision::RequestRefused { .. }
         | Decision::EndpointAnnounced { .. }
+        | Decision::EndpointSpeed { .. }
         | Decision::EndpointLimited { .. } => false,
         _ => true,
     }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -51,6 +51,8 @@
         moved: 0,
         moved_from: None,
         unread: 2_890,
+        reserved_endpoints: 0,
+        reserved: false,
         running: 4,
         catalog: 7,
         proof_age_ms: Some(900),
@@ -59,6 +61,7 @@
         limit_per_s: None,
         copy: None,
         takes_over: false,
+        passed_over: 0,
     }
 }
 
@@ -156,6 +159,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: None,
+        passed_over: 0,
     };
     log.request(b"9c41", refused);
     insta::assert_snapshot!(explain(&output.text(), "9c41").unwrap().text);
@@ -193,6 +197,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: None,
+        passed_over: 0,
     };
     log.request(b"9c41", refused);
     let text = explain(&output.text(), "9c41").unwrap().text;
@@ -227,6 +232,7 @@
         held_ms: 0,
         urgency: None,
         free_endpoints: Some(0),
+        passed_over: 0,
     };
     log.request(b"9c42", refused);
     let text = explain(&output.text(), "9c42").unwrap().text;
@@ -248,6 +254,7 @@
         held_ms: 2,
         urgency: Some(urgency),
         free_endpoints: Some(3),
+        passed_over: 0,
     };
     for _ in 0..1_000 {
         log.request(b"less", refused(1));
@@ -255,3 +262,31 @@
     log.request(b"urgent", refused(0));
     assert!(output.text().contains("\"request\":\"urgent\""));
 }
+
+/// Guards against an explanation that leaves out how fast the chosen endpoint is, which is logged
+/// only when it changes, or that shows the speeds of others.
+#[test]
+fn cause_of_late_stream() {
+    let (clock, output, log) = log();
+    let speed = |endpoint: &str| Decision::EndpointSpeed {
+        endpoint: endpoint.into(),
+        relative_time: 2.378,
+        event_ms: Some(71.5),
+    };
+    log.state_change(speed("i-1"));
+    log.state_change(speed("i-2"));
+    clock.advance(Millis(60_000));
+    log.state_change(Decision::PoolCapacity {
+        pool: "chat".into(),
+        prefill_tokens_per_ms: 68.0,
+        step_ms: 5.0,
+        tokens_per_event: 6.0,
+    });
+    log.request(b"9c41", placed("i-1"));
+    log.request(b"9c41", ended("i-1", RequestOutcome::Served));
+    let text = explain(&output.text(), "9c41").unwrap().text;
+    assert_eq!(text.lines().count(), 4, "{text}");
+    assert!(text.contains("endpoint_speed  endpoint=i-1"), "{text}");
+    assert!(!text.contains("endpoint=i-2"), "{text}");
+    assert!(text.contains("pool_capacity  pool=chat"), "{text}");
+}
