Leave out what only the parts that are not in use need

Cause: kinds of datagrams without a reader, and a rule without a caller, puzzle whoever reads the code. Change: SharedKind holds observations only; Catalog::may_wait is gone; long comment lines are wrapped.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -166,7 +166,7 @@
     }
 }
 
-/// Shortest timeout of a route whose callers have time to wait for capacity.
+/// Shortest timeout of a route whose callers are in no hurry.
 const PATIENT_TIMEOUT: Millis = Millis(10_000);
 
 /// The routes of one host.
@@ -413,17 +413,6 @@
         self.has_mixed_pool && (self.is_mixed(pool) || is_plain())
     }
 
-    /// Whether requests of a route may wait for capacity in a pool: the pool is mixed, the callers
-    /// have time, and the pool has more urgent streams.
-    pub fn may_wait(&self, route: &Route, pool: &str) -> bool {
-        let stream = self
-            .time_limits
-            .get(pool)
-            .and_then(|l| l.most_urgent_stream);
-        let is_less_urgent = stream.is_some_and(|stream| route.priority > stream);
-        route.timeout >= PATIENT_TIMEOUT && is_less_urgent && self.is_mixed(pool)
-    }
-
     /// The pool with this name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.name == name)
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::Entry;
-use crate::direct::peers::{self, PeerId, SharedKind};
+use crate::direct::peers::{self, SharedKind};
 
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
@@ -28,8 +28,6 @@
         };
         match kind {
             SharedKind::Observations => self.handle_observations(from, payload),
-            SharedKind::Waiting => self.handle_waiting(from, payload),
-            SharedKind::TeamUsage => self.handle_team_usage(from, payload),
         }
         true
     }
@@ -39,8 +37,4 @@
         self.catalog()
             .is_some_and(|catalog| catalog.has_mixed_pool())
     }
-
-    fn handle_waiting(&self, _from: PeerId, _payload: &[u8]) {}
-
-    fn handle_team_usage(&self, _from: PeerId, _payload: &[u8]) {}
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,8 +2,8 @@
 //! sidecar beside each endpoint.
 //!
 //! A request passes through these modules: [`caller`] accepts the connection, [`intake`] reads the
-//! request, [`handle`] allows or refuses it, [`job`] makes the attempts (each one uses [`placement::choose`],
-//! [`channel`] and [`relay`]), [`answerer`] writes the response, and [`progress`] logs the end.
+//! request, [`handle`] allows or refuses it, [`job`] makes the attempts (each one uses
+//! [`placement::choose`], [`channel`] and [`relay`]), [`answerer`] writes the response, and [`progress`] logs the end.
 //!
 //! - Permission: [`resolve`] finds the route and the team, [`residency`] checks the regions, and
 //!   [`refuse`] writes the entry's own error responses.
--- a/src/direct/peers/shared.rs
+++ b/src/direct/peers/shared.rs
@@ -20,17 +20,11 @@
 pub enum SharedKind {
     /// What the sender observed of endpoints.
     Observations = 1,
-    /// The sender's requests that wait for capacity.
-    Waiting = 2,
-    /// Recent usage of pools by teams.
-    TeamUsage = 3,
 }
 
 impl SharedKind {
     fn from_byte(byte: u8) -> Option<Self> {
-        [Self::Observations, Self::Waiting, Self::TeamUsage]
-            .into_iter()
-            .find(|kind| *kind as u8 == byte)
+        (byte == Self::Observations as u8).then_some(Self::Observations)
     }
 }
 
--- a/src/direct/placement/lanes.rs
+++ b/src/direct/placement/lanes.rs
@@ -51,8 +51,9 @@
 /// Fraction of slow endpoints from which on a pool counts as uneven. With fewer, single endpoints
 /// under load would look like a difference in speed.
 const UNEVEN_FRACTION: f64 = 0.2;
-/// Doublings of the typical time, less 1, from which on an endpoint is of a slower class. Smaller
-/// differences are within the error of an estimate, and entries would disagree about the order.
+/// Added to an endpoint's relative time, in doublings, before its class is the whole part: up to 1.3
+/// times the typical time is of the first class. Smaller differences are within the error of an
+/// estimate, and entries would disagree about the order.
 const SPEED_CLASS_TOLERANCE: f64 = 0.6;
 
 /// The endpoints of a pool that are reserved for latency-sensitive streams; empty if the pool is
--- a/src/direct/placement/price.rs
+++ b/src/direct/placement/price.rs
@@ -8,8 +8,8 @@
 use crate::direct::placement::moves::PrefixReuse;
 use crate::direct::placement::pause_risk;
 
-/// Prompt tokens that an engine prefills per millisecond, where its capacity is not learned. Only the ratio to the other terms
-/// matters: the endpoint's health record corrects the rest.
+/// Prompt tokens that an engine prefills per millisecond, where its capacity is not learned. Only
+/// the ratio to the other terms matters: the endpoint's health record corrects the rest.
 pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// Time added by each request of the batch, in ms: each makes every step slightly longer.
 const BATCHED_REQUEST_MS: f64 = 0.8;
@@ -123,8 +123,8 @@
         + random_price_ms(demand, state, unread)
 }
 
-/// Price of prefill and streams at the same endpoint: by the risk of a pause where the capacity of the
-/// pool's engines is known, otherwise by the prefill alone.
+/// Price of prefill and streams at the same endpoint: by the risk of a pause where the capacity of
+/// the pool's engines is known, otherwise by the prefill alone.
 fn streams_price_ms(
     demand: &Demand<'_>,
     state: &CandidateState<'_>,
@@ -219,8 +219,8 @@
     demand.prefill_ms(unread) / typical.max(1.0)
 }
 
-/// Estimated time until the first event at an endpoint that works as fast as it is known to, in ms: prefill of the
-/// prompts ahead and of the request itself, transfer, batch, and queued requests.
+/// Estimated time until the first event, in ms, at an endpoint of the speed that is known of it:
+/// prefill of the prompts ahead and of the request itself, transfer, batch, and queued requests.
 pub fn nominal_time_ms(
     demand: &Demand<'_>,
     state: &CandidateState<'_>,
