Log and count how a stream's end is marked

The end of a stream that had broken off could not be told from a good one: `ended` lines said `served` in both cases. They now name the framing of the endpoint's answer (length, chunked, connection) and the length of an unfinished event at its end; `direct_streams_total` counts streams by both. No logic has changed.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -12,6 +12,7 @@
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -61,6 +62,40 @@
     pub idle_time: Option<Millis>,
 }
 
+/// How a response marks the end of its body (RFC 9112, 6.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Framing {
+    /// By its length, or by a status that never has a body.
+    Length,
+    /// By its last chunk.
+    Chunked,
+    /// By the end of the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Value of the metric label.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+        }
+    }
+
+    /// The framing of the response with this head.
+    fn of(head: &ResponseHead) -> Self {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if ends_with_connection(head) {
+            Self::Connection
+        } else {
+            Self::Length
+        }
+    }
+}
+
 /// How the end of a response body is recognized.
 enum Body {
     /// There is no body, or it has been read completely.
@@ -217,6 +252,11 @@
         }
     }
 
+    /// How the response marks the end of its body.
+    pub fn framing(&self) -> Framing {
+        Framing::of(&self.head)
+    }
+
     /// The next chunk of the body; `None` after its end. Fails with [`ExchangeError::Lost`] where
     /// the body ends early or is malformed.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -12,6 +12,7 @@
 
 use crate::announced::DeclineReason;
 use crate::clock::{Clock, Millis};
+use crate::direct::channel::Framing;
 use crate::direct::ends::EndSign;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
@@ -242,6 +243,12 @@
         /// were sent.
         #[serde(skip_serializing_if = "Option::is_none", default)]
         pause_ms: Option<u64>,
+        /// How the endpoint's response marks its end; `None` where none came.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        framing: Option<Framing>,
+        /// Length of the unfinished event at the end of the endpoint's stream, in bytes.
+        #[serde(skip_serializing_if = "is_zero", default)]
+        unfinished_bytes: usize,
         /// Time from its arrival to its end, in ms.
         total_ms: u64,
     },
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::announced::DeclineReason;
+use crate::direct::channel::Framing;
 use crate::direct::ends::EndSign;
 use crate::direct::known::capacity::PoolCapacity;
 use crate::direct::limits::PermitDecision;
@@ -28,6 +29,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     first_byte_ms: Histogram<f64>,
+    streams: Counter<u64>,
     store_calls: Counter<u64>,
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
@@ -70,6 +72,7 @@
                 .f64_histogram("direct_first_byte_ms")
                 .with_boundaries(LATENCY_MS.to_vec())
                 .build(),
+            streams: meter.u64_counter("direct_streams").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
@@ -112,6 +115,15 @@
         self.first_byte_ms.record(ms, &labels);
     }
 
+    /// Counts a stream of an endpoint that ended, by how its response marks its end.
+    pub fn stream_ended(&self, framing: Framing, end: &'static str) {
+        let labels = [
+            KeyValue::new("framing", framing.label()),
+            KeyValue::new("end", end),
+        ];
+        self.streams.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -42,6 +42,7 @@
     ) -> AttemptOutcome {
         let key = answer.choice.key;
         let now = self.entry.clock.now();
+        self.progress.borrow_mut().framing = Some(answer.reply.framing());
         let response_info = self
             .entry
             .dialect
@@ -227,6 +228,7 @@
     ) -> AttemptOutcome {
         let key = answer.choice.key;
         let status = answer.reply.head.status.as_u16();
+        let framing = answer.reply.framing();
         let head = self.entry.dialect.caller_response(&answer.reply.head);
         let context = RelayContext {
             position: &self.position,
@@ -259,7 +261,11 @@
         )
         .await
         {
-            Ok(()) => {
+            Ok(end) => {
+                self.progress.borrow_mut().unfinished_bytes = end.unfinished_bytes;
+                let is_whole = end.unfinished_bytes == 0;
+                let label = if is_whole { "whole" } else { "unfinished" };
+                self.entry.metrics.stream_ended(framing, label);
                 answer.run_guard.answered();
                 self.keep_connection(key, answer.reply, response_info);
                 self.entry.endpoint_served(key);
@@ -271,6 +277,7 @@
             }
             Err(RelayError::Caller) => AttemptOutcome::CallerGone,
             Err(RelayError::Endpoint) => {
+                self.entry.metrics.stream_ended(framing, "broken");
                 answer.run_guard.broken();
                 self.record_failure(key, Fault::Answer, "the stream broke off")
             }
--- a/src/direct/progress.rs
+++ b/src/direct/progress.rs
@@ -2,6 +2,7 @@
 //! that handles the request, so that the line can also be written when the caller disconnects.
 
 use crate::clock::Millis;
+use crate::direct::channel::Framing;
 use crate::direct::decision::{Decision, RequestOutcome};
 use crate::direct::entry::Entry;
 use crate::direct::intake::IncomingRequest;
@@ -21,6 +22,10 @@
     pub endpoint: String,
     /// When the first byte of the response was about to be sent to the caller.
     pub first_byte_at: Option<Millis>,
+    /// How the last endpoint's response marks its end; `None` before its head arrived.
+    pub framing: Option<Framing>,
+    /// Length of the unfinished event at the end of the endpoint's stream, in bytes.
+    pub unfinished_bytes: usize,
     /// When the last chunk of a streamed response was sent.
     last_chunk_at: Option<Millis>,
     /// Longest time between two chunks; `None` before the second one.
@@ -53,6 +58,8 @@
             status,
             first_ms: self.first_byte_at.map(|at| (at - incoming.received_at).0),
             pause_ms: self.longest_pause.map(|pause| pause.0),
+            framing: self.framing,
+            unfinished_bytes: self.unfinished_bytes,
             total_ms: (now - incoming.received_at).0,
         };
         entry.log.request(&self.id, ended);
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -21,6 +21,13 @@
     pub last_event: Option<u64>,
 }
 
+/// How a stream that was relayed to its end ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Length of the unfinished event at its end, in bytes; 0 where the last event was complete.
+    pub unfinished_bytes: usize,
+}
+
 /// Why a stream could not be relayed to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayError {
@@ -116,7 +123,7 @@
     next: impl AsyncFn(&mut Reply) -> Result<Option<Bytes>, ExchangeError>,
     mut begin: impl FnMut() -> actix_http::ResponseHead,
     mut sent: impl FnMut(u32),
-) -> Result<(), RelayError> {
+) -> Result<StreamEnd, RelayError> {
     let RelayContext { position, close } = context;
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
@@ -130,6 +137,7 @@
         if reader.is_oversize() {
             return Err(RelayError::Endpoint);
         }
+        let unfinished_bytes = if is_last { bytes.len() } else { 0 };
         if !bytes.is_empty() || (is_last && !at.head_sent) {
             let written = if at.head_sent {
                 answerer.send_chunk(bytes).await
@@ -143,9 +151,9 @@
             position.set(at);
         }
         if is_last {
-            return answerer
-                .finish_stream()
-                .await
+            let finished = answerer.finish_stream().await;
+            return finished
+                .map(|()| StreamEnd { unfinished_bytes })
                 .map_err(|_| RelayError::Caller);
         }
     }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -78,6 +78,8 @@
         },
         first_ms: None,
         pause_ms: None,
+        framing: None,
+        unfinished_bytes: 0,
         total_ms: 12,
     }
 }
