Failing tests: streams that end inside an event are passed on as complete

Engines of the stand-in end their streams by each framing and at each place of an event. Whole streams pass, those with CRLF as line end only because they are sent at their end, as an unfinished event.

--- /dev/null
+++ b/lab/tests/unmarked_ends.rs
@@ -0,0 +1,99 @@
+//! Streams that end in every way, with and without a mark of their end, through entries as processes.
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use violetline_lab::site::*;
+
+/// Whether a caller gets a stream that ends at a place of an event as a complete one, by how its
+/// engine marks the end.
+async fn is_complete(site: &Site, wish: &str) -> bool {
+    let answer = site.ask(&format!("/stream/{wish}"), wish).await;
+    assert!(
+        answer.status == 200 || answer.status == 502,
+        "{wish}: {answer:?}"
+    );
+    answer.status == 200 && !answer.is_cut
+}
+
+/// An engine that crashed inside an event closed its connection, which was all that marked the end
+/// of its answer: the caller got the half event and a valid end.
+#[actix_rt::test]
+async fn broken_off_as_complete() {
+    let site = Site::with_entry(1).await;
+    for place in ["id", "data", "line", "crlf-line"] {
+        for marks in ["close", "chunks", "length"] {
+            let wish = format!("{marks}-{place}");
+            assert!(!is_complete(&site, &wish).await, "{wish}");
+        }
+    }
+}
+
+/// Without a length or chunks, an answer that ended before its first event is not a stream.
+#[actix_rt::test]
+async fn nothing_as_complete() {
+    let site = Site::with_entry(1).await;
+    assert!(!is_complete(&site, "close-head").await);
+    assert!(!is_complete(&site, "reset-head").await);
+}
+
+#[actix_rt::test]
+async fn whole_ones_complete() {
+    let site = Site::with_entry(1).await;
+    for wish in [
+        "close-whole",
+        "chunks-whole",
+        "length-whole",
+        "close-crlf",
+        "chunks-crlf",
+    ] {
+        assert!(is_complete(&site, wish).await, "{wish}");
+        let answer = site.ask(&format!("/stream/{wish}"), "r1").await;
+        assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5], "{wish}");
+    }
+}
+
+/// Nothing of an unfinished event reaches the caller, and a stream that may be resumed goes on after
+/// the last complete one.
+#[actix_rt::test]
+async fn resumed_after_unfinished() {
+    let site = Site::with_entry(2).await;
+    for wish in ["close-data", "close-line", "chunks-id", "length-data"] {
+        let answer = site.ask(&format!("/resume/{wish}"), wish).await;
+        assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5], "{wish}");
+        assert!(!answer.is_cut, "{wish}");
+    }
+    let taken_up = site.arrivals();
+    let after = taken_up.iter().filter_map(|a| a.header("last-event-id"));
+    assert_eq!(after.collect::<Vec<_>>(), ["3"; 4]);
+}
+
+/// A caller with HTTP/1.0 knows no chunks: it reads until the connection ends, and only a reset tells
+/// it that the stream broke off.
+#[actix_rt::test]
+async fn old_caller_misled() {
+    let site = Site::with_entry(1).await;
+    let whole = read_to_end(&site, "events").await.unwrap();
+    assert!(
+        !whole.to_lowercase().contains("transfer-encoding"),
+        "{whole}"
+    );
+    let (_, body) = whole.split_once("\r\n\r\n").unwrap();
+    assert!(body.starts_with("id: 1\n"), "{body}");
+    assert_eq!(event_numbers(body), [1, 2, 3, 4, 5]);
+    for wish in ["cut", "close-data"] {
+        let read = read_to_end(&site, wish).await;
+        assert!(read.is_err(), "{wish}: {read:?}");
+    }
+}
+
+/// What a caller with HTTP/1.0 reads until the connection ends.
+async fn read_to_end(site: &Site, wish: &str) -> std::io::Result<String> {
+    let request = request(&format!("/stream/{wish}"), wish, "k1");
+    let request = String::from_utf8(request).unwrap();
+    let request = request.replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = TcpStream::connect(site.entries[0].addr("callers")).await?;
+    stream.write_all(request.as_bytes()).await?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await?;
+    Ok(text)
+}
