A stream that ends inside an event has broken off

Cause: an engine that names neither a length nor chunks ends its answer with its connection. A crash closes it just so; the relay took the end of file for the end of the stream, sent what had arrived of the next event and marked the end. An answer with a length or a last chunk inside an event went the same way. Class: an end of file taken for an end.

The relay now sends complete events alone and decides at the end of the answer: an unfinished event means that the stream broke off, whatever the framing, and so does a connection that ended before any event. The attempt counts as lost: it is resumed after the last complete event where that is allowed, else the caller's connection is cut. Since an event's end decides now, CR and CRLF end lines as well; such streams were held back to their end before.

tests/direct_relay.rs expected the unfinished event to be passed on, which was the fault; in its place it expects that every part of one is held back.

--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -261,11 +261,8 @@
         )
         .await
         {
-            Ok(end) => {
-                self.progress.borrow_mut().unfinished_bytes = end.unfinished_bytes;
-                let is_whole = end.unfinished_bytes == 0;
-                let label = if is_whole { "whole" } else { "unfinished" };
-                self.entry.metrics.stream_ended(framing, label);
+            Ok(()) => {
+                self.entry.metrics.stream_ended(framing, "whole");
                 answer.run_guard.answered();
                 self.keep_connection(key, answer.reply, response_info);
                 self.entry.endpoint_served(key);
@@ -277,13 +274,33 @@
             }
             Err(RelayError::Caller) => AttemptOutcome::CallerGone,
             Err(RelayError::Endpoint) => {
-                self.entry.metrics.stream_ended(framing, "broken");
-                answer.run_guard.broken();
-                self.record_failure(key, Fault::Answer, "the stream broke off")
+                self.record_broken_stream(&answer, "broken", "the stream broke off")
             }
+            Err(RelayError::Unfinished { bytes }) => {
+                self.progress.borrow_mut().unfinished_bytes = bytes;
+                self.record_broken_stream(&answer, "unfinished", "the stream ended inside an event")
+            }
+            Err(RelayError::Empty) => self.record_broken_stream(
+                &answer,
+                "empty",
+                "the connection ended before the first event",
+            ),
         }
     }
 
+    /// Records that an endpoint's stream broke off; `label` is the one of the metric.
+    fn record_broken_stream(
+        &self,
+        answer: &ReceivedAnswer<'_>,
+        label: &'static str,
+        why: &str,
+    ) -> AttemptOutcome {
+        let framing = answer.reply.framing();
+        self.entry.metrics.stream_ended(framing, label);
+        answer.run_guard.broken();
+        self.record_failure(answer.choice.key, Fault::Answer, why)
+    }
+
     /// Records that the first byte of the answer is about to be sent to the caller.
     fn record_first_byte(&self, choice: &Choice, run_guard: &RunGuard, sent_at: Millis) {
         let now = self.entry.clock.now();
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -6,8 +6,8 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::direct::answerer::Answerer;
-use crate::direct::channel::{ExchangeError, Reply};
-use crate::sse::Splitter;
+use crate::direct::channel::{ExchangeError, Framing, Reply};
+use crate::sse::{self, Splitter};
 
 /// Maximum length of a body that is not a stream, in bytes.
 const MAX_WHOLE_BODY_BYTES: usize = 8 << 20;
@@ -21,18 +21,18 @@
     pub last_event: Option<u64>,
 }
 
-/// How a stream that was relayed to its end ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StreamEnd {
-    /// Length of the unfinished event at its end, in bytes; 0 where the last event was complete.
-    pub unfinished_bytes: usize,
-}
-
 /// Why a stream could not be relayed to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayError {
     /// The endpoint's response broke off or is invalid.
     Endpoint,
+    /// The endpoint's response ended inside an event, whatever its framing.
+    Unfinished {
+        /// Length of the unfinished event, in bytes.
+        bytes: usize,
+    },
+    /// The endpoint's connection ended before the first event, and nothing else marks the end.
+    Empty,
     /// Writing to the caller failed.
     Caller,
 }
@@ -77,7 +77,8 @@
                 continue;
             }
             self.last = number.or(self.last);
-            self.pushed = self.pushed.saturating_add(1);
+            let is_blank = event.iter().all(|byte| sse::is_line_end(*byte));
+            self.pushed = self.pushed.saturating_add(u32::from(!is_blank));
             out.extend_from_slice(&event);
         }
         out.freeze()
@@ -98,9 +99,9 @@
         self.pushed
     }
 
-    /// The bytes after the last complete event, once the response has ended.
-    pub fn remainder(&mut self) -> Bytes {
-        self.splitter.take_rest()
+    /// Length of the event that is not complete yet, in bytes.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.splitter.rest_len()
     }
 }
 
@@ -113,7 +114,7 @@
     pub close: bool,
 }
 
-/// Relays events until the response ends. `next` reads a chunk of the endpoint's response, `begin`
+/// Relays events until the response ends; an unfinished event is not sent. `next` reads a chunk of the endpoint's response, `begin`
 /// makes the head when the first event has arrived, and `sent` is called after each write to the
 /// caller with the number of events in it.
 pub async fn events(
@@ -123,7 +124,7 @@
     next: impl AsyncFn(&mut Reply) -> Result<Option<Bytes>, ExchangeError>,
     mut begin: impl FnMut() -> actix_http::ResponseHead,
     mut sent: impl FnMut(u32),
-) -> Result<StreamEnd, RelayError> {
+) -> Result<(), RelayError> {
     let RelayContext { position, close } = context;
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
@@ -132,12 +133,14 @@
         let is_last = chunk.is_none();
         let bytes = match chunk {
             Some(chunk) => reader.push(&chunk),
-            None => reader.remainder(),
+            None => Bytes::new(),
         };
         if reader.is_oversize() {
             return Err(RelayError::Endpoint);
         }
-        let unfinished_bytes = if is_last { bytes.len() } else { 0 };
+        if is_last {
+            check_end(&reader, at, reply.framing())?;
+        }
         if !bytes.is_empty() || (is_last && !at.head_sent) {
             let written = if at.head_sent {
                 answerer.send_chunk(bytes).await
@@ -151,18 +154,32 @@
             position.set(at);
         }
         if is_last {
-            let finished = answerer.finish_stream().await;
-            return finished
-                .map(|()| StreamEnd { unfinished_bytes })
+            return answerer
+                .finish_stream()
+                .await
                 .map_err(|_| RelayError::Caller);
         }
     }
 }
 
+/// Checks that a response that has ended holds a complete stream. The end of a connection looks the
+/// same where its endpoint was done and where it terminated.
+fn check_end(reader: &EventReader, at: StreamPosition, framing: Framing) -> Result<(), RelayError> {
+    let bytes = reader.unfinished_bytes();
+    if bytes > 0 {
+        return Err(RelayError::Unfinished { bytes });
+    }
+    let has_begun = at.head_sent || at.last_event.is_some();
+    match framing {
+        Framing::Connection if !has_begun => Err(RelayError::Empty),
+        Framing::Connection | Framing::Length | Framing::Chunked => Ok(()),
+    }
+}
+
 /// The value of an event's `id` field, where that is a number (WHATWG HTML, "Server-sent events").
 fn event_number(event: &[u8]) -> Option<u64> {
     let line = event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| sse::is_line_end(*byte))
         .find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -7,8 +7,8 @@
 pub const DONE: &[u8] = b"data: [DONE]\n\n";
 /// Longest event, in bytes.
 pub const MAX_EVENT: usize = 64 << 10;
-const END: &[u8] = b"\n\n";
 const DATA: &[u8] = b"data: ";
+const DONE_DATA: &[u8] = b"[DONE]";
 
 /// What an event of a model's stream means.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,18 +67,16 @@
         self.buf.extend_from_slice(piece);
     }
 
-    /// The next whole event with its closing blank line.
+    /// The next whole event with its closing blank line; a further blank line counts as an event of
+    /// its own.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let at = self
-            .buf
-            .windows(END.len())
-            .position(|window| window == END)?;
-        Some(self.buf.split_to(at + END.len()).freeze())
+        let len = event_len(&self.buf)?;
+        Some(self.buf.split_to(len).freeze())
     }
 
-    /// What has arrived after the last whole event.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.buf.split().freeze()
+    /// Bytes that have arrived after the last whole event.
+    pub fn rest_len(&self) -> usize {
+        self.buf.len()
     }
 
     /// Whether an event has grown beyond [`MAX_EVENT`].
@@ -87,14 +85,37 @@
     }
 }
 
+/// Whether a byte ends a line, alone or as a part of CRLF.
+pub const fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Length of the first whole event, up to the end of its blank line. Lines end with LF, CR or CRLF.
+///
+/// A CR at the end of the buffer ends its line at once: an LF that follows is then a blank line, which
+/// changes nothing for the reader.
+fn event_len(buf: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    loop {
+        let line = &buf[line_start..];
+        let line_len = line.iter().position(|byte| is_line_end(*byte))?;
+        let is_crlf = line[line_len..].starts_with(b"\r\n");
+        line_start += line_len + if is_crlf { 2 } else { 1 };
+        if line_len == 0 {
+            return Some(line_start);
+        }
+    }
+}
+
 /// Reads one event.
 pub fn read(event: &[u8]) -> Event {
-    if event == DONE {
-        return Event::Done;
-    }
     let Some(data) = event.strip_prefix(DATA) else {
         return Event::Other;
     };
+    let data = data.trim_ascii_end();
+    if data == DONE_DATA {
+        return Event::Done;
+    }
     let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
         return Event::Other;
     };
--- a/tests/direct_relay.rs
+++ b/tests/direct_relay.rs
@@ -10,7 +10,7 @@
     assert_eq!(reader.last(), Some(1));
     assert_eq!(&reader.push(b"ta: b\n\n")[..], b"id: 2\ndata: b\n\n");
     assert_eq!(reader.last(), Some(2));
-    assert!(reader.remainder().is_empty());
+    assert_eq!(reader.unfinished_bytes(), 0);
 }
 
 #[test]
@@ -23,8 +23,49 @@
 #[test]
 fn unfinished_last_event() {
     let mut reader = EventReader::new(None);
-    assert_eq!(&reader.push(b"data: x")[..], b"");
-    assert_eq!(&reader.remainder()[..], b"data: x");
+    for text in ["i", "d: 1\nda", "ta: x", "\n"] {
+        assert_eq!(&reader.push(text.as_bytes())[..], b"");
+        assert!(reader.unfinished_bytes() > 0, "{text}");
+    }
+    assert_eq!(&reader.push(b"\n")[..], b"id: 1\ndata: x\n\n");
+    assert_eq!(reader.unfinished_bytes(), 0);
+}
+
+/// A stream whose lines end with CR or CRLF was held back as one unfinished event.
+#[test]
+fn other_line_ends() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n".replace('\n', end);
+        for split in 0..text.len() {
+            let (first, second) = text.as_bytes().split_at(split);
+            let mut reader = EventReader::new(None);
+            let mut out = reader.push(first).to_vec();
+            let mut events = reader.pushed();
+            out.extend_from_slice(&reader.push(second));
+            events += reader.pushed();
+            assert_eq!(out, text.as_bytes(), "{end:?} {split}");
+            assert_eq!((events, reader.last()), (2, Some(2)), "{end:?} {split}");
+            assert_eq!(reader.unfinished_bytes(), 0, "{end:?} {split}");
+        }
+    }
+}
+
+/// The bytes of an event before `at` never count as a complete one, whatever ends its lines.
+#[test]
+fn cut_anywhere() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = "id: 1\ndata: a\n\n".replace('\n', end);
+        let last = text.len() - if end == "\r\n" { 1 } else { 0 };
+        for at in 1..last {
+            let mut reader = EventReader::new(None);
+            assert_eq!(
+                &reader.push(&text.as_bytes()[..at])[..],
+                b"",
+                "{end:?} {at}"
+            );
+            assert_eq!(reader.unfinished_bytes(), at);
+        }
+    }
 }
 
 /// The same events come out, however the bytes are split into reads.
