Streams to HTTP/1.0 callers end with their connection, by a reset if broken

Callers with HTTP/1.0 got the lines of chunks inside their streams, and a stream that broke off ended with a plain close, which is all that tells such a caller that an answer is complete.

Such a response now has no chunks. Its socket is set to reset on close before the first byte and put back after the last one, so that it is reset on any other end, a killed process included.

--- a/src/direct/answerer.rs
+++ b/src/direct/answerer.rs
@@ -1,12 +1,14 @@
 //! Writes responses to a caller's connection.
 
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{ConnectionType, Request, Response, ResponseHead};
+use actix_http::{ConnectionType, Request, Response, ResponseHead, Version};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::{Decoder, Encoder};
@@ -17,6 +19,8 @@
 pub struct Answerer {
     writer: OwnedWriteHalf,
     codec: Codec,
+    /// HTTP version of the request whose head was decoded last.
+    version: Version,
     /// Encoded bytes that are not written yet.
     out: BytesMut,
 }
@@ -35,6 +39,7 @@
         Self {
             writer,
             codec: Codec::new(service_config()),
+            version: Version::HTTP_11,
             out: BytesMut::new(),
         }
     }
@@ -42,7 +47,11 @@
     /// Decodes the next part of a request from `buf`; `None` where more bytes are needed. Reading
     /// and writing share the codec, because the framing of a response depends on its request.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Message<Request>>, ParseError> {
-        self.codec.decode(buf)
+        let message = self.codec.decode(buf)?;
+        if let Some(Message::Item(req)) = &message {
+            self.version = req.head().version;
+        }
+        Ok(message)
     }
 
     /// Whether the request whose head was decoded last has a body.
@@ -72,10 +81,26 @@
         first_chunk: Bytes,
         close: bool,
     ) -> io::Result<()> {
+        if self.is_unmarked() {
+            self.reset_on_close(true)?;
+        }
         self.encode_head(head, BodySize::Stream, close)?;
         self.send_chunk(first_chunk).await
     }
 
+    /// Whether only the end of the connection marks the end of a streamed response: HTTP/1.0 has no
+    /// chunks.
+    fn is_unmarked(&self) -> bool {
+        self.version < Version::HTTP_11
+    }
+
+    /// Makes the operating system reset the connection when it is closed, also where this process
+    /// is killed, so that the response does not look complete; or close it as usual.
+    fn reset_on_close(&self, reset: bool) -> io::Result<()> {
+        let linger = reset.then_some(Duration::ZERO);
+        SockRef::from(self.writer.as_ref()).set_linger(linger)
+    }
+
     /// Writes a further chunk of a streamed response.
     pub async fn send_chunk(&mut self, bytes: Bytes) -> io::Result<()> {
         if !bytes.is_empty() {
@@ -87,7 +112,11 @@
     /// Marks the end of a streamed response; without this the caller sees it as incomplete.
     pub async fn finish_stream(&mut self) -> io::Result<()> {
         self.encode_chunk(None)?;
-        self.flush().await
+        self.flush().await?;
+        if self.is_unmarked() {
+            self.reset_on_close(false)?;
+        }
+        Ok(())
     }
 
     /// Whether the connection stays open after the response.
@@ -102,6 +131,12 @@
         self.writer.write_all(interim_response).await
     }
 
+    /// Closes the connection once its reading half is closed too.
+    pub fn close(self) {
+        // Dropping it would end an unmarked response as if it were complete.
+        self.writer.forget();
+    }
+
     /// Closes the writing half of the connection.
     pub async fn shutdown(&mut self) -> io::Result<()> {
         self.writer.shutdown().await
@@ -110,7 +145,9 @@
     fn encode_head(&mut self, head: ResponseHead, size: BodySize, close: bool) -> io::Result<()> {
         let mut res = Response::new(head.status);
         *res.headers_mut() = head.headers;
-        if close {
+        let is_unmarked = size == BodySize::Stream && self.is_unmarked();
+        res.head_mut().no_chunking(is_unmarked);
+        if close || is_unmarked {
             res.head_mut().set_connection_type(ConnectionType::Close);
         }
         let message = Message::Item((res.drop_body(), size));
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -59,6 +59,7 @@
             Err(RequestReadError::Closed) => false,
         };
         if !keep_open {
+            answerer.close();
             return;
         }
     }
