Behind a sidecar, an answer that its connection ends is lost, not empty

A plain endpoint's answer of that kind reached its caller as a complete one without a body. Model streams were safe, since they need their last event.

Such an answer is now lost, so that its caller is told that the outcome is unknown, which is true. Reading it would take another client there; that is left.

unmarked_ends::unread_as_empty got an empty body before and passes now, with at_most_once (15), own_answer (11) and whole_sessions (1).

--- a/lab/tests/unmarked_ends.rs
+++ b/lab/tests/unmarked_ends.rs
@@ -1,7 +1,12 @@
 //! Streams that end in every way, with and without a mark of their end, through entries as processes.
 
+use bytes::Bytes;
+use futures_util::TryStreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use violetline::bundle::PoolKind;
+use violetline::endpoint::{Call, Endpoint, EndpointError, HttpEndpoint};
+use violetline::ids::{Incarnation, RequestId};
 use violetline_lab::site::*;
 
 /// Whether a caller gets a stream that ends at a place of an event as a complete one, by how its
@@ -97,3 +102,37 @@
     stream.read_to_string(&mut text).await?;
     Ok(text)
 }
+
+/// Behind a sidecar, an answer of a plain endpoint without a length was passed on as an empty one.
+#[actix_rt::test]
+async fn unread_as_empty() {
+    for (head, is_read) in [("", false), ("content-length: 6\r\n", true)] {
+        let base = serve_once(format!("HTTP/1.1 200 OK\r\n{head}\r\nanswer")).await;
+        let endpoint = HttpEndpoint::new(&base, PoolKind::Plain);
+        let call = Call {
+            run: RequestId::random(),
+            incarnation: Incarnation(1),
+            priority: 0,
+            path: "/".into(),
+            body: Bytes::from_static(b"call"),
+            resume_from: None,
+        };
+        let reply = endpoint.call(call).await.unwrap();
+        let pieces: Result<Vec<Bytes>, EndpointError> = reply.body.try_collect().await;
+        let whole = pieces.map(|pieces| pieces.concat());
+        assert_eq!(whole.is_ok(), is_read, "{head:?}: {whole:?}");
+    }
+}
+
+/// A plain endpoint that answers one call with `text` and closes its connection; its base address.
+async fn serve_once(text: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let base = format!("http://{}", listener.local_addr().unwrap());
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 1 << 10];
+        let _ = stream.read(&mut request).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+    });
+    base
+}
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -9,7 +9,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -88,7 +88,7 @@
     fn of(head: &ResponseHead) -> Self {
         if head.headers.contains_key(TRANSFER_ENCODING) {
             Self::Chunked
-        } else if ends_with_connection(head) {
+        } else if ends_with_connection(head.status, &head.headers) {
             Self::Connection
         } else {
             Self::Length
@@ -239,7 +239,7 @@
         let framed = codec.message_type() != MessageType::None;
         let body = if framed {
             Body::Framed(codec.into_payload_codec())
-        } else if ends_with_connection(&head) {
+        } else if ends_with_connection(head.status, &head.headers) {
             Body::UntilClose
         } else {
             Body::Done(codec)
@@ -366,13 +366,10 @@
 }
 
 /// Whether a response without a length ends when its connection is closed (RFC 9112, 6.3).
-fn ends_with_connection(head: &ResponseHead) -> bool {
-    let bodiless = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    let has_length = head.headers.contains_key(CONTENT_LENGTH);
-    let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
+pub fn ends_with_connection(status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    let is_chunked = headers.contains_key(TRANSFER_ENCODING);
     !(bodiless || has_length || is_chunked)
 }
 
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! Endpoints as a sidecar sees them: a trait at the process's edge, and HTTP behind it.
 
+use std::future::ready;
 use std::io::ErrorKind;
 use std::time::Duration;
 
@@ -11,12 +12,13 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
-use futures_util::{FutureExt, Stream, StreamExt};
+use futures_util::{stream, FutureExt, Stream, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::announced::{self, AnnouncedLimit, Announcement};
 use crate::bundle::PoolKind;
+use crate::direct::channel::ends_with_connection;
 use crate::ids::{Incarnation, RequestId};
 
 /// Time for small orders such as a cancellation.
@@ -190,7 +192,7 @@
             PoolKind::Model => self
                 .order(format!("/v1/runs/{run}/cancel"), None)
                 .boxed_local(),
-            PoolKind::Plain => std::future::ready(false).boxed_local(),
+            PoolKind::Plain => ready(false).boxed_local(),
         }
     }
 
@@ -203,7 +205,7 @@
             PoolKind::Model => self
                 .order("/v1/fence".into(), Some(incarnation))
                 .boxed_local(),
-            PoolKind::Plain => std::future::ready(false).boxed_local(),
+            PoolKind::Plain => ready(false).boxed_local(),
         }
     }
 }
@@ -246,8 +248,18 @@
         announcement,
         content_type: header("content-type").unwrap_or_default(),
         resumed_at: header(RESUME_HEADER).and_then(|v| v.parse().ok()),
-        body: res
-            .map(|piece| piece.map_err(|_| EndpointError::Lost))
-            .boxed_local(),
+        body: body(res),
     }
 }
+
+/// The body in pieces. awc takes one that ends with its connection for an empty one, so that is lost.
+fn body<S>(res: ClientResponse<S>) -> LocalBoxStream<'static, Result<Bytes, EndpointError>>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    if ends_with_connection(res.status(), res.headers()) {
+        return stream::once(ready(Err(EndpointError::Lost))).boxed_local();
+    }
+    res.map(|piece| piece.map_err(|_| EndpointError::Lost))
+        .boxed_local()
+}
