Soak: callers of streams whose end is not marked

Two callers a play take streams that end by their connection or inside an event, besides the earlier ones, whose draws stay as they were.

--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -13,7 +13,7 @@
 use crate::site::{self, Answer};
 
 /// Paths of the requests; the first part names the route, the last one the engine's behaviour.
-const PATHS: [&str; 11] = [
+pub(super) const PATHS: [&str; 11] = [
     "/once/ok",
     "/once/ok",
     "/once/slow",
@@ -26,6 +26,16 @@
     "/resume/events",
     "/resume/cut",
 ];
+/// Streams that end by their connection, or inside an event.
+pub(super) const UNMARKED: [&str; 7] = [
+    "/stream/close-whole",
+    "/stream/close-data",
+    "/stream/chunks-line",
+    "/stream/close-head",
+    "/resume/close-id",
+    "/resume/close-line",
+    "/resume/length-data",
+];
 /// Path of the work that ends engines; streams may run once.
 pub(super) const CRASH: &str = "/stream/crash";
 /// Wait of a caller that leaves early, which one of [`LEAVES`] does: before most answers are whole.
@@ -33,14 +43,19 @@
 /// One of so many requests is left early.
 const LEAVES: u32 = 12;
 
-/// One caller: requests one after the other, on a connection that is kept until it ends.
-pub(super) async fn call_on(soak: Rc<Soak>, caller: usize, mut rng: SmallRng) {
+/// One caller: requests of some paths one after the other, on a connection that is kept until it ends.
+pub(super) async fn call_on(
+    soak: Rc<Soak>,
+    caller: String,
+    paths: &'static [&'static str],
+    mut rng: SmallRng,
+) {
     let mut kept: Option<(usize, TcpStream)> = None;
     let mut number = 0;
     while !soak.ended.get() {
         number += 1;
-        let id = format!("c{caller}-{number}");
-        let path = PATHS[rng.gen_range(0..PATHS.len())];
+        let id = format!("{caller}-{number}");
+        let path = paths[rng.gen_range(0..paths.len())];
         let key = KEYS[rng.gen_range(0..KEYS.len())];
         let drawn = rng.gen_range(0..soak.entries.len());
         let stream = match kept.take() {
--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::callers::CRASH;
+use super::callers::{CRASH, UNMARKED};
 use super::{Issue, Report, Soak};
 use crate::site::{self, Answer};
 use crate::standin::EVENTS;
@@ -93,7 +93,8 @@
         503 if !repeatable && runs > 0 => Some("told as not run, but ran".into()),
         200 if issue.path.ends_with("events")
             || issue.path.ends_with("cut")
-            || issue.path.ends_with("work") =>
+            || issue.path.ends_with("work")
+            || UNMARKED.contains(&issue.path) =>
         {
             check_events(answer)
         }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -39,6 +39,8 @@
 const KEYS: [&str; 3] = ["k1", "k2", "k3"];
 /// Callers at a time.
 const CALLERS: usize = 10;
+/// Callers of streams whose end is not marked, at a time.
+const UNMARKED_CALLERS: usize = 2;
 /// Longest time that a caller waits: somewhat more than the request itself allows.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Time for all entries to serve after the faults are lifted.
@@ -170,7 +172,13 @@
     let mut callers = Vec::new();
     for i in 0..CALLERS {
         let rng = SmallRng::seed_from_u64(seed * 1_000 + i as u64);
-        let calling = callers::call_on(Rc::clone(&soak), i, rng);
+        let calling = callers::call_on(Rc::clone(&soak), format!("c{i}"), &callers::PATHS, rng);
+        callers.push(actix_rt::spawn(calling));
+    }
+    for i in 0..UNMARKED_CALLERS {
+        let rng = SmallRng::seed_from_u64(seed * 1_000 + (CALLERS + i) as u64);
+        let name = format!("u{i}");
+        let calling = callers::call_on(Rc::clone(&soak), name, &callers::UNMARKED, rng);
         callers.push(actix_rt::spawn(calling));
     }
     let crashing = callers::crash_on(Rc::clone(&soak), SmallRng::seed_from_u64(seed + 500));
