Log the software versions of endpoints and the streams that callers resume

Whether a stream goes on at another software version, and whether an entry or its caller took it up, could not be told from the lines. The version is now kept from the list (it was read and dropped) and named in `endpoint_listed` and `placed` lines; `placed` also names the request that began the stream, from `Resumes`.

Entries that follow get the versions from those that watch, after the other parts of a batch of changes. An entry rejects a batch without them, which only an entry of an earlier build sends, and reads the store. No decision has changed.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -28,6 +28,7 @@
         draining: false,
         warming: Millis(0),
         born: None,
+        software_version: String::new(),
         revision: 1,
     }
 }
--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -160,26 +160,64 @@
 }
 
 /// Encodes and compresses changes for another entry; `None` if they can't be encoded.
+///
+/// The spans and the software versions of endpoints follow the batch. Entries of earlier versions
+/// reject what they don't know there, and read the store instead.
 pub fn encode(batch: &ChangeBatch) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut plain = bincode::serde::encode_to_vec(batch, config).ok()?;
-    if !batch.spans.is_empty() {
+    let versions: Vec<&str> = batch.changes.iter().filter_map(software_version).collect();
+    if !(batch.spans.is_empty() && versions.is_empty()) {
         plain.extend(bincode::serde::encode_to_vec(&batch.spans, config).ok()?);
     }
+    if !versions.is_empty() {
+        plain.extend(bincode::serde::encode_to_vec(&versions, config).ok()?);
+    }
     zstd::bulk::compress(&plain, COMPRESSION_LEVEL).ok()
 }
 
-/// Decodes changes from another entry; `None` if they are malformed or too long.
+/// The software version of the endpoint that a change adds or updates.
+fn software_version(change: &Change) -> Option<&str> {
+    match change {
+        Change::Put(listed) => Some(&listed.software_version),
+        Change::Removed { .. } | Change::Cordoned(_) | Change::Uncordoned(_) => None,
+    }
+}
+
+/// Decodes changes from another entry; `None` if they are malformed or too long, or lack the
+/// software versions of endpoints, as those from entries of earlier versions do.
 pub fn decode(bytes: &[u8]) -> Option<ChangeBatch> {
     let plain = zstd::bulk::decompress(bytes, MAX_DECOMPRESSED_BYTES).ok()?;
     let config = bincode::config::standard().with_limit::<MAX_DECOMPRESSED_BYTES>();
     let (mut batch, read): (ChangeBatch, _) =
         bincode::serde::decode_from_slice(&plain, config).ok()?;
-    let rest = &plain[read..];
-    if rest.is_empty() {
-        return Some(batch);
+    let mut rest = &plain[read..];
+    if !rest.is_empty() {
+        let (spans, read) = bincode::serde::decode_from_slice(rest, config).ok()?;
+        batch.spans = spans;
+        rest = &rest[read..];
+    }
+    let mut versions: Vec<String> = Vec::new();
+    if !rest.is_empty() {
+        let (decoded, read) = bincode::serde::decode_from_slice(rest, config).ok()?;
+        versions = decoded;
+        rest = &rest[read..];
+    }
+    let is_whole = rest.is_empty() && set_software_versions(&mut batch.changes, versions);
+    is_whole.then_some(batch)
+}
+
+/// Sets the software versions of the endpoints that changes add or update, in their order; false
+/// if there are more or fewer of them.
+fn set_software_versions(changes: &mut [Change], versions: Vec<String>) -> bool {
+    let mut versions = versions.into_iter();
+    for change in changes {
+        if let Change::Put(listed) = change {
+            let Some(version) = versions.next() else {
+                return false;
+            };
+            listed.software_version = version;
+        }
     }
-    let (spans, read) = bincode::serde::decode_from_slice(rest, config).ok()?;
-    batch.spans = spans;
-    (read == rest.len()).then_some(batch)
+    versions.next().is_none()
 }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -125,6 +125,13 @@
         route: String,
         /// Identity of the endpoint.
         endpoint: String,
+        /// Version of its software.
+        #[serde(skip_serializing_if = "String::is_empty", default)]
+        software_version: String,
+        /// Id of the request whose response began the stream, where the caller resumes one and names
+        /// it.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        resumes: Option<String>,
         /// Number of the attempt, counted from 1.
         attempt: u32,
         /// Urgency that is passed to the endpoint; 0 is the highest.
@@ -267,6 +274,9 @@
         endpoint: String,
         /// Its status now.
         standing: String,
+        /// Version of its software; empty where it has left the list.
+        #[serde(skip_serializing_if = "String::is_empty", default)]
+        software_version: String,
         /// Store revision of the change.
         revision: u64,
     },
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -35,6 +35,24 @@
     pub output_tokens: u64,
     /// Number of the last event that the caller has received; set when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Set when the caller resumes a stream.
+    pub resumes: Option<Resumes>,
+}
+
+/// The stream that a caller resumes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Resumes {
+    /// The caller's id of the request whose response began the stream; `None` where the caller does
+    /// not name it.
+    pub began_as: Option<HeaderValue>,
+}
+
+impl Resumes {
+    /// The id of the request that began the stream, as text for the log.
+    pub fn began_as_text(&self) -> Option<String> {
+        let id = self.began_as.as_ref()?;
+        Some(String::from_utf8_lossy(id.as_bytes()).into_owned())
+    }
 }
 
 /// What the request to an endpoint adds to the caller's request.
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -225,12 +225,15 @@
         self.add_missing_endpoint_states();
         let directory = self.directory.borrow();
         let entry = directory.key(&endpoint).and_then(|key| directory.get(key));
+        let software_version =
+            entry.map_or_else(String::new, |e| e.listed.software_version.clone());
         if let Some(EndpointStatus::Lapsed(_)) = entry.map(|e| e.status) {
             standing = "lapsed while the list was away".into();
         }
         self.log.state_change(Decision::EndpointListed {
             endpoint,
             standing,
+            software_version,
             revision,
         });
     }
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -3,15 +3,16 @@
 use super::Job;
 use crate::clock::Millis;
 use crate::direct::decision::{Decision, RequestOutcome};
-use crate::direct::directory::EndpointKey;
+use crate::direct::dialect::Resumes;
+use crate::direct::directory::{EndpointKey, ListedEndpoint};
 use crate::direct::known::load;
 use crate::direct::placement::choose::Choice;
 use crate::rate::Rate;
 
 impl Job<'_> {
-    /// Logs that the request is about to be sent to `endpoint`, and counts the attempt.
-    pub(super) fn log_placed(&self, choice: &Choice, endpoint: &str, now: Millis) {
-        self.progress.borrow_mut().endpoint = endpoint.into();
+    /// Logs that the request is about to be sent to an endpoint, and counts the attempt.
+    pub(super) fn log_placed(&self, choice: &Choice, listed: &ListedEndpoint, now: Millis) {
+        self.progress.borrow_mut().endpoint.clone_from(&listed.id);
         let mut running = 0;
         self.entry
             .update_endpoint_state(choice.key, |endpoint_state| {
@@ -31,7 +32,9 @@
         }
         let placed = Decision::Placed {
             route: self.route().name.clone(),
-            endpoint: endpoint.into(),
+            endpoint: listed.id.clone(),
+            software_version: listed.software_version.clone(),
+            resumes: self.ask.resumes.as_ref().and_then(Resumes::began_as_text),
             attempt: self.attempts,
             priority: load::urgency_at_endpoint(self.route().priority, self.priority()),
             expected_ms: choice.expected_ms as u64,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -182,7 +182,7 @@
     fn request_head(&self, choice: &Choice, now: Millis) -> Option<RequestHead> {
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key)?;
-        self.log_placed(choice, &endpoint.listed.id, now);
+        self.log_placed(choice, &endpoint.listed, now);
         let copy = self
             .copy_key
             .filter(|key| directory.accepts_requests(*key, now));
--- a/src/direct/listed.rs
+++ b/src/direct/listed.rs
@@ -29,6 +29,10 @@
     /// When this incarnation of the endpoint began, in ms of Unix time; `None` if the list doesn't
     /// tell.
     pub born: Option<u64>,
+    /// Version of its software, as the list names it; not that of the model's weights. It is encoded
+    /// apart from the other fields, see [`crate::direct::changes::encode`].
+    #[serde(skip)]
+    pub software_version: String,
     /// Revision at which this item of the list was written.
     pub revision: Revision,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -70,6 +70,7 @@
         draining: false,
         warming: Millis(0),
         born: None,
+        software_version: "v1".into(),
         revision,
     }
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -44,6 +44,8 @@
     Decision::Placed {
         route: "r-1".into(),
         endpoint: endpoint.into(),
+        software_version: String::new(),
+        resumes: None,
         attempt: 1,
         priority: 2,
         expected_ms: 40,
@@ -116,6 +118,7 @@
     let listed = |endpoint: &str| Decision::EndpointListed {
         endpoint: endpoint.into(),
         standing: "removed".into(),
+        software_version: String::new(),
         revision: 9,
     };
     log.request(b"other", placed("i-2"));
--- a/tests/direct_resolve.rs
+++ b/tests/direct_resolve.rs
@@ -22,6 +22,7 @@
         parts: Vec::new(),
         output_tokens: 0,
         last_event: None,
+        resumes: None,
     }
 }
 
