Within one answer, a stream goes on only at the software version that began it

A request is now bound to the pool and software version of the endpoint whose first event it passes on, as listed when it was sent there, before that event is written. Every further choice, the check just before sending included, leaves out other versions, and a copy is kept at the version of its run. Where no endpoint of the version is left, the stream breaks off. An endpoint that is listed under the same id with other software is another endpoint.

--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -17,6 +17,7 @@
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
 pub use crate::direct::listed::{Change, Cordon, ListedEndpoint, Listing, Revision};
+use crate::direct::origins::Origin;
 
 /// Time within which live endpoints have written their entries again after the list became
 /// available; the platform gives them about two seconds.
@@ -60,6 +61,8 @@
     pub status: EndpointStatus,
     /// Digest of its identity and start time, which names it in messages between entries.
     pub digest: u32,
+    /// The origin of streams that it begins.
+    pub origin: Origin,
     /// What it has announced in its responses. The list does not override it: the list learns of a
     /// change later than this entry does, and not at all while the store is unavailable.
     pub announced: AnnouncedState,
@@ -395,7 +398,7 @@
     }
 
     /// Adds or updates an endpoint, unless a newer entry of it is known. Where the endpoint was
-    /// started again, it gets a new key and the old one is returned, because the new process has
+    /// started again or has other software, it gets a new key and the old one is returned, because the new process has
     /// neither the requests nor the memory of the old one.
     fn put(&mut self, listed: ListedEndpoint, now: Millis) -> Option<EndpointKey> {
         let known = self.by_id.get(&listed.id).copied();
@@ -407,7 +410,9 @@
         if endpoint.listed.revision > listed.revision {
             return None;
         }
-        if is_other_incarnation(endpoint.listed.born, listed.born) {
+        let origin = Origin::of(&listed.pool, &listed.software_version);
+        let is_replaced = origin != endpoint.origin;
+        if is_replaced || is_other_incarnation(endpoint.listed.born, listed.born) {
             self.remove(key, now);
             self.insert(listed, now);
             return Some(key);
@@ -426,6 +431,7 @@
         let digest = digest(&id, listed.born);
         let mut endpoint = Endpoint {
             digest,
+            origin: Origin::of(&listed.pool, &listed.software_version),
             status: listed_status(&listed),
             announced: self.former.take(&id, listed.born),
             listed,
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -15,6 +15,7 @@
 use crate::direct::entry::{ProcessState, RunGuard};
 use crate::direct::known::health::Fault;
 use crate::direct::known::observed::StreamTimes;
+use crate::direct::origins::Origin;
 use crate::direct::placement::choose::Choice;
 use crate::direct::relay::{self, RelayContext, RelayError};
 
@@ -25,6 +26,8 @@
     pub(super) reply: Reply,
     /// The chosen endpoint and the estimates for it.
     pub(super) choice: Choice,
+    /// The origin of a stream that it begins.
+    pub(super) origin: Origin,
     /// Counts the request in the endpoint's load until it is dropped.
     pub(super) run_guard: &'a RunGuard,
     /// When the request was sent.
@@ -236,6 +239,7 @@
         };
         let on_first_event = || {
             self.record_first_byte(&answer.choice, answer.run_guard, answer.sent_at);
+            self.origin.set(Some(answer.origin));
             if answer.was_idle {
                 self.learn_prefill(&answer.choice, answer.sent_at);
             }
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -125,8 +125,13 @@
         directory.accepts_requests(key, now) && may_run && share.is_none_or(allows)
     }
 
-    /// Whether an endpoint is in a region where requests of this route and team may run.
+    /// Whether the request may run at an endpoint: it is in a region where requests of this route
+    /// and team may run, and its software version is the one that began the stream.
     pub(super) fn may_run_at(&self, endpoint: &Endpoint, settings: &DirectSettings) -> bool {
+        let origin = self.origin.get();
+        if origin.is_some_and(|origin| origin != endpoint.origin) {
+            return false;
+        }
         let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
         let zone = &endpoint.listed.zone;
         residency::allows(self.route(), team, zone, &settings.regions)
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -24,11 +24,15 @@
     /// Chooses the endpoint that keeps a copy of the run that `choice` starts, if a copy is
     /// worthwhile.
     pub(super) fn choose_copy_endpoint(&mut self, choice: &Choice) {
+        let directory = self.entry.directory();
+        let origin = |key| directory.get(key).map(|endpoint| endpoint.origin);
         let is_candidate = |key| {
             let is_free = self.entry.limit(key).is_none();
-            key != choice.key && !self.tried.contains(&key) && is_free
+            let is_other = key != choice.key && !self.tried.contains(&key);
+            is_other && is_free && origin(key) == origin(choice.key)
         };
         let copy = self.is_copy_worthwhile().then(|| self.choose(is_candidate));
+        drop(directory);
         self.copy_key = copy.flatten().map(|choice| choice.key);
     }
 
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -135,7 +135,8 @@
         Some(first - now)
     }
 
-    /// Number of endpoints of the pool that accept requests, have a free slot and no limit.
+    /// Number of endpoints of the pool that could run the request, accept requests, have a free slot
+    /// and no limit.
     fn free_endpoints(&self) -> usize {
         let now = self.entry.clock.now();
         let directory = self.entry.directory();
@@ -146,8 +147,10 @@
                 .is_some_and(|endpoint_state| endpoint_state.load.occupancy(now) < slots);
             has_room && self.entry.limit(key).is_none()
         };
+        let settings = self.entry.settings.borrow();
         let open = directory.available_in_pool(&self.pool, now);
-        open.filter(|(key, endpoint)| is_free(*key, endpoint.listed.slots))
+        open.filter(|(_, endpoint)| self.may_run_at(endpoint, &settings))
+            .filter(|(key, endpoint)| is_free(*key, endpoint.listed.slots))
             .count()
     }
 
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -29,6 +29,7 @@
 use crate::direct::entry::Entry;
 use crate::direct::intake::IncomingRequest;
 use crate::direct::known::load;
+use crate::direct::origins::Origin;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
 use crate::direct::relay::StreamPosition;
@@ -108,6 +109,8 @@
     copy_key: Option<EndpointKey>,
     /// Whether the next attempt resumes the run from that copy.
     resumes_from_copy: bool,
+    /// Where the stream began; `None` before its first event, and for other answers.
+    origin: Cell<Option<Origin>>,
     /// How far the answer has got; also kept when an attempt is dropped at the deadline.
     position: Cell<StreamPosition>,
 }
@@ -153,6 +156,7 @@
             last_address: None,
             copy_key: None,
             resumes_from_copy: false,
+            origin: Cell::default(),
             position: Cell::new(StreamPosition {
                 last_event: ask.last_event,
                 ..StreamPosition::default()
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -18,6 +18,7 @@
 use crate::direct::ends::EndSign;
 use crate::direct::known::health::Fault;
 use crate::direct::known::load;
+use crate::direct::origins::Origin;
 use crate::direct::peers::PromptPlacement;
 use crate::direct::placement::choose::Choice;
 use crate::direct::resolve::{Allowed, Denied};
@@ -124,7 +125,7 @@
         now: Millis,
     ) -> AttemptOutcome {
         let key = choice.key;
-        let Some(head) = self.request_head(&choice, now) else {
+        let Some((head, origin)) = self.request_head(&choice, now) else {
             return AttemptOutcome::NotSent(key, ConnectionFailure::Refused);
         };
         self.record_placement(&choice);
@@ -156,6 +157,7 @@
         let answer = ReceivedAnswer {
             reply,
             choice,
+            origin,
             run_guard: &run_guard,
             sent_at: now,
             was_idle,
@@ -177,9 +179,9 @@
         response_info.belongs_to_request
     }
 
-    /// Logs the attempt and returns the request head for the endpoint; `None` if it has left the
-    /// list.
-    fn request_head(&self, choice: &Choice, now: Millis) -> Option<RequestHead> {
+    /// Logs the attempt and returns the request head for the endpoint, with the origin of a stream
+    /// that it begins; `None` if it has left the list.
+    fn request_head(&self, choice: &Choice, now: Millis) -> Option<(RequestHead, Origin)> {
         let directory = self.entry.directory();
         let endpoint = directory.get(choice.key)?;
         self.log_placed(choice, &endpoint.listed, now);
@@ -204,11 +206,9 @@
             copy_to: copy.filter(|_| !self.resumes_from_copy),
             copy_of: copy.filter(|_| self.resumes_from_copy),
         };
-        Some(
-            self.entry
-                .dialect
-                .endpoint_request(&self.incoming.head, &endpoint_request),
-        )
+        let dialect = &self.entry.dialect;
+        let head = dialect.endpoint_request(&self.incoming.head, &endpoint_request);
+        Some((head, endpoint.origin))
     }
 
     /// Records where the parts of the prompt are from now on, also for peers.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -55,6 +55,7 @@
 pub mod known;
 pub mod limits;
 pub mod listed;
+pub mod origins;
 pub mod patch;
 pub mod peers;
 pub mod placement;
--- a/tests/direct_changes.rs
+++ b/tests/direct_changes.rs
@@ -143,3 +143,22 @@
         Ok(())
     });
 }
+
+/// The software versions of endpoints reach the entries that follow; a batch that lacks them, as from an
+/// entry of an earlier build, is rejected.
+#[test]
+fn software_versions_forwarded() {
+    let batch = ChangeBatch {
+        changes: vec![change(1), change(2), change(3)],
+        up_to: 3,
+        spans: Vec::new(),
+    };
+    let decoded = changes::decode(&changes::encode(&batch).unwrap()).unwrap();
+    let Change::Put(listed) = &decoded.changes[0] else {
+        unreachable!()
+    };
+    assert_eq!(listed.software_version, "v1");
+    let plain = bincode::serde::encode_to_vec(&batch, bincode::config::standard()).unwrap();
+    let earlier = zstd::bulk::compress(&plain, 1).unwrap();
+    assert_eq!(changes::decode(&earlier), None);
+}
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -129,3 +129,19 @@
         0
     );
 }
+
+/// An endpoint that comes back under its id with other software is another one: its streams don't go
+/// on there.
+#[test]
+fn other_software() {
+    let mut directory = Directory::default();
+    directory.apply(Change::Put(listed("a", 1)), Millis(0));
+    let before = key(&directory);
+    let listed = ListedEndpoint {
+        software_version: "v2".into(),
+        ..listed("a", 2)
+    };
+    let gone = directory.apply(Change::Put(listed), Millis(10));
+    assert_eq!(gone, Some(before));
+    assert_ne!(key(&directory), before);
+}
