Callers resume streams at the software version that began them, at any entry

A caller that resumed its stream, after its entry was killed or the stream broke off, got the rest from an engine of any version: the entry could not know where the stream began.

An entry remembers the pool and version of the resumable streams that it relays. While a pool may have several versions, it tells two peers, picked by a hash of the stream, before the first event goes to the caller: 64 bytes each, 5.2 KB/s in a fleet of 450. Once a second version appears, it tells them of the streams that are open. An entry that does not remember a stream asks the peers that may. Where nobody knows, the stream goes on only if its pool has had a single version for as long as a stream may take, by a current list; else it is refused as not run. A resumed stream is not turned away for overload.

The request of stale_list_trusted names another stream each time now: the entry remembers one that it has let go on, which is right. zone_gone and second_version_appears are new.

--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -37,6 +37,7 @@
         report.findings.extend(self.check_unwilling());
         report.findings.extend(self.check_urgency());
         report.findings.extend(self.check_left());
+        report.findings.extend(self.check_resumed());
         report.crashes = self.crashes();
         if report.crashes > MOST_CRASHES {
             let finding = format!("{} engines ended under one request", report.crashes);
@@ -110,6 +111,10 @@
     let numbers = site::event_numbers(&answer.body);
     let in_order = numbers.iter().copied().eq(1..=numbers.len() as u64);
     let whole = numbers.len() as u64 == EVENTS;
+    let versions = site::event_versions(&answer.body);
+    if versions.len() > 1 {
+        return Some(format!("events of {versions:?}"));
+    }
     if !in_order || (!answer.is_cut && !whole) {
         return Some(format!("events {numbers:?}, cut: {}", answer.is_cut));
     }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod check;
 mod faults;
 mod mixed;
+mod resuming;
 mod troubles;
 mod unwilling;
 mod urgency;
@@ -28,6 +29,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use self::mixed::MixedPool;
+use self::resuming::Attempt;
 use self::troubles::Troubles;
 use self::urgency::ModelCall;
 use crate::process::Process;
@@ -155,6 +157,8 @@
     platform: Troubles,
     /// Attempts at model requests.
     model_calls: RefCell<HashMap<String, ModelCall>>,
+    /// Attempts of callers that resume their streams.
+    attempts: RefCell<Vec<Attempt>>,
     /// Requests by id.
     issues: RefCell<HashMap<String, Issue>>,
     /// Keys that were taken away, with the time of it.
@@ -193,6 +197,11 @@
     let flooding = SmallRng::seed_from_u64(seed + 504);
     let flooding = mixed::flood_on(Rc::clone(&soak), flooding, until);
     callers.push(actix_rt::spawn(flooding));
+    for i in 0..resuming::CALLERS {
+        let rng = SmallRng::seed_from_u64(seed + 600 + i as u64);
+        let calling = resuming::call_on(Rc::clone(&soak), i, rng);
+        callers.push(actix_rt::spawn(calling));
+    }
     let mut rng = SmallRng::seed_from_u64(seed);
     while Instant::now() < until {
         soak.fault(&mut rng).await?;
@@ -242,6 +251,7 @@
             model_leaves: Rc::default(),
             platform: Troubles::default(),
             model_calls: RefCell::default(),
+            attempts: RefCell::default(),
             issues: RefCell::default(),
             removed: RefCell::default(),
             findings: RefCell::default(),
@@ -260,6 +270,7 @@
         let number = self.engines_made.get();
         self.engines_made.set(number + 1);
         let engine = Engine::start(&format!("i-{number}")).await?;
+        engine.version.set(resuming::version(number));
         let relay = Relay::start(engine.address).await?;
         self.site
             .borrow()
--- a/lab/tests/software_versions.rs
+++ b/lab/tests/software_versions.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use violetline_lab::site::*;
-use violetline_lab::standin::{Condition, EVENTS, LONG_STREAM_EVENTS};
+use violetline_lab::standin::{Condition, Engine, EVENTS, LONG_STREAM_EVENTS};
 
 /// Streams that a test plays.
 const STREAMS: usize = 12;
@@ -88,6 +89,30 @@
     fn versions(&self) -> Vec<&str> {
         event_versions(&self.text)
     }
+
+    /// Reads to the end of the connection, and resumes the stream `i` at another entry, where it goes
+    /// on to its end.
+    async fn resume_at(&mut self, site: &Site, entry: usize, i: usize) {
+        while self.read_more().await {}
+        let callers = site.entries[entry].addr("callers");
+        let (id, began_as) = (format!("again-{i}"), format!("r{i}"));
+        let after = self.last_event();
+        let request = resuming("/resume/long-stream", &id, Some(&began_as), after);
+        let rest = exchange(callers, &request).await;
+        assert_eq!(rest.status, 200, "stream {i} does not go on");
+        assert_eq!(event_versions(&rest.body), self.versions(), "stream {i}");
+        let numbers = event_numbers(&rest.body);
+        assert!(numbers.into_iter().eq(after + 1..=LONG_STREAM_EVENTS));
+    }
+}
+
+/// Resumes all streams at once, at some entries in turn.
+async fn resume_all(site: &Site, streams: &mut [Begun], entries: &[usize]) {
+    let resuming = streams.iter_mut().enumerate().map(|(i, begun)| {
+        let entry = entries[i % entries.len()];
+        begun.resume_at(site, entry, i)
+    });
+    join_all(resuming).await;
 }
 
 /// The stream of an engine that crashed went on at another software version within one answer.
@@ -140,25 +165,7 @@
     let mut site = site_with(3, &["v1", "v2", "v1", "v2"]).await;
     let mut streams = Begun::all_at(&site, 0).await;
     site.entries[0].kill();
-    for (i, begun) in streams.iter_mut().enumerate() {
-        while begun.read_more().await {}
-        let callers = site.entries[1 + i % 2].addr("callers");
-        let (id, began_as) = (format!("again-{i}"), format!("r{i}"));
-        let request = resuming(
-            "/resume/long-stream",
-            &id,
-            Some(&began_as),
-            begun.last_event(),
-        );
-        let rest = exchange(callers, &request).await;
-        assert_eq!(rest.status, 200, "stream {i} does not go on");
-        assert_eq!(event_versions(&rest.body), begun.versions(), "stream {i}");
-        let numbers = event_numbers(&rest.body);
-        assert!(numbers
-            .iter()
-            .copied()
-            .eq(begun.last_event() + 1..=LONG_STREAM_EVENTS));
-    }
+    resume_all(&site, &mut streams, &[1, 2]).await;
 }
 
 /// An entry that can't know the version that began a stream does not guess it.
@@ -186,7 +193,8 @@
     site.add_entry(&settings).await;
     let callers = site.entries[0].addr("callers");
     let resume = async |id: &str| {
-        let request = resuming("/resume/events", id, Some("earlier"), 2);
+        let began_as = format!("before-{id}");
+        let request = resuming("/resume/events", id, Some(&began_as), 2);
         exchange(callers, &request).await.status
     };
     sleep(STREAM_LIFE).await;
@@ -222,3 +230,36 @@
         );
     }
 }
+
+/// The entries of a whole availability zone are gone: others keep what is known of their streams.
+#[actix_rt::test]
+async fn zone_gone() {
+    let mut site = Site::start(4).await;
+    site.zones = vec!["hall-a", "hall-b", "hall-c"];
+    set_versions(&site, &["v1", "v2", "v1", "v2"]);
+    site.add_entries(6).await;
+    let mut streams = Begun::all_at(&site, 0).await;
+    // Both entries of hall-a.
+    site.entries[0].kill();
+    site.entries[3].kill();
+    resume_all(&site, &mut streams, &[1, 2, 4, 5]).await;
+}
+
+/// Streams that began while all endpoints ran one version go on once there is another one, at any
+/// entry.
+#[actix_rt::test]
+async fn second_version_appears() {
+    let mut site = site_with(3, &["v1", "v1", "v1"]).await;
+    for engine in &site.engines {
+        // The streams outlast what follows.
+        engine.set_event_pause(Duration::from_millis(150));
+    }
+    sleep(STREAM_LIFE).await;
+    let mut streams = Begun::all_at(&site, 0).await;
+    let newer = Engine::start("newer").await.unwrap();
+    newer.version.set("v2");
+    site.store.list(&newer, "s1", "ready");
+    sleep(Duration::from_millis(600)).await;
+    site.entries[0].kill();
+    resume_all(&site, &mut streams, &[1, 2]).await;
+}
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -244,6 +244,8 @@
     time_limits: HashMap<String, TimeLimits>,
     /// Whether any pool is mixed.
     has_mixed_pool: bool,
+    /// Longest timeout of the routes with streams.
+    longest_stream: Millis,
 }
 
 /// Time limits of the routes of one pool; each is 0 where no route has one.
@@ -306,7 +308,9 @@
             .flat_map(|(i, team)| team.keys.iter().map(move |key| (key.clone(), TeamKey(i))))
             .collect();
         let time_limits = time_limits_by_pool(&routes);
+        let streams = routes.iter().filter(|route| route.pause().is_some());
         Self {
+            longest_stream: streams.map(|route| route.timeout).max().unwrap_or_default(),
             version,
             has_mixed_pool: time_limits.values().any(TimeLimits::is_mixed),
             time_limits,
@@ -343,6 +347,12 @@
         self.by_host.get(host)?.find(path)
     }
 
+    /// The longest time from the start of a stream to the last time that its caller may resume it:
+    /// an answer of the longest timeout, and another one.
+    pub fn stream_life(&self) -> Millis {
+        self.longest_stream + self.longest_stream
+    }
+
     /// The team that holds a key.
     pub fn team(&self, key: &str) -> Option<TeamKey> {
         self.by_key.get(key).copied()
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -75,6 +75,12 @@
         /// Time after which it may be repeated, in ms.
         come_back_ms: u64,
     },
+    /// The caller resumes a stream, and it is not known at which of several software versions that
+    /// began.
+    OriginUnknown,
+    /// The caller resumes a stream, and no endpoint of the software version that began it is
+    /// available.
+    VersionGone,
     /// The endpoint answered that it did not run the request, and no further attempt is allowed.
     EndpointRefused,
     /// Its deadline passed before it could be sent.
@@ -181,6 +187,16 @@
         #[serde(skip_serializing_if = "is_zero", default)]
         passed_over: u32,
     },
+    /// A request resumes a stream.
+    StreamOrigin {
+        /// Id of the request whose response began the stream; `None` where the caller does not name
+        /// it.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        resumes: Option<String>,
+        /// How it was found at which software version the stream began: `own` and `peer` remember
+        /// it, `only_version` means that there is no other one, and `unknown` that it was not found.
+        found: String,
+    },
     /// A request was refused: it was not sent, or no endpoint ran it.
     Refused {
         /// Reason.
@@ -446,7 +462,7 @@
 impl Decision {
     fn kind(&self) -> LineKind {
         match self {
-            Self::Placed { .. } => LineKind::Served,
+            Self::Placed { .. } | Self::StreamOrigin { .. } => LineKind::Served,
             Self::Ended { how, .. } if *how == RequestOutcome::Served => LineKind::Served,
             Self::Refused { urgency, .. }
             | Self::AttemptFailed { urgency, .. }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -17,7 +17,7 @@
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
 pub use crate::direct::listed::{Change, Cordon, ListedEndpoint, Listing, Revision};
-use crate::direct::origins::Origin;
+use crate::direct::origins::{Origin, SoftwareHistory};
 
 /// Time within which live endpoints have written their entries again after the list became
 /// available; the platform gives them about two seconds.
@@ -124,6 +124,7 @@
     /// Announcements of endpoints that were removed.
     former: FormerIncarnations,
     cordons: Cordons,
+    software: SoftwareHistory,
     /// Whether the list can't be read now.
     unavailable: bool,
     /// When the list became available after its last outage; `None` before the first one.
@@ -202,6 +203,7 @@
             .collect();
         let missing_ids = missing.iter();
         removed_keys.extend(missing_ids.filter_map(|id| self.entry_removed(id, revision, now)));
+        self.software.record_gap(now);
         self.mark_displaced();
         self.replace_cordons(all.cordons, revision, now);
         removed_keys
@@ -286,6 +288,21 @@
         expired
     }
 
+    /// Notes that endpoints may have come and gone unnoticed.
+    pub fn record_gap(&mut self, now: Millis) {
+        self.software.record_gap(now);
+    }
+
+    /// The software versions of the endpoints, and of those that have left.
+    pub fn software(&self) -> &SoftwareHistory {
+        &self.software
+    }
+
+    /// Whether any pool has had endpoints of several software versions since a time.
+    pub fn has_several_versions(&self, since: Millis) -> bool {
+        self.software.has_several(since)
+    }
+
     /// The endpoint with this key; `None` once it has been removed.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
@@ -439,6 +456,7 @@
             assumed_warm_up: None,
         };
         endpoint.update_warm_up(endpoint.listed.warming, now);
+        self.software.added(endpoint.origin);
         let key = self.endpoints.insert(endpoint);
         self.by_digest.insert(digest, key);
         self.by_id.insert(id, key);
@@ -478,6 +496,7 @@
 
     fn remove(&mut self, key: EndpointKey, now: Millis) {
         if let Some(endpoint) = self.endpoints.remove(key) {
+            self.software.removed(endpoint.origin, now);
             let ListedEndpoint { id, born, .. } = &endpoint.listed;
             self.former.keep(id, *born, endpoint.announced, now);
             self.by_id.remove(id);
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -192,6 +192,9 @@
         log.append(before, up_to, &changes);
         log.append_spans(&passed.spans);
         drop(log);
+        if !passed.spans.is_empty() {
+            self.directory.borrow_mut().record_gap(self.clock.now());
+        }
         for change in changes {
             self.apply_change(change);
         }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_states;
 mod limited;
 mod observations;
+mod origins;
 mod shared;
 mod store;
 mod suspicion;
@@ -21,6 +22,8 @@
 
 pub use self::endpoint_states::{EndpointState, EndpointStates, RunGuard};
 use self::limited::PendingRequests;
+pub use self::origins::OriginLookup;
+use self::origins::OriginQueries;
 use self::store::LargeAnswer;
 use crate::clock::{Clock, Millis};
 use crate::direct::admission::budget::RetryWindow;
@@ -37,6 +40,7 @@
 use crate::direct::known::observed::ObservedEndpoints;
 use crate::direct::known::reports::EndpointReports;
 use crate::direct::limits::Limits;
+use crate::direct::origins::OriginRecords;
 use crate::direct::peers::{ObservationSchedule, PeerId, PeerTable, RecentPlacements};
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
@@ -98,6 +102,10 @@
     pub observation_schedule: RefCell<ObservationSchedule>,
     /// Limits that endpoints announced for all instances together.
     pub limits: RefCell<Limits>,
+    /// Where the streams began that callers may resume.
+    origins: RefCell<OriginRecords>,
+    /// Queries to peers for that.
+    origin_queries: OriginQueries,
     /// Permit requests to peers that wait for their responses.
     permit_requests: PendingRequests,
     /// Number of requests that wait for a permit.
@@ -197,6 +205,8 @@
             reports: RefCell::default(),
             observation_schedule: RefCell::default(),
             limits: RefCell::default(),
+            origins: RefCell::default(),
+            origin_queries: OriginQueries::default(),
             permit_requests: PendingRequests::default(),
             waiting_for_permit: Cell::default(),
             peer_socket: OnceCell::new(),
@@ -362,6 +372,7 @@
             "limited_endpoints",
             self.limits.borrow().limited_endpoints(now) as u64,
         );
+        metrics.set("streams_remembered", self.origins.borrow().len() as u64);
         metrics.set("endpoints", self.directory.borrow().iter().count() as u64);
     }
 }
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -1,5 +1,5 @@
-//! State that entries share for mixed pools: what this entry sends to peers in each round, and what
-//! it takes from theirs.
+//! State that entries share where a deployment needs it: what this entry sends to peers in each
+//! round, and what it takes from theirs.
 
 use std::net::SocketAddr;
 
@@ -22,12 +22,17 @@
     }
 
     /// Handles a datagram of shared state; false if it is of another format.
-    pub fn handle_shared_state(&self, bytes: &[u8]) -> bool {
+    pub fn handle_shared_state(&self, address: SocketAddr, bytes: &[u8]) -> bool {
         let Some((kind, from, payload)) = peers::split_shared(bytes) else {
             return false;
         };
         match kind {
             SharedKind::Observations => self.handle_observations(from, payload),
+            SharedKind::Origins => {
+                if let Some(message) = peers::decode_shared(payload) {
+                    self.handle_origin_message(address, message);
+                }
+            }
         }
         true
     }
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -30,6 +30,7 @@
     attempts: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     streams: Counter<u64>,
+    origin_lookups: Counter<u64>,
     store_calls: Counter<u64>,
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
@@ -73,6 +74,7 @@
                 .with_boundaries(LATENCY_MS.to_vec())
                 .build(),
             streams: meter.u64_counter("direct_streams").build(),
+            origin_lookups: meter.u64_counter("direct_origin_lookups").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
@@ -124,6 +126,11 @@
         self.streams.add(1, &labels);
     }
 
+    /// Counts a request that resumes a stream, by how it was found where the stream began.
+    pub fn origin_lookup(&self, found: &'static str) {
+        self.origin_lookups.add(1, &[KeyValue::new("found", found)]);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -64,6 +64,7 @@
         }
         entry.evaluate_suspects();
         entry.update_limit_coordination();
+        entry.tell_untold_streams();
         let now = entry.clock.now();
         let repeats = rand::random::<u8>() < REPEATS_PER_256_ROUNDS;
         let round = entry.peers.borrow_mut().round(entry.is_watching(), now);
@@ -238,7 +239,7 @@
         entry.apply_notices(&notices);
     } else if let Some(message) = limits::decode(bytes) {
         entry.handle_limit_message(from, message);
-    } else if !entry.handle_shared_state(bytes) {
+    } else if !entry.handle_shared_state(from, bytes) {
         tracing::debug!(%from, "datagram of an unknown format");
     }
 }
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -239,7 +239,7 @@
         };
         let on_first_event = || {
             self.record_first_byte(&answer.choice, answer.run_guard, answer.sent_at);
-            self.origin.set(Some(answer.origin));
+            self.begin_stream(answer.origin);
             if answer.was_idle {
                 self.learn_prefill(&answer.choice, answer.sent_at);
             }
@@ -267,6 +267,7 @@
         {
             Ok(()) => {
                 self.entry.metrics.stream_ended(framing, "whole");
+                self.end_stream();
                 answer.run_guard.answered();
                 self.keep_connection(key, answer.reply, response_info);
                 self.entry.endpoint_served(key);
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -63,8 +63,12 @@
     }
 
     /// Why the request is not sent to the chosen endpoint; `None` if it is. Overload is checked
-    /// only before the first attempt.
+    /// only before the first attempt, and not for a resumed stream: its caller has a part of it and
+    /// can go to few endpoints.
     pub(super) fn admission_refusal(&self, choice: &Choice) -> Option<RefusalReason> {
+        if self.ask.resumes.is_some() && self.origin.get().is_some() {
+            return None;
+        }
         let is_plain = self.catalog.pool(&self.pool)?.engine.is_none();
         if !is_plain && self.must_leave_room(choice) {
             let sent_percent = (choice.admitted_fraction.min(1.0) * 100.0) as u32;
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -13,6 +13,9 @@
 
 /// Retry delay that is advised after a refusal, before jitter.
 const RETRY_DELAY: Millis = Millis(150);
+/// Retry delay that is advised where no endpoint of the software version that began a stream is
+/// available: one that crashed takes seconds to start again.
+const VERSION_RETRY_DELAY: Millis = Millis(1_000);
 /// Longest delay that is advised while all endpoints of a pool have asked for a back-off: others
 /// may join the pool earlier.
 const MAX_RETRY_DELAY: Millis = Millis(10_000);
@@ -76,6 +79,8 @@
             RefusalReason::EndsEndpoints { .. } => "ends_endpoints",
             RefusalReason::EndpointsRest { .. } => "endpoints_rest",
             RefusalReason::EndpointsLimited { .. } => "endpoints_limited",
+            RefusalReason::OriginUnknown => "origin_unknown",
+            RefusalReason::VersionGone => "version_gone",
             _ => "not_run",
         };
         self.entry
@@ -95,6 +100,7 @@
             (None, Some(at)) => RefusalReason::EndpointsLimited {
                 first_free_ms: (at - now).0,
             },
+            (None, None) if self.is_version_gone() => RefusalReason::VersionGone,
             (None, None) => RefusalReason::NoEndpoint,
         }
     }
@@ -109,6 +115,7 @@
                 let wait = Millis(first_free_ms).max(RETRY_DELAY);
                 delay_after_backoff(wait, self.band(), random.gen())
             }
+            (RefusalReason::VersionGone, _) => VERSION_RETRY_DELAY + Millis(spread),
             (_, Some(backoff)) => delay_after_backoff(backoff, self.band(), random.gen()),
             (RefusalReason::RoomKept { sent_percent }, None) => {
                 let longest =
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -6,6 +6,7 @@
 mod end;
 mod learn;
 mod log;
+mod origin;
 mod permit;
 mod room;
 mod send;
@@ -214,7 +215,11 @@
 
     /// Runs the request to its end; false if the caller's connection is to be closed.
     pub async fn run(&mut self, answerer: &mut Answerer) -> bool {
+        let refusal = self.bind_resumed_stream().await;
         self.count_request();
+        if let Some(why) = refusal {
+            return self.give_up(answerer, why).await;
+        }
         loop {
             let ran_before = self.may_have_run;
             match self.attempt(answerer).await {
--- a/src/direct/peers/coordinator.rs
+++ b/src/direct/peers/coordinator.rs
@@ -91,7 +91,9 @@
         let is_wanted = |peer: &Peer| !wants_zone || peer.zone == zone;
         let peer = self.highest_ranked(endpoint, now, &|_| false, is_wanted);
         match peer {
-            Some((rank, peer)) if rank > rank_of(self.own, endpoint) => Coordinator::Peer(peer),
+            Some((rank, peer)) if rank > rank_of(self.own, u64::from(endpoint)) => {
+                Coordinator::Peer(peer)
+            }
             _ if self.is_leaving => {
                 let any = || self.highest_ranked(endpoint, now, &|_| false, |_| true);
                 let peer = peer.or_else(any);
@@ -163,13 +165,13 @@
         let serving = self.serving_peers(now);
         let wanted = serving.filter(|(address, peer)| is_wanted(peer) && !is_unanswered(*address));
         wanted
-            .map(|(address, _)| (rank_of(address, endpoint), address))
+            .map(|(address, _)| (rank_of(address, u64::from(endpoint)), address))
             .max()
     }
 
     /// The peers that serve, as far as known. Neighbors must have been heard lately, entries of
     /// other zones only at some time, since they are heard seldom.
-    fn serving_peers(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, &Peer)> {
+    pub(super) fn serving_peers(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, &Peer)> {
         let silence = MIN_COORDINATOR_SILENCE
             .max(Millis(self.neighbor_cycle().0 * COORDINATOR_TIMEOUT_CYCLES));
         let is_heard = move |peer: &Peer| {
@@ -196,9 +198,9 @@
     }
 }
 
-/// Returns the rank of an entry for an endpoint (the endpoint's incarnation digest); all entries
+/// Returns the rank of an entry for a key, such as an endpoint's incarnation digest; all entries
 /// compute the same.
-fn rank_of(entry: SocketAddr, endpoint: u32) -> u64 {
+pub(super) fn rank_of(entry: SocketAddr, key: u64) -> u64 {
     let ip = match entry {
         SocketAddr::V4(v4) => u64::from(u32::from(*v4.ip())),
         SocketAddr::V6(v6) => v6.ip().segments().iter().fold(0, |sum: u64, part| {
@@ -206,5 +208,5 @@
         }),
     };
     let address = mix_bits(ip ^ (u64::from(entry.port()) << 48));
-    mix_bits(address ^ mix_bits(u64::from(endpoint)))
+    mix_bits(address ^ mix_bits(key))
 }
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -11,6 +11,7 @@
 mod compact;
 mod coordinator;
 mod hello;
+mod keepers;
 mod observations;
 mod placements;
 mod rounds;
--- a/src/direct/peers/shared.rs
+++ b/src/direct/peers/shared.rs
@@ -1,6 +1,6 @@
-//! Datagrams in which entries share what they learned for mixed pools. They are separate from the
-//! gossip messages: none are sent where no pool is mixed, and entries that do not know them discard
-//! them.
+//! Datagrams in which entries share what only some deployments need: what they learned for mixed
+//! pools, and where streams began. They are separate from the gossip messages: none are sent where
+//! there is no need, and entries that do not know them discard them.
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -20,11 +20,14 @@
 pub enum SharedKind {
     /// What the sender observed of endpoints.
     Observations = 1,
+    /// Where streams began.
+    Origins = 2,
 }
 
 impl SharedKind {
     fn from_byte(byte: u8) -> Option<Self> {
-        (byte == Self::Observations as u8).then_some(Self::Observations)
+        let all = [Self::Observations, Self::Origins];
+        all.into_iter().find(|kind| *kind as u8 == byte)
     }
 }
 
