Behind sidecars, a stream goes on only at the software version that began it

An instance of the list may name the software version of its endpoint now (`software_version`; lists without it mean one version, as before). The first events of a stream bind its request to that of the endpoint, and the search for another one passes over the others. Callers of this path don't resume streams themselves.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -110,6 +110,7 @@
             state: LifeState::Live,
             pool: format!("pool-{}", n % 21),
             ordinal: n as u32,
+            software_version: String::new(),
         })
         .collect()
 }
--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -156,6 +156,7 @@
             state: LifeState::Live,
             pool: format!("pool-{}", n % 21),
             ordinal: n as u32,
+            software_version: String::new(),
         });
     }
     fleet.revision += 1;
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -107,6 +107,8 @@
     pub relay: Option<Relay>,
     /// What the instance list says.
     pub state: LifeState,
+    /// Software version of the endpoint, as the instance list has it.
+    pub software_version: String,
 }
 
 impl Slot {
@@ -231,6 +233,7 @@
             settings,
             relay,
             state,
+            software_version: String::new(),
         })
     }
 
@@ -340,6 +343,7 @@
             state: LifeState::Live,
             pool: String::new(),
             ordinal: 0,
+            software_version: String::new(),
         });
         let sidecars = self.slots.iter().map(|slot| Instance {
             id: slot.id.clone(),
@@ -353,6 +357,7 @@
             state: slot.state,
             pool: slot.pool.clone(),
             ordinal: slot.ordinal,
+            software_version: slot.software_version.clone(),
         });
         Members::new(self.revision, entries.chain(sidecars).collect())
     }
--- a/lab/src/rollout.rs
+++ b/lab/src/rollout.rs
@@ -162,6 +162,7 @@
             state: LifeState::Live,
             pool: String::new(),
             ordinal: 0,
+            software_version: String::new(),
         };
         let view = Arc::new(View::default());
         let shared = Arc::clone(&view);
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -94,6 +94,10 @@
         match message {
             Ok(Some(FromSidecar::Chunk { tokens, part })) => {
                 self.job.resume_from += u64::from(tokens);
+                let version = &self.running.instance.software_version;
+                self.job
+                    .software_version
+                    .get_or_insert_with(|| version.clone());
                 Step::Part(part)
             }
             Ok(Some(FromSidecar::Head {
@@ -170,6 +174,7 @@
         let members = self.entry.node.replica.members();
         let has_other = members
             .sidecars(&pool.name)
+            .filter(|instance| self.job.may_run_at(instance))
             .any(|instance| !self.job.avoid.contains(&instance.id));
         found_none(end) && has_other && self.entry.node.clock.now() < until
     }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -16,6 +16,7 @@
 use crate::finding::Findings;
 use crate::ids::{ClassKey, PoolKey, RequestId, TeamKey};
 use crate::keys;
+use crate::members::Instance;
 use crate::replica::Stamps;
 
 /// Path of chat completions, as OpenAI's API has it.
@@ -76,6 +77,9 @@
     pub resume_from: u64,
     /// Instances at which the stream broke off.
     pub avoid: Vec<String>,
+    /// Software version of the endpoint that began the stream, the only one at which it goes on; `None`
+    /// before its first event.
+    pub software_version: Option<String>,
 }
 
 impl Job {
@@ -84,6 +88,12 @@
         let pool = self.policy.pool_at(self.pool);
         pool.kind == PoolKind::Model && pool.resumable && !self.once
     }
+
+    /// Whether the work may run at an endpoint, by its software version.
+    pub fn may_run_at(&self, instance: &Instance) -> bool {
+        let version = self.software_version.as_ref();
+        version.is_none_or(|version| *version == instance.software_version)
+    }
 }
 
 /// A request that is at fault, with the status to answer.
@@ -200,6 +210,7 @@
         model: target.model,
         resume_from: 0,
         avoid: Vec::new(),
+        software_version: None,
     })
 }
 
--- a/src/members.rs
+++ b/src/members.rs
@@ -48,6 +48,9 @@
     /// The endpoint's place in its pool, below the pool's `places`.
     #[serde(default)]
     pub ordinal: u32,
+    /// Software version of the endpoint beside it; empty where the list doesn't tell.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software_version: String,
 }
 
 /// A whole instance list.
--- a/src/search.rs
+++ b/src/search.rs
@@ -141,6 +141,7 @@
         let candidates: Vec<&Instance> = members
             .sidecars(&pool.name)
             .filter(|i| home.is_none_or(|home| i.ordinal == home))
+            .filter(|i| self.job.may_run_at(i))
             .collect();
         let now = self.entry.node.clock.now();
         let mut router = self.entry.router.borrow_mut();
--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -26,6 +26,7 @@
         state: LifeState::Live,
         pool: "p".into(),
         ordinal: n,
+        software_version: String::new(),
     };
     (0..count).map(instance).collect()
 }
