Streams of routes that allow any pause are bound to their version, too

Found in the read-through: whether a resumed request is a stream was read from the longest pause that its route allows, which is none where the configuration tells none. Such a stream, resumed by its caller, went on at any software version, and the longest life of a stream left these routes out. The shape of the route tells now.

--- a/lab/tests/software_versions.rs
+++ b/lab/tests/software_versions.rs
@@ -263,3 +263,17 @@
     site.entries[0].kill();
     resume_all(&site, &mut streams, &[1, 2]).await;
 }
+
+/// Streams of a route that allows any pause were not bound to a version over their callers' tries.
+#[actix_rt::test]
+async fn any_pause_unbound() {
+    let mut site = Site::start(2).await;
+    set_versions(&site, &["v1", "v2"]);
+    site.pause_ms = 0;
+    site.configure(&["k1"]);
+    site.add_entries(1).await;
+    let callers = site.entries[0].addr("callers");
+    let request = resuming("/resume/events", "r1", Some("earlier"), 2);
+    assert_eq!(exchange(callers, &request).await.status, 503);
+    assert_eq!(site.runs(), 0);
+}
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -68,6 +68,11 @@
 }
 
 impl Route {
+    /// Whether responses are streams of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.shape, ResponseKind::Events { .. })
+    }
+
     /// Longest allowed pause between events; `None` where responses are not streams or no pause is
     /// configured.
     pub fn pause(&self) -> Option<Millis> {
@@ -308,7 +313,7 @@
             .flat_map(|(i, team)| team.keys.iter().map(move |key| (key.clone(), TeamKey(i))))
             .collect();
         let time_limits = time_limits_by_pool(&routes);
-        let streams = routes.iter().filter(|route| route.pause().is_some());
+        let streams = routes.iter().filter(|route| route.is_stream());
         Self {
             longest_stream: streams.map(|route| route.timeout).max().unwrap_or_default(),
             version,
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -7,7 +7,6 @@
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::catalog::ResponseKind;
 use crate::direct::channel::{Connection, ExchangeError, Reply};
 use crate::direct::placement::choose::Choice;
 
@@ -40,7 +39,7 @@
     fn is_copy_worthwhile(&self) -> bool {
         let prompt: u64 = self.ask.parts.iter().map(|part| part.tokens).sum();
         let answer = self.ask.output_tokens;
-        let is_stream = matches!(self.route().shape, ResponseKind::Events { .. });
+        let is_stream = self.route().is_stream();
         is_stream && prompt > 0 && prompt + answer <= MAX_MEMORY_PER_ANSWER_TOKEN * answer
     }
 
--- a/src/direct/job/origin.rs
+++ b/src/direct/job/origin.rs
@@ -10,7 +10,9 @@
     /// is refused; `None` if it may be sent.
     pub(super) async fn bind_resumed_stream(&mut self) -> Option<RefusalReason> {
         let resumes = self.ask.resumes.as_ref()?;
-        self.route().pause()?;
+        if !self.route().is_stream() {
+            return None;
+        }
         let stream = self.stream_key(resumes);
         let shares = self.route().shares.iter();
         let pools: Vec<(PoolDigest, String)> = shares
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -114,9 +114,9 @@
     pub close: bool,
 }
 
-/// Relays events until the response ends; an unfinished event is not sent. `next` reads a chunk of the endpoint's response, `begin`
-/// makes the head when the first event has arrived, and `sent` is called after each write to the
-/// caller with the number of events in it.
+/// Relays events until the response ends; an unfinished event is not sent. `next` reads a chunk of
+/// the endpoint's response, `begin` makes the head when the first event has arrived, and `sent` is
+/// called after each write to the caller with the number of events in it.
 pub async fn events(
     reply: &mut Reply,
     answerer: &mut Answerer,
