--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -80,6 +80,25 @@
 }
 
 /// Counts that a caller makes up stay small enough to be added up.
+/// A request that resumes a stream names it, or has the number of the last event, or both.
+#[test]
+fn resumed_streams() {
+    let with = |headers: &[(&str, &str)]| ask(&[&STREAM[..], headers].concat());
+    assert_eq!(with(&[]).unwrap().resumes, None);
+    let named = with(&[("resumes", "1f"), ("last-event-id", "3")]).unwrap();
+    assert_eq!(named.last_event, Some(3));
+    let began_as = named.resumes.unwrap().began_as;
+    assert_eq!(began_as.unwrap(), HeaderValue::from_static("1f"));
+    for unnamed in ["3", "0", "no number"] {
+        let unnamed = with(&[("last-event-id", unnamed)]).unwrap();
+        assert_eq!(unnamed.resumes.unwrap().began_as, None);
+    }
+    assert!(with(&[("resumes", "1f")]).unwrap().resumes.is_some());
+    let twice = with(&[("resumes", "1f"), ("resumes", "2f")]);
+    assert_eq!(twice, Err(ErrorResponse::Malformed));
+    assert_eq!(ordered(&[("resumes", "1f")], "resumes"), ["1f"]);
+}
+
 #[test]
 fn made_up_counts() {
     let most = u64::MAX.to_string();
