--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -19,6 +19,8 @@
 //! - Endpoints that end: [`ends`] keeps the runs that an endpoint did not finish until it is known
 //!   whether the endpoint itself has ended. [`crate::quarantine`] then counts that against what the
 //!   runs asked for.
+//! - Resumed streams: [`origins`] keeps at which software version a stream began, also for callers
+//!   that resume it at another entry.
 //! - State: [`listed`] defines what the platform lists of endpoints and zones, and
 //!   [`crate::announced`] what endpoints announce in their responses. The process keeps its state
 //!   in [`catalog`] (routes, pools, teams), [`directory`] (endpoints, with the [`cordons`] of their
