Log the prompt parts of placed and lost runs

The lines of an endpoint's end named digests of the lost requests, which all differ where requests share only a part of their prompts. They now name each run's shared parts (all but the last) and how long its answer had been arriving, and the line of a placed request names its parts. So one part at every end, runs with it that finish, and runs that had begun to answer can be told from the logs. parts_of_lost_runs checks the record. No decision changes.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -13,10 +13,11 @@
 use crate::announced::DeclineReason;
 use crate::clock::{Clock, Millis};
 use crate::direct::channel::Framing;
-use crate::direct::ends::EndSign;
+use crate::direct::ends::{EndSign, LostRun};
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
 use crate::fingerprint::Fingerprint;
+use crate::quarantine::parts::PartId;
 
 /// Maximum lines per second about successful requests. A fully loaded entry serves a few hundred
 /// requests per second, and writing a line takes about 10 microseconds.
@@ -121,6 +122,26 @@
     }
 }
 
+/// What is logged of a run that was lost with its endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRunRecord {
+    /// Parts of the prompt that other requests may hold, in order.
+    parts: Vec<PartId>,
+    /// Time from the first byte of the answer to the loss, in ms; `None` where none had arrived.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    answered_ms: Option<u64>,
+}
+
+impl LostRunRecord {
+    /// The record of a lost run.
+    pub fn of(run: &LostRun) -> Self {
+        Self {
+            parts: run.parts.to_vec(),
+            answered_ms: run.answer_began.map(|at| (run.lost - at).0),
+        }
+    }
+}
+
 /// One decision or change of state, with the inputs that led to it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
@@ -186,6 +207,9 @@
         /// Number of endpoints that were passed over before because they refused the connection.
         #[serde(skip_serializing_if = "is_zero", default)]
         passed_over: u32,
+        /// Parts of the prompt that other requests may hold, in order.
+        #[serde(skip_serializing_if = "Vec::is_empty", default)]
+        parts: Vec<PartId>,
     },
     /// A request resumes a stream.
     StreamOrigin {
@@ -386,6 +410,9 @@
         sign: EndSign,
         /// Fingerprints of the lost requests.
         lost: Vec<String>,
+        /// The parts of their prompts, and how far their answers had got, in the same order.
+        #[serde(skip_serializing_if = "Vec::is_empty", default)]
+        runs: Vec<LostRunRecord>,
     },
     /// Several endpoints in a row ended while they ran a request, so it is not sent any more.
     RequestRefused {
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -14,6 +14,7 @@
 use crate::direct::directory::{Change, Listing, Revision};
 use crate::direct::known::load::EndpointReport;
 use crate::direct::placement::prefix::PromptSegment;
+use crate::quarantine::parts::{PartId, SharedParts};
 
 /// The properties of a caller's request that decisions depend on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +40,16 @@
     pub resumes: Option<Resumes>,
 }
 
+impl ParsedRequest {
+    /// The parts of the prompt that other requests may hold: all but the last one, which is the
+    /// request's or its session's own.
+    pub fn shared_parts(&self) -> SharedParts {
+        let shared = self.parts.len().saturating_sub(1);
+        let parts = self.parts[..shared].iter();
+        parts.map(|part| PartId(part.id)).collect()
+    }
+}
+
 /// The stream that a caller resumes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Resumes {
--- a/src/direct/ends.rs
+++ b/src/direct/ends.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Millis;
 use crate::fingerprint::Fingerprint;
+use crate::quarantine::parts::SharedParts;
 
 /// Time after the first broken connection during which data that an endpoint sent before it
 /// terminated may still be read.
@@ -58,10 +59,14 @@
 }
 
 /// A run that an endpoint did not finish.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
     /// Fingerprint of the request.
     pub request: Fingerprint,
+    /// The parts of its prompt that other requests may hold.
+    pub parts: SharedParts,
+    /// When the first byte of its answer arrived; `None` if none did.
+    pub answer_began: Option<Millis>,
     /// When it was sent to the endpoint.
     pub began: Millis,
     /// When it was lost.
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -11,12 +11,13 @@
 use crate::direct::admission::turnover::PoolActivity;
 use crate::direct::admission::warmup::{self, RecentSends, WarmUp};
 use crate::direct::channel::Connection;
-use crate::direct::decision::Decision;
+use crate::direct::decision::{Decision, LostRunRecord};
 use crate::direct::directory::{Endpoint, EndpointKey, EndpointStatus};
 use crate::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
 use crate::direct::known::health::{Fault, HealthRecord};
 use crate::direct::known::load::{EndpointLoad, Footprint};
 use crate::fingerprint::Fingerprint;
+use crate::quarantine::parts::SharedParts;
 use crate::quarantine::IncarnationDigest;
 
 /// Most idle connections that are kept to one endpoint.
@@ -212,6 +213,7 @@
         pool: &str,
         footprint: Footprint,
         request: Fingerprint,
+        parts: SharedParts,
     ) -> RunGuard {
         let now = self.clock.now();
         self.turnover(pool, |turnover| turnover.record_start(now));
@@ -224,8 +226,9 @@
             key,
             pool: pool.to_owned(),
             footprint,
-            is_read: Cell::new(false),
+            answer_began: Cell::default(),
             request,
+            parts,
             began: now,
             end: Cell::new(RunEnd::Lost(LostHow::Silent)),
         }
@@ -239,7 +242,7 @@
         }
         let mut ended = None;
         self.update_endpoint_state(key, |endpoint_state| {
-            ended = endpoint_state.lost_runs.record_loss(run)
+            ended = endpoint_state.lost_runs.record_loss(run.clone())
         });
         if let Some(sign) = ended {
             self.report_lost_runs(key, sign, &[run]);
@@ -289,6 +292,7 @@
             endpoint,
             sign,
             lost: lost.iter().map(|run| run.request.to_string()).collect(),
+            runs: lost.iter().map(LostRunRecord::of).collect(),
         });
         let pool_snapshot = self.pool_snapshot(&pool, key);
         self.suspect_lost_runs(incarnation, pool_snapshot, lost);
@@ -355,8 +359,10 @@
     key: EndpointKey,
     pool: String,
     footprint: Footprint,
-    is_read: Cell<bool>,
+    /// When the first byte of the answer arrived; `None` before that.
+    answer_began: Cell<Option<Millis>>,
     request: Fingerprint,
+    parts: SharedParts,
     began: Millis,
     end: Cell<RunEnd>,
 }
@@ -374,17 +380,23 @@
 }
 
 impl RunGuard {
-    /// Records that the endpoint has read the prompt.
-    pub fn read(&self) {
-        if !self.is_read.replace(true) {
-            let footprint = self.footprint;
-            self.entry
-                .update_endpoint_state(self.key, |endpoint_state| {
-                    endpoint_state.load.read(footprint)
-                });
+    /// Records that the answer has begun, so the endpoint has read the prompt.
+    pub fn answer_began(&self) {
+        if self.answer_began.get().is_none() {
+            self.answer_began.set(Some(self.entry.clock.now()));
+            self.remove_unread();
         }
     }
 
+    /// Removes the prompt from what the endpoint has still to read.
+    fn remove_unread(&self) {
+        let footprint = self.footprint;
+        self.entry
+            .update_endpoint_state(self.key, |endpoint_state| {
+                endpoint_state.load.read(footprint)
+            });
+    }
+
     /// Records that the endpoint has sent its whole answer.
     pub fn answered(&self) {
         self.end.set(RunEnd::Answered);
@@ -403,7 +415,9 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.read();
+        if self.answer_began.get().is_none() {
+            self.remove_unread();
+        }
         let now = self.entry.clock.now();
         self.entry.turnover(&self.pool, |t| t.record_end(now));
         let footprint = self.footprint;
@@ -421,6 +435,8 @@
             RunEnd::Lost(how) => {
                 let run = LostRun {
                     request: self.request,
+                    parts: Rc::clone(&self.parts),
+                    answer_began: self.answer_began.get(),
                     began: self.began,
                     lost: self.entry.clock.now(),
                     how,
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -309,7 +309,7 @@
     /// Records that the first byte of the answer is about to be sent to the caller.
     fn record_first_byte(&self, choice: &Choice, run_guard: &RunGuard, sent_at: Millis) {
         let now = self.entry.clock.now();
-        run_guard.read();
+        run_guard.answer_began();
         let ids = self.ask.parts.iter().map(|part| part.id);
         self.entry
             .prefixes
--- a/src/direct/job/log.rs
+++ b/src/direct/job/log.rs
@@ -53,6 +53,7 @@
             copy: self.copy_endpoint_id(),
             takes_over: self.resumes_from_copy,
             passed_over: self.unreachable.passed_over(),
+            parts: self.parts.to_vec(),
         };
         self.entry.log.request(self.ask.id.as_bytes(), placed);
         let urgency = self.route().priority;
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -36,6 +36,7 @@
 use crate::direct::relay::StreamPosition;
 use crate::direct::resolve::{Allowed, Denied};
 use crate::fingerprint::Fingerprint;
+use crate::quarantine::parts::SharedParts;
 
 /// Time beyond a request's deadline in which the endpoint's answer is still awaited.
 const ANSWER_GRACE: Millis = Millis(60);
@@ -83,6 +84,8 @@
     allowed: Allowed,
     /// What the request asks for.
     fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may hold.
+    parts: SharedParts,
     /// When the request started to run as a suspected one, as reported to peers; `None` where it is
     /// not suspected or has not started.
     turn_started: Option<Millis>,
@@ -144,6 +147,7 @@
             progress,
             allowed,
             fingerprint,
+            parts: ask.shared_parts(),
             turn_started: None,
             permit: None,
             permit_refusals: 0,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::pin;
+use std::rc::Rc;
 
 use actix_http::{RequestHead, ResponseHead};
 
@@ -130,9 +131,13 @@
         };
         self.record_placement(&choice);
         let was_idle = self.has_nothing_to_prefill(key, now);
-        let run_guard = self
-            .entry
-            .begin_run(key, &self.pool, choice.footprint, self.fingerprint);
+        let run_guard = self.entry.begin_run(
+            key,
+            &self.pool,
+            choice.footprint,
+            self.fingerprint,
+            Rc::clone(&self.parts),
+        );
         let is_own = |head: &ResponseHead| self.is_own_answer(key, head);
         let sending = connection.send(head, &self.incoming.body, is_own);
         let reply = match self.wait_for_head(sending, key, now).await {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 mod lives;
 mod notice;
 mod notices;
+pub mod parts;
 
 use std::collections::HashMap;
 
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -7,11 +7,14 @@
 
 use violetline::announced::DeclineReason;
 use violetline::clock::{Clock, Millis};
-use violetline::direct::decision::{Decision, DecisionLog, RefusalReason, RequestOutcome};
-use violetline::direct::ends::EndSign;
+use violetline::direct::decision::{
+    Decision, DecisionLog, LostRunRecord, RefusalReason, RequestOutcome,
+};
+use violetline::direct::ends::{EndSign, LostHow, LostRun};
 use violetline::direct::explain::explain;
 use violetline::direct::resolve::Denied;
 use violetline::fingerprint::Fingerprint;
+use violetline::quarantine::parts::PartId;
 
 #[derive(Clone, Default)]
 struct SharedBuffer(Rc<RefCell<Vec<u8>>>);
@@ -64,6 +67,7 @@
         copy: None,
         takes_over: false,
         passed_over: 0,
+        parts: Vec::new(),
     }
 }
 
@@ -180,6 +184,7 @@
         endpoint: endpoint.into(),
         sign: EndSign::Refused,
         lost: lost.iter().map(ToString::to_string).collect(),
+        runs: Vec::new(),
     };
     log.state_change(end("i-1", &[Fingerprint(1), repeated]));
     log.state_change(end("i-2", &[Fingerprint(1)]));
@@ -295,3 +300,25 @@
     assert!(!text.contains("endpoint=i-2"), "{text}");
     assert!(text.contains("pool_capacity  pool=chat"), "{text}");
 }
+
+/// The line of an endpoint's end names the parts of the lost prompts and tells how far the answers
+/// had got.
+#[test]
+fn parts_of_lost_runs() {
+    let run = |parts: &[u64], answer_began| LostRun {
+        request: Fingerprint(1),
+        parts: parts.iter().map(|part| PartId(*part)).collect(),
+        answer_began,
+        began: Millis(100),
+        lost: Millis(900),
+        how: LostHow::Broken,
+    };
+    let records = [
+        LostRunRecord::of(&run(&[0x5c1e, 0x91bd], None)),
+        LostRunRecord::of(&run(&[0x5c1e], Some(Millis(400)))),
+    ];
+    assert_eq!(
+        serde_json::to_string(&records).unwrap(),
+        r#"[{"parts":["5c1e","91bd"]},{"parts":["5c1e"],"answered_ms":500}]"#
+    );
+}
--- a/tests/ended_endpoints.rs
+++ b/tests/ended_endpoints.rs
@@ -8,6 +8,8 @@
 fn lost(request: u64, at: u64, how: LostHow) -> LostRun {
     LostRun {
         request: Fingerprint(request),
+        parts: [].into(),
+        answer_began: None,
         began: Millis(at - 50),
         lost: Millis(at),
         how,
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -91,7 +91,7 @@
     let (clock, entry) = entry();
     entry.apply_listing(vec![incarnation("a", 100, 1)], 1);
     let before = key(&entry.directory());
-    let placed = entry.begin_run(before, "pool", FOOTPRINT, Fingerprint(1));
+    let placed = entry.begin_run(before, "pool", FOOTPRINT, Fingerprint(1), [].into());
     entry.endpoint_failed(before, Fault::Unreachable, "test");
     let now = clock.now();
     let parts = [
