Refuse requests that hold a part of a prompt under which endpoints end

A request was known by the digest of its caller, target and body alone, and no two of these were alike, so no digest was ever at a second end.

Each end is now counted for the shared parts of the runs that the engine was about to answer, and told to three entries of the fleet, the judges. A run that writes for 300 ms or ends well clears its parts at engines of that pool and software version. A part with three to six independent ends under different requests, as many as would not be chance at the share of runs that are lost, is refused once all entries were asked whether it is harmless. The verdict is told to all, and repeated. Two parts that always come together are refused together until an end tells them apart.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -76,6 +76,15 @@
         /// Time after which it may be repeated, in ms.
         come_back_ms: u64,
     },
+    /// Endpoints ended when they began to answer prompts with a part that this one holds.
+    PartEndsEndpoints {
+        /// The part.
+        part: PartId,
+        /// Number of endpoints that ended.
+        ends: usize,
+        /// Time after which the request may be repeated, in ms.
+        come_back_ms: u64,
+    },
     /// The caller resumes a stream, and it is not known at which of several software versions that
     /// began.
     OriginUnknown,
@@ -423,6 +432,24 @@
         /// Time for which it is refused, in ms.
         for_ms: u64,
     },
+    /// Endpoints ended when they began to answer prompts with a part, so such requests are not sent
+    /// any more.
+    PartRefused {
+        /// The part.
+        part: PartId,
+        /// Another part that was at all these ends: only requests that hold both are refused.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        with: Option<PartId>,
+        /// Number of endpoints that ended.
+        ends: usize,
+        /// Time for which they are refused, in ms.
+        for_ms: u64,
+    },
+    /// A part that was refused is harmless.
+    PartCleared {
+        /// The part.
+        part: PartId,
+    },
     /// The configuration store stopped answering, or answers again.
     Store {
         /// Whether it answers.
--- a/src/direct/ends.rs
+++ b/src/direct/ends.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Millis;
 use crate::fingerprint::Fingerprint;
-use crate::quarantine::parts::SharedParts;
+use crate::quarantine::parts::{EndpointKind, SharedParts, HARMLESS_AFTER};
 
 /// Time after the first broken connection during which data that an endpoint sent before it
 /// terminated may still be read.
@@ -65,6 +65,11 @@
     pub request: Fingerprint,
     /// The parts of its prompt that other requests may hold.
     pub parts: SharedParts,
+    /// Kind of the endpoint.
+    pub kind: EndpointKind,
+    /// Whether the endpoint was warming up, and may have ended because all entries together
+    /// overloaded it.
+    pub was_warming: bool,
     /// When the first byte of its answer arrived; `None` if none did.
     pub answer_began: Option<Millis>,
     /// When it was sent to the endpoint.
@@ -75,6 +80,14 @@
     pub how: LostHow,
 }
 
+impl LostRun {
+    /// Whether the endpoint may have ended because it began to answer the run.
+    pub fn may_have_begun_to_answer(&self) -> bool {
+        self.answer_began
+            .is_none_or(|at| self.lost - at < HARMLESS_AFTER)
+    }
+}
+
 /// Unfinished runs of one endpoint.
 #[derive(Debug, Default)]
 pub struct LostRuns {
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -17,7 +17,7 @@
 use crate::direct::known::health::{Fault, HealthRecord};
 use crate::direct::known::load::{EndpointLoad, Footprint};
 use crate::fingerprint::Fingerprint;
-use crate::quarantine::parts::SharedParts;
+use crate::quarantine::parts::{EndpointKind, SharedParts, HARMLESS_AFTER};
 use crate::quarantine::IncarnationDigest;
 
 /// Most idle connections that are kept to one endpoint.
@@ -38,6 +38,8 @@
     pool: String,
     /// Digest of its identity and incarnation.
     incarnation: IncarnationDigest,
+    /// Its kind.
+    kind: EndpointKind,
     /// Its load, from this entry's requests and from reports of peers and the endpoint.
     pub load: EndpointLoad,
     /// Its health record.
@@ -217,9 +219,11 @@
     ) -> RunGuard {
         let now = self.clock.now();
         self.turnover(pool, |turnover| turnover.record_start(now));
+        let mut kind = EndpointKind::default();
         self.update_endpoint_state(key, |endpoint_state| {
             endpoint_state.load.begin(footprint, now);
             endpoint_state.recent_sends.note(now);
+            kind = endpoint_state.kind;
         });
         RunGuard {
             entry: Rc::clone(self),
@@ -227,8 +231,10 @@
             pool: pool.to_owned(),
             footprint,
             answer_began: Cell::default(),
+            is_harmless: Cell::default(),
             request,
             parts,
+            kind,
             began: now,
             end: Cell::new(RunEnd::Lost(LostHow::Silent)),
         }
@@ -236,9 +242,11 @@
 
     /// Records a lost run, and finds out whether the endpoint has ended if the run's connection
     /// broke.
-    fn record_lost_run(self: &Rc<Self>, key: EndpointKey, run: LostRun) {
-        if !self.run_may_cause_end(key, run.lost) {
-            return;
+    fn record_lost_run(self: &Rc<Self>, key: EndpointKey, mut run: LostRun) {
+        match self.end_cause(key, run.lost) {
+            EndCause::Run => {}
+            EndCause::RunOrWarmUp => run.was_warming = true,
+            EndCause::Plan => return,
         }
         let mut ended = None;
         self.update_endpoint_state(key, |endpoint_state| {
@@ -251,16 +259,18 @@
         }
     }
 
-    /// Whether a run could be the cause if an endpoint ended now. It is not for an endpoint that
-    /// leaves as planned, nor for one that is overloaded while it warms up, which all entries cause
-    /// together.
-    fn run_may_cause_end(&self, key: EndpointKey, now: Millis) -> bool {
+    /// What could be the cause if an endpoint ended now.
+    fn end_cause(&self, key: EndpointKey, now: Millis) -> EndCause {
         let directory = self.directory.borrow();
         let Some(endpoint) = directory.get(key) else {
-            return false;
+            return EndCause::Plan;
         };
         let leaves = endpoint.status == EndpointStatus::Draining || endpoint.announced.leaves;
-        !leaves && !endpoint.is_listed_warming(now)
+        match leaves {
+            true => EndCause::Plan,
+            false if endpoint.is_listed_warming(now) => EndCause::RunOrWarmUp,
+            false => EndCause::Run,
+        }
     }
 
     /// Handles the end of an endpoint's incarnation: runs that were lost with it come under
@@ -296,6 +306,7 @@
         });
         let pool_snapshot = self.pool_snapshot(&pool, key);
         self.suspect_lost_runs(incarnation, pool_snapshot, lost);
+        self.suspect_lost_parts(incarnation, lost);
     }
 
     pub(super) fn log_health(&self, key: EndpointKey, aside: bool, why: &str) {
@@ -320,6 +331,7 @@
                     id: endpoint.listed.id.clone(),
                     pool: endpoint.listed.pool.clone(),
                     incarnation: endpoint.digest,
+                    kind: endpoint.origin.endpoint_kind(),
                     ..EndpointState::default()
                 };
                 endpoint_states.insert(key, endpoint_state);
@@ -361,12 +373,27 @@
     footprint: Footprint,
     /// When the first byte of the answer arrived; `None` before that.
     answer_began: Cell<Option<Millis>>,
+    /// Whether its parts have been recorded as harmless.
+    is_harmless: Cell<bool>,
     request: Fingerprint,
     parts: SharedParts,
+    /// Kind of the endpoint.
+    kind: EndpointKind,
     began: Millis,
     end: Cell<RunEnd>,
 }
 
+/// What may have ended an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndCause {
+    /// One of its runs.
+    Run,
+    /// One of its runs, or overload while it warms up, which all entries cause together.
+    RunOrWarmUp,
+    /// It leaves as planned, or has left the list.
+    Plan,
+}
+
 /// How a run at an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunEnd {
@@ -397,6 +424,22 @@
             });
     }
 
+    /// Records that more of the answer has arrived. An endpoint that has written for a while shows
+    /// that the parts of the prompt are harmless.
+    pub fn answer_goes_on(&self) {
+        let began = self.answer_began.get();
+        if began.is_some_and(|at| self.entry.clock.now() - at >= HARMLESS_AFTER) {
+            self.parts_are_harmless();
+        }
+    }
+
+    /// Records that the endpoint has written an answer of success.
+    pub fn parts_are_harmless(&self) {
+        if !self.is_harmless.replace(true) {
+            self.entry.record_harmless_parts(&self.parts, self.kind);
+        }
+    }
+
     /// Records that the endpoint has sent its whole answer.
     pub fn answered(&self) {
         self.end.set(RunEnd::Answered);
@@ -436,6 +479,8 @@
                 let run = LostRun {
                     request: self.request,
                     parts: Rc::clone(&self.parts),
+                    kind: self.kind,
+                    was_warming: false,
                     answer_began: self.answer_began.get(),
                     began: self.began,
                     lost: self.entry.clock.now(),
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -7,6 +7,7 @@
 mod limited;
 mod observations;
 mod origins;
+mod parts;
 mod shared;
 mod store;
 mod suspicion;
@@ -45,6 +46,7 @@
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
+use crate::quarantine::parts::PartQuarantine;
 use crate::quarantine::Quarantine;
 
 /// Phase of a process between its start and the end of a planned stop.
@@ -118,6 +120,8 @@
     pub retries: RefCell<HashMap<String, RetryWindow>>,
     /// Requests that are suspected of ending endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// Parts of prompts that are suspected of ending endpoints.
+    pub part_quarantine: RefCell<PartQuarantine>,
     /// Wakes requests under suspicion that wait for their turn to be sent.
     pub quarantine_changed: Notify,
     /// Wakes the gossip task to inform peers before the next round.
@@ -213,6 +217,7 @@
             turnovers: RefCell::default(),
             retries: RefCell::default(),
             quarantine: RefCell::new(Quarantine::started_at(clock.now())),
+            part_quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
             gossip_requested: Notify::new(),
             proof_requested: Notify::new(),
@@ -368,6 +373,9 @@
             "requests_refused",
             quarantine.refused_requests(now).len() as u64,
         );
+        let (suspected, refused) = self.part_quarantine.borrow().counts();
+        metrics.set("parts_suspected", suspected as u64);
+        metrics.set("parts_refused", refused as u64);
         metrics.set(
             "limited_endpoints",
             self.limits.borrow().limited_endpoints(now) as u64,
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -16,6 +16,7 @@
 
     /// Sends a peer that is new all that it is to know of the shared state.
     pub fn greet_with_shared_state(&self, to: SocketAddr) {
+        self.greet_with_part_verdicts(to);
         if self.has_mixed_pool() {
             self.greet_with_observations(to);
         }
@@ -28,6 +29,11 @@
         };
         match kind {
             SharedKind::Observations => self.handle_observations(from, payload),
+            SharedKind::Parts => {
+                if let Some(notices) = peers::decode_shared(payload) {
+                    self.handle_part_notices(notices);
+                }
+            }
             SharedKind::Origins => {
                 if let Some(message) = peers::decode_shared(payload) {
                     self.handle_origin_message(address, message);
--- a/src/direct/entry/suspicion.rs
+++ b/src/direct/entry/suspicion.rs
@@ -105,7 +105,7 @@
         lost: &[LostRun],
     ) {
         let now = self.clock.now();
-        for run in lost {
+        for run in lost.iter().filter(|run| !run.was_warming) {
             let end = EndpointEnd {
                 endpoint,
                 began: run.began,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -63,6 +63,7 @@
             }
         }
         entry.evaluate_suspects();
+        entry.update_part_suspicion();
         entry.update_limit_coordination();
         entry.tell_untold_streams();
         let now = entry.clock.now();
@@ -77,6 +78,7 @@
                 .record_sent_bytes(target.work_scope, bytes);
             let since = entry.peers.borrow().notices_since(target.work_scope, now);
             send_notices(&entry, &socket, target.to, since, repeats).await;
+            entry.send_part_notices(target.to, since, repeats);
             send_recent_limits(&entry, target.to, since);
             entry.send_shared_state(target.to);
         }
@@ -103,6 +105,7 @@
     let peers = entry.peers.borrow_mut().immediate_targets();
     for peer in peers {
         send_notices(entry, socket, peer, since, false).await;
+        entry.send_part_notices(peer, since, false);
     }
 }
 
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -188,6 +188,9 @@
             return self.record_failure(key, Fault::Answer, "the answer broke off");
         };
         let status = answer.reply.head.status;
+        if status.is_success() {
+            answer.run_guard.parts_are_harmless();
+        }
         match status.is_server_error() {
             true => answer.run_guard.undecided(),
             false => answer.run_guard.answered(),
@@ -249,6 +252,7 @@
         let on_chunk_sent = |events| {
             let now = self.entry.clock.now();
             self.progress.borrow_mut().chunk_sent(now);
+            answer.run_guard.answer_goes_on();
             if let Some(times) = &mut times {
                 times.record(now, events, self.slowdown(key, now));
             }
@@ -268,6 +272,7 @@
             Ok(()) => {
                 self.entry.metrics.stream_ended(framing, "whole");
                 self.end_stream();
+                answer.run_guard.parts_are_harmless();
                 answer.run_guard.answered();
                 self.keep_connection(key, answer.reply, response_info);
                 self.entry.endpoint_served(key);
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -130,12 +130,18 @@
     }
 
     /// Whether the request may run at an endpoint: it is in a region where requests of this route
-    /// and team may run, and its software version is the one that began the stream.
+    /// and team may run, its software version is the one that began the stream, and such endpoints
+    /// don't crash under a part of the prompt.
     pub(super) fn may_run_at(&self, endpoint: &Endpoint, settings: &DirectSettings) -> bool {
         let origin = self.origin.get();
         if origin.is_some_and(|origin| origin != endpoint.origin) {
             return false;
         }
+        let kind = endpoint.origin.endpoint_kind();
+        let refusal = self.part_refusal.as_ref();
+        if refusal.is_some_and(|refusal| !refusal.allows(kind)) {
+            return false;
+        }
         let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
         let zone = &endpoint.listed.zone;
         residency::allows(self.route(), team, zone, &settings.regions)
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -77,6 +77,7 @@
             RefusalReason::Overload { .. } => "turned_away",
             RefusalReason::RoomKept { .. } => "room_kept",
             RefusalReason::EndsEndpoints { .. } => "ends_endpoints",
+            RefusalReason::PartEndsEndpoints { .. } => "part_ends_endpoints",
             RefusalReason::EndpointsRest { .. } => "endpoints_rest",
             RefusalReason::EndpointsLimited { .. } => "endpoints_limited",
             RefusalReason::OriginUnknown => "origin_unknown",
@@ -110,7 +111,11 @@
         let mut random = rand::thread_rng();
         let spread = random.gen_range(0..RETRY_JITTER_MS);
         match (why, self.time_until_backoff_ends()) {
-            (RefusalReason::EndsEndpoints { come_back_ms, .. }, _) => Millis(come_back_ms + spread),
+            (
+                RefusalReason::EndsEndpoints { come_back_ms, .. }
+                | RefusalReason::PartEndsEndpoints { come_back_ms, .. },
+                _,
+            ) => Millis(come_back_ms + spread),
             (RefusalReason::EndpointsLimited { first_free_ms }, _) => {
                 let wait = Millis(first_free_ms).max(RETRY_DELAY);
                 delay_after_backoff(wait, self.band(), random.gen())
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -36,7 +36,7 @@
 use crate::direct::relay::StreamPosition;
 use crate::direct::resolve::{Allowed, Denied};
 use crate::fingerprint::Fingerprint;
-use crate::quarantine::parts::SharedParts;
+use crate::quarantine::parts::{PartRefusal, SharedParts};
 
 /// Time beyond a request's deadline in which the endpoint's answer is still awaited.
 const ANSWER_GRACE: Millis = Millis(60);
@@ -86,6 +86,8 @@
     fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may hold.
     parts: SharedParts,
+    /// Why it is refused at some or all endpoints, as of the last look; `None` if it is not.
+    part_refusal: Option<PartRefusal>,
     /// When the request started to run as a suspected one, as reported to peers; `None` where it is
     /// not suspected or has not started.
     turn_started: Option<Millis>,
@@ -148,6 +150,7 @@
             allowed,
             fingerprint,
             parts: ask.shared_parts(),
+            part_refusal: None,
             turn_started: None,
             permit: None,
             permit_refusals: 0,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -36,6 +36,9 @@
             return AttemptOutcome::NotAdmitted(why);
         }
         self.record_arrival();
+        if let Some(why) = self.look_up_part_refusal() {
+            return AttemptOutcome::NotAdmitted(why);
+        }
         let Some(choice) = self.next_choice() else {
             return self.wait_for_permit().await;
         };
@@ -60,6 +63,7 @@
         if now >= self.deadline {
             return AttemptOutcome::TimeOver;
         }
+        self.part_refusal = self.entry.part_refusal(&self.parts);
         if !self.may_send(key, now) {
             self.entry.keep_connection(key, connection);
             return AttemptOutcome::NotAccepting(key);
@@ -78,6 +82,9 @@
             self.entry.keep_connection(key, connection);
             return AttemptOutcome::CopyRunning;
         }
+        if self.part_refusal.is_none() {
+            self.entry.record_part_trial(&self.parts);
+        }
         self.use_permit();
         self.attempts += 1;
         self.last_address = self.entry.directory().get(key).map(|e| e.listed.address);
--- a/src/direct/job/turn.rs
+++ b/src/direct/job/turn.rs
@@ -6,6 +6,7 @@
 use super::Job;
 use crate::clock::Millis;
 use crate::direct::decision::RefusalReason;
+use crate::direct::directory::Endpoint;
 use crate::direct::entry::EndpointState;
 use crate::quarantine::{QuarantineStatus, ENDS_TO_SEPARATE};
 
@@ -96,6 +97,23 @@
         began.is_some() && self.turn_started == began
     }
 
+    /// Looks up whether endpoints crash under a part of the prompt. Returns why the request is
+    /// refused; `None` if some endpoint may run it.
+    pub(super) fn look_up_part_refusal(&mut self) -> Option<RefusalReason> {
+        self.part_refusal = self.entry.part_refusal(&self.parts);
+        let refusal = self.part_refusal.as_ref()?;
+        let now = self.entry.clock.now();
+        let directory = self.entry.directory();
+        let mut available = directory.available_in_pool(&self.pool, now);
+        let is_allowed = |endpoint: &Endpoint| refusal.allows(endpoint.origin.endpoint_kind());
+        let is_anywhere = available.any(|(_, endpoint)| is_allowed(endpoint));
+        (!is_anywhere).then(|| RefusalReason::PartEndsEndpoints {
+            part: refusal.part,
+            ends: refusal.ends,
+            come_back_ms: (refusal.until - now).0,
+        })
+    }
+
     fn ends_endpoints_refusal(&self, ends: usize, until: Millis) -> RefusalReason {
         RefusalReason::EndsEndpoints {
             fingerprint: self.fingerprint,
--- a/src/direct/origins/mod.rs
+++ b/src/direct/origins/mod.rs
@@ -13,6 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::quarantine::parts::EndpointKind;
+
 pub use self::history::SoftwareHistory;
 pub use self::message::{
     OriginAnswer, OriginMessage, OriginQuery, PendingQuery, PoolVersions, MAX_TOLD_STREAMS,
@@ -41,6 +43,11 @@
 }
 
 impl Origin {
+    /// What endpoints of this pool and software version have in common.
+    pub const fn endpoint_kind(self) -> EndpointKind {
+        EndpointKind(self.pool.0.rotate_left(16) ^ self.version)
+    }
+
     /// The origin of streams that an endpoint begins.
     pub fn of(pool: &str, software_version: &str) -> Self {
         Self {
--- a/src/direct/peers/keepers.rs
+++ b/src/direct/peers/keepers.rs
@@ -16,6 +16,10 @@
 
 /// Number of peers that keep a record.
 const KEEPERS: usize = 2;
+/// Number of entries that judge parts of prompts.
+const JUDGES: usize = 3;
+/// Key by which these are ranked.
+const JUDGES_KEY: u64 = 0;
 /// Number of entries that are asked in each zone: the highest-ranked one may have made the record,
 /// and given it to the next.
 const ASKED_PER_ZONE: usize = 2;
@@ -54,6 +58,28 @@
         asked.flatten().collect()
     }
 
+    /// The entries that judge parts of prompts: the highest-ranked of the fleet. Holds the peers
+    /// among them, and whether this entry is one.
+    pub fn judges(&self, now: Millis) -> (Vec<SocketAddr>, bool) {
+        let peers = self.serving_peers(now).map(|(address, _)| address);
+        let mut ranked: Vec<(u64, SocketAddr)> = peers
+            .chain([self.own])
+            .map(|address| (rank_of(address, JUDGES_KEY), address))
+            .collect();
+        ranked.sort_unstable_by_key(|entry| Reverse(*entry));
+        let judges = addresses(&ranked, JUDGES);
+        let is_own = judges.contains(&self.own);
+        let peers = judges.into_iter().filter(|address| *address != self.own);
+        (peers.collect(), is_own)
+    }
+
+    /// Whether this entry is the highest-ranked one for a key.
+    pub fn is_first(&self, key: u64, now: Millis) -> bool {
+        let own = rank_of(self.own, key);
+        let mut peers = self.serving_peers(now);
+        peers.all(|(address, _)| rank_of(address, key) < own)
+    }
+
     /// The serving peers of each zone, the highest-ranked first.
     fn ranked_by_zone(
         &self,
--- a/src/direct/peers/shared.rs
+++ b/src/direct/peers/shared.rs
@@ -22,11 +22,13 @@
     Observations = 1,
     /// Where streams began.
     Origins = 2,
+    /// Parts of prompts under which endpoints ended.
+    Parts = 3,
 }
 
 impl SharedKind {
     fn from_byte(byte: u8) -> Option<Self> {
-        let all = [Self::Observations, Self::Origins];
+        let all = [Self::Observations, Self::Origins, Self::Parts];
         all.into_iter().find(|kind| *kind as u8 == byte)
     }
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -14,7 +14,7 @@
 use violetline::direct::explain::explain;
 use violetline::direct::resolve::Denied;
 use violetline::fingerprint::Fingerprint;
-use violetline::quarantine::parts::PartId;
+use violetline::quarantine::parts::{EndpointKind, PartId};
 
 #[derive(Clone, Default)]
 struct SharedBuffer(Rc<RefCell<Vec<u8>>>);
@@ -308,6 +308,8 @@
     let run = |parts: &[u64], answer_began| LostRun {
         request: Fingerprint(1),
         parts: parts.iter().map(|part| PartId(*part)).collect(),
+        kind: EndpointKind::default(),
+        was_warming: false,
         answer_began,
         began: Millis(100),
         lost: Millis(900),
--- a/tests/ended_endpoints.rs
+++ b/tests/ended_endpoints.rs
@@ -4,11 +4,14 @@
 use violetline::clock::Millis;
 use violetline::direct::ends::{EndSign, LostHow, LostRun, LostRuns};
 use violetline::fingerprint::Fingerprint;
+use violetline::quarantine::parts::EndpointKind;
 
 fn lost(request: u64, at: u64, how: LostHow) -> LostRun {
     LostRun {
         request: Fingerprint(request),
         parts: [].into(),
+        kind: EndpointKind::default(),
+        was_warming: false,
         answer_began: None,
         began: Millis(at - 50),
         lost: Millis(at),
