A run at any version clears the ends of a part that was harmless there before

Its engines have several software versions, and each end was cleared by runs at the same version alone; the first part of all prompts collected ends at versions whose few engines were down, while it ran at the others. A part that was harmless at a version before is now cleared there by a run anywhere; one that never was, only by a run at that version, so that a part that crashes one version only is still found (other_version). popular_at_many_versions failed before.

--- a/src/quarantine/parts/mod.rs
+++ b/src/quarantine/parts/mod.rs
@@ -167,7 +167,7 @@
             .partition(|(_, end)| now >= end.ended + REPORT_DELAY);
         self.unreported = later;
         due.into_iter()
-            .filter(|(part, end)| self.harmless_at(*part, end.kind) <= Some(end.ended))
+            .filter(|(part, end)| !self.is_cleared(*part, end))
             .map(|(part, end)| PartNotice::for_end(part, &end, now))
             .collect()
     }
@@ -210,7 +210,11 @@
         let known = self.harmless.entry((part, kind)).or_default();
         *known = at.max(*known);
         if let Some(history) = self.histories.get_mut(&part) {
-            history.clear(kind, at);
+            // Of a part that was harmless at a kind of endpoint before, a run anywhere clears the
+            // ends there: it need not be one of the few endpoints of that kind.
+            history.clear(at, |end| {
+                end.kind == kind || self.harmless.contains_key(&(part, end.kind))
+            });
             if history.is_empty() {
                 self.histories.remove(&part);
             }
@@ -226,9 +230,10 @@
         self.harmless.retain(|_, at| *at > middle);
     }
 
-    /// When a run with a part last wrote at a kind of endpoint.
-    fn harmless_at(&self, part: PartId, kind: EndpointKind) -> Option<Millis> {
-        self.harmless.get(&(part, kind)).copied()
+    /// Whether a run with a part has cleared an end since.
+    fn is_cleared(&self, part: PartId, end: &PartEnd) -> bool {
+        let known = self.harmless.get(&(part, end.kind));
+        known.is_some_and(|at| *at > end.ended || self.is_harmless_since(part, end.ended))
     }
 
     /// Applies a peer's notice, or an own end where this process is a judge.
@@ -257,7 +262,7 @@
     }
 
     fn apply_end(&mut self, part: PartId, end: PartEnd, now: Millis) -> PartChange {
-        if self.harmless_at(part, end.kind) > Some(end.ended) {
+        if self.is_cleared(part, &end) {
             return PartChange::None;
         }
         if let Some(verdict) = self.verdicts.get_mut(&part) {
--- a/tests/part_evidence.rs
+++ b/tests/part_evidence.rs
@@ -237,3 +237,23 @@
     }
     assert_eq!(judge.quarantine.counts().1, 64, "verdicts are bounded");
 }
+
+/// A popular part is at ends of endpoints of many versions, and runs again at one version before
+/// endpoints of the others are back.
+#[test]
+fn popular_at_many_versions() {
+    let mut judge = Judge::new();
+    for kind in 1..=4 {
+        judge.harmless(OTHER, EndpointKind(kind));
+    }
+    for request in 0..8 {
+        judge.wait(Millis(400));
+        judge.end_at(EndpointKind(1 + request % 3), request, &[OTHER]);
+        judge.wait(Millis(100));
+        judge.harmless(OTHER, EndpointKind(4));
+    }
+    judge.wait(DELAYS);
+    for kind in 1..=4 {
+        assert!(!judge.refuses_at(EndpointKind(kind), &[OTHER]));
+    }
+}
