The soak plays a part that ends engines, sound ones beside it, and ends without cause

Two callers share first and third parts, one adds the part under which the engines end, at any place but the last; engines also end on their own.

--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -81,14 +81,18 @@
 }
 
 /// A new connection to an entry.
-async fn connect(soak: &Soak, entry: usize) -> Option<(usize, TcpStream)> {
+pub(super) async fn connect(soak: &Soak, entry: usize) -> Option<(usize, TcpStream)> {
     let address = soak.entries[entry].callers.get();
     let stream = TcpStream::connect(address).await.ok()?;
     Some((entry, stream))
 }
 
 /// Sends a request and reads its answer; `None` when the caller left or couldn't send.
-async fn exchange(stream: &mut TcpStream, request: &[u8], rng: &mut SmallRng) -> Option<Answer> {
+pub(super) async fn exchange(
+    stream: &mut TcpStream,
+    request: &[u8],
+    rng: &mut SmallRng,
+) -> Option<Answer> {
     stream.write_all(request).await.ok()?;
     let leaves = rng.gen_ratio(1, LEAVES);
     let patience = if leaves { SHORT_PATIENCE } else { PATIENCE };
--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -6,9 +6,10 @@
 use tokio::time::Instant;
 
 use super::callers::{CRASH, UNMARKED};
+use super::parts::{is_crashing, CRASHING};
 use super::{Issue, Report, Soak};
 use crate::site::{self, Answer};
-use crate::standin::EVENTS;
+use crate::standin::{Arrival, EVENTS};
 
 /// Engines that one request may end in a seed: three to five for each time that all entries that know of it are ended.
 const MOST_CRASHES: usize = 12;
@@ -38,6 +39,7 @@
         report.findings.extend(self.check_urgency());
         report.findings.extend(self.check_left());
         report.findings.extend(self.check_resumed());
+        report.findings.extend(self.check_parts());
         report.crashes = self.crashes();
         if report.crashes > MOST_CRASHES {
             let finding = format!("{} engines ended under one request", report.crashes);
@@ -51,7 +53,9 @@
         let gone = self.gone.borrow();
         let engines = self.engines.borrow();
         let all = engines.iter().chain(gone.iter());
-        all.map(|relayed| relayed.engine.crashes().len()).sum()
+        let crashes = all.flat_map(|relayed| relayed.engine.crashes());
+        let is_one_request = |arrival: &Arrival| !arrival.holds(CRASHING);
+        crashes.filter(is_one_request).count()
     }
 
     /// How often engines worked on each request, by its id.
@@ -87,7 +91,8 @@
         return Some(format!("ran with {} after it was removed", issue.key));
     }
     let answer = issue.answer.as_ref()?;
-    if answer.status == 503 && issue.path != CRASH && is_for_long(answer) {
+    let crashes = issue.path == CRASH || is_crashing(id);
+    if answer.status == 503 && !crashes && is_for_long(answer) {
         return Some("turned away for long, though it is innocent".into());
     }
     match answer.status {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod check;
 mod faults;
 mod mixed;
+mod parts;
 mod resuming;
 mod troubles;
 mod unwilling;
@@ -67,6 +68,9 @@
     /// Engines
     #[bpaf(argument("N"), fallback(4))]
     pub engines: usize,
+    /// Mean time in ms between two ends of engines that no request causes
+    #[bpaf(argument("MS"), fallback(3_500))]
+    pub end_pause: u64,
 }
 
 /// Runs the seeds; code 1 when a promise broke.
@@ -202,6 +206,15 @@
         let calling = resuming::call_on(Rc::clone(&soak), i, rng);
         callers.push(actix_rt::spawn(calling));
     }
+    let sound = (0..parts::SOUND_CALLERS).map(Some);
+    for (i, sound) in (700..).zip(std::iter::once(None).chain(sound)) {
+        let rng = SmallRng::seed_from_u64(seed + i);
+        let calling = parts::call_on(Rc::clone(&soak), sound, rng);
+        callers.push(actix_rt::spawn(calling));
+    }
+    let ending = SmallRng::seed_from_u64(seed + 800);
+    let ending = parts::end_engines(Rc::clone(&soak), options.end_pause, ending, until);
+    callers.push(actix_rt::spawn(ending));
     let mut rng = SmallRng::seed_from_u64(seed);
     while Instant::now() < until {
         soak.fault(&mut rng).await?;
@@ -271,6 +284,7 @@
         self.engines_made.set(number + 1);
         let engine = Engine::start(&format!("i-{number}")).await?;
         engine.version.set(resuming::version(number));
+        engine.set_crashing_part(Some(parts::CRASHING));
         let relay = Relay::start(engine.address).await?;
         self.site
             .borrow()
--- a/lab/tests/soak_short.rs
+++ b/lab/tests/soak_short.rs
@@ -10,6 +10,7 @@
         seconds: 4,
         entries: 3,
         engines: 3,
+        end_pause: 3_500,
     };
     let report = play(1, &options).await.unwrap();
     assert!(report.requests > 0);
