--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -6,6 +6,7 @@
 //! counts are logged as [`Decision::Dropped`].
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io::Write;
 
 use serde::{Deserialize, Serialize};
@@ -149,6 +150,11 @@
             answered_ms: run.answer_began.map(|at| (run.lost - at).0),
         }
     }
+
+    /// Whether the prompt held one of these parts.
+    pub fn has_any(&self, parts: &BTreeSet<PartId>) -> bool {
+        self.parts.iter().any(|part| parts.contains(part))
+    }
 }
 
 /// One decision or change of state, with the inputs that led to it.
--- a/src/direct/explain.rs
+++ b/src/direct/explain.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Millis;
 use crate::direct::decision::{Decision, LogLine, RefusalReason, NO_CONNECTION};
+use crate::quarantine::parts::PartId;
 
 /// How long before a request's first line a change of state is still shown: some reads of the
 /// store.
@@ -40,6 +41,11 @@
     let endpoints: BTreeSet<&str> = lines.iter().filter(about).filter_map(endpoint).collect();
     let fingerprints: BTreeSet<String> =
         lines.iter().filter(about).filter_map(fingerprint).collect();
+    let parts: BTreeSet<PartId> = lines
+        .iter()
+        .filter(about)
+        .filter_map(refused_part)
+        .collect();
     let passes_over = lines.iter().filter(about).any(passes_over_endpoints);
     let has_no_endpoint = lines.iter().filter(about).any(found_no_endpoint);
     let mut text = String::new();
@@ -50,7 +56,8 @@
             && is_recent
             && (may_affect(&line.decision, &endpoints)
                 || (passes_over && reports_unreachable(&line.decision)));
-        let reports_end = reports_ended_endpoint(&line.decision, &fingerprints);
+        let reports_end = reports_ended_endpoint(&line.decision, &fingerprints)
+            || reports_part(&line.decision, &parts);
         if is_about_request
             || is_related
             || reports_end
@@ -115,6 +122,27 @@
     }
 }
 
+/// The part of its prompt for which the request of a line was refused; `None` for other lines.
+fn refused_part(line: &LogLine) -> Option<PartId> {
+    match &line.decision {
+        Decision::Refused {
+            why: RefusalReason::PartEndsEndpoints { part, .. },
+            ..
+        } => Some(*part),
+        _ => None,
+    }
+}
+
+/// Whether a line reports that endpoints ended when they were about to answer a prompt with one of
+/// these parts, or that it is refused or cleared. Such lines are shown however old they are.
+fn reports_part(decision: &Decision, parts: &BTreeSet<PartId>) -> bool {
+    match decision {
+        Decision::EndpointEnded { runs, .. } => runs.iter().any(|run| run.has_any(parts)),
+        Decision::PartRefused { part, .. } | Decision::PartCleared { part } => parts.contains(part),
+        _ => false,
+    }
+}
+
 /// Whether a line reports that a request was refused because no endpoint was available: none was
 /// reachable, or all asked to back off or were at their rate limit.
 fn found_no_endpoint(line: &LogLine) -> bool {
@@ -173,6 +201,8 @@
         | Decision::EndpointEnded { endpoint, .. } => endpoints.contains(endpoint.as_str()),
         Decision::Peer { .. }
         | Decision::RequestRefused { .. }
+        | Decision::PartRefused { .. }
+        | Decision::PartCleared { .. }
         | Decision::EndpointAnnounced { .. }
         | Decision::EndpointSpeed { .. }
         | Decision::EndpointLimited { .. } => false,
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -301,11 +301,51 @@
     assert!(text.contains("pool_capacity  pool=chat"), "{text}");
 }
 
-/// The line of an endpoint's end names the parts of the lost prompts and tells how far the answers
-/// had got.
+/// `explain` of a request that is refused for a part shows the ends under requests with that part.
 #[test]
-fn parts_of_lost_runs() {
-    let run = |parts: &[u64], answer_began| LostRun {
+fn cause_of_refused_part() {
+    let (clock, output, log) = log();
+    let end = |endpoint: &str, part: u64| Decision::EndpointEnded {
+        endpoint: endpoint.into(),
+        sign: EndSign::Refused,
+        lost: Vec::new(),
+        runs: vec![LostRunRecord::of(&lost_run(&[part], None))],
+    };
+    log.state_change(end("i-1", 0xbad));
+    log.state_change(end("i-2", 0xc0));
+    log.state_change(Decision::PartRefused {
+        part: PartId(0xbad),
+        with: None,
+        ends: 4,
+        for_ms: 600_000,
+    });
+    clock.advance(Millis(9_000));
+    let refused = Decision::Refused {
+        why: RefusalReason::PartEndsEndpoints {
+            part: PartId(0xbad),
+            ends: 4,
+            come_back_ms: 591_000,
+        },
+        target: "h.example/stream/1".into(),
+        catalog: 7,
+        proof_age_ms: Some(900),
+        held_ms: 1,
+        urgency: Some(1),
+        free_endpoints: Some(5),
+        passed_over: 0,
+    };
+    log.request(b"9c41", refused);
+    let text = explain(&output.text(), "9c41").unwrap().text;
+    assert!(text.contains("i-1") && !text.contains("i-2"), "{text}");
+    assert!(
+        text.contains("part_refused") && text.contains("part_ends_endpoints"),
+        "{text}"
+    );
+}
+
+/// A run that was lost with its endpoint.
+fn lost_run(parts: &[u64], answer_began: Option<Millis>) -> LostRun {
+    LostRun {
         request: Fingerprint(1),
         parts: parts.iter().map(|part| PartId(*part)).collect(),
         kind: EndpointKind::default(),
@@ -314,10 +354,16 @@
         began: Millis(100),
         lost: Millis(900),
         how: LostHow::Broken,
-    };
+    }
+}
+
+/// The line of an endpoint's end names the parts of the lost prompts and tells how far the answers
+/// had got.
+#[test]
+fn parts_of_lost_runs() {
     let records = [
-        LostRunRecord::of(&run(&[0x5c1e, 0x91bd], None)),
-        LostRunRecord::of(&run(&[0x5c1e], Some(Millis(400)))),
+        LostRunRecord::of(&lost_run(&[0x5c1e, 0x91bd], None)),
+        LostRunRecord::of(&lost_run(&[0x5c1e], Some(Millis(400)))),
     ];
     assert_eq!(
         serde_json::to_string(&records).unwrap(),
