A full table of verdicts no longer keeps a judge busy for good, and companions settle once

With 64 verdicts known, a judge that would refuse a further part could not insert it, found it suspect again, and looped without end (table_full_of_verdicts hung). It now replaces the oldest verdict, and one evaluation ends after as many as the table holds; a peer's verdict is still not taken into a full table. Where the other one of two constant companions was the cause, its verdict was given anew and told in each round (companion_settled_once failed); it is given once now.

--- a/src/quarantine/parts/mod.rs
+++ b/src/quarantine/parts/mod.rs
@@ -339,7 +339,10 @@
         self.settle_conditions(now);
         let mut refused = Vec::new();
         let is_due = |history: &PartHistory| history.evaluate_at.is_some_and(|at| now >= at);
-        while self.histories.values().any(is_due) {
+        for _ in 0..MAX_VERDICTS {
+            if !self.histories.values().any(is_due) {
+                break;
+            }
             let Some(first) = self.first_suspect(now) else {
                 break;
             };
@@ -367,9 +370,11 @@
         let conditional = conditional.filter_map(|(part, verdict)| Some((*part, verdict.with()?)));
         let pairs: Vec<(PartId, PartId)> = conditional.collect();
         for (part, with) in pairs {
+            let verdict = self.verdicts.get(&with);
+            let is_settled = verdict.is_some_and(|verdict| verdict.with().is_none());
             if self.was_without(part, with, now) {
                 self.refuse_alone(part, now);
-            } else if self.was_without(with, part, now) {
+            } else if !is_settled && self.was_without(with, part, now) {
                 self.refuse_alone(with, now);
             }
         }
@@ -389,9 +394,7 @@
     fn refuse_alone(&mut self, part: PartId, now: Millis) {
         let ends = self.histories.get(&part).into_iter();
         let ends: Vec<&PartEnd> = ends.flat_map(|history| history.ends()).collect();
-        let verdict = Verdict::new(&ends, None);
-        self.recent.add(verdict.notice(part, now), now);
-        self.verdicts.insert(part, verdict);
+        self.insert_own_verdict(part, Verdict::new(&ends, None), now);
     }
 
     /// The part that its ends speak against most; `None` where they suffice against none.
@@ -437,14 +440,20 @@
             .filter(|other| self.is_known_harmless(*other) == is_known)
             .find(|other| evidence::is_same(&self.unexplained(*other), &ends));
         let verdict = Verdict::new(&ends, with);
-        self.recent.add(verdict.notice(part, now), now);
-        self.insert_verdict(part, verdict);
+        self.insert_own_verdict(part, verdict, now);
     }
 
-    fn insert_verdict(&mut self, part: PartId, verdict: Verdict) {
-        if self.verdicts.len() < MAX_VERDICTS {
-            self.verdicts.insert(part, verdict);
+    /// Inserts a verdict of this process, in the place of the oldest one where the table is full.
+    fn insert_own_verdict(&mut self, part: PartId, verdict: Verdict, now: Millis) {
+        if self.verdicts.len() >= MAX_VERDICTS && !self.verdicts.contains_key(&part) {
+            let by_age = self.verdicts.iter();
+            let oldest = by_age.min_by_key(|(part, verdict)| (verdict.since(), **part));
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.verdicts.remove(&oldest);
+            }
         }
+        self.recent.add(verdict.notice(part, now), now);
+        self.verdicts.insert(part, verdict);
     }
 
     fn apply_verdict(&mut self, part: PartId, notice: &PartNotice, now: Millis) -> PartChange {
@@ -463,12 +472,11 @@
             tracing::debug!(%part, "a peer refuses a part that is harmless here");
             return PartChange::Told;
         }
+        let is_full = self.verdicts.len() >= MAX_VERDICTS;
         let is_new = match self.verdicts.get_mut(&part) {
             Some(verdict) => verdict.merge(&told),
-            None => {
-                self.insert_verdict(part, told);
-                self.verdicts.contains_key(&part)
-            }
+            None if is_full => false,
+            None => self.verdicts.insert(part, told).is_none(),
         };
         if !is_new {
             return PartChange::None;
--- a/tests/part_evidence.rs
+++ b/tests/part_evidence.rs
@@ -257,3 +257,41 @@
         assert!(!judge.refuses_at(EndpointKind(kind), &[OTHER]));
     }
 }
+
+/// The verdict on the other one of two constant companions is given once, not in each round.
+#[test]
+fn companion_settled_once() {
+    let mut judge = Judge::new();
+    judge.ends(4, &[OTHER, CRASHING]);
+    judge.wait(DELAYS);
+    judge.end_at(KIND, 8, &[OTHER]);
+    judge.wait(DELAYS);
+    assert!(judge.refuses(&[OTHER]));
+    let settled = judge.now;
+    judge.wait(Millis(2_000));
+    let told = judge
+        .quarantine
+        .notices(settled + Millis(500), false, judge.now);
+    assert!(told.is_empty(), "{told:?}");
+}
+
+/// A judge whose table is full of other verdicts still refuses a part that ends endpoints.
+#[test]
+fn table_full_of_verdicts() {
+    let mut judge = Judge::new();
+    for part in 0..64 {
+        let verdict = PartNotice::Refused {
+            part: PartId(0x1000 + part),
+            with: None,
+            kinds: vec![KIND],
+            ends: 4,
+            trials: 0,
+            since: 5_000,
+        };
+        judge.quarantine.apply(&verdict, judge.now);
+    }
+    judge.ends(5, &[CRASHING]);
+    judge.wait(DELAYS);
+    assert!(judge.refuses(&[CRASHING]));
+    assert_eq!(judge.quarantine.counts().1, 64);
+}
