Close connections unread that an entry can't serve in time

What callers saw: where most new connections of a region came to one entry, it read all of their requests, and served them after their callers had left.

Cause: accepting went before the work on what had been accepted. The whole backlog was taken in at once and aged inside the process, where nothing tells how old it is.

Now up to 8 connections are accepted, then everything else that is ready runs. So what can't be served soon waits unread in the listener's backlog, and its age is bounded by the time since the backlog was last seen empty. After 150 ms without a break, all that wait are closed unread, 64 at a time, until none is left. A frozen process is not mistaken: its time starts with the first connection that it accepts. The same on the granted path.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -2,12 +2,11 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
 
+use crate::accept::Acceptor;
 use crate::direct::answerer::Answerer;
 use crate::direct::decision::RequestOutcome;
 use crate::direct::entry::Entry;
@@ -15,21 +14,13 @@
 use crate::direct::intake::{IncomingRequest, RequestReadError, RequestReader};
 use crate::direct::progress::Progress;
 
-/// Pause after a connection could not be accepted, for example because of too many open files.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts connections until the task is aborted.
 pub async fn accept(entry: Rc<Entry>, listener: Rc<TcpListener>) -> anyhow::Result<()> {
+    let mut acceptor = Acceptor::new(listener, entry.clock.clone());
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve(Rc::clone(&entry), stream));
-            }
-            Err(err) => {
-                tracing::warn!(%err, "connection not accepted");
-                sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
+        let accepted = acceptor.next().await;
+        entry.metrics.closed_unread(accepted.closed_unread);
+        actix_rt::spawn(serve(Rc::clone(&entry), accepted.stream));
     }
 }
 
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -34,6 +34,7 @@
     store_calls: Counter<u64>,
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
+    closed_unread: Counter<u64>,
     unreadable: Counter<u64>,
     runs_ended: Counter<u64>,
     announced: Counter<u64>,
@@ -78,6 +79,9 @@
             store_calls: meter.u64_counter("direct_store_calls").build(),
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
+            closed_unread: meter
+                .u64_counter("direct_connections_closed_unread")
+                .build(),
             unreadable: meter.u64_counter("direct_unreadable_entries").build(),
             runs_ended: meter.u64_counter("direct_runs_ended_with_endpoint").build(),
             announced: meter.u64_counter("direct_announced").build(),
@@ -151,6 +155,11 @@
         self.connections.add(1, &[]);
     }
 
+    /// Counts callers' connections that were closed before a request of theirs was read.
+    pub fn closed_unread(&self, connections: u64) {
+        self.closed_unread.add(connections, &[]);
+    }
+
     /// Counts a record of the store that could not be parsed.
     pub fn unreadable(&self) {
         self.unreadable.add(1, &[]);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::accept::Acceptor;
 use crate::admin::{self, Report};
 use crate::answer;
 use crate::attempt::{self, Placed};
@@ -255,7 +256,8 @@
     actix_rt::spawn(accept_peers(Rc::clone(&entry), peers));
     let cx = Rc::clone(&entry);
     let handler = move |req: Request| handle(Rc::clone(&cx), req);
-    actix_rt::spawn(listener::serve(callers, handler));
+    let acceptor = Acceptor::new(callers, entry.node.clock.clone());
+    actix_rt::spawn(listener::serve_in_time(acceptor, handler));
     wait_for_end(&entry, Millis(settings.linger_ms)).await;
     supervisor.close();
     node.audit
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
     unused_qualifications
 )]
 
+pub mod accept;
 pub mod admin;
 pub mod announced;
 pub mod answer;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -14,6 +14,8 @@
 use actix_service::{fn_service, Service, ServiceFactory};
 use tokio::net::TcpListener;
 
+use crate::accept::Acceptor;
+
 /// Time for a client to send the head of a request.
 const HEAD_TIME: Duration = Duration::from_secs(5);
 /// Time that an idle connection is kept.
@@ -51,6 +53,34 @@
 
 /// Accepts connections until the future is dropped and serves each with `handler`.
 pub async fn serve<H, Fut>(listener: impl Borrow<TcpListener>, handler: H) -> anyhow::Result<()>
+where
+    H: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let next = async || loop {
+        match listener.borrow().accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(LOOK_EVERY).await,
+        }
+    };
+    serve_each(next, handler).await
+}
+
+/// Like [`serve`], but closes connections unread that can't be served in time.
+pub async fn serve_in_time<L, H, Fut>(mut acceptor: Acceptor<L>, handler: H) -> anyhow::Result<()>
+where
+    L: Borrow<TcpListener>,
+    H: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let next = async || acceptor.next().await.stream;
+    serve_each(next, handler).await
+}
+
+async fn serve_each<H, Fut>(
+    mut next: impl AsyncFnMut() -> TcpStream,
+    handler: H,
+) -> anyhow::Result<()>
 where
     H: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
@@ -74,10 +104,7 @@
         .map_err(|()| anyhow::anyhow!("no service"))?;
     let service = Rc::new(service);
     loop {
-        let Ok((stream, _)) = listener.borrow().accept().await else {
-            tokio::time::sleep(LOOK_EVERY).await;
-            continue;
-        };
+        let stream = next().await;
         let _ = stream.set_nodelay(true);
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
