The soak keeps its processes' lines where a seed breaks a promise

Seed 703 broke LOST once, beside two builds (load 16 on 5 cores): 227 sound requests that share their first part were told to stay away. It can't be traced, since the lines of the entries are kept only where LAB_KEEP names a folder, and that play had none. 19 further plays of the seed did not show it.

Now each seed's processes write to a folder of their own, which is removed if no promise was broken and named in the output otherwise; LAB_KEEP still goes before.

--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -15,6 +15,8 @@
 use tokio::time::{sleep, Instant};
 
 const LOOK: Duration = Duration::from_millis(10);
+/// Environment variable that names the folder in which the children's lines are kept.
+pub const KEEP_VARIABLE: &str = "LAB_KEEP";
 
 /// A running child.
 #[derive(Debug)]
@@ -137,9 +139,9 @@
     }
 }
 
-/// Where a child's lines go: a file named by its id in the folder that `LAB_KEEP` names, or nowhere.
+/// Where a child's lines go: a file named by its id in the folder that [`KEEP_VARIABLE`] names, or nowhere.
 fn kept_output(id: u32) -> Box<dyn Write + Send> {
-    let folder = std::env::var_os("LAB_KEEP").map(PathBuf::from);
+    let folder = std::env::var_os(KEEP_VARIABLE).map(PathBuf::from);
     let file = folder.and_then(|folder| File::create(folder.join(format!("{id}.log"))).ok());
     match file {
         Some(file) => Box::new(file),
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod faults;
+mod lines;
 mod mixed;
 mod parts;
 mod resuming;
@@ -29,6 +30,7 @@
 use serde_json::{json, Value};
 use tokio::time::{sleep, timeout, Instant};
 
+use self::lines::KeptLines;
 use self::mixed::MixedPool;
 use self::resuming::Attempt;
 use self::troubles::Troubles;
@@ -174,8 +176,15 @@
     engines_made: Cell<usize>,
 }
 
-/// Plays one seed.
+/// Plays one seed. Where it breaks a promise, the lines of its processes are kept.
 pub async fn play(seed: u64, options: &SoakOptions) -> anyhow::Result<Report> {
+    let lines = KeptLines::start(seed)?;
+    let report = play_faults(seed, options).await?;
+    lines.close(!report.findings.is_empty())?;
+    Ok(report)
+}
+
+async fn play_faults(seed: u64, options: &SoakOptions) -> anyhow::Result<Report> {
     let soak = Rc::new(Soak::start(options).await?);
     let mut callers = Vec::new();
     for i in 0..CALLERS {
