--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -8,7 +8,7 @@
 
 use crate::accept::Acceptor;
 use crate::direct::answerer::Answerer;
-use crate::direct::decision::RequestOutcome;
+use crate::direct::decision::{Decision, RequestOutcome};
 use crate::direct::entry::Entry;
 use crate::direct::handle::handle;
 use crate::direct::intake::{IncomingRequest, RequestReadError, RequestReader};
@@ -19,11 +19,20 @@
     let mut acceptor = Acceptor::new(listener, entry.clock.clone());
     loop {
         let accepted = acceptor.next().await;
-        entry.metrics.closed_unread(accepted.closed_unread);
+        if accepted.closed_unread > 0 {
+            record_closed_unread(&entry, accepted.closed_unread);
+        }
         actix_rt::spawn(serve(Rc::clone(&entry), accepted.stream));
     }
 }
 
+fn record_closed_unread(entry: &Entry, connections: u64) {
+    entry.metrics.closed_unread(connections);
+    entry.log.state_change(Decision::ConnectionsClosed {
+        unread: connections,
+    });
+}
+
 /// Serves the requests of one connection until it is closed.
 async fn serve(entry: Rc<Entry>, stream: TcpStream) {
     if let Err(err) = stream.set_nodelay(true) {
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -456,6 +456,11 @@
         /// The part.
         part: PartId,
     },
+    /// More connections of callers came than could be served.
+    ConnectionsClosed {
+        /// Those that were closed before a request was read.
+        unread: u64,
+    },
     /// The configuration store stopped answering, or answers again.
     Store {
         /// Whether it answers.
