--- a/tests/part_evidence.rs
+++ b/tests/part_evidence.rs
@@ -135,6 +135,21 @@
     assert!(!judge.refuses(&[OTHER]));
 }
 
+/// A run that writes after the judges were told of an end clears it.
+#[test]
+fn written_after_report() {
+    let mut judge = Judge::new();
+    for request in 0..8 {
+        judge.end_at(KIND, request, &[OTHER]);
+        judge.wait(Millis(300));
+        assert!(!judge.refuses(&[OTHER]));
+        judge.harmless(OTHER, KIND);
+        judge.wait(Millis(100));
+    }
+    judge.wait(DELAYS);
+    assert!(!judge.refuses(&[OTHER]));
+}
+
 /// A part that often comes with the crashing one, and has not been written for without it, is not
 /// refused with it.
 #[test]
