Log the store's era, and at each send the age and source of the list

Requests reached an endpoint 2.2 s after it had said that it leaves.

The era is decoded in the adapter, from answers of any status; it is logged (`store_era`) and counted (`direct_store_restored_total`) when it rises. A send tells the list's revision, how long ago that list was known to be complete, and from whom. Calls to the store are counted apart where the history was gone or the call was refused. Nothing decides by any of this yet.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -203,6 +203,15 @@
         catalog: u64,
         /// Time since that configuration was last proven to be the newest, in ms.
         proof_age_ms: Option<u64>,
+        /// Store revision up to which the list of endpoints was complete.
+        #[serde(default)]
+        list_revision: u64,
+        /// Time since the list was last known to hold all that the store had, in ms.
+        #[serde(default)]
+        list_age_ms: u64,
+        /// Who told that: `store`, `listing`, or a peer's address.
+        #[serde(default)]
+        list_from: String,
         /// Time left until the request's deadline, in ms.
         left_ms: u64,
         /// Set when the request is sent although the endpoint has announced that it wants no
@@ -468,6 +477,13 @@
         /// The error, or what shows that it answers.
         why: String,
     },
+    /// The configuration store named its era for the first time, or was restored from an older copy.
+    StoreEra {
+        /// The era.
+        era: u64,
+        /// The era before; `None` where none was known.
+        before: Option<u64>,
+    },
     /// A document was read from the store or a peer; logged when that failed or the document was
     /// large.
     DocumentRead {
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -11,7 +11,7 @@
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::Cordon;
-use crate::direct::directory::{Change, Listing, Revision};
+use crate::direct::directory::{Change, Era, Listing, Revision};
 use crate::direct::known::load::EndpointReport;
 use crate::direct::placement::prefix::PromptSegment;
 use crate::quarantine::parts::{PartId, SharedParts};
@@ -199,6 +199,8 @@
 pub enum InvalidResponse {
     /// Unexpected status code.
     Status(u16),
+    /// A header can't be decoded; the text names it.
+    Header(String),
     /// The body can't be decoded; the text says where and why.
     Body(String),
 }
@@ -207,7 +209,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Status(status) => write!(f, "status {status}"),
-            Self::Body(why) => f.write_str(why),
+            Self::Header(why) | Self::Body(why) => f.write_str(why),
         }
     }
 }
@@ -234,6 +236,8 @@
     /// could not be parsed.
     fn error_response(&self, error: ErrorResponse, id: Option<&HeaderValue>) -> ResponseHead;
 
+    /// The era that a response of the store names, whatever its status; `None` where it names none.
+    fn store_era(&self, head: &ResponseHead) -> Result<Option<Era>, InvalidResponse>;
     /// Makes the request for the configuration in force.
     fn catalog_query(&self) -> RequestHead;
     /// Parses the response to [`Dialect::catalog_query`]; `None` where there is no configuration
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -16,7 +16,7 @@
 };
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
-pub use crate::direct::listed::{Change, Cordon, ListedEndpoint, Listing, Revision};
+pub use crate::direct::listed::{Change, Cordon, Era, ListedEndpoint, Listing, Revision};
 use crate::direct::origins::{Origin, SoftwareHistory};
 
 /// Time within which live endpoints have written their entries again after the list became
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -4,7 +4,7 @@
 use std::cell::Ref;
 use std::rc::Rc;
 
-use super::Entry;
+use super::{Entry, ListSource};
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
 use crate::direct::changes::ChangeBatch;
@@ -201,12 +201,15 @@
         self.list_advanced(up_to);
     }
 
-    /// Logs the source of the list of endpoints, if the list has advanced beyond the revision
-    /// `after`.
-    pub fn log_list_advanced(&self, after: Revision, from: &str) {
+    /// Records the source of the list of endpoints, and logs it if the list has advanced beyond the
+    /// revision `after`. A peer that brought nothing new does not show that there is nothing.
+    pub fn log_list_advanced(&self, after: Revision, from: ListSource) {
         let up_to = self.list_revision.get();
+        if up_to > after || !matches!(from, ListSource::Peer(_)) {
+            self.confirm_list(self.clock.now(), from);
+        }
         if up_to > after {
-            let from = from.into();
+            let from = from.to_string();
             self.log
                 .state_change(Decision::ListKnown { from, after, up_to });
         }
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -26,6 +26,7 @@
 pub use self::origins::OriginLookup;
 use self::origins::OriginQueries;
 use self::store::LargeAnswer;
+pub use self::store::ListSource;
 use crate::clock::{Clock, Millis};
 use crate::direct::admission::budget::RetryWindow;
 use crate::direct::admission::turnover::PoolActivity;
@@ -34,7 +35,7 @@
 use crate::direct::changes::ChangeLog;
 use crate::direct::decision::{Decision, DecisionLog};
 use crate::direct::dialect::Dialect;
-use crate::direct::directory::{Directory, Revision};
+use crate::direct::directory::{Directory, Era, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::EntryMetrics;
 use crate::direct::known::capacity::LearnedCapacity;
@@ -148,6 +149,10 @@
     freshness: Cell<Freshness>,
     /// Store revision up to which the list of endpoints is complete here.
     list_revision: Cell<Revision>,
+    /// When the list of endpoints was last known to hold all changes, and from whom.
+    list_confirmed: Cell<(Millis, ListSource)>,
+    /// The latest era that the store named; `None` before the first one.
+    store_era: Cell<Option<Era>>,
     /// Store revision up to which the configuration in force is known to be the newest.
     catalog_revision: Cell<Revision>,
     /// A proof of freshness that still waits: when the store was asked, and the store revision up
@@ -232,6 +237,8 @@
             version_log: RefCell::default(),
             freshness: Cell::default(),
             list_revision: Cell::default(),
+            list_confirmed: Cell::default(),
+            store_era: Cell::default(),
             catalog_revision: Cell::default(),
             pending_proof: Cell::default(),
             has_list: Cell::default(),
@@ -360,6 +367,8 @@
             .get()
             .map_or(Millis(0), |(since, _)| now - since);
         metrics.set("behind_ms", behind.0);
+        metrics.set("list_age_ms", self.list_age().0);
+        metrics.set("store_era", self.store_era.get().map_or(0, |era| era.0));
         metrics.set("entries", self.peers.borrow().entries(now) as u64);
         metrics.set("in_flight", self.in_flight.get());
         metrics.set("ready", u64::from(self.is_ready()));
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -3,10 +3,13 @@
 
 use std::net::SocketAddr;
 
+use actix_http::ResponseHead;
+
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::changes::ChangeBatch;
 use crate::direct::decision::Decision;
+use crate::direct::dialect::UnreadableEntry;
 use crate::direct::directory::Revision;
 use crate::direct::sync::CallError;
 
@@ -39,7 +42,74 @@
     last_chunk_at: Millis,
 }
 
+/// Where what is known of the list of endpoints came from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ListSource {
+    /// Nothing is known.
+    #[default]
+    Nobody,
+    /// A watch of the store, or its answer that nothing newer exists.
+    Store,
+    /// A whole listing of the store.
+    Listing,
+    /// A peer.
+    Peer(SocketAddr),
+}
+
+impl std::fmt::Display for ListSource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Nobody => f.write_str("nobody"),
+            Self::Store => f.write_str("store"),
+            Self::Listing => f.write_str("listing"),
+            Self::Peer(peer) => write!(f, "{peer}"),
+        }
+    }
+}
+
 impl Entry {
+    /// Records that the list of endpoints held all that the store had at `at`.
+    pub fn confirm_list(&self, at: Millis, from: ListSource) {
+        if at >= self.list_confirmed.get().0 {
+            self.list_confirmed.set((at, from));
+        }
+    }
+
+    /// Time since the list was last known to hold all that the store had.
+    pub fn list_age(&self) -> Millis {
+        self.clock.now() - self.list_confirmed.get().0
+    }
+
+    /// Who told that the list holds all that the store had.
+    pub fn list_confirmed_by(&self) -> ListSource {
+        self.list_confirmed.get().1
+    }
+
+    /// Records and logs the era that a response of the store names.
+    pub fn note_store_head(&self, head: &ResponseHead) {
+        let era = match self.dialect.store_era(head) {
+            Ok(era) => era,
+            Err(why) => {
+                self.report_unreadable(UnreadableEntry {
+                    key: "response of the store".into(),
+                    why: why.to_string(),
+                });
+                return;
+            }
+        };
+        let before = self.store_era.get();
+        if let Some(era) = era.filter(|era| before.is_none_or(|before| *era > before)) {
+            self.store_era.set(Some(era));
+            self.log.state_change(Decision::StoreEra {
+                era: era.0,
+                before: before.map(|before| before.0),
+            });
+            if before.is_some() {
+                self.metrics.store_restored();
+            }
+        }
+    }
+
     /// Records that a chunk of a large response of the store arrived.
     pub fn record_large_answer_piece(&self) {
         let now = self.clock.now();
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 
 use crate::direct::changes;
-use crate::direct::entry::{Entry, Fetch};
+use crate::direct::entry::{Entry, Fetch, ListSource};
 use crate::direct::ready;
 use crate::direct::sync::{CallError, Document, OngoingRead, StoreClient};
 use crate::direct::versions;
@@ -53,7 +53,7 @@
             Some(batch) => {
                 let before = entry.list_revision();
                 entry.apply_peer_changes(batch);
-                entry.log_list_advanced(before, &from.to_string());
+                entry.log_list_advanced(before, ListSource::Peer(from));
             }
             None => {
                 tracing::warn!(%from, "a peer's changes can't be decoded, asking the store");
@@ -86,7 +86,7 @@
             Some(batch) => {
                 let before = entry.list_revision();
                 entry.apply_peer_list(batch);
-                entry.log_list_advanced(before, &from.to_string());
+                entry.log_list_advanced(before, ListSource::Peer(from));
             }
             None => tracing::warn!(%from, "a peer's list can't be decoded"),
         },
@@ -106,6 +106,7 @@
     let client = StoreClient::new(address);
     let reading = OngoingRead::begin(entry, document, Some(peer));
     let result = client.call(query, FETCH_TIMEOUT).await;
+    let result = result.map(|(head, body)| (head.status, body));
     let failure = match &result {
         Ok((status, _)) if !status.is_success() => Some(format!("status {}", status.as_u16())),
         Ok(_) => None,
--- a/src/direct/gauge.rs
+++ b/src/direct/gauge.rs
@@ -32,6 +32,7 @@
     streams: Counter<u64>,
     origin_lookups: Counter<u64>,
     store_calls: Counter<u64>,
+    store_restored: Counter<u64>,
     read_bytes: Counter<u64>,
     connections: Counter<u64>,
     closed_unread: Counter<u64>,
@@ -77,6 +78,7 @@
             streams: meter.u64_counter("direct_streams").build(),
             origin_lookups: meter.u64_counter("direct_origin_lookups").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
+            store_restored: meter.u64_counter("direct_store_restored").build(),
             read_bytes: meter.u64_counter("direct_read_bytes").build(),
             connections: meter.u64_counter("direct_endpoint_connections").build(),
             closed_unread: meter
@@ -141,6 +143,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a restoration of the store from an older copy.
+    pub fn store_restored(&self) {
+        self.store_restored.add(1, &[]);
+    }
+
     /// Counts bytes read of a document, or of a part of it, from the store or a peer.
     pub fn read(&self, document: &'static str, source: &'static str, bytes: u64) {
         let labels = [
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::clock::Millis;
-use crate::direct::entry::{Entry, Fetch, ProcessState};
+use crate::direct::entry::{Entry, Fetch, ListSource, ProcessState};
 use crate::direct::fetch;
 use crate::direct::known::load::{EndpointLoad, EndpointWork, LoadSource};
 use crate::direct::limits::{self, Message};
@@ -337,6 +337,11 @@
     if entry.proof_age().is_none() && message.proof_age_ms.is_some() && entry.version() > 0 {
         entry.proof_requested.notify_one();
     }
+    if let Some(age) = message.proof_age_ms.filter(|_| message.watches) {
+        if message.revision <= entry.list_revision() {
+            entry.confirm_list(now - Millis(age), ListSource::Peer(from));
+        }
+    }
     entry.note_peer_catalog_version(message.version);
     if message.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
--- a/src/direct/listed.rs
+++ b/src/direct/listed.rs
@@ -9,6 +9,14 @@
 /// Number of a point in the history of the platform's documents; a later point has a higher number.
 pub type Revision = u64;
 
+/// Number of a history of the platform's documents. When the store is restored from an older copy,
+/// the history since then is lost and another one begins, with the next higher number.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
 /// One endpoint, as the list has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::{RequestHead, StatusCode};
+use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
 use tokio::time::timeout;
 
@@ -74,12 +74,12 @@
     }
 
     /// Makes one call; the head of the response must arrive within `head_timeout`. Returns the
-    /// status and the body. A connection on which a response was lost is never used again.
+    /// head and the body. A connection on which a response was lost is never used again.
     pub async fn call(
         &self,
         head: RequestHead,
         head_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(ResponseHead, Bytes), CallError> {
         let pending = self.begin(head, head_timeout).await?;
         self.finish(pending, |_| ()).await
     }
@@ -102,7 +102,7 @@
         &self,
         pending: PendingResponse,
         on_progress: impl Fn(u64),
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(ResponseHead, Bytes), CallError> {
         let reading = timeout(BODY_TIMEOUT, self.read_body(pending.0, on_progress));
         reading.await.map_err(|_| CallError::TimedOut)?
     }
@@ -120,7 +120,7 @@
         &self,
         mut reply: Reply,
         on_progress: impl Fn(u64),
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(ResponseHead, Bytes), CallError> {
         let mut body = BytesMut::new();
         loop {
             let chunk = timeout(STALL_TIMEOUT, reply.chunk()).await;
@@ -135,8 +135,9 @@
             self.received_bytes.set(body.len() as u64);
             on_progress(body.len() as u64);
         }
-        let status = reply.head.status;
+        let mut head = ResponseHead::new(reply.head.status);
+        head.headers = std::mem::take(&mut reply.head.headers);
         *self.idle.borrow_mut() = reply.into_connection();
-        Ok((status, body.freeze()))
+        Ok((head, body.freeze()))
     }
 }
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -9,7 +9,7 @@
 use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT};
 use crate::direct::catalog::Catalog;
 use crate::direct::directory::{Listing, Revision};
-use crate::direct::entry::Entry;
+use crate::direct::entry::{Entry, ListSource};
 
 /// Time between two checks of whether peers provide the configuration.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -21,7 +21,7 @@
     entry.store_answered();
     let before = entry.list_revision();
     entry.apply_listing(listing, list_revision);
-    entry.log_list_advanced(before, "listing");
+    entry.log_list_advanced(before, ListSource::Listing);
     let read = tokio::select! {
         biased;
         () = wait_for_peers_catalog(entry) => None,
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -67,15 +67,26 @@
         Ok(pending) => client.finish(pending, on_progress).await,
         Err(err) => Err(err),
     };
+    if let Ok((head, _)) = &result {
+        entry.note_store_head(head);
+    }
+    let result = result.map(|(head, body)| (head.status, body));
     let failure = result.as_ref().err().map(ToString::to_string);
     reading.end(entry, client, failure);
-    entry.metrics.store_call(match &result {
-        Ok(_) => "answered",
-        Err(_) => "failed",
-    });
+    entry.metrics.store_call(outcome(&result));
     result
 }
 
+/// Metric label of the outcome of a call.
+fn outcome(result: &Result<(StatusCode, Bytes), CallError>) -> &'static str {
+    match result {
+        Ok((StatusCode::GONE, _)) => "history_gone",
+        Ok((status, _)) if status.is_success() => "answered",
+        Ok(_) => "refused",
+        Err(_) => "failed",
+    }
+}
+
 /// Waits after a failed call, for [`RETRY_PAUSE_MS`] to twice as long.
 async fn pause() {
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -14,7 +14,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Snapshot;
 use crate::direct::directory::Revision;
-use crate::direct::entry::Entry;
+use crate::direct::entry::{Entry, ListSource};
 
 /// Age of the newest proof, own or a peer's, at which an entry that watches asks for another. It is
 /// below the age at which peers take a watcher to be cut off from the store (see
@@ -57,6 +57,9 @@
                 if let Some(cordons) = snapshot.cordons {
                     entry.apply_cordons(cordons, revision);
                 }
+                if revision <= entry.list_revision() {
+                    entry.confirm_list(asked_at, ListSource::Store);
+                }
                 if !entry.prove_up_to(asked_at, revision) {
                     // The watch completes the proof when it brings the changes up to this revision.
                     list_if_behind(&entry, revision).await;
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -13,7 +13,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::{StoreUpdate, WatchResult, WatchScope};
 use crate::direct::directory::Revision;
-use crate::direct::entry::Entry;
+use crate::direct::entry::{Entry, ListSource};
 
 /// Longest wait of one watch: far below the store's own limit, so that a cut connection is noticed.
 const WATCH_WAIT: Millis = Millis(20_000);
@@ -165,7 +165,7 @@
     }
     let before = entry.list_revision();
     entry.apply_changes(changes, current);
-    entry.log_list_advanced(before, "store");
+    entry.log_list_advanced(before, ListSource::Store);
     if scope == WatchScope::All {
         entry.confirm_catalog_at(current);
     }
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -10,7 +10,7 @@
 use violetline::direct::changes;
 use violetline::direct::channel::ExchangeError;
 use violetline::direct::directory::{Change, ListedEndpoint};
-use violetline::direct::entry::Entry;
+use violetline::direct::entry::{Entry, ListSource};
 use violetline::direct::peers::{GossipMessage, PeerId, WorkScope};
 use violetline::direct::sync::{time_until_proof_due, CallError};
 
@@ -63,6 +63,26 @@
     assert!(is_relist_requested(&entry));
 }
 
+/// The age of the list counts from when it was last known to hold all changes, whoever told.
+#[test]
+fn list_age() {
+    let (clock, entry) = entry();
+    entry.apply_changes(Vec::new(), 10);
+    entry.log_list_advanced(9, ListSource::Store);
+    clock.advance(Millis(300));
+    assert_eq!(entry.list_age(), Millis(300));
+    let peer = ListSource::Peer(([127, 0, 0, 2], 1).into());
+    entry.confirm_list(entry.clock.now() - Millis(100), peer);
+    assert_eq!(entry.list_age(), Millis(100));
+    entry.confirm_list(entry.clock.now() - Millis(200), ListSource::Store);
+    assert_eq!(
+        (entry.list_age(), entry.list_confirmed_by()),
+        (Millis(100), peer)
+    );
+    entry.log_list_advanced(10, peer);
+    assert_eq!(entry.list_age(), Millis(100), "the peer brought nothing");
+}
+
 /// A peer that is as far behind as this entry does not restart the time for which another one is
 /// ahead.
 #[test]
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -11,7 +11,7 @@
     Dialect, EndpointRequest, ErrorResponse, InvalidResponse, ParsedRequest, StoreUpdate,
     WatchResult,
 };
-use violetline::direct::directory::Change;
+use violetline::direct::directory::{Change, Era};
 use violetline::direct::known::slowdown::Slowdown;
 use violetline::direct::placement::prefix::PromptSegment;
 use violetline::platform::Platform;
@@ -497,6 +497,33 @@
     ));
 }
 
+/// The era is read from any answer of the store, and nothing is guessed where it can't be read.
+#[test]
+fn era_read() {
+    let era = |headers: &[(&str, &str)], status| Platform.store_era(&response(status, headers));
+    assert_eq!(era(&[], 200), Ok(None));
+    for status in [200, 404, 410, 429, 503] {
+        assert_eq!(era(&[("Store-Era", "3")], status), Ok(Some(Era(3))));
+    }
+    for value in [
+        "",
+        "third",
+        "-1",
+        "+1",
+        "1.0",
+        "3, 4",
+        "18446744073709551616",
+    ] {
+        let read = era(&[("store-era", value)], 200);
+        assert!(
+            matches!(read, Err(InvalidResponse::Header(_))),
+            "{value:?}: {read:?}"
+        );
+    }
+    let twice = era(&[("store-era", "3"), ("store-era", "4")], 200);
+    assert!(matches!(twice, Err(InvalidResponse::Header(_))));
+}
+
 /// Whatever stands in the store, reading it neither fails loudly nor invents anything.
 #[test]
 fn any_body() {
