--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -28,9 +28,9 @@
             echo: None,
             version: 1,
             proof_age_ms: Some(0),
-            revision: 0,
-            changes_after: 0,
-            catalog_revision: 0,
+            revision: 0.into(),
+            changes_after: 0.into(),
+            catalog_revision: 0.into(),
             leaving: false,
             watches: false,
             reads_large: false,
@@ -42,6 +42,7 @@
             work_scope: WorkScope::Sender,
             work: Vec::new(),
             placements: Vec::new(),
+            names_eras: false,
         };
         book.record_message(address(peer), &hello, NOW);
     }
--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -29,7 +29,7 @@
         warming: Millis(0),
         born: None,
         software_version: String::new(),
-        revision: 1,
+        revision: 1.into(),
     }
 }
 
--- a/lab/tests/restored_store.rs
+++ b/lab/tests/restored_store.rs
@@ -227,6 +227,26 @@
     assert!(calls <= 30, "{calls} calls in 3 s");
 }
 
+/// In a fleet of several zones one entry of each zone reads the store anew; the others get what changed from these.
+#[actix_rt::test]
+async fn large_fleet_lists_once_a_zone() {
+    let mut site = Site::start(2).await;
+    site.zones = vec!["hall-a", "hall-b", "hall-c", "hall-d"];
+    site.add_entries(24).await;
+    write_versions(&mut site, LOST).await;
+    // The roles of watchers settle.
+    sleep(BOUND).await;
+    let (calls, listings) = (site.store.calls(), site.store.list_reads());
+    site.store.restore(site.store.revision() - LOST as u64);
+    site.store.list(&site.engines[0], "s1", "draining");
+    sleep(BOUND).await;
+    let listings = site.store.list_reads() - listings;
+    let calls = site.store.calls() - calls;
+    assert_eq!(reached(&site, 0).await, 0);
+    assert!((1..=4).contains(&listings), "{listings} listings");
+    assert!(calls <= 40, "{calls} calls in 2 s");
+}
+
 /// Starts one more entry, as a seed, which reads the store at once.
 async fn start_another(site: &mut Site) {
     let text = std::fs::read_to_string(site.settings_path(0)).unwrap();
--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::directory::{Change, Listing, Revision};
+use crate::direct::directory::{Change, Era, Listing, Revision};
 
 /// Maximum number of changes that are kept: each of 1,000 endpoints replaced. An entry that is
 /// further behind asks the store.
@@ -49,7 +49,7 @@
 impl ListingSpan {
     /// Whether `revision` lies within the span, so that a list that is complete up to there lacks
     /// changes which the listing does not show.
-    const fn contains(&self, revision: Revision) -> bool {
+    fn contains(&self, revision: Revision) -> bool {
         self.after < revision && revision < self.up_to
     }
 }
@@ -76,7 +76,10 @@
         Self {
             changes: endpoints.chain(cordons).collect(),
             up_to,
-            spans: vec![ListingSpan { after: 0, up_to }],
+            spans: vec![ListingSpan {
+                after: Revision::default(),
+                up_to,
+            }],
         }
     }
 
@@ -159,11 +162,59 @@
     }
 }
 
+/// The eras of all revisions of a batch, in the order of its fields.
+#[derive(Debug, Serialize, Deserialize)]
+struct BatchEras {
+    changes: Vec<Option<Era>>,
+    up_to: Option<Era>,
+    /// Of the start and the end of each span.
+    spans: Vec<(Option<Era>, Option<Era>)>,
+}
+
+impl BatchEras {
+    fn of(batch: &ChangeBatch) -> Self {
+        let changes = batch.changes.iter().map(|change| change.revision().era);
+        let spans = batch.spans.iter();
+        Self {
+            changes: changes.collect(),
+            up_to: batch.up_to.era,
+            spans: spans.map(|s| (s.after.era, s.up_to.era)).collect(),
+        }
+    }
+
+    /// Sets the eras of a batch; false if it has more or fewer revisions.
+    fn set(self, batch: &mut ChangeBatch) -> bool {
+        if self.changes.len() != batch.changes.len() || self.spans.len() != batch.spans.len() {
+            return false;
+        }
+        for (change, era) in batch.changes.iter_mut().zip(self.changes) {
+            change.revision_mut().era = era;
+        }
+        batch.up_to.era = self.up_to;
+        for (span, (after, up_to)) in batch.spans.iter_mut().zip(self.spans) {
+            (span.after.era, span.up_to.era) = (after, up_to);
+        }
+        true
+    }
+}
+
 /// Encodes and compresses changes for another entry; `None` if they can't be encoded.
 ///
-/// The spans and the software versions of endpoints follow the batch. Entries of earlier versions
-/// reject what they don't know there, and read the store instead.
+/// The spans, the software versions of endpoints and the eras follow the batch. Entries of earlier
+/// versions reject what they don't know there, and read the store instead.
 pub fn encode(batch: &ChangeBatch) -> Option<Vec<u8>> {
+    let config = bincode::config::standard();
+    let mut plain = bincode::serde::encode_to_vec(batch, config).ok()?;
+    let versions: Vec<&str> = batch.changes.iter().filter_map(software_version).collect();
+    plain.extend(bincode::serde::encode_to_vec(&batch.spans, config).ok()?);
+    plain.extend(bincode::serde::encode_to_vec(&versions, config).ok()?);
+    plain.extend(bincode::serde::encode_to_vec(BatchEras::of(batch), config).ok()?);
+    zstd::bulk::compress(&plain, COMPRESSION_LEVEL).ok()
+}
+
+/// Encodes and compresses changes for an entry of an earlier version, which knows no eras; `None` if
+/// they can't be encoded.
+pub fn encode_without_eras(batch: &ChangeBatch) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut plain = bincode::serde::encode_to_vec(batch, config).ok()?;
     let versions: Vec<&str> = batch.changes.iter().filter_map(software_version).collect();
@@ -185,7 +236,8 @@
 }
 
 /// Decodes changes from another entry; `None` if they are malformed or too long, or lack the
-/// software versions of endpoints, as those from entries of earlier versions do.
+/// software versions of endpoints, as those from entries of early versions do. Where the eras are
+/// lacking, the revisions name none.
 pub fn decode(bytes: &[u8]) -> Option<ChangeBatch> {
     let plain = zstd::bulk::decompress(bytes, MAX_DECOMPRESSED_BYTES).ok()?;
     let config = bincode::config::standard().with_limit::<MAX_DECOMPRESSED_BYTES>();
@@ -203,6 +255,13 @@
         versions = decoded;
         rest = &rest[read..];
     }
+    if !rest.is_empty() {
+        let (eras, read): (BatchEras, _) = bincode::serde::decode_from_slice(rest, config).ok()?;
+        if !eras.set(&mut batch) {
+            return None;
+        }
+        rest = &rest[read..];
+    }
     let is_whole = rest.is_empty() && set_software_versions(&mut batch.changes, versions);
     is_whole.then_some(batch)
 }
--- a/src/direct/cordons.rs
+++ b/src/direct/cordons.rs
@@ -2,11 +2,12 @@
 //! zone until they end the cordon.
 //!
 //! Ended cordons are remembered with their revision, so that outdated information from a peer does
-//! not cordon the zone again.
+//! not cordon the zone again. Cordons that a restored store has lost stay for a time, in which
+//! operators write them again.
 
 use std::collections::HashMap;
 
-use crate::direct::listed::{Change, Cordon, Revision};
+use crate::direct::listed::{Change, Cordon, Era, Revision};
 
 /// Maximum number of remembered zones. A fleet has a few dozen, so names beyond this are invalid.
 const MAX_ZONES: usize = 1_000;
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct Cordons {
     zones: HashMap<String, ZoneState>,
+    /// Whether cordons of former eras stay, though they are not listed in the present one.
+    keeps_former: bool,
 }
 
 impl Cordons {
@@ -39,6 +42,23 @@
         })
     }
 
+    /// Keeps the cordons of former eras until [`Self::end_former`].
+    pub fn keep_former(&mut self) {
+        self.keeps_former = true;
+    }
+
+    /// Ends the cordons of eras before `era`, which are not listed in it; returns their zones.
+    pub fn end_former(&mut self, era: Option<Era>) -> Vec<String> {
+        self.keeps_former = false;
+        let cordoned = self.zones.iter_mut().filter(|(_, state)| state.is_cordoned);
+        let former = cordoned.filter(|(_, state)| state.revision.era < era);
+        let ended = former.map(|(zone, state)| {
+            state.is_cordoned = false;
+            zone.clone()
+        });
+        ended.collect()
+    }
+
     /// Cordons a zone, unless something newer is known.
     pub fn cordon(&mut self, cordon: Cordon) {
         self.update(cordon.zone, cordon.revision, true);
@@ -82,8 +102,10 @@
     fn missing_from(&self, all: &[Cordon], revision: Revision) -> Vec<String> {
         let is_listed = |zone: &str| all.iter().any(|cordon| cordon.zone == zone);
         let cordoned = self.zones.iter().filter(|(_, state)| state.is_cordoned);
+        let is_kept = |state: &ZoneState| self.keeps_former && state.revision.era < revision.era;
         cordoned
             .filter(|(zone, state)| state.revision <= revision && !is_listed(zone))
+            .filter(|(_, state)| !is_kept(state))
             .map(|(zone, _)| zone.clone())
             .collect()
     }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -14,6 +14,7 @@
 use crate::announced::DeclineReason;
 use crate::clock::{Clock, Millis};
 use crate::direct::channel::Framing;
+use crate::direct::directory::Era;
 use crate::direct::ends::{EndSign, LostRun};
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
@@ -157,6 +158,20 @@
     }
 }
 
+/// What is logged of the list of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRecord {
+    /// Store revision up to which it is complete.
+    pub revision: u64,
+    /// Era of that revision; `None` where the store names none.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub era: Option<Era>,
+    /// Time since it was last known to hold all that the store had, in ms.
+    pub age_ms: u64,
+    /// Who told that: `store`, `listing`, or a peer's address.
+    pub from: String,
+}
+
 /// One decision or change of state, with the inputs that led to it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
@@ -203,15 +218,9 @@
         catalog: u64,
         /// Time since that configuration was last proven to be the newest, in ms.
         proof_age_ms: Option<u64>,
-        /// Store revision up to which the list of endpoints was complete.
-        #[serde(default)]
-        list_revision: u64,
-        /// Time since the list was last known to hold all that the store had, in ms.
-        #[serde(default)]
-        list_age_ms: u64,
-        /// Who told that: `store`, `listing`, or a peer's address.
-        #[serde(default)]
-        list_from: String,
+        /// The list of endpoints from which it was chosen.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        list: Option<Box<ListRecord>>,
         /// Time left until the request's deadline, in ms.
         left_ms: u64,
         /// Set when the request is sent although the endpoint has announced that it wants no
@@ -343,11 +352,20 @@
         software_version: String,
         /// Store revision of the change.
         revision: u64,
+        /// Era of that revision; `None` where the store names none.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        era: Option<Era>,
     },
     /// The list of endpoints is complete up to a later revision.
     ListKnown {
         /// `store`, `listing` where the whole list was read again, or the peer's address.
         from: String,
+        /// Era of the later revision; `None` where the store names none.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        era: Option<Era>,
+        /// Whether the revision before is of a former era, so that its number may be higher.
+        #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+        restored: bool,
         /// Revision up to which it was complete before.
         after: u64,
         /// Revision up to which it is complete now.
@@ -361,6 +379,24 @@
         cordoned: bool,
         /// Store revision of the change.
         revision: u64,
+        /// Era of that revision; `None` where the store names none.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        era: Option<Era>,
+    },
+    /// The store holds an older version of the configuration than the one in force, which stays.
+    CatalogOlder {
+        /// The version in the store.
+        version: u64,
+        /// The version in force.
+        in_force: u64,
+    },
+    /// What this process took for the newest configuration is not: a peer has a later version, which
+    /// the store has lost. Requests with a key wait for it.
+    ProofVoid {
+        /// The version in force here.
+        version: u64,
+        /// The peer's version.
+        peer_version: u64,
     },
     /// An entry of the store can't be parsed and is ignored; logged once for each key.
     EntryUnreadable {
@@ -480,9 +516,9 @@
     /// The configuration store named its era for the first time, or was restored from an older copy.
     StoreEra {
         /// The era.
-        era: u64,
+        era: Era,
         /// The era before; `None` where none was known.
-        before: Option<u64>,
+        before: Option<Era>,
     },
     /// A document was read from the store or a peer; logged when that failed or the document was
     /// large.
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -6,6 +6,7 @@
 
 use actix_http::header::HeaderValue;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
+use bytes::Bytes;
 
 use crate::announced::Announcement;
 use crate::clock::Millis;
@@ -132,6 +133,17 @@
     TooSlow,
 }
 
+/// A response of the store, before its body is parsed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// The status code.
+    pub status: StatusCode,
+    /// The era in which the store answered; `None` where it names none.
+    pub era: Option<Era>,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// One page of the store's list of endpoints and cordons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
@@ -201,6 +213,17 @@
     Status(u16),
     /// A header can't be decoded; the text names it.
     Header(String),
+    /// It names no era, although the store has named one before.
+    EraMissing,
+    /// It is of a former era, and so has been overtaken.
+    EraFormer {
+        /// Its era.
+        named: Era,
+        /// The era of the store.
+        known: Era,
+    },
+    /// Two responses that belong together are of different eras.
+    ErasDiffer,
     /// The body can't be decoded; the text says where and why.
     Body(String),
 }
@@ -209,6 +232,15 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Status(status) => write!(f, "status {status}"),
+            Self::EraMissing => f.write_str("no era"),
+            Self::EraFormer { named, known } => {
+                write!(
+                    f,
+                    "of the former era {}, the store is in {}",
+                    named.0, known.0
+                )
+            }
+            Self::ErasDiffer => f.write_str("the era changed between two responses"),
             Self::Header(why) | Self::Body(why) => f.write_str(why),
         }
     }
@@ -242,23 +274,19 @@
     fn catalog_query(&self) -> RequestHead;
     /// Parses the response to [`Dialect::catalog_query`]; `None` where there is no configuration
     /// yet.
-    fn parse_catalog(
-        &self,
-        status: StatusCode,
-        body: &[u8],
-    ) -> Result<Option<Box<Catalog>>, InvalidResponse>;
+    fn parse_catalog(&self, answer: &StoreAnswer) -> Result<Option<Box<Catalog>>, InvalidResponse>;
     /// Makes the request for a page of the endpoints and cordons; `from` is [`Page::next`] of the
     /// previous page, or `None` for the first one.
     fn page_query(&self, from: Option<&str>) -> RequestHead;
     /// Parses the response to [`Dialect::page_query`].
-    fn parse_page(&self, status: StatusCode, body: &[u8]) -> Result<Page, InvalidResponse>;
+    fn parse_page(&self, answer: &StoreAnswer) -> Result<Page, InvalidResponse>;
     /// Makes the request for all changes after a revision; the store waits up to `wait` for the
     /// first one.
     fn watch_query(&self, scope: WatchScope, since: Revision, wait: Millis) -> RequestHead;
     /// Parses the response to [`Dialect::watch_query`].
-    fn parse_watch(&self, status: StatusCode, body: &[u8]) -> Result<WatchResult, InvalidResponse>;
+    fn parse_watch(&self, answer: &StoreAnswer) -> Result<WatchResult, InvalidResponse>;
     /// Makes the request for the store's current revision and cordons. Its response is never stale.
     fn snapshot_query(&self) -> RequestHead;
     /// Parses the response to [`Dialect::snapshot_query`].
-    fn parse_snapshot(&self, status: StatusCode, body: &[u8]) -> Result<Snapshot, InvalidResponse>;
+    fn parse_snapshot(&self, answer: &StoreAnswer) -> Result<Snapshot, InvalidResponse>;
 }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -5,6 +5,11 @@
 //! unavailable and the entry expired meanwhile. In the first case the endpoint must get no more
 //! requests, in the second case it must stay in use. An entry that disappears while the list is
 //! unavailable or shortly after is assumed to have expired.
+//!
+//! A store that was restored from an older copy has lost what was written since. What endpoints said
+//! of their end survives that: an endpoint that said that it leaves stays so until another life of
+//! it is listed, and one that left stays gone until its entry is written again. Entries that the
+//! copy lacks are assumed to be written again soon.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -16,6 +21,7 @@
 };
 use crate::clock::Millis;
 use crate::direct::cordons::Cordons;
+use crate::direct::departed::{DepartedEndpoints, LostEnd, SaidEnd};
 pub use crate::direct::listed::{Change, Cordon, Era, ListedEndpoint, Listing, Revision};
 use crate::direct::origins::{Origin, SoftwareHistory};
 
@@ -28,6 +34,10 @@
     pub struct EndpointKey;
 }
 
+/// Age of the oldest copy that a store is restored from: of the endpoints that left since, entries
+/// that have just started are told.
+const MAX_COPY_AGE: Millis = Millis(60_000);
+
 /// What the list says about whether an endpoint accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointStatus {
@@ -69,6 +79,8 @@
     /// End of its warm-up according to its list entries, counted from when they were received; 0
     /// where none of them announced a warm-up.
     listed_warm_until: Millis,
+    /// Revision at which the list said that it leaves; `None` where it takes new requests.
+    leaving_since: Option<Revision>,
     /// When it may have started to warm up after its newest list entry was written; `None` where
     /// nothing suggests that.
     assumed_warm_up: Option<Millis>,
@@ -89,6 +101,12 @@
         now < self.listed_warm_until
     }
 
+    /// Whether an entry is of another life of the endpoint, or of other software.
+    fn is_other_life(&self, listed: &ListedEndpoint) -> bool {
+        let origin = Origin::of(&listed.pool, &listed.software_version);
+        origin != self.origin || is_other_incarnation(self.listed.born, listed.born)
+    }
+
     /// Applies the remaining warm-up time of a newer list entry.
     fn update_warm_up(&mut self, warming: Millis, now: Millis) {
         let was_warming = now < self.listed_warm_until || self.assumed_warm_up.is_some();
@@ -123,7 +141,14 @@
     by_digest: HashMap<u32, EndpointKey>,
     /// Announcements of endpoints that were removed.
     former: FormerIncarnations,
+    departed: DepartedEndpoints,
     cordons: Cordons,
+    /// Era of the list.
+    era: Option<Era>,
+    /// Since when cordons of former eras have been kept; `None` if there are none any more.
+    former_cordons_since: Option<Millis>,
+    /// When the list of this era became known; `None` where there was no list before.
+    restored_at: Option<Millis>,
     software: SoftwareHistory,
     /// Whether the list can't be read now.
     unavailable: bool,
@@ -153,6 +178,95 @@
         true
     }
 
+    /// Notes that the list goes on in a later era: the store was restored from an older copy. Entries
+    /// that the copy lacks are waited for as after an outage. Returns whether the era is new.
+    pub fn begin_era(&mut self, era: Option<Era>, now: Millis) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        if self.endpoints.is_empty() {
+            return false;
+        }
+        self.restored_at = Some(now);
+        self.former_cordons_since = Some(now);
+        self.available_since = Some(now);
+        self.cordons.keep_former();
+        true
+    }
+
+    /// Applies to an entry what survives a restoration of the store: marks it as draining where this
+    /// life of the endpoint said so in a former era. Returns false for the entry of an endpoint that
+    /// has left.
+    pub fn carry_over(&self, listed: &mut ListedEndpoint) -> bool {
+        let known = self.key(&listed.id).and_then(|key| self.get(key));
+        let Some(known) = known else {
+            return !self.departed.is_copied(listed);
+        };
+        let is_same_life = !known.is_other_life(listed);
+        let said_before = |since: Revision| since.era < listed.revision.era;
+        listed.draining |= is_same_life && known.leaving_since.is_some_and(said_before);
+        true
+    }
+
+    /// What endpoints said of their ends that the restored store has lost: for an entry that has read
+    /// nothing but the copy.
+    pub fn lost_ends(&self) -> Vec<LostEnd> {
+        let Some(restored_at) = self.restored_at else {
+            return Vec::new();
+        };
+        let said_before = |e: &&Endpoint| {
+            let since = e.leaving_since;
+            since.is_some_and(|since| since.era < e.listed.revision.era)
+        };
+        let leaving = self.endpoints.values().filter(said_before);
+        let leaving = leaving.map(|endpoint| LostEnd {
+            id: endpoint.listed.id.clone(),
+            born: endpoint.listed.born,
+            said: SaidEnd::Leaves,
+        });
+        let left = self
+            .departed
+            .lost_ends(self.era, restored_at - MAX_COPY_AGE);
+        leaving.chain(left).collect()
+    }
+
+    /// Applies an end that a peer knows and the restored store has lost. Returns the key of an
+    /// endpoint that has left.
+    pub fn apply_lost_end(&mut self, end: LostEnd, now: Millis) -> Option<EndpointKey> {
+        let known = self.by_id.get(&end.id).copied();
+        let known = known.and_then(|key| Some((key, self.endpoints.get_mut(key)?)));
+        let known = known.filter(|(_, e)| !is_other_incarnation(e.listed.born, end.born));
+        match (end.said, known) {
+            (SaidEnd::Leaves, Some((_, endpoint))) => {
+                endpoint.leaving_since.get_or_insert(Revision::default());
+                endpoint.listed.draining = true;
+                endpoint.status = listed_status(&endpoint.listed);
+                None
+            }
+            (SaidEnd::Leaves, None) => {
+                let leaves = AnnouncedState {
+                    leaves: true,
+                    ..AnnouncedState::default()
+                };
+                self.former.keep(&end.id, end.born, leaves, now);
+                None
+            }
+            (SaidEnd::Left { last_entry }, Some((key, endpoint))) => {
+                if endpoint.listed.revision.number != last_entry {
+                    return None;
+                }
+                self.remove(key, now);
+                self.departed.keep_lost(&end.id, end.born, last_entry, now);
+                Some(key)
+            }
+            (SaidEnd::Left { last_entry }, None) => {
+                self.departed.keep_lost(&end.id, end.born, last_entry, now);
+                None
+            }
+        }
+    }
+
     /// Applies a change; returns the key of an endpoint that left for good or was started again.
     pub fn apply(&mut self, change: Change, now: Millis) -> Option<EndpointKey> {
         match change {
@@ -230,7 +344,9 @@
     /// Changes that lead from a list that is complete up to `before` to a complete listing whose
     /// read began at revision `begun`.
     pub fn changes_to(&self, all: &Listing, before: Revision, begun: Revision) -> Vec<Change> {
-        let newer = all.endpoints.iter().filter(|l| l.revision > before);
+        let is_known = |l: &ListedEndpoint| before.era != begun.era && self.lists_same(l);
+        let newer = all.endpoints.iter();
+        let newer = newer.filter(|l| l.revision > before && !is_known(l));
         let listed_ids: HashSet<&str> = all.endpoints.iter().map(|l| l.id.as_str()).collect();
         let missing = self
             .by_id
@@ -245,6 +361,21 @@
         endpoints.chain(cordons).collect()
     }
 
+    /// Whether the list says the same of an endpoint already, at whatever revision.
+    fn lists_same(&self, listed: &ListedEndpoint) -> bool {
+        let Some(known) = self.key(&listed.id).and_then(|key| self.get(key)) else {
+            return false;
+        };
+        let dated = ListedEndpoint {
+            revision: known.listed.revision,
+            ..listed.clone()
+        };
+        // A warm-up that is told again starts again, unless the entry is that of the copy.
+        let is_copied = known.listed.revision.number == listed.revision.number;
+        let is_warm = listed.warming == Millis(0);
+        known.status == listed_status(listed) && known.listed == dated && (is_warm || is_copied)
+    }
+
     /// Marks expired entries as displaced where another endpoint has been listed at their address
     /// since. Requests for them would reach that endpoint, which refuses them and may have asked
     /// this instance to back off.
@@ -266,6 +397,21 @@
         }
     }
 
+    /// Ends the cordons that the restored store does not list, once operators have had time to write
+    /// them again; returns their zones.
+    pub fn expire_cordons(&mut self, now: Millis) -> Vec<String> {
+        let is_over = |at: Millis| now >= at + LAPSE_GRACE;
+        if !self.former_cordons_since.is_some_and(is_over) {
+            return Vec::new();
+        }
+        self.former_cordons_since = None;
+        let ended = self.cordons.end_former(self.era);
+        for zone in &ended {
+            self.assume_zone_warm_up(zone, now);
+        }
+        ended
+    }
+
     /// Removes displaced endpoints and those whose grace after an outage has ended, and returns
     /// their keys. Does nothing while the list is unavailable.
     pub fn expire(&mut self, now: Millis) -> Vec<EndpointKey> {
@@ -417,7 +563,10 @@
     /// Adds or updates an endpoint, unless a newer entry of it is known. Where the endpoint was
     /// started again or has other software, it gets a new key and the old one is returned, because the new process has
     /// neither the requests nor the memory of the old one.
-    fn put(&mut self, listed: ListedEndpoint, now: Millis) -> Option<EndpointKey> {
+    fn put(&mut self, mut listed: ListedEndpoint, now: Millis) -> Option<EndpointKey> {
+        if !self.carry_over(&mut listed) {
+            return None;
+        }
         let known = self.by_id.get(&listed.id).copied();
         let Some(key) = known else {
             self.insert(listed, now);
@@ -427,17 +576,20 @@
         if endpoint.listed.revision > listed.revision {
             return None;
         }
-        let origin = Origin::of(&listed.pool, &listed.software_version);
-        let is_replaced = origin != endpoint.origin;
-        if is_replaced || is_other_incarnation(endpoint.listed.born, listed.born) {
+        if endpoint.is_other_life(&listed) {
             self.remove(key, now);
             self.insert(listed, now);
             return Some(key);
         }
-        if endpoint.listed.revision < listed.revision {
+        let is_copied = endpoint.listed.revision.era < listed.revision.era
+            && endpoint.listed.revision.number == listed.revision.number;
+        if endpoint.listed.revision < listed.revision && !is_copied {
             endpoint.update_warm_up(listed.warming, now);
         }
         endpoint.status = listed_status(&listed);
+        endpoint.leaving_since = listed
+            .draining
+            .then(|| endpoint.leaving_since.unwrap_or(listed.revision));
         let born = listed.born.or(endpoint.listed.born);
         endpoint.listed = ListedEndpoint { born, ..listed };
         None
@@ -446,11 +598,13 @@
     fn insert(&mut self, listed: ListedEndpoint, now: Millis) {
         let id = listed.id.clone();
         let digest = digest(&id, listed.born);
+        self.departed.forget(&id);
         let mut endpoint = Endpoint {
             digest,
             origin: Origin::of(&listed.pool, &listed.software_version),
             status: listed_status(&listed),
             announced: self.former.take(&id, listed.born),
+            leaving_since: listed.draining.then_some(listed.revision),
             listed,
             listed_warm_until: Millis(0),
             assumed_warm_up: None,
@@ -497,6 +651,7 @@
     fn remove(&mut self, key: EndpointKey, now: Millis) {
         if let Some(endpoint) = self.endpoints.remove(key) {
             self.software.removed(endpoint.origin, now);
+            self.departed.keep(&endpoint.listed, now);
             let ListedEndpoint { id, born, .. } = &endpoint.listed;
             self.former.keep(id, *born, endpoint.announced, now);
             self.by_id.remove(id);
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -11,7 +11,7 @@
 use crate::direct::decision::Decision;
 use crate::direct::dialect::{ParsedRequest, UnreadableEntry};
 use crate::direct::directory::Cordon;
-use crate::direct::directory::{Change, Directory, EndpointStatus, Listing, Revision};
+use crate::direct::directory::{Change, Directory, EndpointStatus, Era, Listing, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::patch::Patch;
 use crate::direct::resolve::{resolve, Allowed, CatalogState, Denied};
@@ -80,6 +80,7 @@
     /// then, and so no later version either.
     pub fn apply_catalog(&self, catalog: Box<Catalog>, from: &str) {
         if catalog.version <= self.version() {
+            self.note_older_catalog(catalog.version);
             return;
         }
         let patched = self.catalog().and_then(|old| patch_catalog(&old, &catalog));
@@ -89,6 +90,15 @@
         }
     }
 
+    /// Logs that the store or a peer holds an older version than the one in force, once for each.
+    fn note_older_catalog(&self, version: u64) {
+        let in_force = self.version();
+        if version < in_force && self.older_catalog.replace(Some(version)) != Some(version) {
+            self.log
+                .state_change(Decision::CatalogOlder { version, in_force });
+        }
+    }
+
     /// Applies an update from a peer, as far as it is newer. Returns false if its patches do not
     /// apply to the version in force.
     pub fn apply_newer_catalog(&self, newer: VersionUpdate, from: &str) -> bool {
@@ -142,12 +152,17 @@
         let mut listed: Listing = listed.into();
         let now = self.clock.now();
         let before = self.list_revision.get();
+        if begun.era < before.era {
+            return;
+        }
+        self.begin_era(begun.era);
         // Changes that arrived while the listing was read may have removed endpoints that it still
         // holds.
         let directory = self.directory.borrow();
         let is_known = |id: &str| directory.key(id).is_some();
         let endpoints = &mut listed.endpoints;
         endpoints.retain(|l| begun >= before || l.revision > before || is_known(&l.id));
+        endpoints.retain_mut(|l| directory.carry_over(l));
         drop(directory);
         if begun > before {
             let changes = self.directory.borrow().changes_to(&listed, before, begun);
@@ -186,8 +201,15 @@
             self.rewatch_requested.notify_one();
             return;
         }
+        self.begin_era(up_to.era);
         let mut changes = passed.changes;
         changes.retain(|change| change.revision() > before);
+        let directory = self.directory.borrow();
+        changes.retain_mut(|change| match change {
+            Change::Put(listed) => directory.carry_over(listed),
+            Change::Removed { .. } | Change::Cordoned(_) | Change::Uncordoned(_) => true,
+        });
+        drop(directory);
         let mut log = self.change_log.borrow_mut();
         log.append(before, up_to, &changes);
         log.append_spans(&passed.spans);
@@ -201,6 +223,18 @@
         self.list_advanced(up_to);
     }
 
+    /// Counts that the list goes on in a later era, and lets the directory prepare for it.
+    fn begin_era(&self, era: Option<Era>) {
+        let now = self.clock.now();
+        if self.directory.borrow_mut().begin_era(era, now) {
+            self.metrics.store_restored();
+            self.log_process(
+                "store restored",
+                "the list is read anew, from an older copy",
+            );
+        }
+    }
+
     /// Records the source of the list of endpoints, and logs it if the list has advanced beyond the
     /// revision `after`. A peer that brought nothing new does not show that there is nothing.
     pub fn log_list_advanced(&self, after: Revision, from: ListSource) {
@@ -209,9 +243,13 @@
             self.confirm_list(self.clock.now(), from);
         }
         if up_to > after {
-            let from = from.to_string();
-            self.log
-                .state_change(Decision::ListKnown { from, after, up_to });
+            self.log.state_change(Decision::ListKnown {
+                from: from.to_string(),
+                era: up_to.era,
+                restored: after.era < up_to.era && after.number > 0,
+                after: after.number,
+                up_to: up_to.number,
+            });
         }
     }
 
@@ -240,7 +278,8 @@
             endpoint,
             standing,
             software_version,
-            revision,
+            revision: revision.number,
+            era: revision.era,
         });
     }
 
@@ -260,7 +299,8 @@
             self.log.state_change(Decision::ZoneCordon {
                 zone,
                 cordoned,
-                revision,
+                revision: revision.number,
+                era: revision.era,
             });
         }
     }
@@ -268,7 +308,7 @@
     /// Applies the complete set of cordons that the store had at a revision.
     pub fn apply_cordons(&self, all: Vec<Cordon>, revision: Revision) {
         let directory = self.directory.borrow();
-        let changes = directory.cordon_changes_to(&all, 0, revision);
+        let changes = directory.cordon_changes_to(&all, Revision::default(), revision);
         drop(directory);
         for change in changes {
             self.apply_cordon(change);
@@ -288,14 +328,17 @@
     }
 
     /// Records that the configuration in force is the newest up to a revision. A proof of freshness
-    /// that waited for this takes effect.
+    /// that waited for this takes effect, unless the store was restored meanwhile: what it held when
+    /// it was asked may be lost.
     pub fn confirm_catalog_at(&self, revision: Revision) {
         self.catalog_revision
             .set(self.catalog_revision.get().max(revision));
         if let Some((asked, wanted)) = self.pending_proof.get() {
             if wanted <= self.catalog_revision.get() {
                 self.pending_proof.set(None);
-                self.prove(asked);
+                if wanted.era == self.catalog_revision.get().era {
+                    self.prove(asked);
+                }
             }
         }
     }
@@ -335,6 +378,25 @@
         }
     }
 
+    /// Voids the proofs of freshness if a peer has a later version and knows it as the newest up to a
+    /// revision that is known here too. The restored store has lost that version, so that being the
+    /// newest in the store proves nothing.
+    pub fn check_lost_version(&self, peer_version: u64, known_up_to: Revision) {
+        let own = self.catalog_revision.get();
+        let is_lost = known_up_to.era == own.era && known_up_to <= own;
+        let version = self.version();
+        if version == 0 || peer_version <= version || !is_lost || self.proof_age().is_none() {
+            return;
+        }
+        self.log.state_change(Decision::ProofVoid {
+            version,
+            peer_version,
+        });
+        self.pending_proof.set(None);
+        self.freshness.set(Freshness::default());
+        self.catalog_revision.set(Revision::default());
+    }
+
     /// Whether the configuration allows a request now: its route and team, or why it is denied.
     pub fn allow(&self, ask: &ParsedRequest) -> Result<Allowed, Denied> {
         let catalog = self.catalog();
@@ -354,12 +416,29 @@
         self.update_list_availability();
         let gone = self.directory.borrow_mut().expire(now);
         self.forget(&gone);
+        self.expire_cordons(now);
         self.close_idle(now);
         self.update_fleet_size();
         self.quarantine.borrow_mut().expire(now);
     }
 }
 
+impl Entry {
+    /// Ends the cordons that a restored store has lost and nobody wrote again.
+    fn expire_cordons(&self, now: Millis) {
+        let ended = self.directory.borrow_mut().expire_cordons(now);
+        let revision = self.list_revision.get();
+        for zone in ended {
+            self.log.state_change(Decision::ZoneCordon {
+                zone,
+                cordoned: false,
+                revision: revision.number,
+                era: revision.era,
+            });
+        }
+    }
+}
+
 /// Builds the new version by patching the old one, so that both share what did not change, and
 /// encodes the patch for peers; `None` if there is no such patch.
 fn patch_catalog(old: &Catalog, new: &Catalog) -> Option<(Catalog, EncodedPatch)> {
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -142,6 +142,8 @@
     endpoint_states: RefCell<EndpointStates>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The last older version that the store held, so that it is logged once.
+    older_catalog: Cell<Option<u64>>,
     /// Since when a peer has had a newer version of the configuration.
     newer_catalog_since: Cell<Option<Millis>>,
     /// The newest versions of the configuration, for peers.
@@ -151,7 +153,7 @@
     list_revision: Cell<Revision>,
     /// When the list of endpoints was last known to hold all changes, and from whom.
     list_confirmed: Cell<(Millis, ListSource)>,
-    /// The latest era that the store named; `None` before the first one.
+    /// The latest era that the store named to this entry; `None` before the first one.
     store_era: Cell<Option<Era>>,
     /// Store revision up to which the configuration in force is known to be the newest.
     catalog_revision: Cell<Revision>,
@@ -233,6 +235,7 @@
             endpoint_states: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
+            older_catalog: Cell::default(),
             newer_catalog_since: Cell::default(),
             version_log: RefCell::default(),
             freshness: Cell::default(),
@@ -361,7 +364,7 @@
         self.log_observations(now);
         let metrics = &self.metrics;
         metrics.set("catalog_version", self.version());
-        metrics.set("applied_revision", self.applied());
+        metrics.set("applied_revision", self.applied().number);
         let behind = self
             .behind_peer_since
             .get()
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -4,8 +4,12 @@
 use std::net::SocketAddr;
 
 use super::Entry;
+use crate::direct::departed::LostEnd;
 use crate::direct::peers::{self, SharedKind};
 
+/// Maximum number of ends in one datagram, which fits one packet with ids of 40 bytes.
+const MAX_LOST_ENDS_PER_DATAGRAM: usize = 24;
+
 impl Entry {
     /// Sends a peer what it does not know yet of the shared state.
     pub fn send_shared_state(&self, to: SocketAddr) {
@@ -17,6 +21,7 @@
     /// Sends a peer that is new all that it is to know of the shared state.
     pub fn greet_with_shared_state(&self, to: SocketAddr) {
         self.greet_with_part_verdicts(to);
+        self.greet_with_lost_ends(to);
         if self.has_mixed_pool() {
             self.greet_with_observations(to);
         }
@@ -34,6 +39,11 @@
                     self.handle_part_notices(notices);
                 }
             }
+            SharedKind::LostEnds => {
+                if let Some(ends) = peers::decode_shared(payload) {
+                    self.apply_lost_ends(ends);
+                }
+            }
             SharedKind::Origins => {
                 if let Some(message) = peers::decode_shared(payload) {
                     self.handle_origin_message(address, message);
@@ -43,6 +53,33 @@
         true
     }
 
+    /// Sends a peer that is new the ends of endpoints that a restored store has lost: it may have
+    /// read nothing but the copy.
+    fn greet_with_lost_ends(&self, to: SocketAddr) {
+        let ends = self.directory().lost_ends();
+        let Some(socket) = self.peer_socket.get() else {
+            return;
+        };
+        for ends in ends.chunks(MAX_LOST_ENDS_PER_DATAGRAM) {
+            let Some(bytes) = peers::encode_shared(SharedKind::LostEnds, self.id, &ends) else {
+                continue;
+            };
+            // A peer that is down causes an error here; it is greeted again when it is back.
+            if let Err(err) = socket.try_send_to(&bytes, to) {
+                tracing::debug!(%err, %to, "lost ends not sent");
+            }
+        }
+    }
+
+    /// Applies ends of endpoints that a peer knows and a restored store has lost.
+    fn apply_lost_ends(&self, ends: Vec<LostEnd>) {
+        let now = self.clock.now();
+        for end in ends {
+            let gone = self.directory.borrow_mut().apply_lost_end(end, now);
+            self.forget(gone.as_slice());
+        }
+    }
+
     /// Whether the configuration in force has a mixed pool.
     fn has_mixed_pool(&self) -> bool {
         self.catalog()
--- a/src/direct/entry/store.rs
+++ b/src/direct/entry/store.rs
@@ -8,9 +8,10 @@
 use super::Entry;
 use crate::clock::Millis;
 use crate::direct::changes::ChangeBatch;
-use crate::direct::decision::Decision;
-use crate::direct::dialect::UnreadableEntry;
-use crate::direct::directory::Revision;
+use crate::direct::decision::{Decision, ListRecord};
+use crate::direct::dialect::{InvalidResponse, UnreadableEntry};
+use crate::direct::directory::{Era, Revision};
+use crate::direct::peers::GossipMessage;
 use crate::direct::sync::CallError;
 
 /// Time behind a peer after which the watch counts as lost: a working watch delivers changes at
@@ -85,29 +86,55 @@
         self.list_confirmed.get().1
     }
 
-    /// Records and logs the era that a response of the store names.
-    pub fn note_store_head(&self, head: &ResponseHead) {
-        let era = match self.dialect.store_era(head) {
-            Ok(era) => era,
-            Err(why) => {
-                self.report_unreadable(UnreadableEntry {
-                    key: "response of the store".into(),
-                    why: why.to_string(),
-                });
-                return;
-            }
-        };
-        let before = self.store_era.get();
-        if let Some(era) = era.filter(|era| before.is_none_or(|before| *era > before)) {
-            self.store_era.set(Some(era));
-            self.log.state_change(Decision::StoreEra {
-                era: era.0,
-                before: before.map(|before| before.0),
+    /// What is logged of the list with each request that is sent.
+    pub fn list_record(&self) -> ListRecord {
+        let revision = self.list_revision.get();
+        ListRecord {
+            revision: revision.number,
+            era: revision.era,
+            age_ms: self.list_age().0,
+            from: self.list_confirmed_by().to_string(),
+        }
+    }
+
+    /// Returns the era that a response of the store names, and records a new one. Fails where an
+    /// earlier response named an era and this one names none, or a former one: it can't be ordered,
+    /// or has been overtaken.
+    pub fn note_store_era(&self, head: &ResponseHead) -> Result<Option<Era>, InvalidResponse> {
+        let named = self.dialect.store_era(head).unwrap_or_else(|why| {
+            self.report_unreadable(UnreadableEntry {
+                key: "response of the store".into(),
+                why: why.to_string(),
             });
-            if before.is_some() {
-                self.metrics.store_restored();
+            None
+        });
+        let known = self.store_era.get();
+        match (named, known) {
+            (Some(era), known) if Some(era) > known => self.set_store_era(era),
+            (None, Some(_)) => return Err(InvalidResponse::EraMissing),
+            (Some(named), Some(known)) if named < known => {
+                return Err(InvalidResponse::EraFormer { named, known });
             }
+            _ => {}
         }
+        Ok(named)
+    }
+
+    /// Records and logs that the store is in a new era. An entry that watches reads everything again:
+    /// its watch may go on without a word, from a revision that has been given out again.
+    fn set_store_era(&self, era: Era) {
+        let before = self.store_era.replace(Some(era));
+        self.peers.borrow_mut().require_eras();
+        self.log.state_change(Decision::StoreEra { era, before });
+        if self.watching.get() && self.list_revision.get().era < Some(era) {
+            self.relist_requested.notify_one();
+        }
+    }
+
+    /// Whether a message's revisions and proofs can be ordered among those known here: its sender
+    /// names eras, or the store has named none.
+    pub fn is_comparable(&self, message: &GossipMessage) -> bool {
+        message.names_eras || self.store_era.get().is_none()
     }
 
     /// Records that a chunk of a large response of the store arrived.
--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -47,7 +47,7 @@
 
 /// Fetches and applies the changes of the list that a peer has and this entry lacks.
 pub async fn changes(entry: Rc<Entry>, from: SocketAddr) {
-    let query = ready::changes_query(entry.list_revision());
+    let query = ready::changes_query(entry.list_revision(), entry.peers.borrow().reads_eras(from));
     match request(&entry, from, Document::Changes, query).await {
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
             Some(batch) => {
@@ -81,7 +81,8 @@
 /// Fetches and applies a peer's whole list, for an entry that does not watch the store and lacks
 /// changes that its peers don't keep.
 pub async fn whole_list(entry: &Entry, from: SocketAddr) {
-    match request(entry, from, Document::List, ready::list_query()).await {
+    let query = ready::list_query(entry.peers.borrow().reads_eras(from));
+    match request(entry, from, Document::List, query).await {
         Ok((status, body)) if status.is_success() => match changes::decode(&body) {
             Some(batch) => {
                 let before = entry.list_revision();
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::clock::Millis;
+use crate::direct::directory::Revision;
 use crate::direct::entry::{Entry, Fetch, ListSource, ProcessState};
 use crate::direct::fetch;
 use crate::direct::known::load::{EndpointLoad, EndpointWork, LoadSource};
@@ -296,6 +297,7 @@
         work_scope: target.work_scope,
         work,
         placements,
+        names_eras: table.reads_eras(target.to),
     }
 }
 
@@ -326,37 +328,54 @@
         let peers = entry.peers.borrow().entries(now) - 1;
         entry.log_peer(from, peers);
     }
-    if message.version <= entry.version() {
-        entry.confirm_catalog_at(message.catalog_revision);
-    }
-    if let (Some(asked), Some(age)) = (receipt.echoed_sent_at, message.proof_age_ms) {
-        if message.version <= entry.version() {
-            entry.prove_by_peer(asked, Millis(age));
-        }
+    let is_comparable = entry.is_comparable(message);
+    if is_comparable {
+        take_proof(entry, from, message, receipt.echoed_sent_at);
     }
     if entry.proof_age().is_none() && message.proof_age_ms.is_some() && entry.version() > 0 {
         entry.proof_requested.notify_one();
     }
-    if let Some(age) = message.proof_age_ms.filter(|_| message.watches) {
-        if message.revision <= entry.list_revision() {
-            entry.confirm_list(now - Millis(age), ListSource::Peer(from));
-        }
-    }
     entry.note_peer_catalog_version(message.version);
     if message.version > entry.version() && entry.begin_fetch(Fetch::Catalog) {
         actix_rt::spawn(fetch::catalog(Rc::clone(entry), from));
     }
     fetch_list(entry, from, message);
-    entry.note_peer_list_revision(message.revision);
+    if is_comparable {
+        entry.note_peer_list_revision(message.revision);
+    }
     apply_work(entry, message, now);
     record_placements(entry, message, now);
     receipt.is_new
 }
 
+/// Takes what the sender of a message knows of the freshness of the configuration and the list;
+/// `echoed_sent_at` is when the datagram that it echoes was sent.
+fn take_proof(
+    entry: &Entry,
+    from: SocketAddr,
+    message: &GossipMessage,
+    echoed_sent_at: Option<Millis>,
+) {
+    let age = message.proof_age_ms.map(Millis);
+    if message.version <= entry.version() {
+        entry.confirm_catalog_at(message.catalog_revision);
+        if let (Some(asked), Some(age)) = (echoed_sent_at, age) {
+            entry.prove_by_peer(asked, age);
+        }
+    } else {
+        entry.check_lost_version(message.version, message.catalog_revision);
+    }
+    if let Some(age) = age.filter(|_| message.watches) {
+        if message.revision <= entry.list_revision() {
+            entry.confirm_list(entry.clock.now() - age, ListSource::Peer(from));
+        }
+    }
+}
+
 /// Fetches what the sender of a message has of the list of endpoints and this entry lacks.
 fn fetch_list(entry: &Rc<Entry>, from: SocketAddr, message: &GossipMessage) {
     if !entry.has_list() {
-        if message.revision > 0 && entry.begin_fetch(Fetch::Changes) {
+        if message.revision > Revision::default() && entry.begin_fetch(Fetch::Changes) {
             actix_rt::spawn(fetch::first_list(Rc::clone(entry), from));
         }
         return;
--- a/src/direct/listed.rs
+++ b/src/direct/listed.rs
@@ -6,9 +6,6 @@
 
 use crate::clock::Millis;
 
-/// Number of a point in the history of the platform's documents; a later point has a higher number.
-pub type Revision = u64;
-
 /// Number of a history of the platform's documents. When the store is restored from an older copy,
 /// the history since then is lost and another one begins, with the next higher number.
 #[derive(
@@ -17,6 +14,37 @@
 #[serde(transparent)]
 pub struct Era(pub u64);
 
+/// A point in the history of the platform's documents; a later point is greater. A restored store
+/// gives numbers out again, so the era goes first.
+///
+/// It is encoded as its number alone, as entries of earlier builds expect. Messages between entries
+/// append the eras.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision {
+    /// The era; `None` where the store names none.
+    #[serde(skip)]
+    pub era: Option<Era>,
+    /// The number that the store gave out.
+    pub number: u64,
+}
+
+impl Revision {
+    /// The revision with this number in an era.
+    pub const fn new(era: Option<Era>, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl From<u64> for Revision {
+    /// The revision with this number of a store that names no era.
+    fn from(number: u64) -> Self {
+        Self::new(None, number)
+    }
+}
+
 /// One endpoint, as the list has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
@@ -82,6 +110,15 @@
 }
 
 impl Change {
+    /// The revision of the change, to be altered.
+    pub fn revision_mut(&mut self) -> &mut Revision {
+        match self {
+            Self::Put(listed) => &mut listed.revision,
+            Self::Removed { revision, .. } => revision,
+            Self::Cordoned(cordon) | Self::Uncordoned(cordon) => &mut cordon.revision,
+        }
+    }
+
     /// The revision of the change.
     pub const fn revision(&self) -> Revision {
         match self {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -42,6 +42,7 @@
 pub mod channel;
 pub mod cordons;
 pub mod decision;
+pub mod departed;
 pub mod dialect;
 pub mod directory;
 pub mod ends;
--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -8,6 +8,7 @@
 use super::compact;
 use super::zones::ZoneId;
 use super::PromptPlacement;
+use crate::direct::directory::{Era, Revision};
 use crate::direct::known::load::EndpointWork;
 
 /// Longest datagram that is sent or read, in bytes: below the usual limit of a packet on a path.
@@ -36,7 +37,8 @@
 pub struct GossipMessage {
     /// The sender.
     pub from: PeerId,
-    /// Number of this message; rises with each that the sender sends to anyone.
+    /// Number of this message; rises with each that the sender sends to anyone. The bit
+    /// [`READS_ERAS`] is set in all numbers of a sender that reads the eras of revisions.
     pub number: u64,
     /// Number of the last message that the sender received from the receiver.
     pub echo: Option<u64>,
@@ -45,11 +47,11 @@
     /// Age of the sender's freshness proof in ms; `None` if it has none.
     pub proof_age_ms: Option<u64>,
     /// Revision of the store up to which the sender's list of endpoints is complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision after which the sender keeps all changes of the list, to forward them.
-    pub changes_after: u64,
+    pub changes_after: Revision,
     /// Revision of the store up to which `version` is known to be the newest.
-    pub catalog_revision: u64,
+    pub catalog_revision: Revision,
     /// Whether the sender is stopping.
     pub leaving: bool,
     /// Whether the sender watches the store and gets answers, and so learns of changes first.
@@ -79,6 +81,35 @@
     /// Placements of prompts made lately, by the entries in `work_scope`.
     #[serde(rename = "placed")]
     pub placements: Vec<PromptPlacement>,
+    /// Whether the eras of the revisions are named; they follow the other fields. Entries of earlier
+    /// builds reject messages with eras, so only those that read them are sent any.
+    #[serde(skip)]
+    pub names_eras: bool,
+}
+
+/// Bit of the numbers of senders that read eras. Entries of earlier builds never set it, and only
+/// echo numbers and compare those of one sender.
+pub const READS_ERAS: u64 = 1 << 63;
+
+/// The eras of a message's revisions, in the order of its fields.
+type MessageEras = [Option<Era>; 3];
+
+impl GossipMessage {
+    /// Whether its sender reads the eras of revisions.
+    pub const fn reads_eras(&self) -> bool {
+        self.number & READS_ERAS != 0
+    }
+
+    fn eras(&self) -> MessageEras {
+        [self.revision, self.changes_after, self.catalog_revision].map(|revision| revision.era)
+    }
+
+    fn set_eras(&mut self, [revision, changes_after, catalog_revision]: MessageEras) {
+        self.revision.era = revision;
+        self.changes_after.era = changes_after;
+        self.catalog_revision.era = catalog_revision;
+        self.names_eras = true;
+    }
 }
 
 /// Encodes a message; `None` if it can't be made to fit [`MAX_DATAGRAM_BYTES`].
@@ -113,12 +144,24 @@
 }
 
 fn encode_any_length(message: &GossipMessage) -> Option<Vec<u8>> {
-    bincode::serde::encode_to_vec(message, bincode::config::standard()).ok()
+    let config = bincode::config::standard();
+    let mut bytes = bincode::serde::encode_to_vec(message, config).ok()?;
+    if message.names_eras {
+        bytes.extend(bincode::serde::encode_to_vec(message.eras(), config).ok()?);
+    }
+    Some(bytes)
 }
 
-/// Decodes a message; `None` if the bytes are none, or are followed by others.
+/// Decodes a message with or without eras; `None` if the bytes are none, or are followed by others.
 pub fn decode(bytes: &[u8]) -> Option<GossipMessage> {
     let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
-    let (message, read_bytes) = bincode::serde::decode_from_slice(bytes, config).ok()?;
-    (read_bytes == bytes.len()).then_some(message)
+    let (mut message, read_bytes): (GossipMessage, _) =
+        bincode::serde::decode_from_slice(bytes, config).ok()?;
+    let rest = &bytes[read_bytes..];
+    if rest.is_empty() {
+        return Some(message);
+    }
+    let (eras, read_bytes) = bincode::serde::decode_from_slice(rest, config).ok()?;
+    message.set_eras(eras);
+    (read_bytes == rest.len()).then_some(message)
 }
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -25,7 +25,7 @@
 pub use self::alert::{decode_notices, encode_notices};
 pub use self::coordinator::Coordinator;
 pub use self::hello::{
-    decode, encode, encode_within, GossipMessage, PeerId, WorkScope, MAX_DATAGRAM_BYTES,
+    decode, encode, encode_within, GossipMessage, PeerId, WorkScope, MAX_DATAGRAM_BYTES, READS_ERAS,
 };
 pub use self::observations::{
     DueObservations, ObservationSchedule, SharedFailure, SharedObservations, SharedTime,
@@ -40,6 +40,7 @@
 pub use self::zones::ZoneId;
 use self::zones::ZoneReports;
 use crate::clock::Millis;
+use crate::direct::directory::Revision;
 
 /// Maximum number of addresses shared in one datagram.
 const MAX_SHARED_ADDRESSES: usize = 8;
@@ -75,7 +76,9 @@
     /// Its contact with the store, by its last datagram.
     store_role: StoreRole,
     /// Revision up to which its list of endpoints is complete, by its last datagram.
-    list_revision: u64,
+    list_revision: Revision,
+    /// Whether it reads the eras of revisions, by its last datagram.
+    reads_eras: bool,
     /// Whether it has a proof of freshness, by its last datagram.
     has_proof: bool,
     /// Bandwidth of its link, in Mbit/s; 0 where it is not known.
@@ -103,6 +106,8 @@
     sent_times: VecDeque<(u64, Millis)>,
     /// Number of the last own datagram.
     number: u64,
+    /// Whether peers that name no eras can't be relied on for watching the store.
+    requires_eras: bool,
     /// Number of neighbors, as of the last round.
     neighbor_count: usize,
     /// Number of peers in other zones, as of the last round.
@@ -153,7 +158,8 @@
             zones: ZoneReports::default(),
             peers: BTreeMap::new(),
             sent_times: VecDeque::new(),
-            number: u64::from(first_number) << 24,
+            number: READS_ERAS | u64::from(first_number) << 24,
+            requires_eras: false,
             neighbor_count: 0,
             remote_count: 0,
             neighbor_cursor: 0,
@@ -212,6 +218,16 @@
         }
     }
 
+    /// Records that the store names eras: what a peer says of it without one can't be ordered.
+    pub fn require_eras(&mut self) {
+        self.requires_eras = true;
+    }
+
+    /// Whether a peer reads the eras of revisions.
+    pub fn reads_eras(&self, address: SocketAddr) -> bool {
+        self.peers.get(&address).is_some_and(|peer| peer.reads_eras)
+    }
+
     /// Returns the number of the next datagram, and remembers `now` as the time of sending it.
     pub fn next_number(&mut self, now: Millis) -> u64 {
         self.number += 1;
@@ -270,7 +286,11 @@
         peer.last_heard = Some(now);
         peer.last_number = message.number;
         peer.leaving = message.leaving;
-        peer.store_role = StoreRole::of(message);
+        peer.store_role = match message.names_eras || !self.requires_eras {
+            true => StoreRole::of(message),
+            false => StoreRole::Follows,
+        };
+        peer.reads_eras = message.reads_eras();
         peer.list_revision = message.revision;
         peer.has_proof = message.proof_age_ms.is_some();
         peer.link_mbps = message.link_mbps;
@@ -311,7 +331,7 @@
 
     /// Returns a peer whose list of endpoints reaches beyond `revision`, of the own zone if there is
     /// one there; `draw` selects one of several. `None` if there is none.
-    pub fn list_source(&self, revision: u64, draw: usize, now: Millis) -> Option<SocketAddr> {
+    pub fn list_source(&self, revision: Revision, draw: usize, now: Millis) -> Option<SocketAddr> {
         let silence = self.silence();
         let is_ahead = |peer: &Peer| {
             peer.list_revision > revision && peer.last_heard.is_some_and(|at| now - at < silence)
@@ -344,7 +364,8 @@
             leaving: false,
             address_hash: watchers::address_hash(address),
             store_role: StoreRole::default(),
-            list_revision: 0,
+            list_revision: Revision::default(),
+            reads_eras: false,
             has_proof: false,
             link_mbps: 0,
             zone: None,
--- a/src/direct/peers/shared.rs
+++ b/src/direct/peers/shared.rs
@@ -1,5 +1,5 @@
 //! Datagrams in which entries share what only some deployments need: what they learned for mixed
-//! pools, and where streams began. They are separate from the gossip messages: none are sent where
+//! pools, where streams began, and what a restored store has lost. They are separate from the gossip messages: none are sent where
 //! there is no need, and entries that do not know them discard them.
 
 use serde::de::DeserializeOwned;
@@ -24,11 +24,18 @@
     Origins = 2,
     /// Parts of prompts under which endpoints ended.
     Parts = 3,
+    /// Ends of endpoints that a restored store has lost.
+    LostEnds = 4,
 }
 
 impl SharedKind {
     fn from_byte(byte: u8) -> Option<Self> {
-        let all = [Self::Observations, Self::Origins, Self::Parts];
+        let all = [
+            Self::Observations,
+            Self::Origins,
+            Self::Parts,
+            Self::LostEnds,
+        ];
         all.into_iter().find(|kind| *kind as u8 == byte)
     }
 }
--- a/src/direct/peers/watchers.rs
+++ b/src/direct/peers/watchers.rs
@@ -172,6 +172,12 @@
         live.count()
     }
 
+    /// Whether any peer was heard lately, or none is known.
+    pub fn hears_any(&self, now: Millis) -> bool {
+        let since = self.live_since(now);
+        self.peers.is_empty() || self.peers.values().any(|peer| peer.is_live(since))
+    }
+
     /// Whether this entry knows neighbors and hears none of them.
     pub fn is_isolated(&self, now: Millis) -> bool {
         self.neighbor_count > 0 && self.live_neighbors(now) == 0
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 
 use crate::direct::changes;
-use crate::direct::directory::Revision;
+use crate::direct::directory::{Era, Revision};
 use crate::direct::entry::Entry;
 use crate::listener;
 use crate::rate::Rate;
@@ -21,10 +21,18 @@
 /// Path of the update from a version of the configuration to the one in force, for peers; the
 /// version follows.
 const CATALOG_SINCE_PATH: &str = "/v1/catalog/since/";
-/// Path of the changes of the list of endpoints after a revision, for peers; the revision follows.
-const CHANGES_PATH: &str = "/v1/changes/";
+/// Path of the changes of the list of endpoints after a revision, for peers; the era, or `-` for
+/// none, and the number of the revision follow.
+const CHANGES_PATH: &str = "/v2/changes/";
 /// Path of the whole list of endpoints, for peers that can't read it from the store.
-const LIST_PATH: &str = "/v1/list";
+const LIST_PATH: &str = "/v2/list";
+/// The same for peers of earlier builds, which know no eras; the number of the revision follows,
+/// which is taken for one of the present era.
+const CHANGES_WITHOUT_ERAS_PATH: &str = "/v1/changes/";
+/// The whole list for peers of earlier builds.
+const LIST_WITHOUT_ERAS_PATH: &str = "/v1/list";
+/// Stands for the era of a revision that names none.
+const NO_ERA: &str = "-";
 /// Path of the process's state for operators, as JSON.
 const STATE_PATH: &str = "/v1/state";
 
@@ -58,8 +66,19 @@
         _ if path.starts_with(CATALOG_SINCE_PATH) => {
             catalog_since(entry, &path[CATALOG_SINCE_PATH.len()..])
         }
-        _ if path.starts_with(CHANGES_PATH) => changes_since(entry, &path[CHANGES_PATH.len()..]),
-        LIST_PATH => changes::encode(&entry.whole_list()).map_or_else(not_found, ok_response),
+        _ if path.starts_with(CHANGES_PATH) => {
+            let since = parse_revision(&path[CHANGES_PATH.len()..]);
+            let found = since.and_then(|since| entry.changes_since(since));
+            found_response(found.as_ref().and_then(changes::encode))
+        }
+        LIST_PATH => found_response(changes::encode(&entry.whole_list())),
+        _ if path.starts_with(CHANGES_WITHOUT_ERAS_PATH) => {
+            let number = path[CHANGES_WITHOUT_ERAS_PATH.len()..].parse().ok();
+            let since = number.map(|number| Revision::new(entry.list_revision().era, number));
+            let found = since.and_then(|since| entry.changes_since(since));
+            found_response(found.as_ref().and_then(changes::encode_without_eras))
+        }
+        LIST_WITHOUT_ERAS_PATH => found_response(changes::encode_without_eras(&entry.whole_list())),
         STATE_PATH => ok_response(state(entry).to_string().into_bytes()),
         _ => not_found(),
     }
@@ -73,15 +92,21 @@
 
 fn catalog_since(entry: &Entry, version: &str) -> Response<BoxBody> {
     let update = version.parse().ok().and_then(|v| entry.catalog_since(v));
-    update.map_or_else(not_found, ok_response)
+    found_response(update)
 }
 
-fn changes_since(entry: &Entry, revision: &str) -> Response<BoxBody> {
-    let found = revision.parse().ok().and_then(|r| entry.changes_since(r));
-    match found.as_ref().and_then(changes::encode) {
-        Some(bytes) => ok_response(bytes),
-        None => not_found(),
-    }
+/// Parses the era and the number of a revision in a path.
+fn parse_revision(text: &str) -> Option<Revision> {
+    let (era, number) = text.split_once('/')?;
+    let era = match era {
+        NO_ERA => None,
+        _ => Some(Era(era.parse().ok()?)),
+    };
+    Some(Revision::new(era, number.parse().ok()?))
+}
+
+fn found_response(body: Option<Vec<u8>>) -> Response<BoxBody> {
+    body.map_or_else(not_found, ok_response)
 }
 
 fn not_found() -> Response<BoxBody> {
@@ -106,6 +131,8 @@
         .collect();
     serde_json::json!({
         "catalog": entry.version(),
+        "list_revision": entry.list_revision().number,
+        "list_era": entry.list_revision().era,
         "watches": entry.is_watching(),
         "proof_age_ms": entry.proof_age().map(|age| age.0),
         "ready": entry.is_ready(),
@@ -123,14 +150,26 @@
     get(&format!("{CATALOG_SINCE_PATH}{version}"))
 }
 
-/// Makes the request for a peer's whole list of endpoints.
-pub fn list_query() -> RequestHead {
-    get(LIST_PATH)
+/// Makes the request for a peer's whole list of endpoints; `reads_eras` says whether the peer knows
+/// eras.
+pub fn list_query(reads_eras: bool) -> RequestHead {
+    match reads_eras {
+        true => get(LIST_PATH),
+        false => get(LIST_WITHOUT_ERAS_PATH),
+    }
 }
 
-/// Makes the request for a peer's changes of the list of endpoints after a revision.
-pub fn changes_query(revision: Revision) -> RequestHead {
-    get(&format!("{CHANGES_PATH}{revision}"))
+/// Makes the request for a peer's changes of the list of endpoints after a revision; `reads_eras`
+/// says whether the peer knows eras.
+pub fn changes_query(since: Revision, reads_eras: bool) -> RequestHead {
+    let number = since.number;
+    if !reads_eras {
+        return get(&format!("{CHANGES_WITHOUT_ERAS_PATH}{number}"));
+    }
+    match since.era {
+        Some(era) => get(&format!("{CHANGES_PATH}{}/{number}", era.0)),
+        None => get(&format!("{CHANGES_PATH}{NO_ERA}/{number}")),
+    }
 }
 
 /// The head of a GET request with only a `Host` header. An invalid path is logged and left out.
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -13,6 +13,7 @@
 use super::turn::Turn;
 use super::watch::{watch, watch_endpoints_once};
 use super::{pause, CallError, StoreClient};
+use crate::clock::Millis;
 use crate::direct::entry::Entry;
 use crate::direct::fetch;
 
@@ -21,12 +22,22 @@
 /// The same at a start, until peers have provided everything.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time from which on a reading of everything counts as of use, so that the next one need not wait.
+const MIN_READING_USE: Millis = Millis(1_000);
+/// Maximum number of pauses before a reading.
+const MAX_PAUSES: u32 = 6;
+
 /// Keeps the configuration and the list of endpoints up to date; never returns.
 pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
     let client = StoreClient::new(entry.settings.borrow().store);
+    let mut pacing = Pacing::default();
     loop {
         match obtain_all(&entry, &client).await {
-            Ok(()) => keep_up(&entry, &client).await,
+            Ok(()) => {
+                let obtained_at = entry.clock.now();
+                keep_up(&entry, &client).await;
+                pacing.wait(entry.clock.now() - obtained_at).await;
+            }
             Err(err) => {
                 entry.store_failed(&err);
                 wait_for_store(&entry).await;
@@ -35,6 +46,29 @@
     }
 }
 
+/// Spreads repeated readings of everything, so that no answer of the store makes this entry read
+/// without a pause.
+#[derive(Debug, Default)]
+struct Pacing {
+    /// Readings in a row of which each was of use for only a short time.
+    repeats: u32,
+}
+
+impl Pacing {
+    /// Waits before the next reading, longer after each one that was of use for only a short time;
+    /// `used_for` is that of the last one.
+    async fn wait(&mut self, used_for: Millis) {
+        if used_for >= MIN_READING_USE {
+            self.repeats = 0;
+            return;
+        }
+        for _ in 0..self.repeats.min(MAX_PAUSES) {
+            pause().await;
+        }
+        self.repeats += 1;
+    }
+}
+
 /// Gets the list of endpoints from a peer, which provides the configuration as well as soon as it
 /// has one; both from the store if this entry is to watch it, or if no peer provides them before its
 /// turn.
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -3,19 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::time::sleep;
 
 use super::watch::watch_endpoints_meanwhile;
 use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT};
+use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
-use crate::direct::directory::{Listing, Revision};
+use crate::direct::dialect::InvalidResponse;
+use crate::direct::directory::{Era, Listing, Revision};
 use crate::direct::entry::{Entry, ListSource};
 
 /// Time between two checks of whether peers provide the configuration.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after a start within which a peer that runs has answered.
+const FIRST_PEER_TIMEOUT: Millis = Millis(300);
+
 /// Reads and applies the list of endpoints, then the configuration unless peers provide that.
 pub(super) async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
+    // Requests to read everything that were made before are met by this reading.
+    let _ = entry.relist_requested.notified().now_or_never();
     let asked_at = entry.clock.now();
     let (listing, list_revision) = read_list(entry, client).await?;
     entry.store_answered();
@@ -25,9 +33,12 @@
     let read = tokio::select! {
         biased;
         () = wait_for_peers_catalog(entry) => None,
-        read = read_catalog(entry, client) => Some(read?),
+        read = read_catalog(entry, client, list_revision.era) => Some(read?),
         never = watch_endpoints_meanwhile(entry) => match never {},
     };
+    if entry.version() == 0 {
+        wait_for_first_peer(entry).await;
+    }
     if let Some(catalog) = read {
         if let Some(catalog) = catalog {
             entry.apply_catalog(catalog, "store");
@@ -47,6 +58,14 @@
     }
 }
 
+/// Waits at a start until a peer was heard, if any are known. The store may have been restored, and
+/// then peers have a later version of the configuration than it holds.
+async fn wait_for_first_peer(entry: &Entry) {
+    while entry.age() < FIRST_PEER_TIMEOUT && !entry.peers.borrow().hears_any(entry.clock.now()) {
+        sleep(PEER_CHECK_INTERVAL).await;
+    }
+}
+
 /// Reads the list of endpoints and the cordons, page by page; returns them with the store's
 /// revision at the first page, up to which the list is complete.
 async fn read_list(entry: &Entry, client: &StoreClient) -> Result<(Listing, Revision), CallError> {
@@ -55,10 +74,13 @@
     let mut first_revision = None;
     loop {
         let query = entry.dialect.page_query(next_page.as_deref());
-        let (status, body) = call(entry, client, Document::List, query, CALL_TIMEOUT).await?;
-        let page = entry.dialect.parse_page(status, &body);
+        let answer = call(entry, client, Document::List, query, CALL_TIMEOUT).await?;
+        let page = entry.dialect.parse_page(&answer);
         let page = page.map_err(CallError::InvalidResponse)?;
         let list_revision = *first_revision.get_or_insert(page.current);
+        if page.current.era != list_revision.era {
+            return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
+        }
         listing.endpoints.extend(page.listing.endpoints);
         listing.cordons.extend(page.listing.cordons);
         for found in page.unreadable {
@@ -71,13 +93,18 @@
     }
 }
 
-/// Reads the configuration; `None` if the store has none.
+/// Reads the configuration of an era; `None` if the store has none.
 async fn read_catalog(
     entry: &Entry,
     client: &StoreClient,
+    era: Option<Era>,
 ) -> Result<Option<Box<Catalog>>, CallError> {
     let query = entry.dialect.catalog_query();
-    let (status, body) = call(entry, client, Document::Catalog, query, CALL_TIMEOUT).await?;
-    let catalog = entry.dialect.parse_catalog(status, &body);
-    catalog.map_err(CallError::InvalidResponse)
+    let answer = call(entry, client, Document::Catalog, query, CALL_TIMEOUT).await?;
+    let catalog = entry.dialect.parse_catalog(&answer);
+    let catalog = catalog.map_err(CallError::InvalidResponse)?;
+    if answer.era != era {
+        return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
+    }
+    Ok(catalog)
 }
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -18,7 +18,7 @@
 
 use std::time::Duration;
 
-use actix_http::{RequestHead, StatusCode};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use rand::Rng;
 use tokio::time::sleep;
@@ -27,6 +27,7 @@
 pub use self::follow::follow;
 pub use self::prove::{prove, time_until_proof_due};
 pub use self::reading::{Document, OngoingRead};
+use crate::direct::dialect::StoreAnswer;
 use crate::direct::entry::Entry;
 
 /// Time for the response to begin, of any call other than a watch. The store answers within
@@ -45,7 +46,7 @@
     document: Document,
     request: RequestHead,
     head_timeout: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<StoreAnswer, CallError> {
     let reading = OngoingRead::begin(entry, document, None);
     let response = client.begin(request, head_timeout).await;
     finish(entry, client, reading, response).await
@@ -57,7 +58,7 @@
     client: &StoreClient,
     reading: OngoingRead,
     response: Result<PendingResponse, CallError>,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<StoreAnswer, CallError> {
     let on_progress = |bytes| {
         if bytes >= LARGE_RESPONSE_BYTES {
             entry.record_large_answer_piece();
@@ -67,10 +68,7 @@
         Ok(pending) => client.finish(pending, on_progress).await,
         Err(err) => Err(err),
     };
-    if let Ok((head, _)) = &result {
-        entry.note_store_head(head);
-    }
-    let result = result.map(|(head, body)| (head.status, body));
+    let result = result.and_then(|(head, body)| store_answer(entry, &head, body));
     let failure = result.as_ref().err().map(ToString::to_string);
     reading.end(entry, client, failure);
     entry.metrics.store_call(outcome(&result));
@@ -78,15 +76,26 @@
 }
 
 /// Metric label of the outcome of a call.
-fn outcome(result: &Result<(StatusCode, Bytes), CallError>) -> &'static str {
+fn outcome(result: &Result<StoreAnswer, CallError>) -> &'static str {
     match result {
-        Ok((StatusCode::GONE, _)) => "history_gone",
-        Ok((status, _)) if status.is_success() => "answered",
+        Ok(answer) if answer.status == StatusCode::GONE => "history_gone",
+        Ok(answer) if answer.status.is_success() => "answered",
         Ok(_) => "refused",
         Err(_) => "failed",
     }
 }
 
+/// The answer that a response is. That of a store which refuses the call is one whatever its era.
+fn store_answer(entry: &Entry, head: &ResponseHead, body: Bytes) -> Result<StoreAnswer, CallError> {
+    let status = head.status;
+    let is_refusal = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
+    let era = match entry.note_store_era(head) {
+        Err(_) if is_refusal => None,
+        era => era.map_err(CallError::InvalidResponse)?,
+    };
+    Ok(StoreAnswer { status, era, body })
+}
+
 /// Waits after a failed call, for [`RETRY_PAUSE_MS`] to twice as long.
 async fn pause() {
     let ms = RETRY_PAUSE_MS + rand::thread_rng().gen_range(0..RETRY_PAUSE_MS);
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -90,8 +90,8 @@
     client: &StoreClient,
 ) -> Result<Snapshot, CallError> {
     let head = entry.dialect.snapshot_query();
-    let (status, body) = call(entry, client, Document::Revision, head, CALL_TIMEOUT).await?;
-    let snapshot = entry.dialect.parse_snapshot(status, &body);
+    let answer = call(entry, client, Document::Revision, head, CALL_TIMEOUT).await?;
+    let snapshot = entry.dialect.parse_snapshot(&answer);
     snapshot.map_err(CallError::InvalidResponse)
 }
 
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -11,7 +11,7 @@
 use super::prove::read_snapshot;
 use super::{finish, pause, CallError, Document, OngoingRead, PendingResponse, StoreClient};
 use crate::clock::Millis;
-use crate::direct::dialect::{StoreUpdate, WatchResult, WatchScope};
+use crate::direct::dialect::{InvalidResponse, StoreUpdate, WatchResult, WatchScope};
 use crate::direct::directory::Revision;
 use crate::direct::entry::{Entry, ListSource};
 
@@ -34,10 +34,15 @@
 /// watched beside it: a tenth of the shortest bound on changes of the list.
 const LARGE_RESPONSE_AFTER: Duration = Duration::from_millis(200);
 
+/// Minimum time of a watch that returns nothing. One that returns at once is not repeated before a
+/// pause, so that a store that answers so is not called without a pause.
+const MIN_IDLE_WATCH: Millis = Millis(100);
+
 /// Watches everything once and applies the changes; false if everything is to be read again.
 pub(super) async fn watch(entry: &Rc<Entry>, client: &StoreClient) -> bool {
+    let asked = Asked::now(entry, WatchScope::All, entry.applied());
     let response = tokio::select! {
-        response = begin_watch(entry, client, WatchScope::All, entry.applied(), WATCH_WAIT) => response,
+        response = begin_watch(entry, client, asked, WATCH_WAIT) => response,
         () = entry.relist_requested.notified() => return false,
         () = entry.rewatch_requested.notified() => return true,
     };
@@ -47,7 +52,23 @@
         watched = read_response(entry, client, response) => watched,
         never = watch_endpoints_meanwhile(entry) => match never {},
     };
-    apply_result(entry, WatchScope::All, watched).await
+    apply_result(entry, asked, watched).await
+}
+
+/// What a watch asked for.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    scope: WatchScope,
+    /// Revision after which the changes are asked for.
+    after: Revision,
+    at: Millis,
+}
+
+impl Asked {
+    fn now(entry: &Entry, scope: WatchScope, after: Revision) -> Self {
+        let at = entry.clock.now();
+        Self { scope, after, at }
+    }
 }
 
 /// Watches once for changes of the list that peers did not forward; false if everything is to be
@@ -58,15 +79,15 @@
 
 /// Watches the list of endpoints alone, once; false if it is to be read again.
 async fn watch_endpoints(entry: &Rc<Entry>, client: &StoreClient, wait: Millis) -> bool {
-    let after = entry.list_revision();
-    let response = begin_watch(entry, client, WatchScope::Endpoints, after, wait).await;
+    let asked = Asked::now(entry, WatchScope::Endpoints, entry.list_revision());
+    let response = begin_watch(entry, client, asked, wait).await;
     let watched = match read_response(entry, client, response).await {
         Ok(WatchResult::Changes(changes, current)) => {
             add_cordons(entry, client, changes, current).await
         }
         other => other,
     };
-    apply_result(entry, WatchScope::Endpoints, watched).await
+    apply_result(entry, asked, watched).await
 }
 
 /// Adds the cordons as they are now to changes of the list of endpoints, since a watch of the list
@@ -79,6 +100,9 @@
 ) -> Result<WatchResult, CallError> {
     let snapshot = read_snapshot(entry, client).await?;
     let before = entry.list_revision();
+    if snapshot.current.era != current.era {
+        return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
+    }
     let cordons = snapshot.cordons.unwrap_or_default();
     let directory = entry.directory();
     let cordons = directory.cordon_changes_to(&cordons, before, snapshot.current);
@@ -103,16 +127,23 @@
 /// Applies what a watch returned; false if everything is to be read again.
 async fn apply_result(
     entry: &Rc<Entry>,
-    scope: WatchScope,
+    asked: Asked,
     watched: Result<WatchResult, CallError>,
 ) -> bool {
     match watched {
+        // The revision asked for was given out again, so changes before it are missing.
+        Ok(WatchResult::Changes(_, current)) if current.era != asked.after.era => {
+            entry.store_answered();
+            false
+        }
         Ok(WatchResult::Changes(changes, current)) => {
             entry.store_answered();
             let is_idle = changes.is_empty();
-            apply(entry, scope, changes, current);
+            apply(entry, asked.scope, changes, current);
             if !is_idle {
                 sleep(GATHER_PAUSE).await;
+            } else if entry.clock.now() - asked.at < MIN_IDLE_WATCH {
+                pause().await;
             }
             true
         }
@@ -130,11 +161,10 @@
 async fn begin_watch(
     entry: &Entry,
     client: &StoreClient,
-    scope: WatchScope,
-    after: Revision,
+    asked: Asked,
     wait: Millis,
 ) -> Result<PendingResponse, CallError> {
-    let head = entry.dialect.watch_query(scope, after, wait);
+    let head = entry.dialect.watch_query(asked.scope, asked.after, wait);
     client.begin(head, wait.duration() + WATCH_GRACE).await
 }
 
@@ -145,8 +175,8 @@
     response: Result<PendingResponse, CallError>,
 ) -> Result<WatchResult, CallError> {
     let reading = OngoingRead::begin(entry, Document::Changes, None);
-    let (status, body) = finish(entry, client, reading, response).await?;
-    let watched = entry.dialect.parse_watch(status, &body);
+    let answer = finish(entry, client, reading, response).await?;
+    let watched = entry.dialect.parse_watch(&answer);
     watched.map_err(CallError::InvalidResponse)
 }
 
--- a/tests/announced_lives.rs
+++ b/tests/announced_lives.rs
@@ -34,7 +34,7 @@
 fn removed(revision: u64) -> Change {
     Change::Removed {
         id: "a".into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -58,7 +58,7 @@
     assert!(!accepts_requests(&directory, 0));
     directory.apply(Change::Put(incarnation(Some(100), 2)), Millis(10));
     assert!(!accepts_requests(&directory, 10), "another entry of it");
-    directory.replace(vec![incarnation(Some(100), 2)], 3, Millis(20));
+    directory.replace(vec![incarnation(Some(100), 2)], 3.into(), Millis(20));
     assert!(!accepts_requests(&directory, 20), "a whole listing");
     directory.apply(removed(4), Millis(30));
     directory.apply(Change::Put(incarnation(Some(100), 5)), Millis(40));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,12 +4,15 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use actix_http::StatusCode;
+use bytes::Bytes;
 use violetline::clock::{Clock, Millis};
 use violetline::direct::catalog::{
     CallerLimits, Catalog, PoolShare, RepeatPolicy, ResponseKind, Route, Team,
 };
 use violetline::direct::decision::DecisionLog;
-use violetline::direct::directory::ListedEndpoint;
+use violetline::direct::dialect::StoreAnswer;
+use violetline::direct::directory::{ListedEndpoint, Revision};
 use violetline::direct::entry::Entry;
 use violetline::direct::peers::{GossipMessage, PeerId, WorkScope};
 use violetline::direct::settings::{Bounds, DirectSettings};
@@ -60,7 +63,7 @@
 }
 
 /// An endpoint of the pool as listed at a revision.
-pub fn listed(id: &str, revision: u64) -> ListedEndpoint {
+pub fn listed(id: &str, revision: impl Into<Revision>) -> ListedEndpoint {
     ListedEndpoint {
         id: id.into(),
         pool: "pool".into(),
@@ -71,7 +74,7 @@
         warming: Millis(0),
         born: None,
         software_version: "v1".into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -98,6 +101,15 @@
     (clock, entry)
 }
 
+/// A response of a store that names no era.
+pub fn store_answer(status: StatusCode, body: impl AsRef<[u8]>) -> StoreAnswer {
+    StoreAnswer {
+        status,
+        era: None,
+        body: Bytes::copy_from_slice(body.as_ref()),
+    }
+}
+
 /// A datagram of an entry that tells nothing but itself.
 pub fn hello(from: u64, number: u64, echo: Option<u64>) -> GossipMessage {
     GossipMessage {
@@ -106,9 +118,9 @@
         echo,
         version: 1,
         proof_age_ms: None,
-        revision: 0,
-        changes_after: 0,
-        catalog_revision: 0,
+        revision: 0.into(),
+        changes_after: 0.into(),
+        catalog_revision: 0.into(),
         leaving: false,
         watches: false,
         reads_large: false,
@@ -120,5 +132,6 @@
         work_scope: WorkScope::Sender,
         work: Vec::new(),
         placements: Vec::new(),
+        names_eras: false,
     }
 }
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -8,7 +8,7 @@
 use violetline::announced::DeclineReason;
 use violetline::clock::{Clock, Millis};
 use violetline::direct::decision::{
-    Decision, DecisionLog, LostRunRecord, RefusalReason, RequestOutcome,
+    Decision, DecisionLog, ListRecord, LostRunRecord, RefusalReason, RequestOutcome,
 };
 use violetline::direct::ends::{EndSign, LostHow, LostRun};
 use violetline::direct::explain::explain;
@@ -61,9 +61,12 @@
         running: 4,
         catalog: 7,
         proof_age_ms: Some(900),
-        list_revision: 35,
-        list_age_ms: 400,
-        list_from: "store".into(),
+        list: Some(Box::new(ListRecord {
+            revision: 35,
+            era: None,
+            age_ms: 400,
+            from: "store".into(),
+        })),
         left_ms: 3_990,
         against: None,
         limit_per_s: None,
@@ -127,6 +130,7 @@
         standing: "removed".into(),
         software_version: String::new(),
         revision: 9,
+        era: None,
     };
     log.request(b"other", placed("i-2"));
     log.request(b"9c41", placed("i-1"));
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -181,9 +181,9 @@
         echo: entry.table.echo(to),
         version: 4,
         proof_age_ms: Some(400),
-        revision: 1_000,
-        changes_after: 900,
-        catalog_revision: 1_000,
+        revision: 1_000.into(),
+        changes_after: 900.into(),
+        catalog_revision: 1_000.into(),
         leaving: false,
         watches: false,
         reads_large: false,
@@ -195,6 +195,7 @@
         work_scope,
         work: Vec::new(),
         placements: Vec::new(),
+        names_eras: false,
     }
 }
 
--- a/tests/direct_changes.rs
+++ b/tests/direct_changes.rs
@@ -4,19 +4,23 @@
 
 use common::listed;
 use violetline::direct::changes::{self, ChangeBatch, ChangeLog, ListingSpan};
-use violetline::direct::directory::Change;
+use violetline::direct::directory::{Change, Era};
 
 /// A change that was written at a revision.
 fn change(revision: u64) -> Change {
     if revision % 3 == 0 {
         let id = format!("i-{revision}");
+        let revision = revision.into();
         return Change::Removed { id, revision };
     }
     Change::Put(listed(&format!("i-{revision}"), revision))
 }
 
 fn span((after, up_to): (u64, u64)) -> ListingSpan {
-    ListingSpan { after, up_to }
+    ListingSpan {
+        after: after.into(),
+        up_to: up_to.into(),
+    }
 }
 
 /// A log to which the changes between each two of the revisions were appended.
@@ -30,12 +34,13 @@
 
 fn append(log: &mut ChangeLog, after: u64, up_to: u64) {
     let changes: Vec<Change> = (after + 1..=up_to).map(change).collect();
-    log.append(after, up_to, &changes);
+    log.append(after.into(), up_to.into(), &changes);
 }
 
 fn since(log: &ChangeLog, revision: u64) -> Option<Vec<u64>> {
-    let passed = log.since(revision)?;
-    Some(passed.changes.iter().map(Change::revision).collect())
+    let passed = log.since(revision.into())?;
+    let revisions = passed.changes.iter().map(Change::revision);
+    Some(revisions.map(|revision| revision.number).collect())
 }
 
 #[test]
@@ -45,7 +50,7 @@
     assert_eq!(since(&log, 5).unwrap(), [6, 7, 8, 9]);
     assert_eq!(since(&log, 4).unwrap(), [5, 6, 7, 8, 9]);
     assert_eq!(since(&log, 9), None);
-    assert_eq!(log.since(3).unwrap().up_to, 9);
+    assert_eq!(log.since(3.into()).unwrap().up_to, 9.into());
 }
 
 #[test]
@@ -66,7 +71,7 @@
 #[test]
 fn quiet_stretch() {
     let mut log = log(&[3, 5]);
-    log.append(5, 8, &[]);
+    log.append(5.into(), 8.into(), &[]);
     append(&mut log, 8, 9);
     assert_eq!(since(&log, 3).unwrap(), [4, 5, 9]);
     assert_eq!(since(&log, 6).unwrap(), [9]);
@@ -77,14 +82,14 @@
 #[test]
 fn within_listing() {
     let mut log = ChangeLog::default();
-    log.append_listing(3, 9, &[change(5)]);
+    log.append_listing(3.into(), 9.into(), &[change(5)]);
     append(&mut log, 9, 10);
     assert_eq!(since(&log, 3).unwrap(), [5, 10]);
     assert_eq!(since(&log, 4), None);
     assert_eq!(since(&log, 8), None);
     assert_eq!(since(&log, 9).unwrap(), [10]);
-    assert_eq!(log.since(3).unwrap().spans, [span((3, 9))]);
-    assert!(log.since(9).unwrap().spans.is_empty());
+    assert_eq!(log.since(3.into()).unwrap().spans, [span((3, 9))]);
+    assert!(log.since(9.into()).unwrap().spans.is_empty());
 }
 
 /// Spans of listings are dropped from the oldest on, with the changes before their ends.
@@ -92,10 +97,10 @@
 fn many_listings() {
     let mut log = ChangeLog::default();
     for i in 0..100 {
-        log.append_listing(i * 2, i * 2 + 2, &[]);
+        log.append_listing((i * 2).into(), (i * 2 + 2).into(), &[]);
     }
-    assert_eq!(log.after(), 72);
-    assert_eq!(log.since(72).unwrap().spans.len(), 64);
+    assert_eq!(log.after(), 72.into());
+    assert_eq!(log.since(72.into()).unwrap().spans.len(), 64);
     assert_eq!(since(&log, 70), None);
     assert_eq!(since(&log, 73), None);
 }
@@ -115,10 +120,10 @@
 #[test]
 fn dropped_in_disorder() {
     let mut log = ChangeLog::default();
-    log.append(0, 10, &[change(9), change(3), change(5)]);
+    log.append(0.into(), 10.into(), &[change(9), change(3), change(5)]);
     append(&mut log, 10, 2_009);
     assert_eq!(since(&log, 3), None);
-    assert_eq!(log.after(), 9);
+    assert_eq!(log.after(), 9.into());
 }
 
 /// Decoding never panics, whatever a peer sends, and what is decoded can be encoded.
@@ -130,14 +135,21 @@
             assert!(changes::encode(&passed).is_some());
         }
         let revisions: Vec<u64> = u.arbitrary()?;
-        let passed = ChangeBatch {
+        let mut passed = ChangeBatch {
             changes: revisions.into_iter().map(change).collect(),
-            up_to: u.arbitrary()?,
+            up_to: u.arbitrary::<u64>()?.into(),
             spans: u
                 .arbitrary_iter()?
                 .map(|s| s.map(span))
                 .collect::<Result<_, _>>()?,
         };
+        for change in &mut passed.changes {
+            change.revision_mut().era = u.arbitrary::<Option<u64>>()?.map(Era);
+        }
+        for span in &mut passed.spans {
+            span.up_to.era = u.arbitrary::<Option<u64>>()?.map(Era);
+        }
+        passed.up_to.era = u.arbitrary::<Option<u64>>()?.map(Era);
         let written = changes::encode(&passed).unwrap();
         assert_eq!(changes::decode(&written), Some(passed));
         Ok(())
@@ -150,7 +162,7 @@
 fn software_versions_forwarded() {
     let batch = ChangeBatch {
         changes: vec![change(1), change(2), change(3)],
-        up_to: 3,
+        up_to: 3.into(),
         spans: Vec::new(),
     };
     let decoded = changes::decode(&changes::encode(&batch).unwrap()).unwrap();
--- a/tests/direct_directory.rs
+++ b/tests/direct_directory.rs
@@ -11,7 +11,7 @@
 fn removed(id: &str, revision: u64) -> Change {
     Change::Removed {
         id: id.into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -104,7 +104,7 @@
 fn relisting_finds_missing() {
     let mut directory = directory_with_one_endpoint();
     directory.apply(Change::Put(listed("b", 2)), Millis(0));
-    let gone = directory.replace(vec![listed("b", 2)], 3, Millis(9_000));
+    let gone = directory.replace(vec![listed("b", 2)], 3.into(), Millis(9_000));
     assert_eq!(gone.len(), 1);
     assert_eq!(status(&directory, "a"), None);
     assert_eq!(status(&directory, "b"), Some(EndpointStatus::Ready));
@@ -117,7 +117,7 @@
     let mut directory = directory_with_one_endpoint();
     directory.apply(Change::Put(listed("b", 7)), Millis(0));
     assert!(directory
-        .replace(vec![listed("a", 1)], 6, Millis(9_000))
+        .replace(vec![listed("a", 1)], 6.into(), Millis(9_000))
         .is_empty());
     assert_eq!(status(&directory, "b"), Some(EndpointStatus::Ready));
 }
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -37,13 +37,13 @@
 #[test]
 fn peer_is_ahead() {
     let (clock, entry) = entry();
-    entry.apply_changes(Vec::new(), 10);
-    entry.note_peer_list_revision(11);
+    entry.apply_changes(Vec::new(), 10.into());
+    entry.note_peer_list_revision(11.into());
     clock.advance(Millis(649));
-    entry.note_peer_list_revision(11);
+    entry.note_peer_list_revision(11.into());
     assert!(!is_rewatch_requested(&entry));
     clock.advance(Millis(1));
-    entry.note_peer_list_revision(11);
+    entry.note_peer_list_revision(11.into());
     assert!(is_rewatch_requested(&entry));
 }
 
@@ -52,13 +52,13 @@
 #[test]
 fn rewatched_in_vain() {
     let (clock, entry) = entry();
-    entry.apply_changes(Vec::new(), 10);
+    entry.apply_changes(Vec::new(), 10.into());
     entry.set_watching(true);
     for _ in 0..2 {
         assert!(!is_relist_requested(&entry));
-        entry.note_peer_list_revision(11);
+        entry.note_peer_list_revision(11.into());
         clock.advance(Millis(650));
-        entry.note_peer_list_revision(11);
+        entry.note_peer_list_revision(11.into());
     }
     assert!(is_relist_requested(&entry));
 }
@@ -67,8 +67,8 @@
 #[test]
 fn list_age() {
     let (clock, entry) = entry();
-    entry.apply_changes(Vec::new(), 10);
-    entry.log_list_advanced(9, ListSource::Store);
+    entry.apply_changes(Vec::new(), 10.into());
+    entry.log_list_advanced(9.into(), ListSource::Store);
     clock.advance(Millis(300));
     assert_eq!(entry.list_age(), Millis(300));
     let peer = ListSource::Peer(([127, 0, 0, 2], 1).into());
@@ -79,7 +79,7 @@
         (entry.list_age(), entry.list_confirmed_by()),
         (Millis(100), peer)
     );
-    entry.log_list_advanced(10, peer);
+    entry.log_list_advanced(10.into(), peer);
     assert_eq!(entry.list_age(), Millis(100), "the peer brought nothing");
 }
 
@@ -88,24 +88,24 @@
 #[test]
 fn others_behind_too() {
     let (clock, entry) = entry();
-    entry.apply_changes(Vec::new(), 10);
-    entry.note_peer_list_revision(11);
+    entry.apply_changes(Vec::new(), 10.into());
+    entry.note_peer_list_revision(11.into());
     clock.advance(Millis(400));
-    entry.note_peer_list_revision(10);
+    entry.note_peer_list_revision(10.into());
     clock.advance(Millis(250));
-    entry.note_peer_list_revision(11);
+    entry.note_peer_list_revision(11.into());
     assert!(is_rewatch_requested(&entry));
 }
 
 #[test]
 fn watch_catches_up() {
     let (clock, entry) = entry();
-    entry.note_peer_list_revision(11);
+    entry.note_peer_list_revision(11.into());
     clock.advance(Millis(500));
-    entry.apply_changes(Vec::new(), 11);
-    entry.note_peer_list_revision(11);
+    entry.apply_changes(Vec::new(), 11.into());
+    entry.note_peer_list_revision(11.into());
     clock.advance(Millis(500));
-    entry.note_peer_list_revision(12);
+    entry.note_peer_list_revision(12.into());
     assert!(!is_rewatch_requested(&entry));
 }
 
@@ -133,13 +133,13 @@
 #[test]
 fn proof_by_catalog() {
     let (clock, entry) = entry();
-    assert!(!entry.prove_up_to(Millis(900), 10));
-    entry.apply_changes(Vec::new(), 10);
+    assert!(!entry.prove_up_to(Millis(900), 10.into()));
+    entry.apply_changes(Vec::new(), 10.into());
     assert_eq!(entry.proof_age(), None);
     clock.advance(Millis(100));
-    entry.confirm_catalog_at(10);
+    entry.confirm_catalog_at(10.into());
     assert_eq!(entry.proof_age(), Some(Millis(200)));
-    assert_eq!(entry.applied(), 10);
+    assert_eq!(entry.applied(), 10.into());
 }
 
 /// An older item of the list, in a response that arrives late, does not bring back an endpoint that
@@ -150,14 +150,14 @@
     let put = || Change::Put(listed("i-1", 5));
     let removed = Change::Removed {
         id: "i-1".into(),
-        revision: 7,
+        revision: 7.into(),
     };
-    entry.apply_changes(vec![put()], 5);
+    entry.apply_changes(vec![put()], 5.into());
     assert!(entry.directory().key("i-1").is_some());
-    entry.apply_changes(vec![removed], 7);
-    entry.apply_changes(vec![put()], 6);
+    entry.apply_changes(vec![removed], 7.into());
+    entry.apply_changes(vec![put()], 6.into());
     assert!(entry.directory().key("i-1").is_none());
-    assert_eq!(entry.list_revision(), 7);
+    assert_eq!(entry.list_revision(), 7.into());
 }
 
 /// A listing that began before an endpoint left is read to its end after a peer has reported the
@@ -166,17 +166,17 @@
 fn older_listing() {
     let (_, entry) = entry();
     let all = || vec![listed("i-1", 3), listed("i-2", 4)];
-    entry.apply_listing(all(), 5);
+    entry.apply_listing(all(), 5.into());
     let removed = Change::Removed {
         id: "i-1".into(),
-        revision: 7,
+        revision: 7.into(),
     };
-    entry.apply_changes(vec![removed], 7);
-    entry.apply_listing([all(), vec![listed("i-3", 8)]].concat(), 6);
+    entry.apply_changes(vec![removed], 7.into());
+    entry.apply_listing([all(), vec![listed("i-3", 8)]].concat(), 6.into());
     assert!(entry.directory().key("i-1").is_none());
     assert!(entry.directory().key("i-2").is_some());
     assert!(entry.directory().key("i-3").is_some(), "written meanwhile");
-    assert_eq!(entry.list_revision(), 7);
+    assert_eq!(entry.list_revision(), 7.into());
 }
 
 /// A whole listing is forwarded as the changes that it makes, so that peers need not read a listing
@@ -185,23 +185,23 @@
 fn listing_forwarded() {
     let (_, entry) = entry();
     let listed = |id: &str, revision| common::listed(id, revision);
-    entry.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
-    let first = entry.changes_since(0).unwrap();
-    assert_eq!((first.changes.len(), first.up_to), (2, 5));
-    entry.apply_listing(vec![listed("i-2", 4), listed("i-3", 8)], 9);
-    assert_eq!(entry.changes_after(), 0);
-    let passed = entry.changes_since(5).unwrap();
+    entry.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5.into());
+    let first = entry.changes_since(0.into()).unwrap();
+    assert_eq!((first.changes.len(), first.up_to), (2, 5.into()));
+    entry.apply_listing(vec![listed("i-2", 4), listed("i-3", 8)], 9.into());
+    assert_eq!(entry.changes_after(), 0.into());
+    let passed = entry.changes_since(5.into()).unwrap();
     let removed = Change::Removed {
         id: "i-1".into(),
-        revision: 9,
+        revision: 9.into(),
     };
-    assert_eq!(passed.up_to, 9);
+    assert_eq!(passed.up_to, 9.into());
     assert_eq!(passed.changes.len(), 2);
     assert!(passed.changes.contains(&removed));
     assert!(passed.changes.contains(&Change::Put(listed("i-3", 8))));
-    entry.apply_listing(vec![listed("i-9", 2)], 7);
+    entry.apply_listing(vec![listed("i-9", 2)], 7.into());
     assert_eq!(
-        entry.changes_since(9),
+        entry.changes_since(9.into()),
         None,
         "an older listing passes nothing on"
     );
@@ -222,16 +222,16 @@
 #[test]
 fn left_before_listing() {
     let (_, peer) = entry();
-    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
+    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5.into());
     let (_, fresh) = entry();
-    fresh.apply_listing(vec![listed("i-2", 4)], 6);
+    fresh.apply_listing(vec![listed("i-2", 4)], 6.into());
     forward(&fresh, &peer);
-    assert_eq!(peer.list_revision(), 5);
+    assert_eq!(peer.list_revision(), 5.into());
     let removed = Change::Removed {
         id: "i-1".into(),
-        revision: 6,
+        revision: 6.into(),
     };
-    peer.apply_changes(vec![removed], 6);
+    peer.apply_changes(vec![removed], 6.into());
     assert!(peer.directory().key("i-1").is_none());
 }
 
@@ -240,16 +240,16 @@
 #[test]
 fn left_before_forwarding() {
     let (_, fresh) = entry();
-    fresh.apply_listing(vec![listed("i-2", 4)], 6);
+    fresh.apply_listing(vec![listed("i-2", 4)], 6.into());
     let (_, empty) = entry();
     forward(&fresh, &empty);
-    assert_eq!(empty.list_revision(), 6);
+    assert_eq!(empty.list_revision(), 6.into());
     let (_, peer) = entry();
-    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
+    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5.into());
     forward(&empty, &peer);
-    assert_eq!(peer.list_revision(), 5);
-    peer.apply_peer_changes(fresh.changes_since(0).unwrap());
-    assert_eq!(peer.list_revision(), 5);
+    assert_eq!(peer.list_revision(), 5.into());
+    peer.apply_peer_changes(fresh.changes_since(0.into()).unwrap());
+    assert_eq!(peer.list_revision(), 5.into());
     assert!(is_rewatch_requested(&peer));
 }
 
@@ -261,17 +261,17 @@
         draining: true,
         ..listed("i-3", 6)
     };
-    fresh.apply_listing(vec![listed("i-2", 4), draining], 6);
+    fresh.apply_listing(vec![listed("i-2", 4), draining], 6.into());
     let (_, peer) = entry();
-    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5);
+    peer.apply_listing(vec![listed("i-1", 3), listed("i-2", 4)], 5.into());
     let passed = changes::encode(&fresh.whole_list()).unwrap();
     let passed = || changes::decode(&passed).unwrap();
     peer.apply_peer_list(passed());
-    assert_eq!(peer.list_revision(), 6);
+    assert_eq!(peer.list_revision(), 6.into());
     assert_eq!(peer.directory().listing(), fresh.directory().listing());
-    peer.apply_changes(vec![Change::Put(listed("i-4", 7))], 7);
+    peer.apply_changes(vec![Change::Put(listed("i-4", 7))], 7.into());
     peer.apply_peer_list(passed());
-    assert_eq!(peer.list_revision(), 7);
+    assert_eq!(peer.list_revision(), 7.into());
     assert!(peer.directory().key("i-4").is_some());
 }
 
@@ -316,9 +316,9 @@
         echo: None,
         version: 3,
         proof_age_ms: Some(100),
-        revision: 10,
-        changes_after: 0,
-        catalog_revision: 10,
+        revision: 10.into(),
+        changes_after: 0.into(),
+        catalog_revision: 10.into(),
         leaving: false,
         watches: true,
         reads_large: false,
@@ -330,5 +330,6 @@
         work_scope: WorkScope::Sender,
         work: Vec::new(),
         placements: Vec::new(),
+        names_eras: false,
     }
 }
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -6,10 +6,10 @@
 use actix_http::StatusCode;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use common::{entry, listed};
+use common::{entry, listed, store_answer};
 use serde_json::{json, Value};
 use violetline::direct::dialect::{Dialect, StoreUpdate, UnreadableEntry, WatchResult};
-use violetline::direct::directory::Change;
+use violetline::direct::directory::{Change, Revision};
 use violetline::platform::Platform;
 
 fn valid_endpoint() -> Value {
@@ -62,7 +62,7 @@
     let body = json!({"items": items, "has_more": false, "current_rev": 99});
     let body = body.to_string();
     Platform
-        .parse_page(StatusCode::OK, body.as_bytes())
+        .parse_page(&store_answer(StatusCode::OK, &body))
         .unwrap()
 }
 
@@ -113,13 +113,13 @@
 fn malformed_endpoint_removed() {
     let event = item("servers/a", "{}", 8);
     let body = json!({"events": [event], "current_rev": 8}).to_string();
-    let watched = Platform.parse_watch(StatusCode::OK, body.as_bytes());
-    let Ok(WatchResult::Changes(changes, 8)) = watched else {
+    let watched = Platform.parse_watch(&store_answer(StatusCode::OK, &body));
+    let Ok(WatchResult::Changes(changes, Revision { number: 8, .. })) = watched else {
         panic!("changes up to 8");
     };
     let removed = Change::Removed {
         id: "a".into(),
-        revision: 8,
+        revision: 8.into(),
     };
     assert!(
         matches!(&changes[0], StoreUpdate::UnreadableEntry(_, Some(change)) if *change == removed)
@@ -129,7 +129,7 @@
 #[test]
 fn counted_and_logged() {
     let (_, entry) = entry();
-    entry.apply_listing(vec![listed("a", 1)], 1);
+    entry.apply_listing(vec![listed("a", 1)], 1.into());
     for n in 0..3_000 {
         for _ in 0..2 {
             entry.report_unreadable(UnreadableEntry {
--- a/tests/innocent_suspects.rs
+++ b/tests/innocent_suspects.rs
@@ -25,7 +25,7 @@
         pool: "other".into(),
         ..listed(&format!("m-{i}"), 1)
     });
-    entry.apply_listing(own.chain(others).collect::<Vec<_>>(), 1);
+    entry.apply_listing(own.chain(others).collect::<Vec<_>>(), 1.into());
     clock.advance(Millis(10_000));
     (clock, entry)
 }
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -1,9 +1,12 @@
 //! The adapter's translation of the platform's formats.
 
+mod common;
+
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use common::store_answer;
 use serde_json::json;
 use violetline::clock::Millis;
 use violetline::direct::catalog::{Catalog, RepeatPolicy, ResponseKind};
@@ -11,7 +14,7 @@
     Dialect, EndpointRequest, ErrorResponse, InvalidResponse, ParsedRequest, StoreUpdate,
     WatchResult,
 };
-use violetline::direct::directory::{Change, Era};
+use violetline::direct::directory::{Change, Era, Revision};
 use violetline::direct::known::slowdown::Slowdown;
 use violetline::direct::placement::prefix::PromptSegment;
 use violetline::platform::Platform;
@@ -378,7 +381,7 @@
 fn read_catalog(text: &[u8]) -> Result<Box<Catalog>, InvalidResponse> {
     let value = STANDARD.encode(text);
     let body = json!({"key": "op/config", "value": value}).to_string();
-    let read = Platform.parse_catalog(StatusCode::OK, body.as_bytes());
+    let read = Platform.parse_catalog(&store_answer(StatusCode::OK, &body));
     read.map(|catalog| catalog.expect("there is one"))
 }
 
@@ -434,9 +437,9 @@
         "has_more": true, "current_rev": 9
     });
     let page = Platform
-        .parse_page(StatusCode::OK, body.to_string().as_bytes())
+        .parse_page(&store_answer(StatusCode::OK, body.to_string()))
         .unwrap();
-    assert_eq!(page.current, 9);
+    assert_eq!(page.current, 9.into());
     assert_eq!(page.next.as_deref(), Some("servers/i-3"));
     assert_eq!(
         page.listing.endpoints.len(),
@@ -467,32 +470,32 @@
         "current_rev": 12
     });
     let watched = Platform
-        .parse_watch(StatusCode::OK, body.to_string().as_bytes())
+        .parse_watch(&store_answer(StatusCode::OK, body.to_string()))
         .unwrap();
-    let WatchResult::Changes(changes, 12) = watched else {
+    let WatchResult::Changes(changes, Revision { number: 12, .. }) = watched else {
         panic!("changes up to 12");
     };
     assert!(matches!(&changes[0], StoreUpdate::Catalog(c) if c.version == 7));
     let gone = Change::Removed {
         id: "i-1".into(),
-        revision: 12,
+        revision: 12.into(),
     };
     assert!(matches!(&changes[1], StoreUpdate::Change(change) if *change == gone));
     assert_eq!(changes.len(), 2);
-    let history = Platform.parse_watch(StatusCode::GONE, b"");
+    let history = Platform.parse_watch(&store_answer(StatusCode::GONE, b""));
     assert!(matches!(history, Ok(WatchResult::HistoryGone)));
 }
 
 #[test]
 fn store_refuses() {
-    let busy = Platform.parse_page(StatusCode::SERVICE_UNAVAILABLE, b"{}");
+    let busy = Platform.parse_page(&store_answer(StatusCode::SERVICE_UNAVAILABLE, b"{}"));
     assert_eq!(busy, Err(InvalidResponse::Status(503)));
     assert!(matches!(
-        Platform.parse_page(StatusCode::OK, b"{"),
+        Platform.parse_page(&store_answer(StatusCode::OK, b"{")),
         Err(InvalidResponse::Body(_))
     ));
     assert!(matches!(
-        Platform.parse_catalog(StatusCode::NOT_FOUND, b""),
+        Platform.parse_catalog(&store_answer(StatusCode::NOT_FOUND, b"")),
         Ok(None)
     ));
 }
@@ -529,9 +532,9 @@
 fn any_body() {
     arbtest::arbtest(|u| {
         let body: Vec<u8> = u.arbitrary()?;
-        let _ = Platform.parse_watch(StatusCode::OK, &body);
-        let _ = Platform.parse_page(StatusCode::OK, &body);
-        let _ = Platform.parse_catalog(StatusCode::OK, &body);
+        let _ = Platform.parse_watch(&store_answer(StatusCode::OK, &body));
+        let _ = Platform.parse_page(&store_answer(StatusCode::OK, &body));
+        let _ = Platform.parse_catalog(&store_answer(StatusCode::OK, &body));
         let _ = read_catalog(&body);
         Ok(())
     });
--- a/tests/reborn_endpoint.rs
+++ b/tests/reborn_endpoint.rs
@@ -89,7 +89,7 @@
 #[test]
 fn new_incarnation_empty() {
     let (clock, entry) = entry();
-    entry.apply_listing(vec![incarnation("a", 100, 1)], 1);
+    entry.apply_listing(vec![incarnation("a", 100, 1)], 1.into());
     let before = key(&entry.directory());
     let placed = entry.begin_run(before, "pool", FOOTPRINT, Fingerprint(1), [].into());
     entry.endpoint_failed(before, Fault::Unreachable, "test");
@@ -103,7 +103,7 @@
         .prefixes
         .borrow_mut()
         .record_use(before, ids, now, now);
-    entry.apply_changes(vec![Change::Put(incarnation("a", 200, 2))], 2);
+    entry.apply_changes(vec![Change::Put(incarnation("a", 200, 2))], 2.into());
     let after = key(&entry.directory());
     let endpoint_states = entry.endpoint_states();
     let endpoint_state = endpoint_states.get(after).unwrap();
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -58,7 +58,7 @@
     put(&mut directory, "b", "v2", 2);
     let removed = Change::Removed {
         id: "a".into(),
-        revision: 3,
+        revision: 3.into(),
     };
     directory.apply(removed, Millis(5_000));
     assert_eq!(seen_since(&directory, 4_000).len(), 2);
@@ -72,11 +72,11 @@
 fn listing_leaves_gap() {
     let mut directory = Directory::default();
     assert_eq!(directory.software().known_for(Millis(5)), None);
-    directory.replace(vec![listed("a", 1)], 1, Millis(1_000));
+    directory.replace(vec![listed("a", 1)], 1.into(), Millis(1_000));
     put(&mut directory, "b", "v1", 2);
     let known_for = |directory: &Directory| directory.software().known_for(Millis(9_000));
     assert_eq!(known_for(&directory), Some(Millis(8_000)));
-    directory.replace(vec![listed("a", 1)], 3, Millis(7_000));
+    directory.replace(vec![listed("a", 1)], 3.into(), Millis(7_000));
     assert_eq!(known_for(&directory), Some(Millis(2_000)));
 }
 
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -115,7 +115,7 @@
         warming: Millis(2_000),
         ..listed("a", 1)
     };
-    entry.apply_listing(vec![cold], 1);
+    entry.apply_listing(vec![cold], 1.into());
     let key = entry.directory().key("a").unwrap();
     let is_warming = || {
         let directory = entry.directory();
@@ -129,7 +129,7 @@
     assert!(!is_warming(), "its time is over, whatever the list says");
     entry.endpoint_failed(key, Fault::Unreachable, "no connection");
     assert!(is_warming(), "it may have started again");
-    entry.apply_changes(vec![Change::Put(listed("a", 2))], 2);
+    entry.apply_changes(vec![Change::Put(listed("a", 2))], 2.into());
     clock.advance(Millis(1_500));
     assert!(!is_warming(), "its newer entry says that it is warm");
 }
@@ -153,8 +153,8 @@
 #[test]
 fn ordinary_change_unlimited() {
     let (_, entry) = entry();
-    entry.apply_listing(vec![listed("a", 1)], 1);
-    entry.apply_changes(vec![Change::Put(listed("a", 2))], 2);
+    entry.apply_listing(vec![listed("a", 1)], 1.into());
+    entry.apply_changes(vec![Change::Put(listed("a", 2))], 2.into());
     let directory = entry.directory();
     let key = directory.key("a").unwrap();
     let endpoint = directory.get(key).unwrap();
@@ -169,7 +169,7 @@
         warming: Millis(2_000),
         ..listed("a", 1)
     };
-    entry.apply_listing(vec![cold], 1);
+    entry.apply_listing(vec![cold], 1.into());
     let directory = entry.directory();
     let key = directory.key("a").unwrap();
     assert_eq!(entry.warm_up_share(directory.get(key).unwrap(), None), None);
--- a/tests/zone_cordons.rs
+++ b/tests/zone_cordons.rs
@@ -12,7 +12,7 @@
 fn cordon(revision: u64) -> Cordon {
     Cordon {
         zone: ZONE.into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -91,14 +91,14 @@
         endpoints: vec![listed("a", 1)],
         cordons: vec![cordon(5)],
     };
-    first.apply_listing(vec![listed("a", 1)], 2);
-    second.apply_listing(vec![listed("a", 1)], 2);
-    first.apply_listing(with_cordon, 6);
-    let passed = first.changes_since(2).unwrap();
+    first.apply_listing(vec![listed("a", 1)], 2.into());
+    second.apply_listing(vec![listed("a", 1)], 2.into());
+    first.apply_listing(with_cordon, 6.into());
+    let passed = first.changes_since(2.into()).unwrap();
     second.apply_changes(passed.changes, passed.up_to);
     assert!(second.directory().is_cordoned(ZONE));
-    first.apply_listing(vec![listed("a", 1)], 9);
-    let passed = first.changes_since(6).unwrap();
+    first.apply_listing(vec![listed("a", 1)], 9.into());
+    let passed = first.changes_since(6.into()).unwrap();
     second.apply_changes(passed.changes, passed.up_to);
     assert!(!second.directory().is_cordoned(ZONE));
 }
@@ -112,11 +112,11 @@
         endpoints: Vec::new(),
         cordons: vec![cordon(5)],
     };
-    first.apply_listing(with_cordon, 6);
-    first.apply_cordons(Vec::new(), 8);
+    first.apply_listing(with_cordon, 6.into());
+    first.apply_cordons(Vec::new(), 8.into());
     assert!(!first.directory().is_cordoned(ZONE));
-    first.apply_listing(Vec::new(), 9);
-    let passed = first.changes_since(6).unwrap();
+    first.apply_listing(Vec::new(), 9.into());
+    let passed = first.changes_since(6.into()).unwrap();
     let ends = |change: &Change| matches!(change, Change::Uncordoned(end) if end.zone == ZONE);
     assert!(passed.changes.iter().any(ends));
 }
@@ -129,7 +129,7 @@
     for n in 0..5_000 {
         cordons.cordon(Cordon {
             zone: format!("made-up-{n}"),
-            revision: n + 2,
+            revision: (n + 2).into(),
         });
     }
     assert!(cordons.has(ZONE));
