The soak restores its store from older copies

A restored store is away for up to 2.5 s, comes back from a copy 0.5 to 4 s old, and what was lost is written again within a second, again and again beside the other faults (--restore-pause; 0 for none, which plays earlier seeds as they were: the restorations draw from numbers of their own).

A new check: nothing reaches an engine 2 s after the list was told that it leaves or has left, from an entry to which, like to the platform, nothing happened for 3 s.

--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -40,6 +40,7 @@
         report.findings.extend(self.check_left());
         report.findings.extend(self.check_resumed());
         report.findings.extend(self.check_parts());
+        report.findings.extend(self.check_departed());
         report.crashes = self.crashes();
         if report.crashes > MOST_CRASHES {
             let finding = format!("{} engines ended under one request", report.crashes);
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -77,6 +77,7 @@
         let old = self.engines.borrow_mut().remove(engine);
         let store = Rc::clone(&self.site.borrow().store);
         store.list_at(&old.engine, old.relay.addr, "s1", "draining");
+        old.left_at.set(Some(Instant::now()));
         let engine = Rc::clone(&old.engine);
         self.gone.borrow_mut().push(old);
         actix_rt::spawn(async move {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod lines;
 mod mixed;
 mod parts;
+mod restored;
 mod resuming;
 mod troubles;
 mod unwilling;
@@ -73,6 +74,9 @@
     /// Mean time in ms between two ends of engines that no request causes
     #[bpaf(argument("MS"), fallback(3_500))]
     pub end_pause: u64,
+    /// Mean time in ms between two restorations of the store from an older copy; 0 for none
+    #[bpaf(argument("MS"), fallback(4_000))]
+    pub restore_pause: u64,
 }
 
 /// Runs the seeds; code 1 when a promise broke.
@@ -144,6 +148,8 @@
     relay: Relay,
     /// When the way to it was harmed: its answers may not have come.
     harmed: Troubles,
+    /// When the store was told that it leaves, or has left; `None` while it stays.
+    left_at: Cell<Option<Instant>>,
 }
 
 /// One seed that is being played.
@@ -224,11 +230,15 @@
     let ending = SmallRng::seed_from_u64(seed + 800);
     let ending = parts::end_engines(Rc::clone(&soak), options.end_pause, ending, until);
     callers.push(actix_rt::spawn(ending));
+    let restoring = SmallRng::seed_from_u64(seed + 900);
+    let restoring = restored::restore_on(Rc::clone(&soak), options.restore_pause, restoring, until);
+    let restoring = actix_rt::spawn(restoring);
     let mut rng = SmallRng::seed_from_u64(seed);
     while Instant::now() < until {
         soak.fault(&mut rng).await?;
         sleep(Duration::from_millis(rng.gen_range(50..400))).await;
     }
+    restoring.await?;
     soak.lift();
     soak.wait_restarts().await;
     soak.check_recovery().await;
@@ -304,6 +314,7 @@
             engine,
             relay,
             harmed: Troubles::default(),
+            left_at: Cell::default(),
         };
         self.engines.borrow_mut().push(added);
         Ok(())
--- a/lab/src/soak/unwilling.rs
+++ b/lab/src/soak/unwilling.rs
@@ -33,6 +33,7 @@
         old.engine.set_leaving(true);
         let store = Rc::clone(&self.site.borrow().store);
         let leaving = Rc::clone(&old.engine);
+        old.left_at.set(Some(Instant::now() + time));
         self.gone.borrow_mut().push(old);
         actix_rt::spawn(async move {
             sleep(time).await;
--- a/lab/tests/soak_short.rs
+++ b/lab/tests/soak_short.rs
@@ -11,6 +11,7 @@
         entries: 3,
         engines: 3,
         end_pause: 3_500,
+        restore_pause: 1_500,
     };
     let report = play(1, &options).await.unwrap();
     assert!(report.requests > 0);
