What a restored store lost: bounded doubts, and told by followers too

An end is lost now if it was said before the era of the list, whatever the entry's own revision; store_eras::lost_ends_told_by_followers failed before.

An endpoint whose entry had expired though it lived, and which the copy still lists, would not have been used again: its check-ins change nothing but a sequence, so its entry keeps its number. It counts as departed for 10 s now, by which the entry of one that no longer writes is gone (store_eras::departed_endpoint_lives).

A proof was void where a peer knew a later version as the newest up to a revision known here. Peers that have fetched a version know it as the newest up to an earlier revision, so ordinary changes would have voided proofs. Messages tell the era in which the version came into force; only a former one voids, and for 5 s after such a message.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -42,6 +42,7 @@
             work_scope: WorkScope::Sender,
             work: Vec::new(),
             placements: Vec::new(),
+            version_era: None,
             names_eras: false,
         };
         book.record_message(address(peer), &hello, NOW);
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -8,8 +8,9 @@
 //!
 //! A store that was restored from an older copy has lost what was written since. What endpoints said
 //! of their end survives that: an endpoint that said that it leaves stays so until another life of
-//! it is listed, and one that left stays gone until its entry is written again. Entries that the
-//! copy lacks are assumed to be written again soon.
+//! it is listed. One that left is not used until its entry is written again, or has not disappeared
+//! for longer than that of an endpoint which no longer writes. Entries that the copy lacks are
+//! assumed to be written again soon.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -29,6 +30,11 @@
 /// available; the platform gives them about two seconds.
 pub const LAPSE_GRACE: Millis = Millis(2_200);
 
+/// Time after which the entry of an endpoint that left has disappeared from a restored store: longer
+/// than the few check-ins of an endpoint after which the platform drops its entry. Where it has not,
+/// the endpoint lives.
+pub const DEPARTED_GRACE: Millis = Millis(10_000);
+
 new_key_type! {
     /// Key of an endpoint in the directory; never reused for another endpoint.
     pub struct EndpointKey;
@@ -47,6 +53,9 @@
     Draining,
     /// Its entry expired while the list was unavailable; it counts as ready until this time.
     Lapsed(Millis),
+    /// It had left before the store was restored, and the copy still lists it; if it is listed at this
+    /// time it lives.
+    Departed(Millis),
     /// Its entry expired while the list was unavailable, and another endpoint has been listed at
     /// its address since: it has left for good.
     Displaced,
@@ -57,7 +66,7 @@
     const fn is_accepting(self) -> bool {
         match self {
             Self::Ready | Self::Lapsed(_) => true,
-            Self::Draining | Self::Displaced => false,
+            Self::Draining | Self::Departed(_) | Self::Displaced => false,
         }
     }
 }
@@ -196,17 +205,13 @@
     }
 
     /// Applies to an entry what survives a restoration of the store: marks it as draining where this
-    /// life of the endpoint said so in a former era. Returns false for the entry of an endpoint that
-    /// has left.
-    pub fn carry_over(&self, listed: &mut ListedEndpoint) -> bool {
+    /// life of the endpoint said so in a former era.
+    pub fn carry_over(&self, listed: &mut ListedEndpoint) {
         let known = self.key(&listed.id).and_then(|key| self.get(key));
-        let Some(known) = known else {
-            return !self.departed.is_copied(listed);
-        };
-        let is_same_life = !known.is_other_life(listed);
         let said_before = |since: Revision| since.era < listed.revision.era;
-        listed.draining |= is_same_life && known.leaving_since.is_some_and(said_before);
-        true
+        listed.draining |= known.is_some_and(|known| {
+            !known.is_other_life(listed) && known.leaving_since.is_some_and(said_before)
+        });
     }
 
     /// What endpoints said of their ends that the restored store has lost: for an entry that has read
@@ -215,10 +220,8 @@
         let Some(restored_at) = self.restored_at else {
             return Vec::new();
         };
-        let said_before = |e: &&Endpoint| {
-            let since = e.leaving_since;
-            since.is_some_and(|since| since.era < e.listed.revision.era)
-        };
+        // An entry of which the new era says nothing new keeps its revision of a former one.
+        let said_before = |e: &&Endpoint| e.leaving_since.is_some_and(|since| since.era < self.era);
         let leaving = self.endpoints.values().filter(said_before);
         let leaving = leaving.map(|endpoint| LostEnd {
             id: endpoint.listed.id.clone(),
@@ -231,9 +234,8 @@
         leaving.chain(left).collect()
     }
 
-    /// Applies an end that a peer knows and the restored store has lost. Returns the key of an
-    /// endpoint that has left.
-    pub fn apply_lost_end(&mut self, end: LostEnd, now: Millis) -> Option<EndpointKey> {
+    /// Applies an end that a peer knows and the restored store has lost.
+    pub fn apply_lost_end(&mut self, end: LostEnd, now: Millis) {
         let known = self.by_id.get(&end.id).copied();
         let known = known.and_then(|key| Some((key, self.endpoints.get_mut(key)?)));
         let known = known.filter(|(_, e)| !is_other_incarnation(e.listed.born, end.born));
@@ -242,7 +244,6 @@
                 endpoint.leaving_since.get_or_insert(Revision::default());
                 endpoint.listed.draining = true;
                 endpoint.status = listed_status(&endpoint.listed);
-                None
             }
             (SaidEnd::Leaves, None) => {
                 let leaves = AnnouncedState {
@@ -250,19 +251,16 @@
                     ..AnnouncedState::default()
                 };
                 self.former.keep(&end.id, end.born, leaves, now);
-                None
             }
-            (SaidEnd::Left { last_entry }, Some((key, endpoint))) => {
-                if endpoint.listed.revision.number != last_entry {
-                    return None;
+            (SaidEnd::Left { last_entry }, known) => {
+                let listed = known.map(|(_, endpoint)| endpoint);
+                if let Some(endpoint) = listed {
+                    if endpoint.listed.revision.number != last_entry {
+                        return;
+                    }
+                    endpoint.status = EndpointStatus::Departed(now + DEPARTED_GRACE);
                 }
-                self.remove(key, now);
-                self.departed.keep_lost(&end.id, end.born, last_entry, now);
-                Some(key)
-            }
-            (SaidEnd::Left { last_entry }, None) => {
                 self.departed.keep_lost(&end.id, end.born, last_entry, now);
-                None
             }
         }
     }
@@ -422,18 +420,30 @@
                 EndpointStatus::Lapsed(until) => now >= until,
                 EndpointStatus::Displaced => true,
                 EndpointStatus::Ready | EndpointStatus::Draining => false,
+                EndpointStatus::Departed(_) => false,
             })
             .map(|(key, _)| key)
             .collect();
         if self.unavailable {
             return Vec::new();
         }
+        self.readmit_departed(now);
         for key in &expired {
             self.remove(*key, now);
         }
         expired
     }
 
+    /// Takes departed endpoints for alive whose entries have not disappeared in time.
+    fn readmit_departed(&mut self, now: Millis) {
+        for endpoint in self.endpoints.values_mut() {
+            if matches!(endpoint.status, EndpointStatus::Departed(until) if now >= until) {
+                endpoint.status = listed_status(&endpoint.listed);
+                self.departed.forget(&endpoint.listed.id);
+            }
+        }
+    }
+
     /// Notes that endpoints may have come and gone unnoticed.
     pub fn record_gap(&mut self, now: Millis) {
         self.software.record_gap(now);
@@ -509,8 +519,10 @@
     /// The platform's list as of the newest changes: all endpoints except those whose entries have
     /// expired, and the cordons.
     pub fn listing(&self) -> Listing {
-        let is_listed =
-            |e: &&Endpoint| matches!(e.status, EndpointStatus::Ready | EndpointStatus::Draining);
+        let is_listed = |e: &&Endpoint| {
+            use EndpointStatus::{Departed, Draining, Ready};
+            matches!(e.status, Ready | Draining | Departed(_))
+        };
         let listed = self.endpoints.values().filter(is_listed);
         Listing {
             endpoints: listed.map(|e| e.listed.clone()).collect(),
@@ -564,12 +576,11 @@
     /// started again or has other software, it gets a new key and the old one is returned, because the new process has
     /// neither the requests nor the memory of the old one.
     fn put(&mut self, mut listed: ListedEndpoint, now: Millis) -> Option<EndpointKey> {
-        if !self.carry_over(&mut listed) {
-            return None;
-        }
+        self.carry_over(&mut listed);
+        let is_departed = self.departed.is_copied(&listed);
         let known = self.by_id.get(&listed.id).copied();
         let Some(key) = known else {
-            self.insert(listed, now);
+            self.insert(listed, is_departed, now);
             return None;
         };
         let endpoint = self.endpoints.get_mut(key)?;
@@ -578,7 +589,7 @@
         }
         if endpoint.is_other_life(&listed) {
             self.remove(key, now);
-            self.insert(listed, now);
+            self.insert(listed, false, now);
             return Some(key);
         }
         let is_copied = endpoint.listed.revision.era < listed.revision.era
@@ -586,23 +597,36 @@
         if endpoint.listed.revision < listed.revision && !is_copied {
             endpoint.update_warm_up(listed.warming, now);
         }
-        endpoint.status = listed_status(&listed);
+        endpoint.status = match endpoint.status {
+            EndpointStatus::Departed(until) if is_departed => EndpointStatus::Departed(until),
+            _ => listed_status(&listed),
+        };
         endpoint.leaving_since = listed
             .draining
             .then(|| endpoint.leaving_since.unwrap_or(listed.revision));
         let born = listed.born.or(endpoint.listed.born);
         endpoint.listed = ListedEndpoint { born, ..listed };
+        if !is_departed {
+            let id = endpoint.listed.id.clone();
+            self.departed.forget(&id);
+        }
         None
     }
 
-    fn insert(&mut self, listed: ListedEndpoint, now: Millis) {
+    /// Adds an endpoint; `is_departed` says whether it had left before the store was restored.
+    fn insert(&mut self, listed: ListedEndpoint, is_departed: bool, now: Millis) {
         let id = listed.id.clone();
         let digest = digest(&id, listed.born);
-        self.departed.forget(&id);
+        if !is_departed {
+            self.departed.forget(&id);
+        }
         let mut endpoint = Endpoint {
             digest,
             origin: Origin::of(&listed.pool, &listed.software_version),
-            status: listed_status(&listed),
+            status: match is_departed {
+                true => EndpointStatus::Departed(now + DEPARTED_GRACE),
+                false => listed_status(&listed),
+            },
             announced: self.former.take(&id, listed.born),
             leaving_since: listed.draining.then_some(listed.revision),
             listed,
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -20,6 +20,10 @@
 /// Most keys of unreadable store entries that are remembered, so that each is logged once.
 const MAX_UNREADABLE_KEYS: usize = 1_000;
 
+/// Time for which a later version that a peer has is waited for. It is fetched within some ms; a peer
+/// that ended with it does not keep requests with a key from being served.
+const LOST_VERSION_WAIT: Millis = Millis(5_000);
+
 impl Entry {
     /// The configuration in force; `None` before the first one.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
@@ -63,6 +67,11 @@
         self.list_revision.get()
     }
 
+    /// Era in which the configuration in force came into force here.
+    pub fn catalog_era(&self) -> Option<Era> {
+        self.catalog_era.get()
+    }
+
     /// Store revision up to which the configuration in force is known to be the newest.
     pub fn catalog_revision(&self) -> Revision {
         self.catalog_revision.get()
@@ -138,6 +147,9 @@
             before: self.version(),
             from: from.into(),
         });
+        let era = self.store_era.get().max(self.list_revision.get().era);
+        self.catalog_era
+            .set(era.max(self.catalog_revision.get().era));
         self.version_log.borrow_mut().advance(patches);
         self.newer_catalog_since.set(None);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
@@ -162,7 +174,7 @@
         let is_known = |id: &str| directory.key(id).is_some();
         let endpoints = &mut listed.endpoints;
         endpoints.retain(|l| begun >= before || l.revision > before || is_known(&l.id));
-        endpoints.retain_mut(|l| directory.carry_over(l));
+        endpoints.iter_mut().for_each(|l| directory.carry_over(l));
         drop(directory);
         if begun > before {
             let changes = self.directory.borrow().changes_to(&listed, before, begun);
@@ -205,10 +217,11 @@
         let mut changes = passed.changes;
         changes.retain(|change| change.revision() > before);
         let directory = self.directory.borrow();
-        changes.retain_mut(|change| match change {
-            Change::Put(listed) => directory.carry_over(listed),
-            Change::Removed { .. } | Change::Cordoned(_) | Change::Uncordoned(_) => true,
-        });
+        for change in &mut changes {
+            if let Change::Put(listed) = change {
+                directory.carry_over(listed);
+            }
+        }
         drop(directory);
         let mut log = self.change_log.borrow_mut();
         log.append(before, up_to, &changes);
@@ -271,8 +284,12 @@
         let entry = directory.key(&endpoint).and_then(|key| directory.get(key));
         let software_version =
             entry.map_or_else(String::new, |e| e.listed.software_version.clone());
-        if let Some(EndpointStatus::Lapsed(_)) = entry.map(|e| e.status) {
-            standing = "lapsed while the list was away".into();
+        match entry.map(|e| e.status) {
+            Some(EndpointStatus::Lapsed(_)) => standing = "lapsed while the list was away".into(),
+            Some(EndpointStatus::Departed(_)) => {
+                standing = "left before the store was restored".into();
+            }
+            _ => {}
         }
         self.log.state_change(Decision::EndpointListed {
             endpoint,
@@ -372,29 +389,47 @@
 
     /// A newer proof shows that the store answers some entry, so the list is available.
     fn set_freshness(&self, freshness: Freshness) {
+        if self.is_version_lost() {
+            return;
+        }
         let before = self.freshness.replace(freshness);
         if freshness.is_newer_than(&before) && !self.is_store_silent() {
             self.mark_list_available();
         }
     }
 
-    /// Voids the proofs of freshness if a peer has a later version and knows it as the newest up to a
-    /// revision that is known here too. The restored store has lost that version, so that being the
-    /// newest in the store proves nothing.
-    pub fn check_lost_version(&self, peer_version: u64, known_up_to: Revision) {
-        let own = self.catalog_revision.get();
-        let is_lost = known_up_to.era == own.era && known_up_to <= own;
-        let version = self.version();
-        if version == 0 || peer_version <= version || !is_lost || self.proof_age().is_none() {
+    /// Records that a peer has a later version, which came into force there in `era`. If that is
+    /// before the era in which the own version is the newest, the restored store has lost it: that
+    /// the store has nothing newer proves nothing, so the proofs of freshness are void.
+    pub fn note_peer_version(&self, peer_version: u64, era: Option<Era>) {
+        if peer_version > self.version() {
+            self.peer_version
+                .set(Some((peer_version, era, self.clock.now())));
+            self.void_lost_proofs();
+        }
+    }
+
+    /// Voids the proofs of freshness while a peer has a later version that the store has lost.
+    fn void_lost_proofs(&self) {
+        if !self.is_version_lost() || self.proof_age().is_none() {
             return;
         }
-        self.log.state_change(Decision::ProofVoid {
-            version,
-            peer_version,
-        });
-        self.pending_proof.set(None);
+        if let Some((peer_version, ..)) = self.peer_version.get() {
+            self.log.state_change(Decision::ProofVoid {
+                version: self.version(),
+                peer_version,
+            });
+        }
         self.freshness.set(Freshness::default());
-        self.catalog_revision.set(Revision::default());
+    }
+
+    /// Whether a peer told lately of a later version that the store has lost.
+    fn is_version_lost(&self) -> bool {
+        let now = self.clock.now();
+        let own_era = self.catalog_revision.get().era;
+        self.peer_version.get().is_some_and(|(version, era, at)| {
+            version > self.version() && era < own_era && now - at < LOST_VERSION_WAIT
+        })
     }
 
     /// Whether the configuration allows a request now: its route and team, or why it is denied.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -142,6 +142,11 @@
     endpoint_states: RefCell<EndpointStates>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Era in which the configuration came into force.
+    catalog_era: Cell<Option<Era>>,
+    /// The later version of which a peer told last, the era in which it came into force there, and
+    /// when that was told.
+    peer_version: Cell<Option<(u64, Option<Era>, Millis)>>,
     /// The last older version that the store held, so that it is logged once.
     older_catalog: Cell<Option<u64>>,
     /// Since when a peer has had a newer version of the configuration.
@@ -235,6 +240,8 @@
             endpoint_states: RefCell::default(),
             directory: RefCell::default(),
             catalog: RefCell::default(),
+            catalog_era: Cell::default(),
+            peer_version: Cell::default(),
             older_catalog: Cell::default(),
             newer_catalog_since: Cell::default(),
             version_log: RefCell::default(),
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -75,8 +75,7 @@
     fn apply_lost_ends(&self, ends: Vec<LostEnd>) {
         let now = self.clock.now();
         for end in ends {
-            let gone = self.directory.borrow_mut().apply_lost_end(end, now);
-            self.forget(gone.as_slice());
+            self.directory.borrow_mut().apply_lost_end(end, now);
         }
     }
 
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -297,6 +297,7 @@
         work_scope: target.work_scope,
         work,
         placements,
+        version_era: entry.catalog_era(),
         names_eras: table.reads_eras(target.to),
     }
 }
@@ -363,7 +364,7 @@
             entry.prove_by_peer(asked, age);
         }
     } else {
-        entry.check_lost_version(message.version, message.catalog_revision);
+        entry.note_peer_version(message.version, message.version_era);
     }
     if let Some(age) = age.filter(|_| message.watches) {
         if message.revision <= entry.list_revision() {
--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -81,6 +81,9 @@
     /// Placements of prompts made lately, by the entries in `work_scope`.
     #[serde(rename = "placed")]
     pub placements: Vec<PromptPlacement>,
+    /// Era in which `version` came into force at the sender; encoded with the eras of the revisions.
+    #[serde(skip)]
+    pub version_era: Option<Era>,
     /// Whether the eras of the revisions are named; they follow the other fields. Entries of earlier
     /// builds reject messages with eras, so only those that read them are sent any.
     #[serde(skip)]
@@ -91,8 +94,8 @@
 /// echo numbers and compare those of one sender.
 pub const READS_ERAS: u64 = 1 << 63;
 
-/// The eras of a message's revisions, in the order of its fields.
-type MessageEras = [Option<Era>; 3];
+/// The eras of a message's revisions, in the order of its fields, and that of its version.
+type MessageEras = [Option<Era>; 4];
 
 impl GossipMessage {
     /// Whether its sender reads the eras of revisions.
@@ -101,13 +104,20 @@
     }
 
     fn eras(&self) -> MessageEras {
-        [self.revision, self.changes_after, self.catalog_revision].map(|revision| revision.era)
+        [
+            self.revision.era,
+            self.changes_after.era,
+            self.catalog_revision.era,
+            self.version_era,
+        ]
     }
 
-    fn set_eras(&mut self, [revision, changes_after, catalog_revision]: MessageEras) {
+    fn set_eras(&mut self, eras: MessageEras) {
+        let [revision, changes_after, catalog_revision, version] = eras;
         self.revision.era = revision;
         self.changes_after.era = changes_after;
         self.catalog_revision.era = catalog_revision;
+        self.version_era = version;
         self.names_eras = true;
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -132,6 +132,7 @@
         work_scope: WorkScope::Sender,
         work: Vec::new(),
         placements: Vec::new(),
+        version_era: None,
         names_eras: false,
     }
 }
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -195,6 +195,7 @@
         work_scope,
         work: Vec::new(),
         placements: Vec::new(),
+        version_era: None,
         names_eras: false,
     }
 }
--- a/tests/direct_watch.rs
+++ b/tests/direct_watch.rs
@@ -330,6 +330,7 @@
         work_scope: WorkScope::Sender,
         work: Vec::new(),
         placements: Vec::new(),
+        version_era: None,
         names_eras: false,
     }
 }
