A restored store: addresses given on, the era of a version, and who is told

- A version that was fetched from a peer counted as one of the era in which it was fetched, so a lost one no longer voided proofs at the next entry; one that was fetched before any era was known would have voided them for no reason.
- Ends that the store has lost were told for good; a minute after the restoration all has been written again.

The two encodings of changes share their code.

--- a/src/direct/changes.rs
+++ b/src/direct/changes.rs
@@ -203,28 +203,33 @@
 /// The spans, the software versions of endpoints and the eras follow the batch. Entries of earlier
 /// versions reject what they don't know there, and read the store instead.
 pub fn encode(batch: &ChangeBatch) -> Option<Vec<u8>> {
-    let config = bincode::config::standard();
-    let mut plain = bincode::serde::encode_to_vec(batch, config).ok()?;
-    let versions: Vec<&str> = batch.changes.iter().filter_map(software_version).collect();
-    plain.extend(bincode::serde::encode_to_vec(&batch.spans, config).ok()?);
-    plain.extend(bincode::serde::encode_to_vec(&versions, config).ok()?);
-    plain.extend(bincode::serde::encode_to_vec(BatchEras::of(batch), config).ok()?);
+    let mut plain = encode_plain(batch, true)?;
+    let eras = BatchEras::of(batch);
+    plain.extend(bincode::serde::encode_to_vec(eras, bincode::config::standard()).ok()?);
     zstd::bulk::compress(&plain, COMPRESSION_LEVEL).ok()
 }
 
 /// Encodes and compresses changes for an entry of an earlier version, which knows no eras; `None` if
 /// they can't be encoded.
 pub fn encode_without_eras(batch: &ChangeBatch) -> Option<Vec<u8>> {
+    let plain = encode_plain(batch, false)?;
+    zstd::bulk::compress(&plain, COMPRESSION_LEVEL).ok()
+}
+
+/// Encodes a batch, its spans and its software versions; empty ones of these at the end are left
+/// out, unless more is to follow.
+fn encode_plain(batch: &ChangeBatch, is_followed: bool) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut plain = bincode::serde::encode_to_vec(batch, config).ok()?;
     let versions: Vec<&str> = batch.changes.iter().filter_map(software_version).collect();
-    if !(batch.spans.is_empty() && versions.is_empty()) {
+    let has_versions = is_followed || !versions.is_empty();
+    if has_versions || !batch.spans.is_empty() {
         plain.extend(bincode::serde::encode_to_vec(&batch.spans, config).ok()?);
     }
-    if !versions.is_empty() {
+    if has_versions {
         plain.extend(bincode::serde::encode_to_vec(&versions, config).ok()?);
     }
-    zstd::bulk::compress(&plain, COMPRESSION_LEVEL).ok()
+    Some(plain)
 }
 
 /// The software version of the endpoint that a change adds or updates.
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -41,7 +41,7 @@
 }
 
 /// Age of the oldest copy that a store is restored from: of the endpoints that left since, entries
-/// that have just started are told.
+/// that start within that time of the restoration are told.
 const MAX_COPY_AGE: Millis = Millis(60_000);
 
 /// What the list says about whether an endpoint accepts new requests.
@@ -215,9 +215,10 @@
     }
 
     /// What endpoints said of their ends that the restored store has lost: for an entry that has read
-    /// nothing but the copy.
-    pub fn lost_ends(&self) -> Vec<LostEnd> {
-        let Some(restored_at) = self.restored_at else {
+    /// nothing but the copy. None once all has been written again.
+    pub fn lost_ends(&self, now: Millis) -> Vec<LostEnd> {
+        let lately = |at: &Millis| now < *at + MAX_COPY_AGE;
+        let Some(restored_at) = self.restored_at.filter(lately) else {
             return Vec::new();
         };
         // An entry of which the new era says nothing new keeps its revision of a former one.
@@ -379,11 +380,14 @@
     /// this instance to back off.
     fn mark_displaced(&mut self) {
         let is_lapsed = |e: &Endpoint| matches!(e.status, EndpointStatus::Lapsed(_));
+        // The copy of a restored store lists endpoints that left, before one that has their address.
+        let is_departed = |e: &Endpoint| matches!(e.status, EndpointStatus::Departed(_));
         if !self.endpoints.values().any(is_lapsed) {
             return;
         }
         let mut listed: HashMap<SocketAddr, Revision> = HashMap::new();
-        for endpoint in self.endpoints.values().filter(|e| !is_lapsed(e)) {
+        let present = self.endpoints.values();
+        for endpoint in present.filter(|e| !is_lapsed(e) && !is_departed(e)) {
             let newest = listed.entry(endpoint.listed.address).or_default();
             *newest = endpoint.listed.revision.max(*newest);
         }
--- a/src/direct/entry/catalog_and_list.rs
+++ b/src/direct/entry/catalog_and_list.rs
@@ -67,7 +67,7 @@
         self.list_revision.get()
     }
 
-    /// Era in which the configuration in force came into force here.
+    /// Era in which the configuration in force was written, as far as known.
     pub fn catalog_era(&self) -> Option<Era> {
         self.catalog_era.get()
     }
@@ -147,14 +147,21 @@
             before: self.version(),
             from: from.into(),
         });
-        let era = self.store_era.get().max(self.list_revision.get().era);
-        self.catalog_era
-            .set(era.max(self.catalog_revision.get().era));
+        self.catalog_era.set(self.era_of_version(catalog.version));
         self.version_log.borrow_mut().advance(patches);
         self.newer_catalog_since.set(None);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
     }
 
+    /// Era in which a version that comes into force now was written, as far as known: the one that the
+    /// peer told which has it, otherwise the latest one known.
+    fn era_of_version(&self, version: u64) -> Option<Era> {
+        let told = self.peer_version.get();
+        let told = told.filter(|(peer_version, ..)| *peer_version == version);
+        let latest = self.store_era.get().max(self.list_revision.get().era);
+        told.map_or(latest, |(_, era, _)| era)
+    }
+
     /// Applies a whole listing that was begun at revision `begun`, and records the changes against
     /// the current list for peers.
     ///
@@ -398,9 +405,9 @@
         }
     }
 
-    /// Records that a peer has a later version, which came into force there in `era`. If that is
-    /// before the era in which the own version is the newest, the restored store has lost it: that
-    /// the store has nothing newer proves nothing, so the proofs of freshness are void.
+    /// Records that a peer has a later version, which was written in `era`. If that is before the era
+    /// in which the own version is the newest, the restored store has lost it: that the store has
+    /// nothing newer proves nothing, so the proofs of freshness are void.
     pub fn note_peer_version(&self, peer_version: u64, era: Option<Era>) {
         if peer_version > self.version() {
             self.peer_version
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -142,10 +142,10 @@
     endpoint_states: RefCell<EndpointStates>,
     directory: RefCell<Directory>,
     catalog: RefCell<Option<Rc<Catalog>>>,
-    /// Era in which the configuration came into force.
+    /// Era in which the configuration in force was written, as far as known.
     catalog_era: Cell<Option<Era>>,
-    /// The later version of which a peer told last, the era in which it came into force there, and
-    /// when that was told.
+    /// The later version of which a peer told last, the era in which it was written, and when that
+    /// was told.
     peer_version: Cell<Option<(u64, Option<Era>, Millis)>>,
     /// The last older version that the store held, so that it is logged once.
     older_catalog: Cell<Option<u64>>,
--- a/src/direct/entry/shared.rs
+++ b/src/direct/entry/shared.rs
@@ -56,7 +56,7 @@
     /// Sends a peer that is new the ends of endpoints that a restored store has lost: it may have
     /// read nothing but the copy.
     fn greet_with_lost_ends(&self, to: SocketAddr) {
-        let ends = self.directory().lost_ends();
+        let ends = self.directory().lost_ends(self.clock.now());
         let Some(socket) = self.peer_socket.get() else {
             return;
         };
--- a/src/direct/peers/hello.rs
+++ b/src/direct/peers/hello.rs
@@ -81,7 +81,7 @@
     /// Placements of prompts made lately, by the entries in `work_scope`.
     #[serde(rename = "placed")]
     pub placements: Vec<PromptPlacement>,
-    /// Era in which `version` came into force at the sender; encoded with the eras of the revisions.
+    /// Era in which `version` was written, as far as the sender knows; encoded with the eras of the revisions.
     #[serde(skip)]
     pub version_era: Option<Era>,
     /// Whether the eras of the revisions are named; they follow the other fields. Entries of earlier
