--- a/review/standin/case_crash.rs
+++ b/review/standin/case_crash.rs
@@ -9,7 +9,7 @@
 
 use crate::client::{send, Answer, Request, HOST};
 use crate::engine::Listed;
-use crate::site::Site;
+use crate::site::{Site, Strictness};
 use crate::{now_ms, Record};
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -120,7 +120,7 @@
         engines.push(EngineProcess::start(number, record)?);
     }
     let listed: Vec<Listed> = engines.iter().map(|e| e.listed.clone()).collect();
-    let site = Site::start(&config(), &listed)?;
+    let site = Site::start(&config(), &listed, Strictness::Strict)?;
     let (tx, rx) = mpsc::channel::<(String, Answer)>();
     let start = now_ms();
     let mut number = 0;
--- a/review/standin/case_keys.rs
+++ b/review/standin/case_keys.rs
@@ -5,7 +5,7 @@
 
 use crate::client::{send, Request, HOST};
 use crate::engine::{note_runs, Behaviour, End, Engine, Listed};
-use crate::site::{Site, REVOKE_MS};
+use crate::site::{Site, Strictness, REVOKE_MS};
 use crate::{now_ms, Record};
 
 const TENANTS: [(&str, &str); 3] = [
@@ -55,7 +55,7 @@
         engines.push(Engine::start(&id, "crate-api", zone, 6, behaviour)?);
     }
     let listed: Vec<Listed> = engines.iter().map(|e| e.listed.clone()).collect();
-    let site = Site::start(&config(7, &TENANTS), &listed)?;
+    let site = Site::start(&config(7, &TENANTS), &listed, Strictness::Strict)?;
     let ask = |what: &str, key: &str| {
         for (number, entry) in site.entries.iter().enumerate() {
             let request = request(format!("{what}-{number}"), key);
--- a/review/standin/case_slow.rs
+++ b/review/standin/case_slow.rs
@@ -7,14 +7,12 @@
 
 use crate::client::{send, Answer, Request, HOST};
 use crate::engine::{note_runs, Behaviour, End, Engine, Listed};
-use crate::site::Site;
+use crate::site::{Site, Strictness};
 use crate::{now_ms, Record};
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 const ENGINES: usize = 9;
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
-/// The engine that turns slow is one of those that don't drop a request whose connection closes.
-const SLOW_ENGINE: usize = 0;
 /// How many times as long its work takes.
 const SLOW: u64 = 5;
 /// A long prompt of `runsum` on the sheet.
@@ -64,13 +62,12 @@
 pub fn play(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
     let mut engines = Vec::new();
     for number in 0..ENGINES {
-        let drops = number != SLOW_ENGINE;
-        let behaviour = Behaviour::new(4, End::Chunked, drops);
+        let behaviour = Behaviour::new(4, End::Chunked, true);
         let zone = ZONES[number % ZONES.len()];
         engines.push(Engine::start(&format!("i-{number}"), "violet-pool", zone, 64, behaviour)?);
     }
     let listed: Vec<Listed> = engines.iter().map(|e| e.listed.clone()).collect();
-    let site = Site::start(&config(), &listed)?;
+    let site = Site::start(&config(), &listed, Strictness::Strict)?;
     let (tx, rx) = mpsc::channel::<(String, Answer)>();
     let start = now_ms();
     let mut number = 0;
@@ -78,13 +75,20 @@
     while now_ms() < start + TRAFFIC_MS {
         if !is_slow && now_ms() >= start + 2_000 {
             is_slow = true;
-            let engine = &engines[SLOW_ENGINE];
+            // The one that has most requests is one of those that don't drop a request whose
+            // connection closes.
+            let runs = |engine: &&Arc<Engine>| engine.runs.lock().expect("runs").len();
+            let engine = engines.iter().max_by_key(runs).ok_or("no engine")?;
+            let id = &engine.listed.id;
+            engine.behaviour.drops.store(false, Ordering::SeqCst);
             if trouble {
                 engine.behaviour.slow.store(SLOW, Ordering::SeqCst);
-                record.note(&format!("engine i-{SLOW_ENGINE} turns slow: work takes {SLOW} times as long"));
+                record.note(&format!("engine {id} turns slow: work takes {SLOW} times as long"));
             }
             engine.read_prompt(LONG_PROMPT);
-            record.note(&format!("engine i-{SLOW_ENGINE} gets a prompt of {LONG_PROMPT} tokens from another caller"));
+            record.note(&format!(
+                "engine {id} gets a prompt of {LONG_PROMPT} tokens from another caller"
+            ));
         }
         let entry = site.entries[number as usize % site.entries.len()];
         let (request, tx) = (request(number), tx.clone());
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
@@ -69,7 +69,7 @@
     pub events: usize,
     pub end: End,
     /// Whether it drops a request once its connection closes, as most engines do.
-    pub drops: bool,
+    pub drops: AtomicBool,
     /// Work takes so many times as long.
     pub slow: AtomicU64,
     /// Until when it reads prompts that came before, in ms of the time of day.
@@ -83,7 +83,7 @@
         Self {
             events,
             end,
-            drops,
+            drops: AtomicBool::new(drops),
             slow: AtomicU64::new(1),
             reads_until: AtomicU64::new(0),
             prints: false,
@@ -219,7 +219,7 @@
         let head = format!("{}Content-Type: text/event-stream\r\n{start}", self.head(id));
         is_open = is_open && writer.write_all(head.as_bytes()).is_ok();
         for event in after + 1..=self.behaviour.events {
-            if !is_open && self.behaviour.drops {
+            if !is_open && self.behaviour.drops.load(Ordering::SeqCst) {
                 return false;
             }
             let text = format!("id: {event}\ndata: {id}-{event}\n\n");
@@ -246,7 +246,7 @@
         let mut is_open = true;
         while now_ms() < until {
             is_open = is_open && !is_closed(watched);
-            if !is_open && self.behaviour.drops {
+            if !is_open && self.behaviour.drops.load(Ordering::SeqCst) {
                 return false;
             }
             sleep(Duration::from_millis(until.saturating_sub(now_ms()).min(10)));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,11 +2,12 @@
 //! three entries of a small deployment, started as separate processes by the command of the deploy
 //! file. Standard library only.
 //!
-//! `standin caseN FOLDER` plays a case and writes FOLDER/record.txt. Exit codes: 1 if the rule was
+//! `standin keys|crash|move|slow FOLDER` plays a case and writes FOLDER/record.txt. Exit codes: 1 if the rule was
 //! broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod case_crash;
 mod case_keys;
+mod case_move;
 mod case_slow;
 mod client;
 mod engine;
@@ -70,7 +71,7 @@
         engine::run_process(&args[2..]);
     }
     let (Some(case), Some(folder)) = (args.get(1), args.get(2)) else {
-        eprintln!("usage: standin case1|case2|case3 FOLDER");
+        eprintln!("usage: standin keys|crash|move|slow FOLDER");
         std::process::exit(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -84,6 +85,7 @@
     let result = match case.as_str() {
         "keys" => case_keys::play(&record, trouble),
         "crash" => case_crash::play(&record, trouble),
+        "move" => case_move::play(&record, trouble),
         "slow" => case_slow::play(&record, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -19,8 +19,20 @@
 pub const REVOKE_MS: u64 = 5_000;
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
+/// Whether the settings hold a bound on the use of removed keys, `strict_revoke`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Strictness {
+    Strict,
+    NoRevokeBound,
+}
+
 pub struct Site {
     pub store: Arc<Store>,
+    former_store: Option<Arc<Store>>,
+    /// Path and text of each settings file.
+    settings: Vec<(PathBuf, String)>,
+    address: SocketAddr,
+    strictness: Strictness,
     /// Addresses at which the entries take requests.
     pub entries: Vec<SocketAddr>,
     readiness: Vec<SocketAddr>,
@@ -31,7 +43,11 @@
 impl Site {
     /// Starts the store and, with the configuration and the engines in it, the entries; waits until
     /// these are ready.
-    pub fn start(config: &str, engines: &[Listed]) -> Result<Self, String> {
+    pub fn start(
+        config: &str,
+        engines: &[Listed],
+        strictness: Strictness,
+    ) -> Result<Self, String> {
         let (store, address) = Store::start().map_err(|err| format!("store: {err}"))?;
         store.put("op/config", config);
         for engine in engines {
@@ -41,19 +57,28 @@
         std::fs::create_dir_all(&folder).map_err(|err| format!("temporary folder: {err}"))?;
         let mut site = Self {
             store,
+            former_store: None,
+            settings: Vec::new(),
+            address,
+            strictness,
             entries: Vec::new(),
             readiness: Vec::new(),
             processes: Vec::new(),
             folder,
         };
-        site.start_entries(address)?;
+        site.start_entries()?;
         let is_up = wait_until(Duration::from_secs(10), || {
             site.readiness.iter().all(|at| is_ready(*at))
         });
         is_up.then_some(site).ok_or("the entries are not ready".into())
     }
 
-    fn start_entries(&mut self, store: SocketAddr) -> Result<(), String> {
+    fn start_entries(&mut self) -> Result<(), String> {
+        let store = self.address;
+        let key_removal = match self.strictness {
+            Strictness::Strict => format!("\"key_removal_ms\":{REVOKE_MS},"),
+            Strictness::NoRevokeBound => String::new(),
+        };
         let ips = [11, 12, 13].map(|last| Ipv4Addr::new(127, 81, 7, last));
         let [callers, readiness, control, link, admin] = free_ports(&ips)?;
         let seeds = ips.map(|ip| format!("\"{ip}:{control}\"")).join(",");
@@ -65,12 +90,13 @@
                  \"admin\":\"{ip}:{admin}\",\"link\":\"{ip}:{link}\",\"seeds\":[{seeds}],\
                  \"store\":\"{store}\",\
                  \"regions\":{{\"hall-a\":\"akl\",\"hall-b\":\"akl\",\"hall-c\":\"akl\"}},\
-                 \"link_mbps\":1000.0,\"bounds\":{{\"key_removal_ms\":{REVOKE_MS},\
+                 \"link_mbps\":1000.0,\"bounds\":{{{key_removal}\
                  \"stop_grace_ms\":8000,\"retry_window_ms\":10000,\"retry_extra\":52,\
                  \"retry_ratio\":0.2}}}}"
             );
             let path = self.folder.join(format!("{zone}.json"));
-            std::fs::write(&path, settings).map_err(|err| format!("settings: {err}"))?;
+            write(&path, &settings)?;
+            self.settings.push((path.clone(), settings));
             let log = std::fs::File::create(self.folder.join(format!("{zone}.log")));
             let log = log.map_err(|err| format!("log: {err}"))?;
             let child = Command::new(PROGRAM)
@@ -88,6 +114,38 @@
     }
 }
 
+impl Site {
+    /// Starts a store at another address that holds the same, and fills the settings files anew. One
+    /// entry gets SIGHUP; the others' files change without a signal. Returns the address.
+    pub fn move_store(&mut self) -> Result<SocketAddr, String> {
+        let (store, address) = self.store.copy().map_err(|err| format!("store: {err}"))?;
+        for (path, text) in &mut self.settings {
+            *text = text.replace(&self.address.to_string(), &address.to_string());
+            write(path, text)?;
+        }
+        self.former_store = Some(std::mem::replace(&mut self.store, store));
+        self.address = address;
+        let pid = self.processes.first().map(Child::id).unwrap_or_default();
+        let sent = Command::new("kill").args(["-HUP", &pid.to_string()]).status();
+        sent.map_err(|err| format!("kill: {err}"))?;
+        Ok(address)
+    }
+
+    /// Ends the store at its former address.
+    pub fn close_former_store(&mut self) {
+        if let Some(store) = self.former_store.take() {
+            store.close();
+        }
+    }
+}
+
+/// Puts a file in place as a whole.
+fn write(path: &std::path::Path, text: &str) -> Result<(), String> {
+    let new = path.with_extension("new");
+    let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, path));
+    written.map_err(|err| format!("settings: {err}"))
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         if let Some(kept) = std::env::var_os("KEEP_LOGS") {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
     create_rev: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct State {
     revision: u64,
     items: BTreeMap<String, Item>,
@@ -27,23 +28,44 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    address: Mutex<Option<SocketAddr>>,
+    connections: Mutex<Vec<TcpStream>>,
+    is_closed: AtomicBool,
 }
 
 impl Store {
     pub fn start() -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        Self::start_with(State {
+            revision: 100,
+            items: BTreeMap::new(),
+            changes: Vec::new(),
+        })
+    }
+
+    /// Starts a store that holds the same, with its history.
+    pub fn copy(&self) -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let state = self.state.lock().expect("store").clone();
+        Self::start_with(state)
+    }
+
+    fn start_with(state: State) -> std::io::Result<(Arc<Self>, SocketAddr)> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let store = Arc::new(Self {
-            state: Mutex::new(State {
-                revision: 100,
-                items: BTreeMap::new(),
-                changes: Vec::new(),
-            }),
+            state: Mutex::new(state),
             changed: Condvar::new(),
+            address: Mutex::new(Some(address)),
+            connections: Mutex::default(),
+            is_closed: AtomicBool::new(false),
         });
         let shared = Arc::clone(&store);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                let held = stream.try_clone();
+                shared.connections.lock().expect("store").extend(held);
                 let store = Arc::clone(&shared);
                 std::thread::spawn(move || store.serve(stream));
             }
@@ -51,6 +73,18 @@
         Ok((store, address))
     }
 
+    /// Closes the address and all connections.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        if let Some(address) = self.address.lock().expect("store").take() {
+            // Wakes the thread that accepts connections.
+            let _ = TcpStream::connect(address);
+        }
+        for stream in self.connections.lock().expect("store").drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Writes an item; it is confirmed when this returns.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().expect("store");
