--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -50,7 +50,39 @@
     answer
 }
 
+/// Sends a request and returns the bytes that come back, until the connection is closed or silent
+/// for half a second.
+pub fn exchange_raw(entry: SocketAddr, request: &Request) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let Ok(mut stream) = open(entry, request) else {
+        return bytes;
+    };
+    let mut buf = [0; 16 << 10];
+    let mut silence = Duration::from_millis(request.deadline_ms + 2_000);
+    loop {
+        let _ = stream.set_read_timeout(Some(silence));
+        match stream.read(&mut buf) {
+            Ok(read) if read > 0 => bytes.extend(&buf[..read]),
+            _ => return bytes,
+        }
+        if bytes.ends_with(b"\r\n0\r\n\r\n") {
+            return bytes;
+        }
+        silence = Duration::from_millis(500);
+    }
+}
+
 fn exchange(entry: SocketAddr, request: &Request, answer: &mut Answer) -> std::io::Result<()> {
+    let stream = open(entry, request)?;
+    let mut reader = BufReader::new(stream);
+    let head = read_head(&mut reader)?.unwrap_or_default();
+    answer.status = head.status();
+    answer.sealed = head.get("x-response-seal").is_some();
+    read_body(&mut reader, &head, answer)
+}
+
+/// Opens a connection and sends the request.
+fn open(entry: SocketAddr, request: &Request) -> std::io::Result<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&entry, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     let limit = Duration::from_millis(request.deadline_ms + 2_000);
@@ -67,11 +99,7 @@
         request.headers
     );
     stream.write_all(&[head.as_bytes(), &request.body].concat())?;
-    let mut reader = BufReader::new(stream);
-    let head = read_head(&mut reader)?.unwrap_or_default();
-    answer.status = head.status();
-    answer.sealed = head.get("x-response-seal").is_some();
-    read_body(&mut reader, &head, answer)
+    Ok(stream)
 }
 
 fn read_body(
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -70,6 +70,8 @@
     pub end: End,
     /// Whether it drops a request once its connection closes, as most engines do.
     pub drops: AtomicBool,
+    /// Requests in a hundred that it answers with its own 500.
+    pub fails: AtomicU64,
     /// Work takes so many times as long.
     pub slow: AtomicU64,
     /// Until when it reads prompts that came before, in ms of the time of day.
@@ -84,6 +86,7 @@
             events,
             end,
             drops: AtomicBool::new(drops),
+            fails: AtomicU64::new(0),
             slow: AtomicU64::new(1),
             reads_until: AtomicU64::new(0),
             prints: false,
@@ -163,6 +166,7 @@
             let id = head.get("x-request-id").unwrap_or("").to_owned();
             let number = self.begin(&head, &id);
             let is_kept = match self.behaviour.events {
+                _ if self.is_failed(&id) => self.fail(&mut writer, &id),
                 0 => self.answer(&mut writer, &id),
                 _ => self.stream(&mut writer, &watched, &head, &id),
             };
@@ -197,6 +201,30 @@
         self.runs.lock().expect("runs")[number].ended = Some(at);
     }
 
+    /// Whether it fails a request; drawn by a hash of its id and of this engine.
+    fn is_failed(&self, id: &str) -> bool {
+        let text = format!("{id}/{}", self.listed.id);
+        let start = 0xcbf2_9ce4_8422_2325_u64;
+        let hash = text.bytes().fold(start, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        (hash >> 32) % 100 < self.behaviour.fails.load(Ordering::SeqCst)
+    }
+
+    /// Its own failure; true if the connection stays open.
+    fn fail(&self, writer: &mut TcpStream, id: &str) -> bool {
+        sleep(Duration::from_millis(5));
+        let head = self.head(id).replace("200 OK", "500 Internal Server Error");
+        let text = format!("{head}Content-Length: 6\r\n\r\nfailed");
+        writer.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Whether it works on a request.
+    pub fn is_running(&self, id: &str) -> bool {
+        let runs = self.runs.lock().expect("runs");
+        runs.iter().any(|run| run.id == id && run.ended.is_none())
+    }
+
     /// A plain answer; true if the connection stays open.
     fn answer(&self, writer: &mut TcpStream, id: &str) -> bool {
         sleep(Duration::from_millis(15));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,10 +8,12 @@
 mod case_crash;
 mod case_keys;
 mod case_move;
+mod case_resumed;
 mod case_slow;
 mod client;
 mod engine;
 mod http;
+mod proxy;
 mod site;
 mod store;
 
@@ -85,6 +87,7 @@
     let result = match case.as_str() {
         "keys" => case_keys::play(&record, trouble),
         "crash" => case_crash::play(&record, trouble),
+        "resumed" => case_resumed::play(&record, trouble),
         "move" => case_move::play(&record, trouble),
         "slow" => case_slow::play(&record, trouble),
         other => Err(format!("no case {other}")),
