--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod case_crash;
 mod case_keys;
 mod case_move;
+mod case_restored;
 mod case_resumed;
 mod case_slow;
 mod client;
@@ -87,6 +88,7 @@
     let result = match case.as_str() {
         "keys" => case_keys::play(&record, trouble),
         "crash" => case_crash::play(&record, trouble),
+        "restored" => case_restored::play(&record, trouble),
         "resumed" => case_resumed::play(&record, trouble),
         "move" => case_move::play(&record, trouble),
         "slow" => case_slow::play(&record, trouble),
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -47,8 +47,27 @@
         config: &str,
         engines: &[Listed],
         strictness: Strictness,
+    ) -> Result<Self, String> {
+        Self::start_with(config, engines, strictness, 0)
+    }
+
+    /// The same, with a store that names its era.
+    pub fn start_in_era(
+        config: &str,
+        engines: &[Listed],
+        strictness: Strictness,
+    ) -> Result<Self, String> {
+        Self::start_with(config, engines, strictness, 1)
+    }
+
+    fn start_with(
+        config: &str,
+        engines: &[Listed],
+        strictness: Strictness,
+        era: u64,
     ) -> Result<Self, String> {
         let (store, address) = Store::start().map_err(|err| format!("store: {err}"))?;
+        store.name_era(era);
         store.put("op/config", config);
         for engine in engines {
             store.put(&engine.key(), &engine.entry("ready"));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,9 @@
     create_rev: u64,
 }
 
+/// A copy of what a store holds.
+pub struct Backup(State);
+
 #[derive(Debug, Clone)]
 struct State {
     revision: u64,
@@ -31,6 +34,10 @@
     address: Mutex<Option<SocketAddr>>,
     connections: Mutex<Vec<TcpStream>>,
     is_closed: AtomicBool,
+    /// Whether it turns all calls away.
+    is_away: AtomicBool,
+    /// What `Store-Era` names in all answers; 0 where it is not named.
+    era: AtomicU64,
 }
 
 impl Store {
@@ -57,6 +64,8 @@
             address: Mutex::new(Some(address)),
             connections: Mutex::default(),
             is_closed: AtomicBool::new(false),
+            is_away: AtomicBool::new(false),
+            era: AtomicU64::new(0),
         });
         let shared = Arc::clone(&store);
         std::thread::spawn(move || {
@@ -73,6 +82,30 @@
         Ok((store, address))
     }
 
+    /// Names an era in all answers from now on.
+    pub fn name_era(&self, era: u64) {
+        self.era.store(era, Ordering::SeqCst);
+    }
+
+    /// What it holds now, to be restored later.
+    pub fn backup(&self) -> Backup {
+        Backup(self.state.lock().expect("store").clone())
+    }
+
+    /// Turns all calls away from now on.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        let _state = self.state.lock().expect("store");
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era.
+    pub fn come_back(&self, backup: Backup) {
+        *self.state.lock().expect("store") = backup.0;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Closes the address and all connections.
     pub fn close(&self) {
         self.is_closed.store(true, Ordering::SeqCst);
@@ -123,8 +156,12 @@
                 return;
             }
             let (status, body) = self.answer(head.request().1);
+            let era = match self.era.load(Ordering::SeqCst) {
+                0 => String::new(),
+                era => format!("Store-Era: {era}\r\n"),
+            };
             let text = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if writer.write_all(text.as_bytes()).is_err() {
@@ -134,6 +171,10 @@
     }
 
     fn answer(&self, target: &str) -> (&'static str, String) {
+        const BUSY: (&str, String) = ("503 Service Unavailable", String::new());
+        if self.is_away.load(Ordering::SeqCst) {
+            return BUSY;
+        }
         let path = target.split('?').next().unwrap_or("");
         let prefix = parameter(target, "path_prefix").unwrap_or("");
         let since = parameter(target, "since_rev").unwrap_or("");
@@ -178,6 +219,12 @@
         let start = Instant::now();
         let mut state = self.state.lock().expect("store");
         loop {
+            if self.is_away.load(Ordering::SeqCst) {
+                return ("503 Service Unavailable", String::new());
+            }
+            if since > state.revision {
+                return ("410 Gone", "{}".to_owned());
+            }
             let found = state.changes.iter();
             let found = found.filter(|(at, key, _)| *at > since && key.starts_with(prefix));
             let events: Vec<String> = found.map(|(at, key, item)| event(*at, key, item)).collect();
