--- a/review/standin/case_crash.rs
+++ b/review/standin/case_crash.rs
@@ -65,7 +65,9 @@
         std::thread::spawn(move || {
             for line in lines {
                 let words: Vec<&str> = line.split(' ').collect();
-                let [what, at, request] = words[..] else { continue };
+                let [what, at, request] = words[..] else {
+                    continue;
+                };
                 let at = at.parse().unwrap_or_else(|_| now_ms());
                 record.note_at(at, &format!("engine {name}: run of {request} {what}"));
                 let mut runs = shared.lock().expect("runs");
@@ -79,11 +81,20 @@
             zone,
             slots: 64,
         };
-        Ok(Self { listed, child, runs })
+        Ok(Self {
+            listed,
+            child,
+            runs,
+        })
     }
 
     fn running(&self) -> usize {
-        self.runs.lock().expect("runs").values().filter(|ended| !**ended).count()
+        self.runs
+            .lock()
+            .expect("runs")
+            .values()
+            .filter(|ended| !**ended)
+            .count()
     }
 
     fn kill(&mut self) {
@@ -158,7 +169,9 @@
             answer.status, answer.complete
         ));
         if answer.status == 200 && answer.complete && events < EVENTS {
-            broken.push(format!("ORDER: {id} ends as complete after {events} of {EVENTS} events"));
+            broken.push(format!(
+                "ORDER: {id} ends as complete after {events} of {EVENTS} events"
+            ));
         }
     }
     drop(site);
--- a/review/standin/case_keys.rs
+++ b/review/standin/case_keys.rs
@@ -59,7 +59,10 @@
     let ask = |what: &str, key: &str| {
         for (number, entry) in site.entries.iter().enumerate() {
             let request = request(format!("{what}-{number}"), key);
-            record.note(&format!("request {} with key {key} to entry {number}", request.id));
+            record.note(&format!(
+                "request {} with key {key} to entry {number}",
+                request.id
+            ));
             let answer = send(*entry, &request);
             record.note(&format!("request {} gets {}", request.id, answer.status));
         }
@@ -73,9 +76,12 @@
         sleep(GAP);
         let (name, key) = TENANTS[left];
         let version = 8 + (TENANTS.len() - left) as u64;
-        site.store.put("op/config", &config(version, &TENANTS[..left]));
+        site.store
+            .put("op/config", &config(version, &TENANTS[..left]));
         removed.push((key, now_ms()));
-        record.note(&format!("version {version} is confirmed; it has no key of {name} any more"));
+        record.note(&format!(
+            "version {version} is confirmed; it has no key of {name} any more"
+        ));
     }
     sleep(Duration::from_millis(REVOKE_MS + 1_000));
     for (name, key) in TENANTS {
@@ -86,14 +92,22 @@
     drop(site);
     let mut broken = Vec::new();
     for run in note_runs(record, &engines) {
-        let of = TENANTS.iter().find(|(name, _)| run.id.starts_with(&format!("after-{name}")));
+        let of = TENANTS
+            .iter()
+            .find(|(name, _)| run.id.starts_with(&format!("after-{name}")));
         let gone = of.and_then(|(_, key)| removed.iter().find(|(k, _)| k == key));
         if let Some((_, at)) = gone.filter(|(_, at)| run.began > at + REVOKE_MS) {
             let late = run.began - at;
-            broken.push(format!("CONFIG: {} runs {late} ms after its key was removed", run.id));
+            broken.push(format!(
+                "CONFIG: {} runs {late} ms after its key was removed",
+                run.id
+            ));
         }
         if run.id.contains("unknown") {
-            broken.push(format!("ROUTE: {} runs with a key of no configuration", run.id));
+            broken.push(format!(
+                "ROUTE: {} runs with a key of no configuration",
+                run.id
+            ));
         }
     }
     Ok(broken)
--- a/review/standin/case_move.rs
+++ b/review/standin/case_move.rs
@@ -60,7 +60,10 @@
                 headers: String::new(),
                 body: vec![b'b'; 600],
             };
-            record.note(&format!("request {} with key {key} to entry {number}", request.id));
+            record.note(&format!(
+                "request {} with key {key} to entry {number}",
+                request.id
+            ));
             let answer = send(*entry, &request);
             record.note(&format!("request {} gets {}", request.id, answer.status));
             answers.push((request.id, answer.status));
@@ -94,11 +97,19 @@
     for run in note_runs(record, &engines) {
         if run.id.starts_with("after-dropped") {
             let late = run.began - confirmed;
-            broken.push(format!("CONFIG: {} runs {late} ms after its key was dropped", run.id));
+            broken.push(format!(
+                "CONFIG: {} runs {late} ms after its key was dropped",
+                run.id
+            ));
         }
     }
-    for (id, status) in added.iter().filter(|(_, status)| matches!(status, 401 | 403 | 404)) {
-        broken.push(format!("CONFIG: {id} gets {status} though the route exists"));
+    for (id, status) in added
+        .iter()
+        .filter(|(_, status)| matches!(status, 401 | 403 | 404))
+    {
+        broken.push(format!(
+            "CONFIG: {id} gets {status} though the route exists"
+        ));
     }
     Ok(broken)
 }
--- a/review/standin/case_restored.rs
+++ b/review/standin/case_restored.rs
@@ -92,7 +92,10 @@
                 body: vec![b'b'; 600],
             };
             let entry = site.entries[number % site.entries.len()];
-            record.note(&format!("request {} with the removed key to {entry}", request.id));
+            record.note(&format!(
+                "request {} with the removed key to {entry}",
+                request.id
+            ));
             let answer = send(entry, &request);
             record.note(&format!("request {} gets {}", request.id, answer.status));
         }
@@ -102,7 +105,10 @@
     let mut broken = Vec::new();
     for run in note_runs(record, &engines) {
         let late = run.began - removed;
-        broken.push(format!("CONFIG: {} runs {late} ms after its key was removed", run.id));
+        broken.push(format!(
+            "CONFIG: {} runs {late} ms after its key was removed",
+            run.id
+        ));
     }
     Ok(broken)
 }
--- a/review/standin/case_resumed.rs
+++ b/review/standin/case_resumed.rs
@@ -92,10 +92,15 @@
     let site = Site::start(&config(), &listed, Strictness::Strict)?;
     if trouble {
         let share = |engine: &Arc<Engine>| {
-            engine.behaviour.fails.store(FAILED_PERCENT, Ordering::SeqCst);
+            engine
+                .behaviour
+                .fails
+                .store(FAILED_PERCENT, Ordering::SeqCst);
         };
         engines.iter().for_each(share);
-        record.note(&format!("engines fail {FAILED_PERCENT} in 100 of their requests"));
+        record.note(&format!(
+            "engines fail {FAILED_PERCENT} in 100 of their requests"
+        ));
     }
     let mut broken = Vec::new();
     for number in 0..STREAMS {
@@ -113,7 +118,11 @@
         }
         let bytes = asking.join().map_err(|_| "the requester failed")?;
         let fault = fault_of(&bytes);
-        record.note(&format!("request {id} gets {} bytes: {}", bytes.len(), text(&bytes)));
+        record.note(&format!(
+            "request {id} gets {} bytes: {}",
+            bytes.len(),
+            text(&bytes)
+        ));
         if let Some(fault) = fault {
             broken.push(format!("MIXED: {id} gets {fault}"));
         }
--- a/review/standin/case_slow.rs
+++ b/review/standin/case_slow.rs
@@ -64,7 +64,13 @@
     for number in 0..ENGINES {
         let behaviour = Behaviour::new(4, End::Chunked, true);
         let zone = ZONES[number % ZONES.len()];
-        engines.push(Engine::start(&format!("i-{number}"), "violet-pool", zone, 64, behaviour)?);
+        engines.push(Engine::start(
+            &format!("i-{number}"),
+            "violet-pool",
+            zone,
+            64,
+            behaviour,
+        )?);
     }
     let listed: Vec<Listed> = engines.iter().map(|e| e.listed.clone()).collect();
     let site = Site::start(&config(), &listed, Strictness::Strict)?;
@@ -83,7 +89,9 @@
             engine.behaviour.drops.store(false, Ordering::SeqCst);
             if trouble {
                 engine.behaviour.slow.store(SLOW, Ordering::SeqCst);
-                record.note(&format!("engine {id} turns slow: work takes {SLOW} times as long"));
+                record.note(&format!(
+                    "engine {id} turns slow: work takes {SLOW} times as long"
+                ));
             }
             engine.read_prompt(LONG_PROMPT);
             record.note(&format!(
@@ -115,7 +123,9 @@
     let runs = note_runs(record, &engines);
     let mut broken = Vec::new();
     for later in &runs {
-        let earlier = runs.iter().filter(|run| run.id == later.id && run.engine != later.engine);
+        let earlier = runs
+            .iter()
+            .filter(|run| run.id == later.id && run.engine != later.engine);
         let overlapping = earlier.filter(|run| {
             let until = run.ended.unwrap_or(u64::MAX);
             run.began < later.began && until > later.began + TWICE_MS
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -112,7 +112,9 @@
         behaviour: Behaviour,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|err| format!("engine: {err}"))?;
-        let address = listener.local_addr().map_err(|err| format!("engine: {err}"))?;
+        let address = listener
+            .local_addr()
+            .map_err(|err| format!("engine: {err}"))?;
         let engine = Arc::new(Self {
             listed: Listed {
                 id: id.to_owned(),
@@ -139,7 +141,9 @@
         let slow = self.behaviour.slow.load(Ordering::SeqCst);
         let takes = (tokens as f64 / PROMPT_TOKENS_PER_MS) as u64 * slow;
         let from = now_ms().max(self.behaviour.reads_until.load(Ordering::SeqCst));
-        self.behaviour.reads_until.store(from + takes, Ordering::SeqCst);
+        self.behaviour
+            .reads_until
+            .store(from + takes, Ordering::SeqCst);
         from + takes
     }
 
@@ -236,15 +240,23 @@
 
     /// A stream; true if the connection stays open.
     fn stream(&self, writer: &mut TcpStream, watched: &TcpStream, head: &Head, id: &str) -> bool {
-        let tokens = head.get("x-token-usage").and_then(|u| u.split(',').next()?.parse().ok());
+        let tokens = head
+            .get("x-token-usage")
+            .and_then(|u| u.split(',').next()?.parse().ok());
         let until = self.read_prompt(tokens.unwrap_or(0));
-        let after: usize = head.get("last-event-id").and_then(|e| e.parse().ok()).unwrap_or(0);
+        let after: usize = head
+            .get("last-event-id")
+            .and_then(|e| e.parse().ok())
+            .unwrap_or(0);
         let mut is_open = self.work_until(until + FIRST_MS, watched);
         let start = match self.behaviour.end {
             End::Chunked => "Transfer-Encoding: chunked\r\n\r\n",
             End::Connection => "Connection: close\r\n\r\n",
         };
-        let head = format!("{}Content-Type: text/event-stream\r\n{start}", self.head(id));
+        let head = format!(
+            "{}Content-Type: text/event-stream\r\n{start}",
+            self.head(id)
+        );
         is_open = is_open && writer.write_all(head.as_bytes()).is_ok();
         for event in after + 1..=self.behaviour.events {
             if !is_open && self.behaviour.drops.load(Ordering::SeqCst) {
@@ -277,7 +289,9 @@
             if !is_open && self.behaviour.drops.load(Ordering::SeqCst) {
                 return false;
             }
-            sleep(Duration::from_millis(until.saturating_sub(now_ms()).min(10)));
+            sleep(Duration::from_millis(
+                until.saturating_sub(now_ms()).min(10),
+            ));
         }
         is_open
     }
@@ -321,19 +335,29 @@
         Err(_) => std::process::exit(2),
     }
     let mut line = String::new();
-    while std::io::stdin().read_line(&mut line).is_ok_and(|read| read > 0) {}
+    while std::io::stdin()
+        .read_line(&mut line)
+        .is_ok_and(|read| read > 0)
+    {}
     std::process::exit(0);
 }
 
 /// Notes all runs of some engines, oldest first, and returns them.
 pub fn note_runs(record: &Record, engines: &[Arc<Engine>]) -> Vec<Run> {
-    let runs = engines.iter().flat_map(|e| e.runs.lock().expect("runs").clone());
+    let runs = engines
+        .iter()
+        .flat_map(|e| e.runs.lock().expect("runs").clone());
     let mut runs: Vec<Run> = runs.collect();
     runs.sort_by_key(|run| run.began);
     for run in &runs {
-        let ended = run.ended.map_or("-".to_owned(), |at| (at - run.began).to_string());
+        let ended = run
+            .ended
+            .map_or("-".to_owned(), |at| (at - run.began).to_string());
         let tenant = run.tenant.as_deref().unwrap_or("none");
-        let text = format!("engine {} runs {} for {ended} ms, X-Tenant {tenant}", run.engine, run.id);
+        let text = format!(
+            "engine {} runs {} for {ended} ms, X-Tenant {tenant}",
+            run.engine, run.id
+        );
         record.note_at(run.began, &text);
     }
     runs
--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -25,12 +25,16 @@
 impl Proxy {
     pub fn start(engine: SocketAddr) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|err| format!("proxy: {err}"))?;
-        let address = listener.local_addr().map_err(|err| format!("proxy: {err}"))?;
+        let address = listener
+            .local_addr()
+            .map_err(|err| format!("proxy: {err}"))?;
         let connections: Arc<Mutex<Vec<Connection>>> = Arc::default();
         let of_thread = Arc::clone(&connections);
         std::thread::spawn(move || {
             for near in listener.incoming().flatten() {
-                let Ok(far) = TcpStream::connect(engine) else { continue };
+                let Ok(far) = TcpStream::connect(engine) else {
+                    continue;
+                };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let used_at = Arc::new(AtomicU64::new(0));
                 pass(&near, &far, &used_at);
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -43,11 +43,7 @@
 impl Site {
     /// Starts the store and, with the configuration and the engines in it, the entries; waits until
     /// these are ready.
-    pub fn start(
-        config: &str,
-        engines: &[Listed],
-        strictness: Strictness,
-    ) -> Result<Self, String> {
+    pub fn start(config: &str, engines: &[Listed], strictness: Strictness) -> Result<Self, String> {
         Self::start_with(config, engines, strictness, 0)
     }
 
@@ -89,7 +85,9 @@
         let is_up = wait_until(Duration::from_secs(10), || {
             site.readiness.iter().all(|at| is_ready(*at))
         });
-        is_up.then_some(site).ok_or("the entries are not ready".into())
+        is_up
+            .then_some(site)
+            .ok_or("the entries are not ready".into())
     }
 
     fn start_entries(&mut self) -> Result<(), String> {
@@ -125,7 +123,8 @@
                 .stdout(log)
                 .stderr(Stdio::null())
                 .spawn();
-            self.processes.push(child.map_err(|err| format!("{PROGRAM}: {err}"))?);
+            self.processes
+                .push(child.map_err(|err| format!("{PROGRAM}: {err}"))?);
             self.entries.push(SocketAddr::from((*ip, callers)));
             self.readiness.push(SocketAddr::from((*ip, readiness)));
         }
@@ -145,7 +144,9 @@
         self.former_store = Some(std::mem::replace(&mut self.store, store));
         self.address = address;
         let pid = self.processes.first().map(Child::id).unwrap_or_default();
-        let sent = Command::new("kill").args(["-HUP", &pid.to_string()]).status();
+        let sent = Command::new("kill")
+            .args(["-HUP", &pid.to_string()])
+            .status();
         sent.map_err(|err| format!("kill: {err}"))?;
         Ok(address)
     }
@@ -187,8 +188,13 @@
     let mut held = Vec::new();
     while found.len() < N {
         let first = TcpListener::bind((ips[0], 0)).map_err(|err| format!("port: {err}"))?;
-        let port = first.local_addr().map_err(|err| format!("port: {err}"))?.port();
-        let others = ips[1..].iter().all(|ip| TcpListener::bind((*ip, port)).is_ok());
+        let port = first
+            .local_addr()
+            .map_err(|err| format!("port: {err}"))?
+            .port();
+        let others = ips[1..]
+            .iter()
+            .all(|ip| TcpListener::bind((*ip, port)).is_ok());
         let datagrams = ips.iter().all(|ip| UdpSocket::bind((*ip, port)).is_ok());
         // Held until all are found, so that none is found twice.
         held.push(first);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -123,7 +123,10 @@
         let mut state = self.state.lock().expect("store");
         state.revision += 1;
         let revision = state.revision;
-        let create_rev = state.items.get(key).map_or(revision, |item| item.create_rev);
+        let create_rev = state
+            .items
+            .get(key)
+            .map_or(revision, |item| item.create_rev);
         let item = Item {
             value: base64(value.as_bytes()),
             revision,
