Keep an error out of a stream that is taken up

Cause: a stream breaks off and is taken up, by the route's resumption or from the copy of the run's memory. handle_answer classified the second endpoint's answer by its status alone: one that is no success went to relay_complete, which writes a head whatever has been sent before. A success that is no stream (201, 206, JSON) went to the relay of events and was appended. The lines of a request show it: attempt 1 "the stream broke off", attempt 2 ends as endpoint_error, status 500, framing length.

An answer is now the rest of an open stream only if its status and media type are those of the head that was sent. Anything else counts as a lost attempt: the stream goes on elsewhere where that is allowed, and otherwise the connection is closed without the end of the stream, so that the caller can resume it. 3xx, 4xx and 504 don't count against the endpoint's health. Besides, every head passes through Answerer::encode_head, which now fails while a response is open.

--- a/src/direct/answerer.rs
+++ b/src/direct/answerer.rs
@@ -23,6 +23,8 @@
     version: Version,
     /// Encoded bytes that are not written yet.
     out: BytesMut,
+    /// Whether a response was begun and is not complete.
+    is_open: bool,
 }
 
 impl std::fmt::Debug for Answerer {
@@ -41,6 +43,7 @@
             codec: Codec::new(service_config()),
             version: Version::HTTP_11,
             out: BytesMut::new(),
+            is_open: false,
         }
     }
 
@@ -59,7 +62,8 @@
         self.codec.message_type() != MessageType::None
     }
 
-    /// Writes a complete response; `close` tells the caller that the connection ends with it.
+    /// Writes a complete response; `close` tells the caller that the connection ends with it. Fails
+    /// where a response is open already.
     pub async fn send_response(
         &mut self,
         head: ResponseHead,
@@ -71,10 +75,13 @@
         if !body.is_empty() {
             self.encode_chunk(Some(body))?;
         }
-        self.flush().await
+        self.flush().await?;
+        self.is_open = false;
+        Ok(())
     }
 
-    /// Writes the head and the first chunk of a streamed response.
+    /// Writes the head and the first chunk of a streamed response. Fails where a response is open
+    /// already.
     pub async fn start_stream(
         &mut self,
         head: ResponseHead,
@@ -116,6 +123,7 @@
         if self.is_unmarked() {
             self.reset_on_close(false)?;
         }
+        self.is_open = false;
         Ok(())
     }
 
@@ -142,7 +150,13 @@
         self.writer.shutdown().await
     }
 
+    /// Encodes the head of a response. Every head passes here, so none stands inside the body of
+    /// another response.
     fn encode_head(&mut self, head: ResponseHead, size: BodySize, close: bool) -> io::Result<()> {
+        if self.is_open {
+            return Err(io::Error::other("a response to this request is open"));
+        }
+        self.is_open = true;
         let mut res = Response::new(head.status);
         *res.headers_mut() = head.headers;
         let is_unmarked = size == BodySize::Stream && self.is_unmarked();
@@ -158,10 +172,9 @@
         self.codec.encode(Message::Chunk(chunk), &mut self.out)
     }
 
-    /// Whether a response was begun and a cancelled or failed write left a part of it unwritten.
-    /// Nothing may follow it then.
-    pub fn is_broken_off(&self) -> bool {
-        !self.out.is_empty()
+    /// Whether a response was begun and is not complete: its rest may follow, and nothing else.
+    pub fn is_open(&self) -> bool {
+        self.is_open
     }
 
     /// Writes all encoded bytes. If it is cancelled, only the unwritten ones are left.
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -1,7 +1,7 @@
 //! Handling an endpoint's answer: classifies it by its head, relays it to the caller and records
 //! the result for the endpoint.
 
-use actix_http::StatusCode;
+use actix_http::{ResponseHead, StatusCode};
 
 use super::{AttemptOutcome, Job};
 use crate::clock::Millis;
@@ -17,7 +17,7 @@
 use crate::direct::known::observed::StreamTimes;
 use crate::direct::origins::Origin;
 use crate::direct::placement::choose::Choice;
-use crate::direct::relay::{self, RelayContext, RelayError};
+use crate::direct::relay::{self, RelayContext, RelayError, StreamKind};
 
 /// An answer whose head has arrived, with the attempt that it belongs to.
 #[derive(Debug)]
@@ -68,6 +68,10 @@
             answer.run_guard.undecided();
             return self.record_failure(key, Fault::Answer, why);
         }
+        if !self.continues_stream(&answer.reply.head) {
+            answer.run_guard.undecided();
+            return self.record_foreign_answer(key, status);
+        }
         let relaying = async {
             if !status.is_success() || self.route().shape == ResponseKind::Whole {
                 self.relay_complete(answerer, answer, &response_info).await
@@ -119,6 +123,27 @@
         (!response_info.sealed).then_some("an error without the endpoint's seal")
     }
 
+    /// Whether an answer may be sent to the caller where the head of a stream has been sent: it is
+    /// the rest of that stream, not a whole answer of its own. True before the first event.
+    fn continues_stream(&self, head: &ResponseHead) -> bool {
+        let open = self.stream_kind.borrow();
+        open.as_ref()
+            .is_none_or(|open| *open == StreamKind::of(head))
+    }
+
+    /// Records that an endpoint's answer is not the rest of the stream that it was to take up.
+    fn record_foreign_answer(&self, key: EndpointKey, status: StatusCode) -> AttemptOutcome {
+        let why = format!("status {}, not the rest of the stream", status.as_u16());
+        // The endpoint is not at fault where the request is, or where its time was over.
+        let is_sound = status.is_redirection()
+            || status.is_client_error()
+            || status == StatusCode::GATEWAY_TIMEOUT;
+        if !is_sound {
+            return self.record_failure(key, Fault::Answer, &why);
+        }
+        self.record_lost(key, &why)
+    }
+
     /// The endpoint says that it did not run the request.
     async fn handle_not_run(
         &self,
@@ -169,6 +194,11 @@
         why: &str,
     ) -> AttemptOutcome {
         self.entry.endpoint_failed(key, fault, why);
+        self.record_lost(key, why)
+    }
+
+    /// Records that the answer was lost, which says nothing about the endpoint.
+    fn record_lost(&self, key: EndpointKey, why: &str) -> AttemptOutcome {
         self.log_failed(key, why, true);
         let urgency = self.route().priority;
         self.entry.metrics.attempt(&self.pool, urgency, "lost");
@@ -235,6 +265,7 @@
         let key = answer.choice.key;
         let status = answer.reply.head.status.as_u16();
         let framing = answer.reply.framing();
+        let kind = StreamKind::of(&answer.reply.head);
         let head = self.entry.dialect.caller_response(&answer.reply.head);
         let context = RelayContext {
             position: &self.position,
@@ -243,6 +274,7 @@
         let on_first_event = || {
             self.record_first_byte(&answer.choice, answer.run_guard, answer.sent_at);
             self.begin_stream(answer.origin);
+            *self.stream_kind.borrow_mut() = Some(kind.clone());
             if answer.was_idle {
                 self.learn_prefill(&answer.choice, answer.sent_at);
             }
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -178,7 +178,7 @@
 
     /// Ends a request whose deadline has passed. False if the connection is to be closed.
     pub(super) async fn end_at_deadline(&self, answerer: &mut Answerer) -> bool {
-        if self.position.get().head_sent || answerer.is_broken_off() {
+        if self.position.get().head_sent || answerer.is_open() {
             return self.end_broken_stream();
         }
         if !self.may_have_run {
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -33,7 +33,7 @@
 use crate::direct::origins::Origin;
 use crate::direct::progress::Progress;
 use crate::direct::refuse;
-use crate::direct::relay::StreamPosition;
+use crate::direct::relay::{StreamKind, StreamPosition};
 use crate::direct::resolve::{Allowed, Denied};
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::parts::{PartRefusal, SharedParts};
@@ -117,6 +117,8 @@
     resumes_from_copy: bool,
     /// Where the stream began; `None` before its first event, and for other answers.
     origin: Cell<Option<Origin>>,
+    /// The kind of the stream whose first event is about to be sent; `None` before that.
+    stream_kind: RefCell<Option<StreamKind>>,
     /// How far the answer has got; also kept when an attempt is dropped at the deadline.
     position: Cell<StreamPosition>,
 }
@@ -165,6 +167,7 @@
             copy_key: None,
             resumes_from_copy: false,
             origin: Cell::default(),
+            stream_kind: RefCell::default(),
             position: Cell::new(StreamPosition {
                 last_event: ask.last_event,
                 ..StreamPosition::default()
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -3,6 +3,8 @@
 
 use std::cell::Cell;
 
+use actix_http::header::CONTENT_TYPE;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 
 use crate::direct::answerer::Answerer;
@@ -21,6 +23,28 @@
     pub last_event: Option<u64>,
 }
 
+/// What the head of a response says of its body. All endpoints that produce a stream have to answer
+/// with the same: another one's answer is not the rest of the stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamKind {
+    status: StatusCode,
+    /// Media type in lower case, without parameters; empty where the head names none.
+    media_type: String,
+}
+
+impl StreamKind {
+    /// The kind of the response with this head.
+    pub fn of(head: &ResponseHead) -> Self {
+        let content_type = head.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let media_type = content_type.and_then(|value| value.split(';').next());
+        Self {
+            status: head.status,
+            media_type: media_type.unwrap_or_default().trim().to_ascii_lowercase(),
+        }
+    }
+}
+
 /// Why a stream could not be relayed to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayError {
@@ -122,7 +146,7 @@
     answerer: &mut Answerer,
     context: RelayContext<'_>,
     next: impl AsyncFn(&mut Reply) -> Result<Option<Bytes>, ExchangeError>,
-    mut begin: impl FnMut() -> actix_http::ResponseHead,
+    mut begin: impl FnMut() -> ResponseHead,
     mut sent: impl FnMut(u32),
 ) -> Result<(), RelayError> {
     let RelayContext { position, close } = context;
