Refuse all keys once the last team is removed

Cause: a configuration without the field, where requests need no key, and one whose last team is gone were the same empty list, from the adapter to the document that peers forward; resolve() let anyone in where it was empty, also before it looked at the age of the proof.

The type tells them apart now: Teams::Unrestricted, where the field is missing, and Teams::Listed, whose empty list lets nobody in. null is an empty list, as some writers have it; routes, services and api_keys take it too, where it made the whole configuration unreadable. Between entries an empty list keeps its meaning, "anyone", since entries of earlier versions read it so; nobody is one team without name and key, which those refuse, too. Without teams a request that carries a key needs a proof of freshness as well: teams may have been added, and its key removed, since then.

Looked at without a change: keys of the granted path (no team, no key: 401), routes, services, endpoints and cordons (an empty list is none). An empty list of allowed regions still means any region.

--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -3,7 +3,7 @@
 use divan::{black_box, Bencher};
 use violetline::clock::Millis;
 use violetline::direct::catalog::{
-    CallerLimits, Catalog, PoolShare, RepeatPolicy, ResponseKind, Route, Team,
+    CallerLimits, Catalog, PoolShare, RepeatPolicy, ResponseKind, Route, Team, Teams,
 };
 use violetline::direct::patch::Patch;
 use violetline::direct::versions;
@@ -47,6 +47,7 @@
         regions: Vec::new(),
     };
     let teams = (0..24).map(team).collect();
+    let teams = Teams::Listed(teams);
     Catalog::new(version, routes, Vec::new(), teams, CallerLimits::default())
 }
 
--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -146,6 +146,71 @@
     pub regions: Vec<String>,
 }
 
+/// Who may send requests to routes that are not public.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Teams {
+    /// Anyone: the configuration names no teams, and requests need no key.
+    Unrestricted,
+    /// Requests with a key of one of these teams; nobody where there is none.
+    Listed(Vec<Team>),
+}
+
+impl Default for Teams {
+    /// Nobody.
+    fn default() -> Self {
+        Self::Listed(Vec::new())
+    }
+}
+
+impl Teams {
+    /// The teams that the configuration names; empty where it names none.
+    pub fn listed(&self) -> &[Team] {
+        match self {
+            Self::Unrestricted => &[],
+            Self::Listed(teams) => teams,
+        }
+    }
+
+    /// The form that entries send to each other. An empty list means [`Teams::Unrestricted`] there,
+    /// also to entries of earlier versions, so that "nobody" is one team without a key.
+    fn to_wire(&self) -> Vec<Team> {
+        match self {
+            Self::Listed(teams) if teams.is_empty() => vec![Team::nobody()],
+            teams => teams.listed().to_vec(),
+        }
+    }
+
+    /// Reads that form.
+    fn from_wire(mut teams: Vec<Team>) -> Self {
+        if teams.is_empty() {
+            return Self::Unrestricted;
+        }
+        teams.retain(|team| *team != Team::nobody());
+        Self::Listed(teams)
+    }
+}
+
+impl std::ops::Index<TeamKey> for Teams {
+    type Output = Team;
+
+    fn index(&self, key: TeamKey) -> &Team {
+        &self.listed()[key.0]
+    }
+}
+
+impl Team {
+    /// Stands for an empty list of teams between entries; a configuration has no team without a
+    /// name.
+    fn nobody() -> Self {
+        Self {
+            name: String::new(),
+            keys: Vec::new(),
+            priority: None,
+            regions: Vec::new(),
+        }
+    }
+}
+
 /// Limits on what callers send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
@@ -210,7 +275,7 @@
     pub routes: Vec<Rc<Route>>,
     /// All pools.
     pub pools: Vec<Pool>,
-    /// All teams.
+    /// All teams, see [`Catalog::wire_teams`].
     pub teams: Vec<Team>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
@@ -222,7 +287,7 @@
             parts.version,
             parts.routes,
             parts.pools,
-            parts.teams,
+            Teams::from_wire(parts.teams),
             parts.limits,
         )
     }
@@ -237,8 +302,8 @@
     pub routes: Vec<Rc<Route>>,
     /// All pools.
     pub pools: Vec<Pool>,
-    /// All teams; without teams, no request needs a key.
-    pub teams: Vec<Team>,
+    /// All teams.
+    pub teams: Teams,
     /// Limits on what callers send.
     pub limits: CallerLimits,
     /// Routes by host.
@@ -284,7 +349,7 @@
         version: u64,
         routes: Vec<Route>,
         pools: Vec<Pool>,
-        teams: Vec<Team>,
+        teams: Teams,
         limits: CallerLimits,
     ) -> Self {
         let routes = routes.into_iter().map(Rc::new).collect();
@@ -296,7 +361,7 @@
         version: u64,
         routes: Vec<Rc<Route>>,
         pools: Vec<Pool>,
-        teams: Vec<Team>,
+        teams: Teams,
         limits: CallerLimits,
     ) -> Self {
         let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
@@ -308,7 +373,7 @@
                 host.add(&route.prefix, RouteKey(i));
             }
         }
-        let keyed = teams.iter().enumerate();
+        let keyed = teams.listed().iter().enumerate();
         let by_key = keyed
             .flat_map(|(i, team)| team.keys.iter().map(move |key| (key.clone(), TeamKey(i))))
             .collect();
@@ -334,16 +399,22 @@
             version: self.version,
             routes: self.routes.clone(),
             pools: self.pools.clone(),
-            teams: self.teams.clone(),
+            teams: self.wire_teams(),
             limits: self.limits,
         }
     }
 
+    /// The teams in the form that entries send to each other: an empty list lets anyone in, and one
+    /// team without name and key stands for nobody.
+    pub fn wire_teams(&self) -> Vec<Team> {
+        self.teams.to_wire()
+    }
+
     /// Whether two routes have the same host and prefix, or two teams the same key, so that the
     /// result of a lookup depends on their order.
     pub fn is_ambiguous(&self) -> bool {
         let routes: usize = self.by_host.values().map(|host| host.by_prefix.len()).sum();
-        let keys: usize = self.teams.iter().map(|team| team.keys.len()).sum();
+        let keys: usize = self.teams.listed().iter().map(|team| team.keys.len()).sum();
         routes < self.routes.len() || self.by_key.len() < keys
     }
 
--- a/src/direct/job/choice.rs
+++ b/src/direct/job/choice.rs
@@ -142,7 +142,7 @@
         if refusal.is_some_and(|refusal| !refusal.allows(kind)) {
             return false;
         }
-        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team]);
         let zone = &endpoint.listed.zone;
         residency::allows(self.route(), team, zone, &settings.regions)
     }
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -137,7 +137,7 @@
         let pool = pick_pool(route);
         let caller_timeout = ask.caller_timeout.unwrap_or(route.timeout);
         let deadline = incoming.received_at + caller_timeout.min(route.timeout);
-        let team = allowed.team.map(|team| catalog.teams[team.0].name.as_str());
+        let team = allowed.team.map(|team| catalog.teams[team].name.as_str());
         let fingerprint = request_fingerprint(team, ask, incoming);
         let mut recorded = progress.borrow_mut();
         recorded.route.clone_from(&route.name);
@@ -182,7 +182,7 @@
 
     /// The request's urgency: its team's, or the route's where the team has none.
     fn priority(&self) -> u8 {
-        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team]);
         let priority = team.and_then(|team| team.priority);
         priority.unwrap_or(self.route().priority)
     }
--- a/src/direct/job/origin.rs
+++ b/src/direct/job/origin.rs
@@ -66,7 +66,7 @@
 
     /// Name of the team; empty without teams.
     fn team_name(&self) -> &str {
-        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team]);
         team.map_or("", |team| &team.name)
     }
 
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -204,7 +204,7 @@
         let copy = copy.map(|e| e.listed.address);
         let fetch_from = choice.reuse.from.and_then(|key| directory.get(key));
         let fetch_from = fetch_from.map(|e| e.listed.address);
-        let team = self.allowed.team.map(|team| &self.catalog.teams[team.0]);
+        let team = self.allowed.team.map(|team| &self.catalog.teams[team]);
         let endpoint_request = EndpointRequest {
             endpoint: &endpoint.listed.id,
             time_left: self.deadline - now,
--- a/src/direct/patch.rs
+++ b/src/direct/patch.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::catalog::{CallerLimits, Catalog, Pool, Route, Team};
+use crate::direct::catalog::{CallerLimits, Catalog, CatalogParts, Pool, Route, Team};
 
 /// An item with a name that is unique in its list of the configuration.
 trait Named {
@@ -113,7 +113,7 @@
             version: new.version,
             routes: ListDiff::between(&old.routes, &new.routes)?,
             pools: ListDiff::between(&old.pools, &new.pools)?,
-            teams: ListDiff::between(&old.teams, &new.teams)?,
+            teams: ListDiff::between(&old.wire_teams(), &new.wire_teams())?,
             limits: new.limits,
         })
     }
@@ -123,7 +123,7 @@
     pub fn apply_all(patches: &[Self], catalog: &Catalog) -> Option<Catalog> {
         let mut routes = catalog.routes.clone();
         let mut pools = catalog.pools.clone();
-        let mut teams = catalog.teams.clone();
+        let mut teams = catalog.wire_teams();
         let mut limits = catalog.limits;
         let mut version = catalog.version;
         for patch in patches {
@@ -136,8 +136,13 @@
             limits = patch.limits;
             version = patch.version;
         }
-        Some(Catalog::with_shared_routes(
-            version, routes, pools, teams, limits,
-        ))
+        let made = CatalogParts {
+            version,
+            routes,
+            pools,
+            teams,
+            limits,
+        };
+        Some(Catalog::from(made))
     }
 }
--- a/src/direct/resolve.rs
+++ b/src/direct/resolve.rs
@@ -2,7 +2,7 @@
 //! that this configuration is known to be recent enough for the answer.
 
 use crate::clock::Millis;
-use crate::direct::catalog::{Catalog, RouteKey};
+use crate::direct::catalog::{Catalog, RouteKey, Teams};
 use crate::direct::dialect::ParsedRequest;
 use crate::direct::freshness::Freshness;
 use crate::ids::TeamKey;
@@ -24,7 +24,7 @@
 pub struct Allowed {
     /// Its route.
     pub route: RouteKey,
-    /// Its team; `None` for public routes and if no teams are configured.
+    /// Its team; `None` for public routes and where requests need no key.
     pub team: Option<TeamKey>,
 }
 
@@ -47,7 +47,8 @@
 /// Returns an error if there is no configuration, no route matches, or the route needs a key that
 /// is missing or unknown. Such a denial is returned only while the configuration is proven to be
 /// recent; otherwise a newer one may allow the request, and the error is `StaleCatalog`. Requests
-/// for public routes run with a configuration of any age.
+/// for public routes run with a configuration of any age, and so do requests without a key where
+/// the configuration names no teams.
 pub fn resolve(
     state: CatalogState<'_>,
     ask: &ParsedRequest,
@@ -60,7 +61,13 @@
     let Some(route) = catalog.route(&ask.host, &ask.path) else {
         return Err(unless_stale(fresh, Denied::NoRoute));
     };
-    if catalog.routes[route.0].public || catalog.teams.is_empty() {
+    let needs_no_key = match catalog.teams {
+        _ if catalog.routes[route.0].public => true,
+        // A newer configuration may have given out the key and taken it away.
+        Teams::Unrestricted => fresh || ask.key.is_none(),
+        Teams::Listed(_) => false,
+    };
+    if needs_no_key {
         return Ok(Allowed { route, team: None });
     }
     if !fresh {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use violetline::clock::{Clock, Millis};
 use violetline::direct::catalog::{
-    CallerLimits, Catalog, PoolShare, RepeatPolicy, ResponseKind, Route, Team,
+    CallerLimits, Catalog, PoolShare, RepeatPolicy, ResponseKind, Route, Team, Teams,
 };
 use violetline::direct::decision::DecisionLog;
 use violetline::direct::dialect::StoreAnswer;
@@ -59,7 +59,8 @@
         regions: Vec::new(),
     };
     let limits = CallerLimits::default();
-    Catalog::new(version, routes, Vec::new(), vec![team], limits)
+    let teams = Teams::Listed(vec![team]);
+    Catalog::new(version, routes, Vec::new(), teams, limits)
 }
 
 /// An endpoint of the pool as listed at a revision.
--- a/tests/direct_catalog.rs
+++ b/tests/direct_catalog.rs
@@ -25,7 +25,7 @@
 fn team_of_key() {
     let catalog = catalog(1, Vec::new());
     let team = catalog.team("key-2").unwrap();
-    assert_eq!(catalog.teams[team.0].name, "beam-ops");
+    assert_eq!(catalog.teams[team].name, "beam-ops");
     assert!(catalog.team("key-3").is_none());
 }
 
--- a/tests/direct_resolve.rs
+++ b/tests/direct_resolve.rs
@@ -5,7 +5,7 @@
 use actix_http::header::HeaderValue;
 use common::{catalog, route};
 use violetline::clock::Millis;
-use violetline::direct::catalog::{Catalog, Route};
+use violetline::direct::catalog::{Catalog, Route, Teams};
 use violetline::direct::dialect::ParsedRequest;
 use violetline::direct::freshness::Freshness;
 use violetline::direct::resolve::{resolve, Allowed, CatalogState, Denied};
@@ -34,8 +34,22 @@
     catalog(3, vec![route("keyed", "/k/"), public])
 }
 
+/// The same routes with other teams.
+fn with_teams(teams: Teams) -> Catalog {
+    let Catalog { routes, limits, .. } = routes();
+    Catalog::with_shared_routes(3, routes, Vec::new(), teams, limits)
+}
+
 fn resolve_at(proven: Option<u64>, now: u64, ask: &ParsedRequest) -> Result<Allowed, Denied> {
-    let catalog = routes();
+    resolve_in(routes(), proven, now, ask)
+}
+
+fn resolve_in(
+    catalog: Catalog,
+    proven: Option<u64>,
+    now: u64,
+    ask: &ParsedRequest,
+) -> Result<Allowed, Denied> {
     let mut freshness = Freshness::default();
     if let Some(at) = proven {
         freshness.prove(Millis(at));
@@ -89,6 +103,37 @@
     );
 }
 
+/// Once the last team was removed, requests ran with any key, and without one.
+#[test]
+fn last_team_removed() {
+    for key in [Some("key-1"), Some("nobody"), None] {
+        let nobody = with_teams(Teams::default());
+        let asked = ask("/k/x", key);
+        let allowed = resolve_in(nobody.clone(), Some(0), 10, &asked);
+        assert_eq!(allowed, Err(Denied::NoKey), "{key:?}");
+        let allowed = resolve_in(nobody.clone(), Some(0), 9_000, &asked);
+        assert_eq!(allowed, Err(Denied::StaleCatalog), "{key:?}");
+        assert!(resolve_in(nobody, Some(0), 9_000, &ask("/p/x", key)).is_ok());
+    }
+}
+
+/// Without teams no request needs a key. One that has a key waits for a proof all the same, since
+/// teams may have been added, and the key removed, since then.
+#[test]
+fn no_teams_configured() {
+    for (key, is_stale, is_allowed) in [
+        (None, false, true),
+        (None, true, true),
+        (Some("key-1"), false, true),
+        (Some("key-1"), true, false),
+    ] {
+        let open = with_teams(Teams::Unrestricted);
+        let now = if is_stale { 9_000 } else { 10 };
+        let allowed = resolve_in(open, Some(0), now, &ask("/k/x", key));
+        assert_eq!(allowed.is_ok(), is_allowed, "{key:?}, stale {is_stale}");
+    }
+}
+
 #[test]
 fn before_first_catalog() {
     let knowledge = CatalogState {
--- a/tests/direct_versions.rs
+++ b/tests/direct_versions.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::{entry, route};
 use violetline::clock::Millis;
-use violetline::direct::catalog::{CallerLimits, Catalog, CatalogParts, Pool, Route, Team};
+use violetline::direct::catalog::{CallerLimits, Catalog, CatalogParts, Pool, Route, Team, Teams};
 use violetline::direct::entry::Entry;
 use violetline::direct::patch::Patch;
 use violetline::direct::versions::{self, EncodedPatch, VersionLog, VersionUpdate};
@@ -33,6 +33,7 @@
 fn numbered_catalog(version: u64, routes: usize, teams: usize) -> Catalog {
     let routes = (0..routes).map(numbered_route).collect();
     let teams = (0..teams).map(team).collect();
+    let teams = Teams::Listed(teams);
     Catalog::new(version, routes, Vec::new(), teams, CallerLimits::default())
 }
 
@@ -135,7 +136,13 @@
     let same_name = vec![route("a", "/a/"), route("a", "/b/")];
     let same_prefix = vec![route("a", "/a/"), route("b", "/a/")];
     for routes in [same_name, same_prefix] {
-        let new = Catalog::new(2, routes, Vec::new(), Vec::new(), CallerLimits::default());
+        let new = Catalog::new(
+            2,
+            routes,
+            Vec::new(),
+            Teams::default(),
+            CallerLimits::default(),
+        );
         assert_eq!(Patch::between(&old, &new), None);
     }
     let one_key = |i: usize| Team {
@@ -143,7 +150,13 @@
         ..team(i)
     };
     let teams = vec![one_key(1), one_key(2)];
-    let new = Catalog::new(2, Vec::new(), Vec::new(), teams, CallerLimits::default());
+    let new = Catalog::new(
+        2,
+        Vec::new(),
+        Vec::new(),
+        Teams::Listed(teams),
+        CallerLimits::default(),
+    );
     assert_eq!(Patch::between(&old, &new), None);
 }
 
@@ -193,6 +206,10 @@
         body_bytes: u.int_in_range(1..=2)?,
         ..CallerLimits::default()
     };
+    let teams = match u.arbitrary()? {
+        true => Teams::Listed(teams),
+        false => Teams::Unrestricted,
+    };
     Ok(Catalog::new(version, routes, pools, teams, limits))
 }
 
@@ -208,6 +225,9 @@
         ];
         let made = Patch::apply_all(&patches, &first).unwrap();
         assert_eq!(sorted(&made), sorted(&third));
+        assert_eq!(made.teams.listed().len(), third.teams.listed().len());
+        let is_open = |catalog: &Catalog| catalog.teams == Teams::Unrestricted;
+        assert_eq!(is_open(&made), is_open(&third));
         assert_eq!(made.is_ambiguous(), third.is_ambiguous());
         for i in 0..6 {
             let path = format!("/r-{i}/x");
@@ -222,6 +242,31 @@
     });
 }
 
+/// A list whose last team was removed was taken for one that lets anyone in.
+#[test]
+fn no_team_left() {
+    let steps = [
+        Teams::Listed(vec![team(0)]),
+        Teams::default(),
+        Teams::Unrestricted,
+        Teams::default(),
+    ];
+    let (_, first) = entry();
+    let (_, follower) = entry();
+    for (version, teams) in (1..).zip(steps) {
+        let limits = CallerLimits::default();
+        let catalog = Catalog::new(version, vec![numbered_route(0)], Vec::new(), teams, limits);
+        first.apply_catalog(Box::new(catalog), "store");
+        forward(&first, &follower);
+        let (_, fresh) = entry();
+        forward(&first, &fresh);
+        let in_force = first.catalog().unwrap();
+        for other in [follower.catalog().unwrap(), fresh.catalog().unwrap()] {
+            assert_eq!(other.teams, in_force.teams, "version {version}");
+        }
+    }
+}
+
 /// Decoding never panics, whatever a peer sends.
 #[test]
 fn any_bytes() {
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -9,7 +9,7 @@
 use common::store_answer;
 use serde_json::json;
 use violetline::clock::Millis;
-use violetline::direct::catalog::{Catalog, RepeatPolicy, ResponseKind};
+use violetline::direct::catalog::{Catalog, RepeatPolicy, ResponseKind, Teams};
 use violetline::direct::dialect::{
     Dialect, EndpointRequest, ErrorResponse, InvalidResponse, ParsedRequest, StoreUpdate,
     WatchResult,
@@ -415,7 +415,29 @@
     assert!(catalog.pool("s2").unwrap().engine.is_none());
     assert_eq!(catalog.limits.idle_time, Millis(15_000));
     let team = catalog.team("k2").unwrap();
-    assert_eq!(catalog.teams[team.0].priority, Some(1));
+    assert_eq!(catalog.teams[team].priority, Some(1));
+}
+
+/// An empty list of teams was read like a configuration without the field.
+#[test]
+fn empty_lists_read() {
+    let read = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = config();
+        change(&mut config);
+        read_catalog(config.to_string().as_bytes()).unwrap()
+    };
+    for none in [json!([]), json!(null)] {
+        let nobody = read(&|config| config["tenants"] = none.clone());
+        assert_eq!(nobody.teams, Teams::default(), "{none}");
+        let no_keys = read(&|config| config["tenants"][0]["api_keys"] = none.clone());
+        assert!(no_keys.team("k1").is_none(), "{none}");
+        let no_routes = read(&|config| config["routes"] = none.clone());
+        assert!(no_routes.routes.is_empty(), "{none}");
+    }
+    let open = read(&|config| {
+        config.as_object_mut().unwrap().remove("tenants");
+    });
+    assert_eq!(open.teams, Teams::Unrestricted);
 }
 
 fn item(key: &str, value: &serde_json::Value, revision: u64) -> serde_json::Value {
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -7,6 +7,7 @@
 use common::{catalog, route};
 use violetline::direct::catalog::{Route, Team};
 use violetline::direct::residency::allows;
+use violetline::ids::TeamKey;
 
 fn regions() -> BTreeMap<String, String> {
     let zones = [("hall-a", "akl"), ("hall-b", "akl"), ("caxias", "sul-br")];
@@ -23,10 +24,9 @@
 }
 
 fn bound_team(regions: &[&str]) -> Team {
-    let team = catalog(1, Vec::new()).teams.remove(0);
     Team {
         regions: regions.iter().map(|r| (*r).to_owned()).collect(),
-        ..team
+        ..catalog(1, Vec::new()).teams[TeamKey(0)].clone()
     }
 }
 
--- a/tests/unreachable_endpoints.rs
+++ b/tests/unreachable_endpoints.rs
@@ -12,7 +12,7 @@
     ConnectionFailure, GiveUpRule, UnreachableEndpoints,
 };
 use violetline::direct::catalog::{
-    CallerLimits, Catalog, EngineCapacity, Pool, PoolShare, ResponseKind, Route,
+    CallerLimits, Catalog, EngineCapacity, Pool, PoolShare, ResponseKind, Route, Teams,
 };
 use violetline::direct::decision::{Decision, LogLine, RefusalReason, NO_CONNECTION};
 use violetline::direct::explain::explain;
@@ -206,7 +206,7 @@
     };
     let limits = CallerLimits::default();
     let passes_over = |patience: u64| {
-        let catalog = Catalog::new(1, routes(patience), pools(), Vec::new(), limits);
+        let catalog = Catalog::new(1, routes(patience), pools(), Teams::default(), limits);
         ["mixed", "even", "plain", "unknown"].map(|pool| catalog.passes_over_refused(pool))
     };
     assert_eq!(passes_over(15_000), [true, false, true, false]);
@@ -222,7 +222,7 @@
     };
     let routes = vec![whole("reply", 0), whole("review", 2)];
     let pools = vec![pool("mixed", true)];
-    let catalog = Catalog::new(1, routes, pools, Vec::new(), CallerLimits::default());
+    let catalog = Catalog::new(1, routes, pools, Teams::default(), CallerLimits::default());
     assert!(!catalog.passes_over_refused("mixed"));
 }
 
