End answers that go on without end

Bytes that are no answer may come without end, in a head or a body, until the caller closes. Callers of a refusal (503, X-Not-Executed) whose body never ended had no answer within 20 s, at a time limit of 0.7 to 4 s, since that body was read outside of any deadline. Interim answers, digits and extensions of a chunk's size went on until the deadline, also where the request may be repeated, and the engine never counted as failed.

A head, the framing between two chunks, and an event now each have a limit of bytes, and a limit of time that applies only where many pieces arrive: silence and slow links say nothing. Heads, up to 64 KB, are decoded anew only once a blank line has arrived or the length has doubled, and the splitter of events goes on where it stopped, so that bytes which come one at a time cost no more than they weigh. At most 16 interim answers and 8 late ones precede an answer; empty lines before it are dropped. Comments without an event are limited like an event. The body of a refusal is read for 100 ms and 64 KB: its head has said all there is. In each of these cases the connection is closed and the engine counts as failed, and the request goes on elsewhere only where it may.

The lines of an attempt name the cause ("the head of the answer does not end", "the stream goes on without an event"), the metric of ended streams has the label "endless", and /v1/state tells whether an endpoint is ejected.

lab/tests/endless_answers.rs plays 22 places of an answer, fast and a few bytes at a time, on four kinds of routes, 88 at once.

--- /dev/null
+++ b/lab/tests/endless_answers.rs
@@ -0,0 +1,236 @@
+//! Endpoints whose bytes never end, in any place of an answer, through entries as processes.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio::time::Instant;
+use violetline_lab::site::*;
+use violetline_lab::standin::ENDLESS_PLACES;
+
+/// Routes of each kind: whole answers that run once or may be repeated, streams that run once or
+/// are resumed.
+const ROUTES: [&str; 4] = ["once", "safe", "stream", "resume"];
+/// Time within which a request of these routes has its answer: their time limit, and a little.
+const TIME_LIMIT: Duration = Duration::from_millis(4_500);
+/// The time limit of requests that are cut short by their callers.
+const SHORT_LIMIT_MS: u64 = 700;
+/// Requests of a test of an endpoint beside others.
+const REQUESTS: usize = 40;
+/// Requests of these that are sent at once.
+const AT_ONCE: usize = 4;
+/// Requests of these that the endpoint may get before it is left alone, and in its trials.
+const MAX_TRIALS: usize = 12;
+
+/// How a request ended.
+#[derive(Debug)]
+struct End {
+    id: String,
+    place: &'static str,
+    answer: Answer,
+    took: Duration,
+}
+
+/// Sends a request to the first entry and reads its answer, however long that takes.
+async fn play(site: &Site, route: &str, pace: &str, place: &'static str) -> End {
+    let id = format!("{route}-{pace}-{place}");
+    let begun = Instant::now();
+    let path = format!("/{route}/endless-{pace}-{place}");
+    let answer = site.ask(&path, &id).await;
+    let took = begun.elapsed();
+    End {
+        id,
+        place,
+        answer,
+        took,
+    }
+}
+
+/// Places in which a whole answer stands before the bytes without end.
+fn is_whole(place: &str) -> bool {
+    place == "after"
+}
+
+/// Checks what the caller got against what the engines did.
+fn check(site: &Site, end: &End) {
+    let End {
+        id, place, answer, ..
+    } = end;
+    let arrivals = site.arrivals();
+    let runs = arrivals.iter().filter(|a| a.id() == id && a.ran).count();
+    if answer.status == 0 {
+        // While connections wait for too long, they are closed before a request is read.
+        assert!(
+            answer.is_cut && arrivals.iter().all(|a| a.id() != id),
+            "{id}"
+        );
+        return;
+    }
+    let is_once = id.starts_with("once") || id.starts_with("stream");
+    assert!(!is_once || runs <= 1, "{id} ran {runs} times");
+    let told_not_run = matches!(answer.status, 408 | 421 | 429 | 503);
+    assert!(
+        !(told_not_run && runs > 0),
+        "{id} ran and got {}",
+        answer.status
+    );
+    let is_refusal = place.starts_with("refusal") || *place == "misdirected";
+    if is_refusal && *place != "refusal-fields" {
+        assert_eq!(answer.status, 503, "{id}: {answer:?}");
+    }
+    let is_complete = answer.status == 200 && !answer.is_cut;
+    assert!(
+        !is_complete || is_whole(place),
+        "{id} looks complete: {answer:?}"
+    );
+}
+
+/// Whether all answers without end were closed.
+async fn all_closed(site: &Site) -> bool {
+    site.engines.iter().all(|engine| engine.endless() == 0)
+}
+
+/// Whether an entry has ejected the engine with this number.
+async fn is_ejected(site: &Site, engine: usize) -> bool {
+    let state = site.state(0).await;
+    let id = site.engines[engine].id();
+    let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+    endpoints
+        .iter()
+        .any(|e| e["id"] == id.as_str() && e["ejected"] == true)
+}
+
+/// The caller of a refusal whose body never ended had no answer by its time limit, and heads of
+/// interim answers and other endless bytes kept their connections.
+#[actix_rt::test]
+async fn answered_in_time() {
+    for pace in ["fast", "slow"] {
+        let site = Site::with_entry(3).await;
+        let cases = ROUTES
+            .iter()
+            .flat_map(|route| ENDLESS_PLACES.map(|place| (*route, place)));
+        let playing = cases.map(|(route, place)| play(&site, route, pace, place));
+        for end in join_all(playing).await {
+            assert!(end.took < TIME_LIMIT, "{} took {:?}", end.id, end.took);
+            check(&site, &end);
+        }
+        wait_for("all connections are closed", || all_closed(&site)).await;
+    }
+}
+
+/// A caller that waits for less than the route's time has its answer by then.
+#[actix_rt::test]
+async fn short_time_limits() {
+    let site = Site::with_entry(3).await;
+    let playing = ENDLESS_PLACES.map(|place| {
+        let site = &site;
+        async move {
+            let id = format!("once-short-{place}");
+            let path = format!("/once/endless-slow-{place}");
+            let request = String::from_utf8(request(&path, &id, "k1")).unwrap();
+            let limit = format!("x-request-deadline: {SHORT_LIMIT_MS}");
+            let request = request.replace("x-request-deadline: 5000", &limit);
+            let begun = Instant::now();
+            let answer = exchange(site.entries[0].addr("callers"), request.as_bytes()).await;
+            let took = begun.elapsed();
+            End {
+                id,
+                place,
+                answer,
+                took,
+            }
+        }
+    });
+    for end in join_all(playing).await {
+        let limit = Duration::from_millis(SHORT_LIMIT_MS + 300);
+        assert!(end.took < limit, "{} took {:?}", end.id, end.took);
+        check(&site, &end);
+    }
+    wait_for("all connections are closed", || all_closed(&site)).await;
+}
+
+/// An endpoint that answers so counts as failed: others get its requests, and callers are served.
+#[actix_rt::test]
+async fn failing_endpoint_left() {
+    let whole = [
+        "start",
+        "fields",
+        "interim",
+        "earlier",
+        "extension",
+        "body",
+        "refusal",
+        "error",
+    ];
+    let streams = ["size", "event", "lines", "comments"];
+    let cases = whole.map(|place| ("safe", place));
+    let cases = cases
+        .into_iter()
+        .chain(streams.map(|place| ("resume", place)));
+    for (route, place) in cases {
+        let site = Site::with_entry(3).await;
+        let wish = if route == "safe" { "ok" } else { "events" };
+        site.ask(&format!("/{route}/{wish}"), "first").await;
+        let failing = site.engines.iter().find(|engine| engine.runs() > 0);
+        let failing = failing.expect("an engine that is tried first");
+        failing.set_wish(Some(&format!("endless-fast-{place}")));
+        for round in 0..REQUESTS / AT_ONCE {
+            let asking = (0..AT_ONCE).map(|i| {
+                let site = &site;
+                let id = format!("{place}-{round}-{i}");
+                async move { site.ask(&format!("/{route}/{wish}"), &id).await }
+            });
+            for answer in join_all(asking).await {
+                // Comments reach the caller at once, and a stream that has begun goes on elsewhere
+                // only after an event with a number.
+                let is_cut = place == "comments" && answer.is_cut;
+                assert_eq!((answer.status, answer.is_cut), (200, is_cut), "{place}");
+            }
+        }
+        let tried = failing.arrivals().len() - 1;
+        assert!(tried > 0, "{place}: the endpoint was not tried");
+        assert!(tried <= MAX_TRIALS, "{place}: tried {tried} times");
+        wait_for("all connections are closed", || all_closed(&site)).await;
+    }
+}
+
+/// The same where bytes come a few at a time, so that no limit of silence applies.
+#[actix_rt::test]
+async fn slow_endpoint_left() {
+    let places = [
+        "fields",
+        "interim",
+        "earlier",
+        "extension",
+        "event",
+        "refusal",
+    ];
+    let playing = places.map(|place| async move {
+        let site = Site::with_entry(1).await;
+        site.engines[0].set_wish(Some(&format!("endless-slow-{place}")));
+        let asking = (0..4).map(|i| {
+            let site = &site;
+            let route = if place == "event" { "stream" } else { "once" };
+            async move { site.ask(&format!("/{route}/ok"), &format!("r{i}")).await }
+        });
+        join_all(asking).await;
+        assert!(is_ejected(&site, 0).await, "{place}");
+    });
+    join_all(playing).await;
+}
+
+/// A sound endpoint with a long answer is not taken for one that never ends.
+#[actix_rt::test]
+async fn long_answer_whole() {
+    let site = Site::with_entry(1).await;
+    let asking = (0..8).map(|i| {
+        let site = &site;
+        async move { site.ask("/once/large", &format!("r{i}")).await }
+    });
+    for answer in join_all(asking).await {
+        assert_eq!((answer.status, answer.is_cut), (200, false));
+        assert_eq!(answer.body.len(), 4 << 20);
+    }
+    let answer = site.ask("/stream/long-stream", "stream").await;
+    assert_eq!((answer.status, answer.is_cut), (200, false));
+    assert!(!is_ejected(&site, 0).await);
+}
--- a/src/direct/answerer.rs
+++ b/src/direct/answerer.rs
@@ -177,6 +177,11 @@
         self.is_open
     }
 
+    /// Whether bytes wait for a caller that does not read them.
+    pub fn has_unwritten(&self) -> bool {
+        !self.out.is_empty()
+    }
+
     /// Writes all encoded bytes. If it is cancelled, only the unwritten ones are left.
     async fn flush(&mut self) -> io::Result<()> {
         self.writer.write_all_buf(&mut self.out).await
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -3,8 +3,10 @@
 //! awc is not used here: it treats an HTTP/1.1 response without a length as empty, and when a
 //! connection fails, it does not tell whether any byte of the request had been sent.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -16,9 +18,11 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::clock::Millis;
+use crate::direct::item_limit::{Endless, ItemLimit};
 
 /// Timeout for opening a connection. Within a region it takes milliseconds. A lost SYN packet is
 /// retransmitted only after a second, so waiting somewhat longer would gain nothing.
@@ -34,6 +38,18 @@
 const READ_BUFFER_BYTES: usize = 2 << 10;
 /// Initial buffer space for the head of a request, in bytes.
 const HEAD_BUFFER_BYTES: usize = 1 << 10;
+/// Maximum length of the head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of interim responses (1xx) to one request.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+/// Number of interim responses from which on the final one counts as overdue.
+const MANY_INTERIM_RESPONSES: u32 = 4;
+/// Maximum length of the framing between two chunks of a body, in bytes.
+const MAX_FRAMING_BYTES: usize = 4 << 10;
+/// Maximum length of a late response to another request, in bytes.
+const MAX_LATE_BYTES: usize = 8 << 20;
+/// Maximum number of late responses before the one to a request.
+const MAX_LATE_RESPONSES: u32 = 8;
 
 /// How an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +64,73 @@
     NotSent,
     /// Bytes of the request may have been sent, but no complete valid HTTP response came.
     Lost,
+    /// The same, and bytes that are no response went on until the connection was closed here.
+    Endless,
+}
+
+impl From<Endless> for ExchangeError {
+    fn from(_: Endless) -> Self {
+        Self::Endless
+    }
+}
+
+/// What has arrived of a response; shared with whoever waits for it, since an exchange that takes
+/// too long is dropped.
+#[derive(Debug, Default)]
+pub struct ReadProgress {
+    /// Whether bytes have arrived of a head, or of the framing of a body, that is not complete.
+    is_inside_item: Cell<bool>,
+    /// Bytes of the body that have arrived.
+    body_bytes: Cell<usize>,
+}
+
+impl ReadProgress {
+    /// Whether bytes have arrived of a head, or of the framing of a body, that is not complete.
+    pub fn is_inside_item(&self) -> bool {
+        self.is_inside_item.get()
+    }
+
+    /// Bytes of the body that have arrived.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes.get()
+    }
+
+    fn reset(&self) {
+        self.is_inside_item.set(false);
+        self.body_bytes.set(0);
+    }
+}
+
+/// Tells when a head that arrives in pieces is worth decoding: decoding begins anew each time.
+#[derive(Debug, Default)]
+struct HeadScan {
+    /// Bytes in which no blank line ends.
+    scanned: usize,
+    /// Length from which on the head is decoded without a blank line, to find out whether it is
+    /// malformed.
+    next_try: usize,
+}
+
+impl HeadScan {
+    /// Whether the head may be complete, or its length has doubled since the last time.
+    fn is_due(&mut self, buf: &[u8]) -> bool {
+        // The line before the blank one may have ended in bytes that were scanned.
+        let from = self.scanned.saturating_sub(b"\n\r\n".len() - 1);
+        let rest = &buf[from.min(buf.len())..];
+        let line_ends = rest.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+        let mut line_ends = line_ends.map(|(at, _)| &rest[at + 1..]);
+        let has_blank_line =
+            line_ends.any(|next| next.starts_with(b"\n") || next.starts_with(b"\r\n"));
+        self.scanned = buf.len();
+        if has_blank_line {
+            return true;
+        }
+        let is_try = !buf.is_empty() && buf.len() >= self.next_try;
+        if is_try {
+            self.next_try = buf.len() * 2;
+        }
+        is_try
+    }
 }
 
 /// An open connection without a pending request.
@@ -60,6 +143,8 @@
     pub idle_since: Millis,
     /// Idle time after which the other side closes it; `None` where it did not say.
     pub idle_time: Option<Millis>,
+    opened_at: Instant,
+    progress: Rc<ReadProgress>,
 }
 
 /// How a response marks the end of its body (RFC 9112, 6.3).
@@ -128,6 +213,8 @@
     connection: Connection,
     /// Whether the whole request has been sent; otherwise the connection can't be reused.
     request_sent: bool,
+    /// What has arrived of the framing since the last chunk.
+    framing_limit: ItemLimit,
 }
 
 impl Connection {
@@ -147,9 +234,22 @@
             read_buffer: BytesMut::new(),
             idle_since: Millis(0),
             idle_time: None,
+            opened_at: Instant::now(),
+            progress: Rc::default(),
         })
     }
 
+    /// What has arrived of the response to the request that is sent next, or was sent last.
+    pub fn progress(&self) -> Rc<ReadProgress> {
+        Rc::clone(&self.progress)
+    }
+
+    /// Time since the connection was opened.
+    fn now(&self) -> Millis {
+        let elapsed = self.opened_at.elapsed().as_millis();
+        Millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
+    }
+
     /// Whether the connection is open and no bytes have arrived on it. Bytes that arrive between
     /// two exchanges belong to no request, so the connection must not be reused then.
     pub fn is_idle(&self) -> bool {
@@ -164,7 +264,7 @@
     /// true; other responses are discarded.
     ///
     /// Fails with [`ExchangeError::NotSent`] where the connection failed before any byte of the
-    /// request was sent, and with [`ExchangeError::Lost`] after that.
+    /// request was sent, and with [`ExchangeError::Lost`] or [`ExchangeError::Endless`] after that.
     pub async fn send(
         mut self,
         head: RequestHead,
@@ -174,26 +274,59 @@
         let mut codec = ClientCodec::new(service_config());
         let mut out = encode(&mut codec, head, body).map_err(|_| ExchangeError::NotSent)?;
         let mut sent = false;
+        let mut limit = ItemLimit::new(MAX_HEAD_BYTES);
+        let mut scan = HeadScan::default();
+        let (mut interim_responses, mut late_responses) = (0, 0);
+        let mut arrived = self.read_buffer.len();
+        self.progress.reset();
         loop {
-            let decoded = codec
-                .decode(&mut self.read_buffer)
-                .map_err(|_| ExchangeError::Lost)?;
-            match decoded {
-                Some(head) if head.status.is_informational() => {}
-                Some(head) => {
-                    let reply = Reply::new(head, codec, self, out.is_empty());
-                    if matches_request(&reply.head) {
-                        return Ok(reply);
-                    }
-                    (self, codec) = reply.discard().await?;
+            if skip_empty_lines(&mut self.read_buffer) {
+                scan = HeadScan::default();
+            }
+            let decoded = match scan.is_due(&self.read_buffer) {
+                true => codec.decode(&mut self.read_buffer),
+                false => Ok(None),
+            };
+            let Some(head) = decoded.map_err(|_| ExchangeError::Lost)? else {
+                if arrived > 0 {
+                    limit.arrived(arrived, self.now())?;
                 }
-                None => self.exchange(&mut out, &mut sent).await?,
+                let is_overdue = interim_responses >= MANY_INTERIM_RESPONSES;
+                let is_inside_item = limit.has_begun() || is_overdue;
+                self.progress.is_inside_item.set(is_inside_item);
+                arrived = self.exchange(&mut out, &mut sent).await?;
+                continue;
+            };
+            limit.completed();
+            scan = HeadScan::default();
+            arrived = self.read_buffer.len();
+            if head.status.is_informational() {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ExchangeError::Endless);
+                }
+                continue;
+            }
+            self.progress.is_inside_item.set(false);
+            let reply = Reply::new(head, codec, self, out.is_empty());
+            if matches_request(&reply.head) {
+                return Ok(reply);
+            }
+            late_responses += 1;
+            if late_responses > MAX_LATE_RESPONSES {
+                return Err(ExchangeError::Endless);
             }
+            (self, codec) = reply.discard().await?;
+            arrived = self.read_buffer.len();
         }
     }
 
-    /// Writes or reads some bytes, whichever is possible first.
-    async fn exchange(&mut self, out: &mut BytesMut, sent: &mut bool) -> Result<(), ExchangeError> {
+    /// Writes or reads some bytes, whichever is possible first. Returns how many were read.
+    async fn exchange(
+        &mut self,
+        out: &mut BytesMut,
+        sent: &mut bool,
+    ) -> Result<usize, ExchangeError> {
         let failure = if *sent {
             ExchangeError::Lost
         } else {
@@ -207,23 +340,23 @@
                 Ok(n) => {
                     *sent = true;
                     out.advance(n);
+                    Ok(0)
                 }
-                Err(_) if *sent => self.read_after_write_error().await?,
-                Err(_) => return Err(failure),
+                Err(_) if *sent => self.read_after_write_error().await,
+                Err(_) => Err(failure),
             },
             read = reader.read_buf(&mut self.read_buffer) => match read {
-                Ok(n) if n > 0 => {}
-                _ => return Err(failure),
+                Ok(n) if n > 0 => Ok(n),
+                _ => Err(failure),
             },
         }
-        Ok(())
     }
 
     /// Reads once more after a failed write: the response may have arrived before the other side
-    /// stopped reading the request.
-    async fn read_after_write_error(&mut self) -> Result<(), ExchangeError> {
+    /// stopped reading the request. Returns how many bytes were read.
+    async fn read_after_write_error(&mut self) -> Result<usize, ExchangeError> {
         match self.stream.read_buf(&mut self.read_buffer).await {
-            Ok(n) if n > 0 => Ok(()),
+            Ok(n) if n > 0 => Ok(n),
             _ => Err(ExchangeError::Lost),
         }
     }
@@ -249,17 +382,25 @@
             body,
             connection,
             request_sent,
+            framing_limit: ItemLimit::new(MAX_FRAMING_BYTES),
         }
     }
 
+    /// What has arrived of the response.
+    pub fn progress(&self) -> Rc<ReadProgress> {
+        self.connection.progress()
+    }
+
     /// How the response marks the end of its body.
     pub fn framing(&self) -> Framing {
         Framing::of(&self.head)
     }
 
     /// The next chunk of the body; `None` after its end. Fails with [`ExchangeError::Lost`] where
-    /// the body ends early or is malformed.
+    /// the body ends early or is malformed, and with [`ExchangeError::Endless`] where its framing
+    /// goes on without a chunk.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        let mut arrived = 0;
         loop {
             match &mut self.body {
                 Body::Done(_) | Body::Closed => return Ok(None),
@@ -267,25 +408,46 @@
                 Body::Framed(codec) => {
                     let decoded = codec.decode(&mut self.connection.read_buffer);
                     match decoded.map_err(|_| ExchangeError::Lost)? {
-                        Some(Some(chunk)) => return Ok(Some(chunk)),
+                        Some(Some(chunk)) => {
+                            self.chunk_arrived(&chunk);
+                            return Ok(Some(chunk));
+                        }
                         Some(None) => {
                             self.finish_framed_body();
                             return Ok(None);
                         }
-                        None => self.read_more().await?,
+                        None if arrived > 0 => self.framing_arrived(arrived)?,
+                        None => {}
                     }
                 }
             }
+            arrived = self.read_more().await?;
         }
     }
 
-    /// Reads the whole body. Fails with [`ExchangeError::Lost`] where it is longer than `max_bytes`
-    /// or ends early.
+    /// Records a chunk of the body.
+    fn chunk_arrived(&mut self, chunk: &Bytes) {
+        self.framing_limit.completed();
+        let progress = &self.connection.progress;
+        progress.is_inside_item.set(false);
+        let bytes = progress.body_bytes.get() + chunk.len();
+        progress.body_bytes.set(bytes);
+    }
+
+    /// Records bytes of the framing that complete no chunk.
+    fn framing_arrived(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        self.connection.progress.is_inside_item.set(true);
+        let now = self.connection.now();
+        Ok(self.framing_limit.arrived(bytes, now)?)
+    }
+
+    /// Reads the whole body. Fails like [`Reply::chunk`], and with [`ExchangeError::Endless`] where
+    /// it is longer than `max_bytes`.
     pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > max_bytes {
-                return Err(ExchangeError::Lost);
+                return Err(ExchangeError::Endless);
             }
             body.extend_from_slice(&chunk);
         }
@@ -328,12 +490,14 @@
                 return Ok(None);
             }
         }
-        Ok(Some(self.connection.read_buffer.split().freeze()))
+        let chunk = self.connection.read_buffer.split().freeze();
+        self.chunk_arrived(&chunk);
+        Ok(Some(chunk))
     }
 
-    /// Reads more bytes of a framed body. Fails with [`ExchangeError::Lost`] where the connection
-    /// was closed.
-    async fn read_more(&mut self) -> Result<(), ExchangeError> {
+    /// Reads more bytes of a framed body; returns how many. Fails with [`ExchangeError::Lost`] where
+    /// the connection was closed.
+    async fn read_more(&mut self) -> Result<usize, ExchangeError> {
         self.connection.read_buffer.reserve(READ_BUFFER_BYTES);
         match self
             .connection
@@ -341,14 +505,21 @@
             .read_buf(&mut self.connection.read_buffer)
             .await
         {
-            Ok(n) if n > 0 => Ok(()),
+            Ok(n) if n > 0 => Ok(n),
             _ => Err(ExchangeError::Lost),
         }
     }
 
     /// Reads and drops the body of a response to another request, and returns the connection.
     async fn discard(mut self) -> Result<(Connection, ClientCodec), ExchangeError> {
-        while self.chunk().await?.is_some() {}
+        let mut limit = ItemLimit::new(MAX_LATE_BYTES);
+        let progress = self.progress();
+        progress.is_inside_item.set(true);
+        while let Some(chunk) = self.chunk().await? {
+            progress.is_inside_item.set(true);
+            limit.arrived(chunk.len(), self.connection.now())?;
+        }
+        progress.reset();
         match self.body {
             Body::Done(codec) => Ok((self.connection, codec)),
             _ => Err(ExchangeError::Lost),
@@ -356,6 +527,14 @@
     }
 }
 
+/// Drops empty lines before a head (RFC 9112, 2.2); false if there are none.
+fn skip_empty_lines(buf: &mut BytesMut) -> bool {
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let count = buf.iter().take_while(|byte| is_line_end(byte)).count();
+    buf.advance(count);
+    count > 0
+}
+
 /// How opening a connection failed.
 fn connect_error(kind: io::ErrorKind) -> ExchangeError {
     match kind {
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::ResponseKind;
-use crate::direct::channel::Reply;
+use crate::direct::channel::{ExchangeError, ReadProgress, Reply};
 use crate::direct::decision::RequestOutcome;
 use crate::direct::dialect::ResponseInfo;
 use crate::direct::directory::EndpointKey;
@@ -19,6 +19,13 @@
 use crate::direct::placement::choose::Choice;
 use crate::direct::relay::{self, RelayContext, RelayError, StreamKind};
 
+/// Time for which the body of a refusal is read: an endpoint sends it together with the head.
+const REFUSAL_BODY_TIME: Millis = Millis(100);
+/// Time from the first bytes of an item of a response after which a sound endpoint has sent all.
+const ITEM_TIME: Millis = Millis(500);
+/// Bytes a second below which a whole body counts as endless if it is not complete in time.
+const MIN_BODY_RATE: u64 = 1_024;
+
 /// An answer whose head has arrived, with the attempt that it belongs to.
 #[derive(Debug)]
 pub(super) struct ReceivedAnswer<'a> {
@@ -63,6 +70,7 @@
             answer.run_guard.undecided();
             return self.handle_not_run(key, answer.reply, &response_info).await;
         }
+        let progress = answer.reply.progress();
         let status = answer.reply.head.status;
         if let Some(why) = self.rejection_reason(status, &response_info) {
             answer.run_guard.undecided();
@@ -84,9 +92,28 @@
             .clock
             .timeout_at(self.answer_deadline(), relaying)
             .await;
+        if ended.is_none() && self.is_endless(answerer, &progress, now) {
+            self.record_failure(key, Fault::Answer, "bytes without end until the deadline");
+        }
         ended.unwrap_or(AttemptOutcome::TimeOver)
     }
 
+    /// Whether the endpoint, not the caller, is at fault for an answer that is not complete in time:
+    /// bytes came, and what they began did not end. `head_at` is when its head arrived.
+    fn is_endless(&self, answerer: &Answerer, progress: &ReadProgress, head_at: Millis) -> bool {
+        if answerer.has_unwritten() {
+            return false;
+        }
+        let now = self.entry.clock.now();
+        let unfinished = self.unfinished_since.get();
+        if progress.is_inside_item() || unfinished.is_some_and(|since| now - since >= ITEM_TIME) {
+            return true;
+        }
+        let took = now - head_at;
+        let is_whole_late = !answerer.is_open() && progress.body_bytes() > 0 && took >= ITEM_TIME;
+        is_whole_late && (progress.body_bytes() as u64) * 1_000 < took.0 * MIN_BODY_RATE
+    }
+
     /// Records that the endpoint answered, and the load that it reports.
     fn record_report(&self, key: EndpointKey, response_info: &ResponseInfo, now: Millis) {
         self.entry.note_reached(key);
@@ -153,8 +180,20 @@
     ) -> AttemptOutcome {
         let status = reply.head.status;
         // The body is not needed, but the connection can be reused once it has been read.
-        if relay::read_body(&mut reply).await.is_ok() {
-            self.keep_connection(key, reply, response_info);
+        let now = self.entry.clock.now();
+        let progress = reply.progress();
+        let skipping = relay::skip_refusal(&mut reply);
+        let skipped = self
+            .entry
+            .clock
+            .timeout_at(now + REFUSAL_BODY_TIME, skipping);
+        match skipped.await {
+            Some(Ok(())) => self.keep_connection(key, reply, response_info),
+            Some(Err(ExchangeError::Endless)) => self.refusal_goes_on(key),
+            None if progress.body_bytes() > 0 || progress.is_inside_item() => {
+                self.refusal_goes_on(key);
+            }
+            Some(Err(_)) | None => {}
         }
         if response_info.announcement.rest.is_none() {
             let now = self.entry.clock.now();
@@ -172,6 +211,12 @@
         AttemptOutcome::NotRun(key)
     }
 
+    /// Records that the body of an endpoint's refusal does not end.
+    fn refusal_goes_on(&self, key: EndpointKey) {
+        let why = "the body of a refusal does not end";
+        self.entry.endpoint_failed(key, Fault::Answer, why);
+    }
+
     /// Whether load explains a refusal: at least half of the endpoint's slots are taken, or
     /// requests wait there.
     fn is_busy(&self, key: EndpointKey) -> bool {
@@ -213,9 +258,16 @@
         response_info: &ResponseInfo,
     ) -> AttemptOutcome {
         let key = answer.choice.key;
-        let Ok(body) = relay::read_body(&mut answer.reply).await else {
-            answer.run_guard.broken();
-            return self.record_failure(key, Fault::Answer, "the answer broke off");
+        let body = match relay::read_body(&mut answer.reply).await {
+            Ok(body) => body,
+            Err(error) => {
+                answer.run_guard.broken();
+                let why = match error {
+                    ExchangeError::Endless => "the answer does not end",
+                    _ => "the answer broke off",
+                };
+                return self.record_failure(key, Fault::Answer, why);
+            }
         };
         let status = answer.reply.head.status;
         if status.is_success() {
@@ -268,6 +320,8 @@
         let kind = StreamKind::of(&answer.reply.head);
         let head = self.entry.dialect.caller_response(&answer.reply.head);
         let context = RelayContext {
+            clock: &self.entry.clock,
+            unfinished_since: &self.unfinished_since,
             position: &self.position,
             close: self.is_closing(),
         };
@@ -318,6 +372,9 @@
             Err(RelayError::Endpoint) => {
                 self.record_broken_stream(&answer, "broken", "the stream broke off")
             }
+            Err(RelayError::Endless) => {
+                self.record_broken_stream(&answer, "endless", "the stream goes on without an event")
+            }
             Err(RelayError::Unfinished { bytes }) => {
                 self.progress.borrow_mut().unfinished_bytes = bytes;
                 self.record_broken_stream(&answer, "unfinished", "the stream ended inside an event")
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -119,6 +119,8 @@
     origin: Cell<Option<Origin>>,
     /// The kind of the stream whose first event is about to be sent; `None` before that.
     stream_kind: RefCell<Option<StreamKind>>,
+    /// When the first bytes of an event arrived that is not complete yet; `None` where there is none.
+    unfinished_since: Cell<Option<Millis>>,
     /// How far the answer has got; also kept when an attempt is dropped at the deadline.
     position: Cell<StreamPosition>,
 }
@@ -168,6 +170,7 @@
             resumes_from_copy: false,
             origin: Cell::default(),
             stream_kind: RefCell::default(),
+            unfinished_since: Cell::default(),
             position: Cell::new(StreamPosition {
                 last_event: ask.last_event,
                 ..StreamPosition::default()
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -12,7 +12,7 @@
 use crate::direct::admission::unreachable::ConnectionFailure;
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::PoolShare;
-use crate::direct::channel::{Connection, ExchangeError, Reply};
+use crate::direct::channel::{Connection, ExchangeError, ReadProgress, Reply};
 use crate::direct::decision::NO_CONNECTION;
 use crate::direct::dialect::EndpointRequest;
 use crate::direct::directory::EndpointKey;
@@ -28,6 +28,8 @@
 const UNREACHABLE_AFTER_TARGETS: u64 = 3;
 /// Shortest such silence.
 const MIN_SILENCE: Millis = Millis(300);
+/// The failure of an endpoint whose bytes go on before its answer has begun.
+const ENDLESS_HEAD: &str = "the head of the answer does not end";
 
 impl Job<'_> {
     /// Sends the request to one more endpoint and relays its answer.
@@ -146,13 +148,18 @@
             Rc::clone(&self.parts),
         );
         let is_own = |head: &ResponseHead| self.is_own_answer(key, head);
+        let progress = connection.progress();
         let sending = connection.send(head, &self.incoming.body, is_own);
-        let reply = match self.wait_for_head(sending, key, now).await {
+        let reply = match self.wait_for_head(sending, &progress, key, now).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(ExchangeError::Lost)) => {
+            Ok(Err(error @ (ExchangeError::Lost | ExchangeError::Endless))) => {
                 run_guard.broken();
                 self.may_have_run = true;
-                return self.record_failure(key, Fault::Answer, "connection lost");
+                let why = match error {
+                    ExchangeError::Endless => ENDLESS_HEAD,
+                    _ => "connection lost",
+                };
+                return self.record_failure(key, Fault::Answer, why);
             }
             Ok(Err(error)) => {
                 run_guard.undecided();
@@ -244,11 +251,12 @@
         }
     }
 
-    /// Waits for the head of the answer. Gives up on a silent endpoint where the request can be
-    /// repeated.
+    /// Waits for the head of the answer. Gives up on an endpoint that is silent, or whose head does
+    /// not end, where the request can be repeated.
     async fn wait_for_head(
         &self,
         sending: impl Future<Output = Result<Reply, ExchangeError>>,
+        progress: &ReadProgress,
         key: EndpointKey,
         sent_at: Millis,
     ) -> Result<Result<Reply, ExchangeError>, AttemptOutcome> {
@@ -263,15 +271,22 @@
         {
             return Ok(reply);
         }
-        if !self.was_heard_since(key, sent_at) && silent_at < answer_deadline {
-            self.entry
-                .endpoint_failed(key, Fault::Unreachable, "silent");
+        let fault = match progress.is_inside_item() {
+            true => Some((Fault::Answer, ENDLESS_HEAD)),
+            false if self.was_heard_since(key, sent_at) => None,
+            false => Some((Fault::Unreachable, "silent")),
+        };
+        if let Some((fault, why)) = fault.filter(|_| silent_at < answer_deadline) {
+            self.entry.endpoint_failed(key, fault, why);
             if self.may_repeat() && self.has_attempts_left() {
-                self.log_failed(key, "silent", true);
+                self.log_failed(key, why, true);
                 return Err(AttemptOutcome::Lost(key));
             }
         }
         let reply = clock.timeout_at(answer_deadline, sending).await;
+        if reply.is_none() && progress.is_inside_item() {
+            self.record_failure(key, Fault::Answer, ENDLESS_HEAD);
+        }
         reply.ok_or(AttemptOutcome::TimeOver)
     }
 
@@ -290,6 +305,8 @@
         ExchangeError::Refused | ExchangeError::Reset | ExchangeError::NotSent => {
             ConnectionFailure::Refused
         }
-        ExchangeError::Connect | ExchangeError::Lost => ConnectionFailure::Unanswered,
+        ExchangeError::Connect | ExchangeError::Lost | ExchangeError::Endless => {
+            ConnectionFailure::Unanswered
+        }
     }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -54,6 +54,7 @@
 pub mod gossip;
 pub mod handle;
 pub mod intake;
+pub mod item_limit;
 pub mod job;
 pub mod known;
 pub mod limits;
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -134,7 +134,7 @@
 }
 
 /// Checks in every round whether the machine was suspended and removes expired state; once a second
-/// logs dropped lines and updates the gauges.
+/// logs dropped lines, updates the gauges.
 async fn run_housekeeping(entry: Rc<Entry>) -> anyhow::Result<()> {
     let mut rounds = 0;
     loop {
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -116,6 +116,11 @@
 fn state(entry: &Entry) -> serde_json::Value {
     let now = entry.clock.now();
     let directory = entry.directory();
+    let endpoint_states = entry.endpoint_states();
+    let is_ejected = |key| {
+        let endpoint_state = endpoint_states.get(key);
+        endpoint_state.is_some_and(|endpoint_state| endpoint_state.record.is_ejected())
+    };
     let endpoints: Vec<serde_json::Value> = directory
         .iter()
         .map(|(key, e)| {
@@ -125,6 +130,7 @@
                 "zone": e.listed.zone,
                 "standing": format!("{:?}", e.status),
                 "announced": e.announced.decline_reason(now),
+                "ejected": is_ejected(key),
                 "limit_per_s": entry.limit(key).map(Rate::per_s),
             })
         })
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -7,12 +7,16 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 
+use crate::clock::{Clock, Millis};
 use crate::direct::answerer::Answerer;
 use crate::direct::channel::{ExchangeError, Framing, Reply};
-use crate::sse::{self, Splitter};
+use crate::direct::item_limit::{Endless, ItemLimit};
+use crate::sse::{self, Splitter, MAX_EVENT};
 
 /// Maximum length of a body that is not a stream, in bytes.
 const MAX_WHOLE_BODY_BYTES: usize = 8 << 20;
+/// Maximum length of the body of a refusal, which nobody reads, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
 /// How much of a stream has been sent to the caller, over all endpoints that produced it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -57,18 +61,27 @@
     },
     /// The endpoint's connection ended before the first event, and nothing else marks the end.
     Empty,
+    /// The endpoint's bytes go on without an event.
+    Endless,
     /// Writing to the caller failed.
     Caller,
 }
 
 /// Reads the whole body of a response that is not a stream. Fails with [`ExchangeError::Lost`]
-/// where it is longer than [`MAX_WHOLE_BODY_BYTES`] or breaks off.
+/// where it breaks off, and with [`ExchangeError::Endless`] where it is longer than
+/// [`MAX_WHOLE_BODY_BYTES`].
 pub async fn read_body(reply: &mut Reply) -> Result<Bytes, ExchangeError> {
     reply.read_body(MAX_WHOLE_BODY_BYTES).await
 }
 
+/// Reads and drops the body of a refusal, so that its connection can be reused. Fails like
+/// [`read_body`], at [`MAX_REFUSAL_BYTES`].
+pub async fn skip_refusal(reply: &mut Reply) -> Result<(), ExchangeError> {
+    reply.read_body(MAX_REFUSAL_BYTES).await.map(drop)
+}
+
 /// Splits a stream into complete events, and drops those that the caller already has.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventReader {
     splitter: Splitter,
     /// Number of the last event that the caller had before; events up to it are dropped.
@@ -77,14 +90,25 @@
     last: Option<u64>,
     /// Number of events that the last call of [`EventReader::push`] returned.
     pushed: u32,
+    /// Whether the last call of [`EventReader::push`] completed anything.
+    has_completed: bool,
+    /// Bytes of comments and blank lines since the last event.
+    idle_bytes: usize,
+    /// What has arrived of the event that is not complete.
+    limit: ItemLimit,
 }
 
 impl EventReader {
     /// Creates a reader that drops events with numbers up to `after`.
     pub fn new(after: Option<u64>) -> Self {
         Self {
+            splitter: Splitter::default(),
             after,
-            ..Self::default()
+            last: None,
+            pushed: 0,
+            has_completed: false,
+            idle_bytes: 0,
+            limit: ItemLimit::new(MAX_EVENT),
         }
     }
 
@@ -94,7 +118,13 @@
         self.splitter.push(bytes);
         let mut out = BytesMut::new();
         self.pushed = 0;
+        self.has_completed = false;
         while let Some(event) = self.splitter.next_event() {
+            self.has_completed = true;
+            self.idle_bytes = match has_field(&event) {
+                true => 0,
+                false => self.idle_bytes + event.len(),
+            };
             let number = event_number(&event);
             let is_old = number.is_some_and(|n| self.after.is_some_and(|after| n <= after));
             if is_old {
@@ -108,9 +138,27 @@
         out.freeze()
     }
 
-    /// Whether the unfinished event is longer than any valid one.
-    pub fn is_oversize(&self) -> bool {
-        self.splitter.is_oversize()
+    /// Checks the bytes that were pushed last, which arrived at `now`. Fails where the unfinished
+    /// event is longer than any valid one or goes on for too long, or comments go on without an
+    /// event.
+    pub fn check_limit(&mut self, now: Millis) -> Result<(), Endless> {
+        if self.splitter.is_oversize() || self.idle_bytes > MAX_EVENT {
+            return Err(Endless);
+        }
+        if self.has_completed {
+            self.limit.completed();
+        }
+        match self.unfinished_bytes() {
+            0 => Ok(()),
+            // Its length has been checked already.
+            _ => self.limit.arrived(0, now),
+        }
+    }
+
+    /// When the first bytes of the event that is not complete yet arrived; `None` where there is
+    /// none.
+    pub fn unfinished_since(&self) -> Option<Millis> {
+        self.limit.began_at()
     }
 
     /// Number of the last event that was returned.
@@ -132,6 +180,11 @@
 /// Where a stream continues, and whether the caller's connection ends with it.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayContext<'a> {
+    /// Measures how long events take to arrive.
+    pub clock: &'a Clock,
+    /// When the first bytes of an event arrived that is not complete yet; `None` where there is
+    /// none. Updated with each chunk.
+    pub unfinished_since: &'a Cell<Option<Millis>>,
     /// How much of the stream has been sent; updated after each write.
     pub position: &'a Cell<StreamPosition>,
     /// Whether to close the caller's connection after the response.
@@ -149,19 +202,24 @@
     mut begin: impl FnMut() -> ResponseHead,
     mut sent: impl FnMut(u32),
 ) -> Result<(), RelayError> {
-    let RelayContext { position, close } = context;
+    let RelayContext {
+        position, close, ..
+    } = context;
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
     loop {
-        let chunk = next(reply).await.map_err(|_| RelayError::Endpoint)?;
+        let chunk = next(reply).await.map_err(|err| match err {
+            ExchangeError::Endless => RelayError::Endless,
+            _ => RelayError::Endpoint,
+        })?;
         let is_last = chunk.is_none();
         let bytes = match chunk {
             Some(chunk) => reader.push(&chunk),
             None => Bytes::new(),
         };
-        if reader.is_oversize() {
-            return Err(RelayError::Endpoint);
-        }
+        let checked = reader.check_limit(context.clock.now());
+        context.unfinished_since.set(reader.unfinished_since());
+        checked.map_err(|Endless| RelayError::Endless)?;
         if is_last {
             check_end(&reader, at, reply.framing())?;
         }
@@ -200,6 +258,12 @@
     }
 }
 
+/// Whether an event has a field, not only comments and blank lines.
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| sse::is_line_end(*byte));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// The value of an event's `id` field, where that is a number (WHATWG HTML, "Server-sent events").
 fn event_number(event: &[u8]) -> Option<u64> {
     let line = event
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -129,7 +129,7 @@
                 break;
             };
             if body.len() + chunk.len() > MAX_BODY_BYTES {
-                return Err(CallError::Connection(ExchangeError::Lost));
+                return Err(CallError::Connection(ExchangeError::Endless));
             }
             body.extend_from_slice(&chunk);
             self.received_bytes.set(body.len() as u64);
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -59,6 +59,10 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
+    /// Start of the line that is not complete yet.
+    line_start: usize,
+    /// End of the bytes in which no line ends after `line_start`.
+    scanned: usize,
 }
 
 impl Splitter {
@@ -70,10 +74,38 @@
     /// The next whole event with its closing blank line; a further blank line counts as an event of
     /// its own.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let len = event_len(&self.buf)?;
+        let len = self.event_len()?;
+        (self.line_start, self.scanned) = (0, 0);
         Some(self.buf.split_to(len).freeze())
     }
 
+    /// Length of the first whole event, up to the end of its blank line. Lines end with LF, CR or
+    /// CRLF. Goes on where the last call stopped.
+    ///
+    /// A CR at the end of the buffer ends a blank line at once: an LF that follows is then another
+    /// blank line, which changes nothing for the reader.
+    fn event_len(&mut self) -> Option<usize> {
+        loop {
+            let rest = &self.buf[self.scanned..];
+            let Some(at) = rest.iter().position(|byte| is_line_end(*byte)) else {
+                self.scanned = self.buf.len();
+                return None;
+            };
+            let line_end = self.scanned + at;
+            let is_crlf = self.buf[line_end..].starts_with(b"\r\n");
+            let next = line_end + if is_crlf { 2 } else { 1 };
+            if line_end == self.line_start {
+                return Some(next);
+            }
+            if next == self.buf.len() && self.buf[line_end] == b'\r' {
+                // An LF may follow that belongs to this line end.
+                self.scanned = line_end;
+                return None;
+            }
+            (self.line_start, self.scanned) = (next, next);
+        }
+    }
+
     /// Bytes that have arrived after the last whole event.
     pub fn rest_len(&self) -> usize {
         self.buf.len()
@@ -90,23 +122,6 @@
     matches!(byte, b'\n' | b'\r')
 }
 
-/// Length of the first whole event, up to the end of its blank line. Lines end with LF, CR or CRLF.
-///
-/// A CR at the end of the buffer ends its line at once: an LF that follows is then a blank line, which
-/// changes nothing for the reader.
-fn event_len(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    loop {
-        let line = &buf[line_start..];
-        let line_len = line.iter().position(|byte| is_line_end(*byte))?;
-        let is_crlf = line[line_len..].starts_with(b"\r\n");
-        line_start += line_len + if is_crlf { 2 } else { 1 };
-        if line_len == 0 {
-            return Some(line_start);
-        }
-    }
-}
-
 /// Reads one event.
 pub fn read(event: &[u8]) -> Event {
     let Some(data) = event.strip_prefix(DATA) else {
