Bound the memory of answers that are sent whole

48 callers of answers whose body goes on, as fast as the link bears, took an entry up by at least 112 MB, where the test ended: each was read up to 8 MB, and the sum had no bound.

A body whose head names more than 8 MB is not read at all, and one whose head names its length takes no more memory than that, where the buffer was doubled before. Where there is no room the attempt is lost without blame for the engine, whose answer may be sound.

--- a/lab/tests/endless_answers.rs
+++ b/lab/tests/endless_answers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use tokio::time::Instant;
+use tokio::time::{sleep, timeout, Instant};
 use violetline_lab::site::*;
 use violetline_lab::standin::ENDLESS_PLACES;
+use violetline_lab::usage;
 
 /// Routes of each kind: whole answers that run once or may be repeated, streams that run once or
 /// are resumed.
@@ -14,6 +15,10 @@
 const TIME_LIMIT: Duration = Duration::from_millis(4_500);
 /// The time limit of requests that are cut short by their callers.
 const SHORT_LIMIT_MS: u64 = 700;
+/// Memory that an entry may hold for answers that arrive, in bytes.
+const HELD_BYTES: u64 = 96 << 20;
+/// Requests at once that flood an entry.
+const FLOODS: usize = 48;
 /// Requests of a test of an endpoint beside others.
 const REQUESTS: usize = 40;
 /// Requests of these that are sent at once.
@@ -105,13 +110,19 @@
 async fn answered_in_time() {
     for pace in ["fast", "slow"] {
         let site = Site::with_entry(3).await;
-        let cases = ROUTES
-            .iter()
-            .flat_map(|route| ENDLESS_PLACES.map(|place| (*route, place)));
-        let playing = cases.map(|(route, place)| play(&site, route, pace, place));
-        for end in join_all(playing).await {
-            assert!(end.took < TIME_LIMIT, "{} took {:?}", end.id, end.took);
-            check(&site, &end);
+        // A connection with a whole answer is kept, so that another request may be lost on it.
+        let (after, places): (Vec<_>, Vec<_>) = ENDLESS_PLACES
+            .into_iter()
+            .partition(|place| is_whole(place));
+        for places in [places, after] {
+            let cases = ROUTES
+                .iter()
+                .flat_map(|route| places.iter().map(move |place| (*route, *place)));
+            let playing = cases.map(|(route, place)| play(&site, route, pace, place));
+            for end in join_all(playing).await {
+                assert!(end.took < TIME_LIMIT, "{} took {:?}", end.id, end.took);
+                check(&site, &end);
+            }
         }
         wait_for("all connections are closed", || all_closed(&site)).await;
     }
@@ -148,6 +159,44 @@
     wait_for("all connections are closed", || all_closed(&site)).await;
 }
 
+/// Dozens at once must not take the memory of the entry, nor the time of others.
+#[actix_rt::test]
+async fn memory_of_dozens() {
+    for place in [
+        "body", "chunks", "length", "error", "value", "event", "earlier",
+    ] {
+        let site = Site::with_entry(3).await;
+        assert_eq!(site.ask("/safe/ok", "before").await.status, 200);
+        let before = usage::resident(site.entries[0].id());
+        let flooding = async {
+            let playing = (0..FLOODS).map(|i| {
+                let route = ROUTES[i % ROUTES.len()];
+                let id = format!("flood-{i}");
+                let path = format!("/{route}/endless-fast-{place}");
+                let site = &site;
+                async move { site.ask(&path, &id).await }
+            });
+            join_all(playing).await
+        };
+        let watching = async {
+            let mut most = 0;
+            loop {
+                most = most.max(usage::resident(site.entries[0].id()));
+                let growth = most.saturating_sub(before);
+                assert!(growth < HELD_BYTES, "{place}: {growth} bytes");
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::select! {
+            answers = flooding => assert!(answers.iter().all(|a| a.status != 200 || a.is_cut)),
+            () = watching => {}
+        }
+        wait_for("all connections are closed", || all_closed(&site)).await;
+        let answer = timeout(TIME_LIMIT, site.ask("/safe/ok", "after")).await;
+        assert_eq!(answer.unwrap().status, 200, "{place}");
+    }
+}
+
 /// An endpoint that answers so counts as failed: others get its requests, and callers are served.
 #[actix_rt::test]
 async fn failing_endpoint_left() {
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -396,6 +396,12 @@
         Framing::of(&self.head)
     }
 
+    /// Length of the body in bytes, as the head names it; `None` where it names none.
+    pub fn content_length(&self) -> Option<usize> {
+        let length = self.head.headers.get(CONTENT_LENGTH)?;
+        length.to_str().ok()?.trim().parse().ok()
+    }
+
     /// The next chunk of the body; `None` after its end. Fails with [`ExchangeError::Lost`] where
     /// the body ends early or is malformed, and with [`ExchangeError::Endless`] where its framing
     /// goes on without a chunk.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -38,6 +38,7 @@
 use crate::direct::directory::{Directory, Era, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::EntryMetrics;
+use crate::direct::held_bodies::HeldBodies;
 use crate::direct::known::capacity::LearnedCapacity;
 use crate::direct::known::observed::ObservedEndpoints;
 use crate::direct::known::reports::EndpointReports;
@@ -82,6 +83,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// Random identity of this incarnation of the process.
     pub id: PeerId,
+    /// Memory for bodies of answers that have not been delivered.
+    pub held_bodies: HeldBodies,
     /// The log of decisions and state changes.
     pub log: DecisionLog,
     /// Metrics.
@@ -210,6 +213,7 @@
         Rc::new(Self {
             dialect,
             id: PeerId(rand::random()),
+            held_bodies: HeldBodies::default(),
             log,
             metrics: EntryMetrics::new(),
             peers: RefCell::new(peers),
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -17,7 +17,7 @@
 use crate::direct::known::observed::StreamTimes;
 use crate::direct::origins::Origin;
 use crate::direct::placement::choose::Choice;
-use crate::direct::relay::{self, RelayContext, RelayError, StreamKind};
+use crate::direct::relay::{self, BodyError, RelayContext, RelayError, StreamKind};
 
 /// Time for which the body of a refusal is read: an endpoint sends it together with the head.
 const REFUSAL_BODY_TIME: Millis = Millis(100);
@@ -258,15 +258,19 @@
         response_info: &ResponseInfo,
     ) -> AttemptOutcome {
         let key = answer.choice.key;
-        let body = match relay::read_body(&mut answer.reply).await {
+        let body = match relay::read_whole(&mut answer.reply, &self.entry.held_bodies).await {
             Ok(body) => body,
-            Err(error) => {
+            Err(BodyError::NoRoom) => {
+                answer.run_guard.undecided();
+                return self.record_lost(key, "no memory for its answer");
+            }
+            Err(BodyError::BrokenOff) => {
+                answer.run_guard.broken();
+                return self.record_failure(key, Fault::Answer, "the answer broke off");
+            }
+            Err(BodyError::Endless) => {
                 answer.run_guard.broken();
-                let why = match error {
-                    ExchangeError::Endless => "the answer does not end",
-                    _ => "the answer broke off",
-                };
-                return self.record_failure(key, Fault::Answer, why);
+                return self.record_failure(key, Fault::Answer, "the answer does not end");
             }
         };
         let status = answer.reply.head.status;
@@ -282,7 +286,7 @@
         self.keep_connection(key, answer.reply, response_info);
         let how = self.record_complete_answer(key, status);
         if answerer
-            .send_response(head, body, self.is_closing())
+            .send_response(head, body.bytes, self.is_closing())
             .await
             .is_err()
         {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -53,6 +53,7 @@
 pub mod gauge;
 pub mod gossip;
 pub mod handle;
+pub mod held_bodies;
 pub mod intake;
 pub mod item_limit;
 pub mod job;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -10,6 +10,7 @@
 use crate::clock::{Clock, Millis};
 use crate::direct::answerer::Answerer;
 use crate::direct::channel::{ExchangeError, Framing, Reply};
+use crate::direct::held_bodies::{HeldBodies, HeldBody};
 use crate::direct::item_limit::{Endless, ItemLimit};
 use crate::sse::{self, Splitter, MAX_EVENT};
 
@@ -80,6 +81,60 @@
     reply.read_body(MAX_REFUSAL_BYTES).await.map(drop)
 }
 
+/// A whole body, and the memory that is held for it.
+#[derive(Debug)]
+pub struct WholeBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// The memory; to be dropped with the body.
+    pub held: HeldBody,
+}
+
+/// Why a whole body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// It ended early or is malformed.
+    BrokenOff,
+    /// It is longer than [`MAX_WHOLE_BODY_BYTES`], or its framing goes on without end.
+    Endless,
+    /// The entry holds too much for other bodies, which says nothing about the endpoint.
+    NoRoom,
+}
+
+/// Reads the whole body of a response that is not a stream, within the memory that an entry has for
+/// all of them.
+pub async fn read_whole(reply: &mut Reply, held: &HeldBodies) -> Result<WholeBody, BodyError> {
+    let declared = reply.content_length();
+    if declared.is_some_and(|length| length > MAX_WHOLE_BODY_BYTES) {
+        return Err(BodyError::Endless);
+    }
+    let mut held = held.begin();
+    let mut body = BytesMut::with_capacity(declared.unwrap_or_default());
+    loop {
+        let chunk = reply.chunk().await.map_err(|err| match err {
+            ExchangeError::Endless => BodyError::Endless,
+            _ => BodyError::BrokenOff,
+        })?;
+        let Some(chunk) = chunk else {
+            let bytes = body.freeze();
+            return Ok(WholeBody { bytes, held });
+        };
+        let length = body.len() + chunk.len();
+        if length > MAX_WHOLE_BODY_BYTES {
+            return Err(BodyError::Endless);
+        }
+        let needed = match declared {
+            Some(_) => length,
+            None => length.next_power_of_two(),
+        };
+        if !held.grow_to(needed) {
+            return Err(BodyError::NoRoom);
+        }
+        body.reserve(needed - body.len());
+        body.extend_from_slice(&chunk);
+    }
+}
+
 /// Splits a stream into complete events, and drops those that the caller already has.
 #[derive(Debug)]
 pub struct EventReader {
