Close idle connections on which bytes arrive

Bytes that follow a whole answer belong to no request. A connection on which they came once it was kept stayed open, with what the system had buffered for it, until it was taken for the next request or had been idle for too long: bytes_after_answer waited 3 s in vain, fast and slow.

Once a second an entry now looks at its idle connections and closes those that can't be reused. The test failed on the code before and holds now.

--- a/lab/tests/endless_answers.rs
+++ b/lab/tests/endless_answers.rs
@@ -267,6 +267,19 @@
     join_all(playing).await;
 }
 
+/// Bytes that follow a whole answer belong to no request. The connection was kept, and its bytes
+/// with it, until it had been idle for too long.
+#[actix_rt::test]
+async fn bytes_after_answer() {
+    let site = Site::with_entry(1).await;
+    for pace in ["fast", "slow"] {
+        let answer = site.ask(&format!("/once/endless-{pace}-after"), pace).await;
+        assert_eq!((answer.status, answer.is_cut), (200, false));
+        let closing = wait_for("the connection is closed", || all_closed(&site));
+        timeout(Duration::from_secs(3), closing).await.expect(pace);
+    }
+}
+
 /// A sound endpoint with a long answer is not taken for one that never ends.
 #[actix_rt::test]
 async fn long_answer_whole() {
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -50,6 +50,8 @@
 const MAX_LATE_BYTES: usize = 8 << 20;
 /// Maximum number of late responses before the one to a request.
 const MAX_LATE_RESPONSES: u32 = 8;
+/// Bytes of a connection between two exchanges from which on they count as endless.
+const MAX_SURPLUS_BYTES: usize = 64 << 10;
 
 /// How an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -260,6 +262,13 @@
         has_nothing_to_read && self.read_buffer.is_empty()
     }
 
+    /// Whether more bytes have arrived on it than a late response may have left.
+    pub fn has_surplus(&self) -> bool {
+        let mut bytes = [std::mem::MaybeUninit::uninit(); MAX_SURPLUS_BYTES];
+        let seen = SockRef::from(&self.stream).peek(&mut bytes);
+        seen.is_ok_and(|seen| seen >= MAX_SURPLUS_BYTES)
+    }
+
     /// Sends a request and waits for the head of a response for which `matches_request` returns
     /// true; other responses are discarded.
     ///
--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -361,6 +361,25 @@
                 .retain(|connection| now < idle_until(connection));
         }
     }
+
+    /// Closes idle connections that can't be reused: bytes have arrived on them, which belong to no
+    /// request, or the endpoint has closed them. One that sends without end counts as failed.
+    pub fn close_unusable(&self) {
+        let mut flooding = Vec::new();
+        for (key, endpoint_state) in self.endpoint_states.borrow_mut().iter_mut() {
+            endpoint_state.idle_connections.retain(|connection| {
+                let is_usable = connection.is_idle();
+                if !is_usable && connection.has_surplus() {
+                    flooding.push(key);
+                }
+                is_usable
+            });
+        }
+        for key in flooding {
+            let why = "bytes without end after an answer";
+            self.endpoint_failed(key, Fault::Answer, why);
+        }
+    }
 }
 
 /// A request at an endpoint. Dropping it removes the request from the endpoint's load and records
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -134,7 +134,7 @@
 }
 
 /// Checks in every round whether the machine was suspended and removes expired state; once a second
-/// logs dropped lines, updates the gauges.
+/// logs dropped lines, closes connections that can't be reused and updates the gauges.
 async fn run_housekeeping(entry: Rc<Entry>) -> anyhow::Result<()> {
     let mut rounds = 0;
     loop {
@@ -146,6 +146,7 @@
         rounds += 1;
         if rounds % ROUNDS_PER_SECOND == 0 {
             entry.log.next_second();
+            entry.close_unusable();
             entry.update_metrics();
         }
     }
