Give up calls to a store or peer whose answer never ends

A store or peer that sent a few bytes at a time held a call for 30 s: the head had its time, and each piece of the body came before the limit of silence. For that time an entry proved nothing, so that keyed requests were refused, and fetched nothing from its peers.

A body that keeps arriving is given up once it has come with under 1 KB/s for 2 s, and the longest body depends on the document: 4 MB for pages of the list and for revisions, 16 MB for configurations and changes as before.

--- a/src/direct/fetch.rs
+++ b/src/direct/fetch.rs
@@ -106,7 +106,9 @@
     let address = SocketAddr::new(peer.ip(), entry.settings.borrow().admin.port());
     let client = StoreClient::new(address);
     let reading = OngoingRead::begin(entry, document, Some(peer));
-    let result = client.call(query, FETCH_TIMEOUT).await;
+    let result = client
+        .call(query, FETCH_TIMEOUT, document.max_bytes())
+        .await;
     let result = result.map(|(head, body)| (head.status, body));
     let failure = match &result {
         Ok((status, _)) if !status.is_success() => Some(format!("status {}", status.as_u16())),
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -9,19 +9,23 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use crate::direct::channel::{Connection, ExchangeError, Reply};
 use crate::direct::dialect::InvalidResponse;
 
 /// Longest body that is read, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+pub const MAX_BODY_BYTES: usize = 16 << 20;
 /// Longest pause within a body before the read is given up. The store and peers send what they have
 /// in one go, and three retransmissions of a packet take less.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest time for a body that keeps arriving: twice what [`MAX_BODY_BYTES`] take over a link of
 /// 10 Mbit/s.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes a second below which a body that keeps arriving is given up.
+const MIN_BODY_RATE: u64 = 1_024;
+/// Time after which [`MIN_BODY_RATE`] applies: some retransmissions of its first packets take less.
+const MIN_RATE_AFTER: Duration = Duration::from_secs(2);
 
 /// Why a call to the store or to a peer failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,15 +77,17 @@
         self.received_bytes.get()
     }
 
-    /// Makes one call; the head of the response must arrive within `head_timeout`. Returns the
-    /// head and the body. A connection on which a response was lost is never used again.
+    /// Makes one call; the head of the response must arrive within `head_timeout`, and its body may
+    /// have `max_bytes`. Returns the head and the body. A connection on which a response was lost is
+    /// never used again.
     pub async fn call(
         &self,
         head: RequestHead,
         head_timeout: Duration,
+        max_bytes: usize,
     ) -> Result<(ResponseHead, Bytes), CallError> {
         let pending = self.begin(head, head_timeout).await?;
-        self.finish(pending, |_| ()).await
+        self.finish(pending, max_bytes, |_| ()).await
     }
 
     /// Sends a request and waits at most `head_timeout` for the head of its response.
@@ -96,14 +102,16 @@
         reply.map(PendingResponse).map_err(CallError::Connection)
     }
 
-    /// Reads the rest of a response for as long as it keeps arriving. `on_progress` is called after
-    /// each piece with the number of bytes that have arrived.
+    /// Reads the rest of a response of at most `max_bytes` for as long as it keeps arriving.
+    /// `on_progress` is called after each piece with the number of bytes that have arrived.
     pub async fn finish(
         &self,
         pending: PendingResponse,
+        max_bytes: usize,
         on_progress: impl Fn(u64),
     ) -> Result<(ResponseHead, Bytes), CallError> {
-        let reading = timeout(BODY_TIMEOUT, self.read_body(pending.0, on_progress));
+        let reading = self.read_body(pending.0, max_bytes, on_progress);
+        let reading = timeout(BODY_TIMEOUT, reading);
         reading.await.map_err(|_| CallError::TimedOut)?
     }
 
@@ -119,8 +127,10 @@
     async fn read_body(
         &self,
         mut reply: Reply,
+        max_bytes: usize,
         on_progress: impl Fn(u64),
     ) -> Result<(ResponseHead, Bytes), CallError> {
+        let begun_at = Instant::now();
         let mut body = BytesMut::new();
         loop {
             let chunk = timeout(STALL_TIMEOUT, reply.chunk()).await;
@@ -128,12 +138,15 @@
             let Some(chunk) = chunk.map_err(CallError::Connection)? else {
                 break;
             };
-            if body.len() + chunk.len() > MAX_BODY_BYTES {
+            if body.len() + chunk.len() > max_bytes {
                 return Err(CallError::Connection(ExchangeError::Endless));
             }
             body.extend_from_slice(&chunk);
             self.received_bytes.set(body.len() as u64);
             on_progress(body.len() as u64);
+            if is_too_slow(body.len() as u64, begun_at.elapsed()) {
+                return Err(CallError::Connection(ExchangeError::Endless));
+            }
         }
         let mut head = ResponseHead::new(reply.head.status);
         head.headers = std::mem::take(&mut reply.head.headers);
@@ -141,3 +154,9 @@
         Ok((head, body.freeze()))
     }
 }
+
+/// Whether a body that is not complete arrives so slowly that it is none.
+fn is_too_slow(bytes: u64, took: Duration) -> bool {
+    took >= MIN_RATE_AFTER
+        && u128::from(bytes) * 1_000 < took.as_millis() * u128::from(MIN_BODY_RATE)
+}
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -65,7 +65,10 @@
         }
     };
     let result = match response {
-        Ok(pending) => client.finish(pending, on_progress).await,
+        Ok(pending) => {
+            let max_bytes = reading.max_bytes();
+            client.finish(pending, max_bytes, on_progress).await
+        }
         Err(err) => Err(err),
     };
     let result = result.and_then(|(head, body)| store_answer(entry, &head, body));
--- a/src/direct/sync/reading.rs
+++ b/src/direct/sync/reading.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::client::MAX_BODY_BYTES;
 use super::StoreClient;
 use crate::clock::Millis;
 use crate::direct::decision::Decision;
@@ -14,6 +15,9 @@
 /// control traffic (28 KB/s).
 const MIN_LOGGED_BYTES: u64 = 14 << 10;
 
+/// Longest page of a list: the store's are of about 1 MB, and peers' lists are compressed.
+const MAX_PAGE_BYTES: usize = 4 << 20;
+
 /// The document that is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -29,6 +33,14 @@
 }
 
 impl Document {
+    /// Longest body that holds it, in bytes.
+    pub(in crate::direct) const fn max_bytes(self) -> usize {
+        match self {
+            Self::List | Self::Revision => MAX_PAGE_BYTES,
+            Self::Catalog | Self::Changes => MAX_BODY_BYTES,
+        }
+    }
+
     const fn label(self) -> &'static str {
         match self {
             Self::List => "list",
@@ -49,6 +61,11 @@
 }
 
 impl OngoingRead {
+    /// Longest body that holds the document, in bytes.
+    pub(super) const fn max_bytes(&self) -> usize {
+        self.document.max_bytes()
+    }
+
     /// Notes the start of a read.
     pub fn begin(entry: &Entry, document: Document, peer: Option<SocketAddr>) -> Self {
         Self {
