Keep an error out of a whole answer behind sidecars

A whole answer that broke off was taken up at an engine which refuses to go on (400): its head and body were added to the text, and the caller got a success (200) with 9 of 50 words. A stream was ended with an error event before.

A head that comes after the answer has begun is no rest of it: the flow ends with "failed after start", in the one place that both ways of delivery read from.

own_answer::resume_refused failed before (End::Wrong for the whole answer) and holds now.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -23,6 +23,7 @@
 };
 use violetline::listener;
 
+use crate::endless::Endless;
 use crate::web;
 
 /// Tokens of an answer whose request does not say.
@@ -95,6 +96,10 @@
     pub limit: u32,
     /// Turns every call away and asks for so much rest, in ms; 0 where it takes calls.
     pub rest_ms: u64,
+    /// Answers every call that takes up a stream with an error of the caller.
+    pub refuses_resumes: bool,
+    /// Sends bytes without end in place of each answer.
+    pub endless: Option<Endless>,
 }
 
 /// What an engine has done.
@@ -242,6 +247,12 @@
     let run = web::header(&req, RUN_HEADER).unwrap_or_default().to_owned();
     let priority = number(&req, PRIORITY_HEADER) as u8;
     let resumed = web::header(&req, RESUME_HEADER).is_some();
+    if resumed && faults.refuses_resumes {
+        return web::status(StatusCode::BAD_REQUEST);
+    }
+    if let Some(endless) = faults.endless {
+        return endless.answer();
+    }
     let from = number(&req, RESUME_HEADER);
     let Some(body) = web::json_body::<Value>(&mut req).await else {
         return web::status(StatusCode::BAD_REQUEST);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod chaos;
 pub mod client;
 pub mod demo;
+pub mod endless;
 pub mod engine;
 pub mod fleet;
 pub mod limited;
--- a/lab/src/plain.rs
+++ b/lab/src/plain.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use violetline::listener::{self, CallerSocket};
 
+use crate::endless::Endless;
 use crate::web;
 
 /// Speed of a plain service.
@@ -43,6 +44,8 @@
     pub delay_ms: u64,
     /// Answers with a redirect to itself, after running the call.
     pub redirect: bool,
+    /// Sends bytes without end in place of the answer, after running the call.
+    pub endless: Option<Endless>,
 }
 
 /// What a plain service has done: runs by the caller's `lab_id`.
@@ -107,6 +110,9 @@
             socket.cut();
         }
     }
+    if let Some(endless) = faults.endless {
+        return endless.answer();
+    }
     if faults.redirect {
         let mut builder = Response::build(StatusCode::TEMPORARY_REDIRECT);
         return builder
--- a/lab/tests/own_answer.rs
+++ b/lab/tests/own_answer.rs
@@ -89,6 +89,25 @@
     }
 }
 
+/// A whole answer that broke off was taken up at an engine that refuses to: its error was added to
+/// the text, and the caller got a success.
+#[actix_rt::test]
+async fn resume_refused() {
+    let fleet = fleet(2, 1).await;
+    let faults = json!({ "cut_after": 10, "refuses_resumes": true });
+    for slot in fleet.slots.iter().filter(|slot| slot.pool == MODEL_POOL) {
+        fleet.fault(&slot.endpoint, faults.clone()).await.unwrap();
+    }
+    for stream in [true, false] {
+        let mut chat = chat(&format!("refused-{stream}"), "annotation", 50);
+        chat.stream = stream;
+        let reply = spawn_chat(&fleet, 0, chat).await.unwrap();
+        let is_told = matches!(reply.end, End::Refused(..) | End::Cut);
+        assert!(is_told, "stream {stream}: {reply:?}");
+    }
+    fleet.close();
+}
+
 #[actix_rt::test]
 async fn broken_everywhere() {
     let mut fleet = fleet(2, 1).await;
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -43,6 +43,8 @@
     entry: Rc<Entry>,
     running: Running,
     first: Option<FromSidecar>,
+    /// Whether a step of the answer was returned.
+    has_begun: bool,
     resumes: u32,
 }
 
@@ -55,6 +57,7 @@
             entry,
             running,
             first,
+            has_begun: false,
             resumes: 0,
         }
     }
@@ -73,7 +76,12 @@
             };
             let outcome = match self.read(message) {
                 Step::End(outcome) => outcome,
-                step => return step,
+                // A whole answer of its own, not the rest of the one that has begun.
+                Step::Head { .. } if self.has_begun => Outcome::Failed(FailReason::EndpointError),
+                step => {
+                    self.has_begun = true;
+                    return step;
+                }
             };
             if !self.may_resume(&outcome) {
                 return Step::End(outcome);
