End answers without end behind sidecars

An engine or plain service behind a sidecar that sent a few bytes of an event, of comments or of an error's body at a time kept its run, its slot and its caller for as long as they came: the longest silence began anew with each piece, and the path has no time limit of its own. 16 callers of whole answers whose tokens never end took an entry or sidecar over 96 MB.

The longest silence of a pool is now counted from the last token, and a whole answer that has taken that long with under 1 KB/s is lost. The answers that an entry collects share 64 MB, as on the direct path (held_bodies moves to the root); the parts are joined once, at the end. A run that has no room ends as "failed after start", reason no_room.

Looked at without a change: reads of bundles and of the list have a limit of 2 s and 1 MB as a whole (source.rs); heads of answers have the pool's longest silence.

--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -113,7 +113,7 @@
     /// Whether endpoints refuse orders of an older incarnation.
     #[serde(default)]
     pub checks_orders: bool,
-    /// Longest silence of an endpoint during a run, in ms.
+    /// Longest time in which an endpoint adds nothing to its answer, in ms.
     #[serde(default = "default_stall_ms")]
     pub stall_ms: u64,
 }
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -15,6 +15,7 @@
 use crate::bundle::PoolKind;
 use crate::entry::{Counted, Entry};
 use crate::flow::{Flow, Step};
+use crate::held_bodies::HeldBody;
 use crate::intake::Job;
 use crate::outcome::{FailReason, Outcome, Usage};
 use crate::run::MAX_PLAIN_ANSWER;
@@ -55,8 +56,10 @@
     if is_model && flow.job.stream && !has_head {
         return deliver_events(entry, flow, counted);
     }
-    let whole = collect(&mut flow).await;
+    let mut held = entry.held_bodies.begin();
+    let whole = collect(&mut flow, &mut held).await;
     let job = &flow.job;
+    let counted = (counted, held);
     match whole {
         Ok((answer, usage)) => {
             entry.settle(job, &Outcome::Completed(usage));
@@ -91,8 +94,8 @@
     completion(job, &earlier.body, usage, counted)
 }
 
-fn completion(job: &Job, events: &[u8], usage: Usage, counted: Counted) -> Response<BoxBody> {
-    answer::completion(job, &text_of(events).0, &usage, counted)
+fn completion<G: 'static>(job: &Job, events: &[u8], usage: Usage, guard: G) -> Response<BoxBody> {
+    answer::completion(job, &text_of(events).0, &usage, guard)
 }
 
 /// The text of a stream of events, and its count of tokens.
@@ -111,28 +114,37 @@
 }
 
 /// Collects a whole answer; nothing is shown to the caller before its end is known.
-async fn collect(flow: &mut Flow) -> Result<(Answer, Usage), Outcome> {
-    let mut answer = Answer {
-        status: 200,
-        content_type: String::new(),
-        body: Vec::new(),
-    };
+async fn collect(flow: &mut Flow, held: &mut HeldBody) -> Result<(Answer, Usage), Outcome> {
+    let (mut status, mut content_type) = (200, String::new());
+    // One buffer would be copied, and so held twice, each time that it grows.
+    let mut parts: Vec<Vec<u8>> = Vec::new();
+    let mut bytes = 0;
     loop {
         match flow.next().await {
-            Step::Part(part) => answer.body.extend_from_slice(&part),
+            Step::Part(part) => {
+                bytes += part.len();
+                if bytes > MAX_WHOLE {
+                    return Err(Outcome::Failed(FailReason::EndpointError));
+                }
+                if !held.grow_to(bytes) {
+                    return Err(Outcome::Failed(FailReason::NoRoom));
+                }
+                parts.push(part);
+            }
             Step::Head {
-                status,
-                content_type,
-            } => {
-                answer.status = status;
-                answer.content_type = content_type;
+                status: named,
+                content_type: kind,
+            } => (status, content_type) = (named, kind),
+            Step::End(Outcome::Completed(usage)) => {
+                let answer = Answer {
+                    status,
+                    content_type,
+                    body: parts.concat(),
+                };
+                return Ok((answer, usage));
             }
-            Step::End(Outcome::Completed(usage)) => return Ok((answer, usage)),
             Step::End(outcome) => return Err(outcome),
         }
-        if answer.body.len() > MAX_WHOLE {
-            return Err(Outcome::Failed(FailReason::EndpointError));
-        }
     }
 }
 
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -38,7 +38,6 @@
 use crate::direct::directory::{Directory, Era, Revision};
 use crate::direct::freshness::Freshness;
 use crate::direct::gauge::EntryMetrics;
-use crate::direct::held_bodies::HeldBodies;
 use crate::direct::known::capacity::LearnedCapacity;
 use crate::direct::known::observed::ObservedEndpoints;
 use crate::direct::known::reports::EndpointReports;
@@ -48,6 +47,7 @@
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
+use crate::held_bodies::HeldBodies;
 use crate::quarantine::parts::PartQuarantine;
 use crate::quarantine::Quarantine;
 
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -53,7 +53,6 @@
 pub mod gauge;
 pub mod gossip;
 pub mod handle;
-pub mod held_bodies;
 pub mod intake;
 pub mod item_limit;
 pub mod job;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -10,8 +10,8 @@
 use crate::clock::{Clock, Millis};
 use crate::direct::answerer::Answerer;
 use crate::direct::channel::{ExchangeError, Framing, Reply};
-use crate::direct::held_bodies::{HeldBodies, HeldBody};
 use crate::direct::item_limit::{Endless, ItemLimit};
+use crate::held_bodies::{HeldBodies, HeldBody};
 use crate::sse::{self, Splitter, MAX_EVENT};
 
 /// Maximum length of a body that is not a stream, in bytes.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::clock::{Clock, Millis};
 use crate::delivery;
 use crate::gossip;
+use crate::held_bodies::HeldBodies;
 use crate::ids::RequestId;
 use crate::intake::{self, BadRequest, Job};
 use crate::limit::Limiter;
@@ -68,6 +69,8 @@
     pub shares: RefCell<Shares>,
     /// Shares that this entry has leased to others, for the teams it owns.
     pub book: RefCell<QuotaBook>,
+    /// Memory for answers that are sent whole.
+    pub held_bodies: HeldBodies,
     limiter: RefCell<Limiter>,
     in_flight: Cell<u64>,
     lingering: Cell<bool>,
@@ -106,6 +109,7 @@
             links: Links::default(),
             router: RefCell::new(Router::new(settings.routing, place, seed)),
             reruns: RefCell::default(),
+            held_bodies: HeldBodies::default(),
             limiter: RefCell::default(),
             in_flight: Cell::new(0),
             lingering: Cell::new(true),
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -78,6 +78,8 @@
     SlowCaller,
     /// The endpoint was silent for longer than the pool's bound.
     Stalled,
+    /// The entry held too much for other answers.
+    NoRoom,
 }
 
 /// What the endpoint spent on a request.
--- a/src/run.rs
+++ b/src/run.rs
@@ -23,6 +23,8 @@
 const SLOW_CALLER: Duration = Duration::from_secs(30);
 /// Largest answer of a plain service, in bytes.
 pub const MAX_PLAIN_ANSWER: usize = 1 << 20;
+/// Bytes a second below which an answer that has taken as long as the longest silence is given up.
+const MIN_ANSWER_RATE: u64 = 1_024;
 /// Advice to come back when the endpoint could not be reached.
 const UNREACHABLE: Millis = Millis(1_000);
 
@@ -226,10 +228,13 @@
         let mut body = reply.body;
         let mut skip = self.delivered - reply.resumed_at.unwrap_or(0).min(self.delivered);
         let mut splitter = Splitter::default();
-        let stall = self.job.stall.duration();
+        let clock = self.sidecar.node.clock.clone();
+        // Bytes that add nothing to the answer are no better than silence.
+        let mut progressed_at = clock.now();
         loop {
+            let stalled_at = progressed_at + self.job.stall;
             let piece = tokio::select! {
-                piece = timeout(stall, body.next()) => piece,
+                piece = clock.timeout_at(stalled_at, body.next()) => piece,
                 Some(Turn::Pause) = self.turns.recv() => return Stop::Paused,
                 () = self.writer.gone(), if !self.entry_gone => {
                     self.entry_gone = true;
@@ -240,16 +245,20 @@
                 }
             };
             match piece {
-                Err(_) => return Stop::Failed(FailReason::Stalled),
-                Ok(None | Some(Err(_))) => return Stop::Failed(FailReason::StreamCut),
-                Ok(Some(Ok(bytes))) => splitter.push(&bytes),
+                None => return Stop::Failed(FailReason::Stalled),
+                Some(None | Some(Err(_))) => return Stop::Failed(FailReason::StreamCut),
+                Some(Some(Ok(bytes))) => splitter.push(&bytes),
             }
             if splitter.is_oversize() {
                 return Stop::Failed(FailReason::EndpointError);
             }
             let before = self.delivered;
+            let skip_before = skip;
             let (part, done) = self.collect(&mut splitter, &mut skip);
             let tokens = (self.delivered - before) as u32;
+            if tokens > 0 || skip < skip_before {
+                progressed_at = clock.now();
+            }
             if !part.is_empty() && !self.deliver(tokens, part).await {
                 return Stop::Abandoned;
             }
@@ -403,7 +412,7 @@
         }
     }
 
-    /// The whole body; `None` when it was cut, stalled or too long.
+    /// The whole body; `None` when it was cut, stalled, too long or too slow.
     async fn collect_whole(&self, reply: Reply) -> Option<Answer> {
         let Reply {
             status,
@@ -412,10 +421,15 @@
             ..
         } = reply;
         let stall = self.job.stall.duration();
+        let clock = &self.sidecar.node.clock;
+        let begun = clock.now();
         let mut whole = Vec::new();
         while let Some(piece) = timeout(stall, body.next()).await.ok()? {
             whole.extend_from_slice(&piece.ok()?);
-            if whole.len() > MAX_PLAIN_ANSWER {
+            let took = clock.now() - begun;
+            let least = took.0 * MIN_ANSWER_RATE / 1_000;
+            let is_too_slow = took >= self.job.stall && (whole.len() as u64) < least;
+            if whole.len() > MAX_PLAIN_ANSWER || is_too_slow {
                 return None;
             }
         }
