--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::ffi::OsStr;
-use std::fs::File;
-use std::io::{BufRead, BufReader, Write};
+use std::fs::{remove_file, File, OpenOptions};
+use std::io::{BufRead, BufReader, Read, Seek, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -24,6 +24,8 @@
     child: Child,
     /// The addresses that it printed.
     pub addresses: HashMap<String, SocketAddr>,
+    /// Its standard error; `None` where that is this program's.
+    errors: Option<File>,
 }
 
 impl Process {
@@ -52,24 +54,45 @@
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped());
-        if std::env::var_os("LAB_LOG").is_none() {
-            command.stderr(Stdio::null());
+        let is_shown = std::env::var_os("LAB_LOG").is_some();
+        let errors = match is_shown {
+            true => None,
+            false => Some(unnamed_file()?),
+        };
+        if let Some(errors) = &errors {
+            command.stderr(Stdio::from(errors.try_clone()?));
         }
         let child = command.spawn().context("starting a child")?;
         Ok(Self {
             child,
             addresses: HashMap::new(),
+            errors,
         })
     }
 
+    /// What the child has written to its standard error; empty where that is not kept.
+    fn error_text(&self) -> String {
+        let mut text = String::new();
+        if let Some(mut errors) = self.errors.as_ref() {
+            // Without it the failure is reported all the same.
+            let _ = errors
+                .rewind()
+                .and_then(|()| errors.read_to_string(&mut text));
+        }
+        text
+    }
+
     /// Reads the line of addresses; blocks until it comes.
     pub fn read_addresses(&mut self) -> anyhow::Result<()> {
         let stdout = self.child.stdout.take().context("no standard output")?;
         let mut reader = BufReader::new(stdout);
         let mut line = String::new();
         reader.read_line(&mut line)?;
-        let fields: HashMap<String, String> =
-            serde_json::from_str(&line).with_context(|| format!("bad first line {line:?}"))?;
+        let fields: HashMap<String, String> = serde_json::from_str(&line).with_context(|| {
+            // It ends after its error has been written.
+            let _ = self.child.wait();
+            format!("bad first line {line:?}, errors {:?}", self.error_text())
+        })?;
         self.addresses = fields
             .into_iter()
             .filter_map(|(k, v)| Some((k, v.parse().ok()?)))
@@ -149,6 +172,20 @@
     }
 }
 
+/// A file that has no name and is gone once it is closed.
+fn unnamed_file() -> anyhow::Result<File> {
+    let name = format!("violetline-errors-{}", uuid::Uuid::new_v4());
+    let path = std::env::temp_dir().join(name);
+    let mut options = OpenOptions::new();
+    let file = options
+        .read(true)
+        .write(true)
+        .create_new(true)
+        .open(&path)?;
+    remove_file(&path)?;
+    Ok(file)
+}
+
 /// This crate's binary: the running program, or the one beside a test program.
 fn program() -> anyhow::Result<PathBuf> {
     let current = std::env::current_exe()?;
