The soak plays answers without end

Two callers ask for answers whose bytes never end, in any place, fast or a few at a time, on each kind of route, and one engine at a time answers everybody so for up to 1.2 s. Checked: an answer within the time limit where the entry was well, none that looks complete, "not run" and at most once as for all requests, all such connections closed 15 s after the faults, and at most 110 MB an entry. The draws of the other faults and callers are as they were.

--- a/lab/src/soak/check.rs
+++ b/lab/src/soak/check.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::callers::{CRASH, UNMARKED};
+use super::endless::{is_endless, is_unmarked};
 use super::parts::{is_crashing, CRASHING};
 use super::{Issue, Report, Soak};
 use crate::site::{self, Answer};
@@ -97,6 +98,13 @@
         return Some("turned away for long, though it is innocent".into());
     }
     match answer.status {
+        // Only a whole answer before the bytes without end may look complete.
+        200 if is_endless(issue.path) => {
+            let is_whole = site::event_numbers(&answer.body) == [1];
+            let may_end = is_whole || is_unmarked(issue.path);
+            let is_true = answer.is_cut || (may_end && answer.is_sealed());
+            (!is_true).then(|| format!("without end, got {:?}", answer.body))
+        }
         503 if !repeatable && runs > 0 => Some("told as not run, but ran".into()),
         200 if issue.path.ends_with("events")
             || issue.path.ends_with("cut")
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod check;
+mod endless;
 mod faults;
 mod lines;
 mod mixed;
@@ -47,6 +48,8 @@
 const CALLERS: usize = 10;
 /// Callers of streams whose end is not marked, at a time.
 const UNMARKED_CALLERS: usize = 2;
+/// Callers whose answers never end, at a time.
+const ENDLESS_CALLERS: usize = 2;
 /// Longest time that a caller waits: somewhat more than the request itself allows.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Time for all entries to serve after the faults are lifted.
@@ -227,6 +230,14 @@
         let calling = parts::call_on(Rc::clone(&soak), sound, rng);
         callers.push(actix_rt::spawn(calling));
     }
+    for i in 0..ENDLESS_CALLERS {
+        let rng = SmallRng::seed_from_u64(seed + 1_000 + i as u64);
+        let calling = endless::call_on(Rc::clone(&soak), i, rng);
+        callers.push(actix_rt::spawn(calling));
+    }
+    let answering = SmallRng::seed_from_u64(seed + 1_100);
+    let answering = endless::answer_on(Rc::clone(&soak), answering, until);
+    callers.push(actix_rt::spawn(answering));
     let ending = SmallRng::seed_from_u64(seed + 800);
     let ending = parts::end_engines(Rc::clone(&soak), options.end_pause, ending, until);
     callers.push(actix_rt::spawn(ending));
@@ -248,6 +259,7 @@
         caller.await?;
     }
     soak.check_idle().await;
+    soak.check_endless().await;
     Ok(soak.report())
 }
 
