--- a/lab/tests/unmarked_ends.rs
+++ b/lab/tests/unmarked_ends.rs
@@ -72,6 +72,29 @@
     assert_eq!(after.collect::<Vec<_>>(), ["3"; 4]);
 }
 
+/// A process that was killed between two events closed its connections as at the end of an answer,
+/// and the caller got a valid end.
+#[actix_rt::test]
+async fn killed_as_complete() {
+    let site = Site::with_entry(1).await;
+    assert!(!is_complete(&site, "killed-between").await);
+    let site = Site::with_entry(1).await;
+    let answer = site.ask("/once/killed-between", "whole").await;
+    assert_eq!(answer.status, 502, "{answer:?}");
+    let site = Site::with_entry(2).await;
+    let answer = site.ask("/resume/killed-between", "resumed").await;
+    assert_eq!(event_numbers(&answer.body), [1, 2, 3, 4, 5]);
+    assert!(!answer.is_cut);
+}
+
+/// An engine that leaves may end with its last answer, which is complete.
+#[actix_rt::test]
+async fn last_answer_complete() {
+    let site = Site::with_entry(1).await;
+    site.engines[0].set_leaving(true);
+    assert!(is_complete(&site, "killed-whole").await);
+}
+
 /// A caller with HTTP/1.0 knows no chunks: it reads until the connection ends, and only a reset tells
 /// it that the stream broke off.
 #[actix_rt::test]
