Tell a killed engine's answer from one that ended

Sockets of a killed process are closed one after the other, so one that is reset, or closed within 5 ms, is tried again. An engine that leaves may end with its last answer, so its answers are taken for complete as before; so are those of one that rests.

unmarked_ends::killed_as_complete failed before and holds now. It costs a connection for each answer without a mark of its end.

Open: an engine that crashes while it leaves.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -262,6 +262,13 @@
         has_nothing_to_read && self.read_buffer.is_empty()
     }
 
+    /// Whether the other side closes the connection within a time, before any request.
+    pub async fn is_closed_within(mut self, time: Duration) -> bool {
+        let mut byte = [0; 1];
+        let read = tokio::time::timeout(time, self.stream.read(&mut byte)).await;
+        read.is_ok_and(|read| read.map_or(true, |bytes| bytes == 0))
+    }
+
     /// Whether more bytes have arrived on it than a late response may have left.
     pub fn has_surplus(&self) -> bool {
         let mut bytes = [std::mem::MaybeUninit::uninit(); MAX_SURPLUS_BYTES];
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -258,7 +258,12 @@
         response_info: &ResponseInfo,
     ) -> AttemptOutcome {
         let key = answer.choice.key;
-        let body = match relay::read_whole(&mut answer.reply, &self.entry.held_bodies).await {
+        let framing = answer.reply.framing();
+        let mut body = relay::read_whole(&mut answer.reply, &self.entry.held_bodies).await;
+        if body.is_ok() && self.check_unmarked_end(framing).await.is_err() {
+            body = Err(BodyError::BrokenOff);
+        }
+        let body = match body {
             Ok(body) => body,
             Err(BodyError::NoRoom) => {
                 answer.run_guard.undecided();
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -2,12 +2,15 @@
 //! lost. The same run is resumed and nothing is generated twice, so work that may run only once can
 //! be resumed as well.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bytes::Bytes;
 use tokio::time::sleep;
 
 use super::Job;
 use crate::clock::Millis;
-use crate::direct::channel::{Connection, ExchangeError, Reply};
+use crate::direct::channel::{Connection, ExchangeError, Framing, Reply};
 use crate::direct::placement::choose::Choice;
 
 /// Maximum tokens of a run's memory (prompt and answer) per token of its answer for which a copy is
@@ -15,6 +18,9 @@
 /// to be transferred.
 const MAX_MEMORY_PER_ANSWER_TOKEN: u64 = 8;
 
+/// Time in which all sockets of a process that is killed are closed.
+const CLOSING_TIME: Duration = Duration::from_millis(5);
+
 /// Silence, as a multiple of the longest pause that the route allows, after which an endpoint is
 /// checked. With a smaller multiple, engines that are only busy would lose their streams.
 const CHECK_AFTER_PAUSES: u64 = 2;
@@ -72,13 +78,24 @@
         self.resumes_from_copy
     }
 
-    /// The next piece of a stream; `None` at its end. If the run has a copy and the endpoint falls
-    /// silent, checks whether the endpoint is gone and returns [`Failure::Lost`] if so: an endpoint
-    /// without power would never close the connection, while the stream could resume elsewhere.
+    /// The next piece of a stream; `None` at its end. Fails with [`ExchangeError::Lost`] where the
+    /// endpoint is gone, see [`Self::chunk_unless_gone`] and [`Self::check_unmarked_end`].
     pub(super) async fn next_chunk(
         &self,
         reply: &mut Reply,
     ) -> Result<Option<Bytes>, ExchangeError> {
+        let chunk = self.chunk_unless_gone(reply).await?;
+        if chunk.is_none() {
+            self.check_unmarked_end(reply.framing()).await?;
+        }
+        Ok(chunk)
+    }
+
+    /// The next piece of a stream; `None` at its end. If the run has a copy and the endpoint falls
+    /// silent, checks whether the endpoint is gone and returns [`ExchangeError::Lost`] if so: an
+    /// endpoint without power would never close the connection, while the stream could resume
+    /// elsewhere.
+    async fn chunk_unless_gone(&self, reply: &mut Reply) -> Result<Option<Bytes>, ExchangeError> {
         let pause_to_check = self.route().pause().filter(|_| self.copy_key.is_some());
         let Some(pause) = pause_to_check else {
             return reply.chunk().await;
@@ -94,6 +111,27 @@
         }
     }
 
+    /// Checks the end of a body that only its connection marks. The connections of a process that is
+    /// killed end in the same way, but nothing listens at its address then. An endpoint that leaves
+    /// may end with its last answer, so its answers are taken for complete.
+    pub(super) async fn check_unmarked_end(&self, framing: Framing) -> Result<(), ExchangeError> {
+        let Some(address) = self.last_address.filter(|_| framing == Framing::Connection) else {
+            return Ok(());
+        };
+        let now = self.entry.clock.now();
+        let key = self
+            .last_key
+            .filter(|key| self.entry.directory().accepts_requests(*key, now));
+        if key.is_none() {
+            return Ok(());
+        }
+        self.entry.metrics.connection();
+        match has_stopped_listening(address).await {
+            true => Err(ExchangeError::Lost),
+            false => Ok(()),
+        }
+    }
+
     /// Whether nothing accepts connections any more at the address that the request was last sent
     /// to. The directory does not tell: the endpoint may have left the list and still be serving.
     async fn is_last_endpoint_gone(&self) -> bool {
@@ -107,3 +145,20 @@
         )
     }
 }
+
+/// Whether nothing listens at an address any more, or stops listening now: the sockets of a process
+/// that is killed are closed one after the other.
+async fn has_stopped_listening(address: SocketAddr) -> bool {
+    let is_closing = match Connection::connect(address).await {
+        Ok(connection) => connection.is_closed_within(CLOSING_TIME).await,
+        Err(ExchangeError::Refused) => return true,
+        Err(error) => error == ExchangeError::Reset,
+    };
+    if !is_closing {
+        return false;
+    }
+    // The connection may also have been one too many.
+    sleep(CLOSING_TIME).await;
+    let again = Connection::connect(address).await;
+    matches!(again, Err(ExchangeError::Refused))
+}
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -109,7 +109,9 @@
     attempts: u32,
     /// Whether an endpoint may have run any of it.
     may_have_run: bool,
-    /// The address that it was last sent to.
+    /// The endpoint that it was last sent to.
+    last_key: Option<EndpointKey>,
+    /// The address of that endpoint.
     last_address: Option<SocketAddr>,
     /// The endpoint that keeps a copy of the run's memory.
     copy_key: Option<EndpointKey>,
@@ -165,6 +167,7 @@
             unreachable: UnreachableEndpoints::default(),
             attempts: 0,
             may_have_run: false,
+            last_key: None,
             last_address: None,
             copy_key: None,
             resumes_from_copy: false,
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -89,6 +89,7 @@
         }
         self.use_permit();
         self.attempts += 1;
+        self.last_key = Some(key);
         self.last_address = self.entry.directory().get(key).map(|e| e.listed.address);
         self.send(answerer, connection, choice, now).await
     }
