Events of other streams show that an engine is not silent

Each chunk of an answer counts now. It clears no suspicion, since it may have been under way before.

--- a/src/direct/entry/endpoint_states.rs
+++ b/src/direct/entry/endpoint_states.rs
@@ -60,6 +60,12 @@
 pub type EndpointStates = SecondaryMap<EndpointKey, EndpointState>;
 
 impl EndpointState {
+    /// Records that more of an answer arrived from the endpoint. It may have been under way before a
+    /// run was lost, so it says nothing about that.
+    pub fn record_heard(&mut self, now: Millis) {
+        self.last_contact_at = now;
+    }
+
     /// Records that something arrived from the endpoint, so it is alive.
     pub fn record_contact(&mut self, now: Millis) {
         self.last_contact_at = now;
--- a/src/direct/job/copy.rs
+++ b/src/direct/job/copy.rs
@@ -85,12 +85,22 @@
         reply: &mut Reply,
     ) -> Result<Option<Bytes>, ExchangeError> {
         let chunk = self.chunk_unless_gone(reply).await?;
-        if chunk.is_none() {
-            self.check_unmarked_end(reply.framing()).await?;
+        match &chunk {
+            Some(_) => self.record_heard(),
+            None => self.check_unmarked_end(reply.framing()).await?,
         }
         Ok(chunk)
     }
 
+    /// Records that the endpoint is not silent, for other requests that wait for it.
+    fn record_heard(&self) {
+        let now = self.entry.clock.now();
+        if let Some(key) = self.last_key {
+            self.entry
+                .update_endpoint_state(key, |endpoint_state| endpoint_state.record_heard(now));
+        }
+    }
+
     /// The next piece of a stream; `None` at its end. If the run has a copy and the endpoint falls
     /// silent, checks whether the endpoint is gone and returns [`ExchangeError::Lost`] if so: an
     /// endpoint without power would never close the connection, while the stream could resume
