Follow the store to another address

Each call takes the address of the settings in force now, on a new connection where that has changed, and a watch that waits at the former address is repeated.

--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -203,7 +203,11 @@
             entry.note_seeds(&new.seeds);
             entry.peers.borrow_mut().set_link(new.link_mbps);
             entry.peers.borrow_mut().set_zone(&new.zone);
-            *entry.settings.borrow_mut() = new;
+            let before = entry.settings.replace(new);
+            if before.store != entry.settings.borrow().store {
+                // A watch may be waiting at the former address.
+                entry.rewatch_requested.notify_one();
+            }
             entry.log_process("reloaded", "settings changed");
         }
         Err(findings) if !first => entry.log_process("reload failed", &findings.to_string()),
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -55,7 +55,7 @@
 /// A client of one store or peer that keeps one connection for the next call.
 #[derive(Debug)]
 pub struct StoreClient {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     /// The connection, while no call is in progress on it.
     idle: RefCell<Option<Connection>>,
     /// Bytes of the last response's body that have arrived.
@@ -66,12 +66,19 @@
     /// Creates a client that has no connection yet.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            address,
+            address: Cell::new(address),
             idle: RefCell::default(),
             received_bytes: Cell::default(),
         }
     }
 
+    /// Calls another address from now on, on a new connection.
+    pub fn set_address(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.idle.take();
+        }
+    }
+
     /// Bytes of the last response's body that have arrived, also if it was not complete in time.
     pub fn received_bytes(&self) -> u64 {
         self.received_bytes.get()
@@ -119,7 +126,7 @@
         let idle = self.idle.borrow_mut().take().filter(Connection::is_idle);
         let channel = match idle {
             Some(channel) => channel,
-            None => Connection::connect(self.address).await?,
+            None => Connection::connect(self.address.get()).await?,
         };
         channel.send(head, &Bytes::new(), |_| true).await
     }
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -48,6 +48,7 @@
     head_timeout: Duration,
 ) -> Result<StoreAnswer, CallError> {
     let reading = OngoingRead::begin(entry, document, None);
+    client.set_address(entry.settings.borrow().store);
     let response = client.begin(request, head_timeout).await;
     finish(entry, client, reading, response).await
 }
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -165,6 +165,7 @@
     wait: Millis,
 ) -> Result<PendingResponse, CallError> {
     let head = entry.dialect.watch_query(asked.scope, asked.after, wait);
+    client.set_address(entry.settings.borrow().store);
     client.begin(head, wait.duration() + WATCH_GRACE).await
 }
 
