Don't blame an endpoint for an earlier one's unfinished event

A stream that broke off inside an event and was taken up left the time of that event behind: if the second endpoint sent nothing until the deadline, it counted as failed for bytes that were not its own.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -260,6 +260,8 @@
     let RelayContext {
         position, close, ..
     } = context;
+    // An earlier endpoint may have left an unfinished event.
+    context.unfinished_since.set(None);
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
     loop {
