--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -28,6 +28,8 @@
 const SLOW_CALLER: Duration = Duration::from_secs(30);
 /// Time for an error event to leave before the connection is cut.
 const ERROR_LEAVES: Duration = Duration::from_millis(50);
+/// Bytes of a whole answer that are held in one block.
+const BLOCK: usize = 64 << 10;
 /// Largest whole answer, in bytes.
 const MAX_WHOLE: usize = 8 * MAX_PLAIN_ANSWER;
 
@@ -116,8 +118,7 @@
 /// Collects a whole answer; nothing is shown to the caller before its end is known.
 async fn collect(flow: &mut Flow, held: &mut HeldBody) -> Result<(Answer, Usage), Outcome> {
     let (mut status, mut content_type) = (200, String::new());
-    // One buffer would be copied, and so held twice, each time that it grows.
-    let mut parts: Vec<Vec<u8>> = Vec::new();
+    let mut blocks = Blocks::default();
     let mut bytes = 0;
     loop {
         match flow.next().await {
@@ -129,7 +130,7 @@
                 if !held.grow_to(bytes) {
                     return Err(Outcome::Failed(FailReason::NoRoom));
                 }
-                parts.push(part);
+                blocks.append(&part);
             }
             Step::Head {
                 status: named,
@@ -139,7 +140,7 @@
                 let answer = Answer {
                     status,
                     content_type,
-                    body: parts.concat(),
+                    body: blocks.0.concat(),
                 };
                 return Ok((answer, usage));
             }
@@ -148,6 +149,25 @@
     }
 }
 
+/// Bytes in blocks of one size. One buffer would be copied, and so held twice, each time that it
+/// grows, and buffers of many sizes leave gaps between them.
+#[derive(Debug, Default)]
+struct Blocks(Vec<Vec<u8>>);
+
+impl Blocks {
+    fn append(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let room = self.0.last().map_or(0, |last| BLOCK - last.len());
+            let (now, later) = bytes.split_at(bytes.len().min(room));
+            match self.0.last_mut() {
+                Some(last) if room > 0 => last.extend_from_slice(now),
+                _ => self.0.push(Vec::with_capacity(BLOCK)),
+            }
+            bytes = later;
+        }
+    }
+}
+
 fn deliver_events(entry: Rc<Entry>, flow: Flow, counted: Counted) -> Response<BoxBody> {
     let (tx, rx) = mpsc::channel(PARTS_AHEAD);
     let request = flow.job.request;
