Review case 5: a stream runs at two engines when the first is slow and reads a long prompt

Silence for three targets counts as unreachable, without a look at whether the engine is there. Three or four of twelve requests go on at a second engine while the first works on them for another 1.5 s.

--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -4,10 +4,10 @@
 use std::collections::HashSet;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::standin::{read_request, Message};
 
@@ -20,6 +20,8 @@
     pub pause_ms: u64,
     /// Whether answers have no length and end with their connection.
     pub unframed: bool,
+    /// Prompt tokens that are read in a ms; 0 where prompts take no time.
+    pub tokens_per_ms: f64,
 }
 
 impl Orders {
@@ -33,6 +35,7 @@
             events: get("--events").and_then(|t| t.parse().ok()).unwrap_or(10),
             pause_ms: get("--pause").and_then(|t| t.parse().ok()).unwrap_or(50),
             unframed: args.iter().any(|a| a == "--unframed"),
+            tokens_per_ms: get("--reads").and_then(|t| t.parse().ok()).unwrap_or(0.0),
         }
     }
 }
@@ -44,6 +47,12 @@
     copies: Mutex<HashSet<String>>,
     /// Requests that run.
     running: AtomicUsize,
+    /// How many times as long work takes.
+    slow: AtomicUsize,
+    /// Whether a request goes on after its connection has closed, as at some engines.
+    keeps: AtomicBool,
+    /// Until when the prompts are read that came first.
+    reading: Mutex<Option<Instant>>,
 }
 
 pub fn run(args: &[String]) -> io::Result<()> {
@@ -55,6 +64,9 @@
         address,
         copies: Mutex::default(),
         running: AtomicUsize::new(0),
+        slow: AtomicUsize::new(1),
+        keeps: AtomicBool::new(false),
+        reading: Mutex::new(None),
     });
     for stream in listener.incoming().flatten() {
         let engine = Arc::clone(&engine);
@@ -90,6 +102,20 @@
             out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
             return Ok(true);
         }
+        if let Some(orders) = request.path().strip_prefix("/stand-in/slow/") {
+            let (slow, tokens) = orders.split_once('/').unwrap_or((orders, "0"));
+            self.slow.store(slow.parse().unwrap_or(1), Ordering::SeqCst);
+            self.keeps.store(true, Ordering::SeqCst);
+            let until = self.read_prompt(tokens.parse().unwrap_or(0));
+            let left = until.saturating_duration_since(Instant::now()).as_millis();
+            tell(&format!(
+                "SLOW {} takes {slow} times as long, reads another caller's {tokens} tokens for {left} ms, \
+                 doesn't drop what is closed",
+                self.orders.id
+            ));
+            out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
+            return Ok(true);
+        }
         let id = request
             .header("x-request-id")
             .unwrap_or_default()
@@ -130,20 +156,48 @@
             self.orders.id
         ));
         self.running.fetch_add(1, Ordering::SeqCst);
-        let sent = self.stream(&id, last, out);
+        let sent = self.stream(request, &id, last, out);
         self.running.fetch_sub(1, Ordering::SeqCst);
-        match &sent {
-            Ok(kept) => {
-                tell(&format!("END {} {id} whole", self.orders.id));
-                Ok(*kept)
+        let how = match &sent {
+            Ok(_) => "whole",
+            Err(err) if err.kind() == io::ErrorKind::TimedOut => "given up, its time is over",
+            Err(_) => "dropped, its connection closed",
+        };
+        tell(&format!("END {} {id} {how}", self.orders.id));
+        Ok(sent.unwrap_or(false))
+    }
+
+    /// Puts a prompt behind those that are being read; returns when it will have been read.
+    fn read_prompt(&self, tokens: u64) -> Instant {
+        let mut reading = self.reading.lock().unwrap();
+        let now = Instant::now();
+        let from = reading.map_or(now, |until| until.max(now));
+        let slow = self.slow.load(Ordering::SeqCst) as f64;
+        let ms = match self.orders.tokens_per_ms {
+            rate if rate > 0.0 => tokens as f64 / rate * slow,
+            _ => 0.0,
+        };
+        let until = from + Duration::from_micros((ms * 1_000.0) as u64);
+        *reading = Some(until);
+        until
+    }
+
+    /// Works until a time. Fails where the connection has closed, unless the engine goes on then, and
+    /// at the end of the request's time.
+    fn work(&self, until: Instant, end: Option<Instant>, out: &TcpStream) -> io::Result<()> {
+        loop {
+            if !self.keeps.load(Ordering::SeqCst) && is_closed(out)? {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let now = Instant::now();
+            if end.is_some_and(|end| now >= end) {
+                return Err(io::ErrorKind::TimedOut.into());
             }
-            Err(_) => {
-                tell(&format!(
-                    "END {} {id} dropped, its connection closed",
-                    self.orders.id
-                ));
-                Ok(false)
+            let left = until.saturating_duration_since(now);
+            if left.is_zero() {
+                return Ok(());
             }
+            thread::sleep(left.min(Duration::from_millis(20)));
         }
     }
 
@@ -162,8 +216,21 @@
         let _ = copied();
     }
 
-    /// Sends the events of a stream; false where the connection ends with it.
-    fn stream(&self, id: &str, last: u64, out: &mut TcpStream) -> io::Result<bool> {
+    /// Reads the prompt and sends the events of a stream; false if the connection ends with it.
+    fn stream(
+        &self,
+        request: &Message,
+        id: &str,
+        last: u64,
+        out: &mut TcpStream,
+    ) -> io::Result<bool> {
+        let number = |name: &str| {
+            let value = request.header(name)?;
+            value.split(',').next()?.trim().parse::<u64>().ok()
+        };
+        let end = number("x-request-deadline").map(|ms| Instant::now() + Duration::from_millis(ms));
+        let read_at = self.read_prompt(number("x-token-usage").unwrap_or(0));
+        self.work(read_at, end, out)?;
         let framing = match self.orders.unframed {
             true => "Connection: close\r\n",
             false => "Transfer-Encoding: chunked\r\n",
@@ -173,25 +240,31 @@
              Content-Type: text/event-stream\r\n{framing}\r\n",
             self.orders.id
         );
-        out.write_all(head.as_bytes())?;
-        out.set_nonblocking(false)?;
+        self.send(&head, out)?;
         for number in last + 1..=self.orders.events {
-            thread::sleep(Duration::from_millis(self.orders.pause_ms));
-            if is_closed(out)? {
-                return Err(io::ErrorKind::ConnectionAborted.into());
-            }
+            let slow = self.slow.load(Ordering::SeqCst) as u64;
+            let pause = Duration::from_millis(self.orders.pause_ms * slow);
+            self.work(Instant::now() + pause, end, out)?;
             let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
             let bytes = match self.orders.unframed {
                 true => event,
                 false => format!("{:x}\r\n{event}\r\n", event.len()),
             };
-            out.write_all(bytes.as_bytes())?;
+            self.send(&bytes, out)?;
         }
         if !self.orders.unframed {
-            out.write_all(b"0\r\n\r\n")?;
+            self.send("0\r\n\r\n", out)?;
         }
         Ok(!self.orders.unframed)
     }
+
+    /// Sends a piece of an answer; an engine that goes on without its caller does so here as well.
+    fn send(&self, text: &str, out: &mut TcpStream) -> io::Result<()> {
+        match out.write_all(text.as_bytes()) {
+            Err(_) if self.keeps.load(Ordering::SeqCst) => Ok(()),
+            sent => sent,
+        }
+    }
 }
 
 /// Whether the other side has closed the connection.
