--- a/review/stand-ins-2/standin.rs
+++ b/review/stand-ins-2/standin.rs
@@ -157,17 +157,31 @@
     body: &str,
     limit: Duration,
 ) -> io::Result<()> {
-    let mut stream = TcpStream::connect_timeout(&entry, Duration::from_secs(1))?;
+    let stream = TcpStream::connect_timeout(&entry, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(limit))?;
-    let request = format!(
+    let mut reader = BufReader::new(stream);
+    ask_on(answer, &mut reader, path, id, extra, body, limit)
+}
+
+/// Sends a request on a connection that may be kept, and reads the answer to its end.
+pub fn ask_on(
+    answer: &mut Answer,
+    reader: &mut BufReader<TcpStream>,
+    path: &str,
+    id: &str,
+    extra: &str,
+    body: &str,
+    limit: Duration,
+) -> io::Result<()> {
+    let head = format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer {KEY}\r\n\
-         X-Request-Deadline: {}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+         X-Request-Deadline: {}\r\n{extra}Content-Length: {}\r\n\r\n",
         limit.as_millis(),
         body.len()
     );
-    stream.write_all(request.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    let Some(head) = read_head(&mut reader)? else {
+    reader.get_mut().write_all(head.as_bytes())?;
+    reader.get_mut().write_all(body.as_bytes())?;
+    let Some(head) = read_head(reader)? else {
         return Ok(());
     };
     answer.status = head
