--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -91,8 +91,8 @@
                         "platform: an entry holds {kb} KB, over {MEMORY_MB} MB: killed"
                     ));
                     // It may have ended by itself meanwhile.
-                    let _ = Command::new("kill")
-                        .args(["-KILL", &pid.to_string()])
+                    let _ = Command::new("sh")
+                        .args(["-c", &format!("kill -KILL {pid}")])
                         .status();
                 }
             }
