Tell what memory is held for

Logs and metrics could not tell whether the bodies of requests, their copies while they are sent, or the answers hold the memory.

Change: an account of the memory held for what callers and endpoints send, by purpose, with a gauge for each and a line where half of its limit was held at once. Nothing is refused by it yet.

--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -506,6 +506,22 @@
         /// Those that were closed before a request was read.
         unread: u64,
     },
+    /// Much of the memory for what callers and endpoints send was held in the last second.
+    MemoryHeld {
+        /// Most bytes that were held at once.
+        peak: u64,
+        /// Most bytes that may be held.
+        limit: u64,
+        /// Bytes that are held now for bodies of requests.
+        requests: u64,
+        /// Bytes that are held now for requests that are being sent, besides their bodies.
+        sending: u64,
+        /// Bytes that are held now for answers that are delivered once they are complete.
+        answers: u64,
+        /// Bytes that are held now for heads that are not complete, further requests, and events for
+        /// callers that read slowly.
+        buffers: u64,
+    },
     /// The configuration store stopped answering, or answers again.
     Store {
         /// Whether it answers.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -48,6 +48,7 @@
 use crate::direct::settings::DirectSettings;
 use crate::direct::versions::VersionLog;
 use crate::held_bodies::HeldBodies;
+use crate::memory::{Memory, Purpose};
 use crate::quarantine::parts::PartQuarantine;
 use crate::quarantine::Quarantine;
 
@@ -62,6 +63,9 @@
     Stopping,
 }
 
+/// Memory of the machine where the settings name none, in MB: that of the smallest supported one.
+const MACHINE_MEMORY_MB: u64 = 88;
+
 /// What an entry fetches from a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Fetch {
@@ -85,6 +89,8 @@
     pub id: PeerId,
     /// Memory for bodies of answers that have not been delivered.
     pub held_bodies: HeldBodies,
+    /// Memory that is held for what callers and endpoints send.
+    pub memory: Memory,
     /// The log of decisions and state changes.
     pub log: DecisionLog,
     /// Metrics.
@@ -214,6 +220,7 @@
             dialect,
             id: PeerId(rand::random()),
             held_bodies: HeldBodies::default(),
+            memory: Memory::new(MACHINE_MEMORY_MB),
             log,
             metrics: EntryMetrics::new(),
             peers: RefCell::new(peers),
@@ -369,8 +376,41 @@
         });
     }
 
+    /// Updates the gauges of memory, and logs what it was held for where that was much.
+    fn log_memory(&self) {
+        let memory = &self.memory;
+        let peak = memory.take_peak();
+        let held_for = |purpose| memory.held_for(purpose) as u64;
+        let requests = held_for(Purpose::Request { band: 0 });
+        let sending = held_for(Purpose::Sending);
+        let answers = self.held_bodies.bytes() as u64;
+        let buffers = held_for(Purpose::Buffer);
+        let gauges = [
+            ("memory_limit_bytes", memory.limit() as u64),
+            ("memory_peak_bytes", peak as u64),
+            ("memory_requests_bytes", requests),
+            ("memory_sending_bytes", sending),
+            ("memory_answers_bytes", answers),
+            ("memory_buffers_bytes", buffers),
+        ];
+        for (name, bytes) in gauges {
+            self.metrics.set(name, bytes);
+        }
+        if peak >= memory.limit() / 2 {
+            self.log.state_change(Decision::MemoryHeld {
+                peak: peak as u64,
+                limit: memory.limit() as u64,
+                requests,
+                sending,
+                answers,
+                buffers,
+            });
+        }
+    }
+
     /// Updates all gauges.
     pub fn update_metrics(&self) {
+        self.log_memory();
         let now = self.clock.now();
         self.log_observations(now);
         let metrics = &self.metrics;
--- a/src/direct/intake.rs
+++ b/src/direct/intake.rs
@@ -14,6 +14,7 @@
 use crate::direct::catalog::CallerLimits;
 use crate::direct::dialect::ErrorResponse;
 use crate::direct::entry::{Entry, ProcessState};
+use crate::memory::{HeldMemory, Purpose};
 
 /// Free space in the read buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
@@ -31,6 +32,8 @@
     pub head: RequestHead,
     /// The body; empty where there is none.
     pub body: Bytes,
+    /// Memory that is held for it.
+    pub held: HeldMemory,
     /// When its first byte was read; where that was read together with the request before, when
     /// that request was done.
     pub received_at: Millis,
@@ -87,10 +90,12 @@
                 .await
                 .map_err(|_| RequestReadError::Closed)?;
         }
-        let body = self.read_body(answerer, limits).await?;
+        let mut held = entry.memory.begin(Purpose::Request { band: 0 });
+        let body = self.read_body(answerer, limits, &mut held).await?;
         Ok(IncomingRequest {
             head,
             body,
+            held,
             received_at,
         })
     }
@@ -144,6 +149,7 @@
         &mut self,
         answerer: &mut Answerer,
         limits: CallerLimits,
+        held: &mut HeldMemory,
     ) -> Result<Bytes, RequestReadError> {
         if !answerer.expects_body() {
             return Ok(Bytes::new());
@@ -152,7 +158,10 @@
         let mut body = BytesMut::new();
         loop {
             match answerer.decode(&mut self.read_buffer).map_err(malformed)? {
-                Some(Message::Chunk(Some(chunk))) => body.extend_from_slice(&chunk),
+                Some(Message::Chunk(Some(chunk))) => {
+                    body.extend_from_slice(&chunk);
+                    held.set(body.capacity());
+                }
                 Some(Message::Chunk(None)) => return Ok(body.freeze()),
                 Some(Message::Item(_)) => {
                     return Err(RequestReadError::Refused(ErrorResponse::Malformed))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod links;
 pub mod listener;
 pub mod members;
+pub mod memory;
 pub mod metrics;
 pub mod mix_bits;
 pub mod node;
