Hold a request's body once while it is sent

Cause: the request to an endpoint was encoded into one buffer, so that the body was held a second time from when it was sent until the head of the answer arrived, although it had been written long before.

Change: only the head is encoded; the body is written from where it is held, and that reference goes once it has been written.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::WriteHalf;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
@@ -284,11 +285,11 @@
     pub async fn send(
         mut self,
         head: RequestHead,
-        body: &Bytes,
+        body: Bytes,
         matches_request: impl Fn(&ResponseHead) -> bool,
     ) -> Result<Reply, ExchangeError> {
         let mut codec = ClientCodec::new(service_config());
-        let mut out = encode(&mut codec, head, body).map_err(|_| ExchangeError::NotSent)?;
+        let mut out = Outgoing::new(&mut codec, head, body).map_err(|_| ExchangeError::NotSent)?;
         let mut sent = false;
         let mut limit = ItemLimit::new(MAX_HEAD_BYTES);
         let mut scan = HeadScan::default();
@@ -340,7 +341,7 @@
     /// Writes or reads some bytes, whichever is possible first. Returns how many were read.
     async fn exchange(
         &mut self,
-        out: &mut BytesMut,
+        out: &mut Outgoing,
         sent: &mut bool,
     ) -> Result<usize, ExchangeError> {
         let failure = if *sent {
@@ -352,10 +353,9 @@
         self.read_buffer.reserve(READ_BUFFER_BYTES);
         tokio::select! {
             biased;
-            wrote = writer.write(out), if !out.is_empty() => match wrote {
-                Ok(n) => {
+            wrote = out.write_to(&mut writer), if !out.is_empty() => match wrote {
+                Ok(()) => {
                     *sent = true;
-                    out.advance(n);
                     Ok(0)
                 }
                 Err(_) if *sent => self.read_after_write_error().await,
@@ -574,20 +574,42 @@
     !(bodiless || has_length || is_chunked)
 }
 
-/// Encodes a request.
-fn encode(codec: &mut ClientCodec, head: RequestHead, body: &Bytes) -> io::Result<BytesMut> {
-    // Methods that usually have a body send the length of an empty one too (RFC 9110, 8.6).
-    let may_have_body = matches!(head.method, Method::POST | Method::PUT | Method::PATCH);
-    let size = match body.len() {
-        0 if !may_have_body => BodySize::None,
-        length => BodySize::Sized(length as u64),
-    };
-    let mut out = BytesMut::with_capacity(HEAD_BUFFER_BYTES + body.len());
-    codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut out)?;
-    if !body.is_empty() {
-        codec.encode(Message::Chunk(Some(body.clone())), &mut out)?;
-    }
-    Ok(out)
+/// What is left to be written of a request. The body is not copied: it may be long.
+#[derive(Debug)]
+struct Outgoing {
+    head: BytesMut,
+    body: Bytes,
+}
+
+impl Outgoing {
+    /// Encodes a request.
+    fn new(codec: &mut ClientCodec, head: RequestHead, body: Bytes) -> io::Result<Self> {
+        // Methods that usually have a body send the length of an empty one too (RFC 9110, 8.6).
+        let may_have_body = matches!(head.method, Method::POST | Method::PUT | Method::PATCH);
+        let size = match body.len() {
+            0 if !may_have_body => BodySize::None,
+            length => BodySize::Sized(length as u64),
+        };
+        let mut out = BytesMut::with_capacity(HEAD_BUFFER_BYTES);
+        codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut out)?;
+        Ok(Self { head: out, body })
+    }
+
+    fn is_empty(&self) -> bool {
+        self.head.is_empty() && self.body.is_empty()
+    }
+
+    /// Writes some bytes. Nothing has been written where it fails or is cancelled.
+    async fn write_to(&mut self, writer: &mut WriteHalf<'_>) -> io::Result<()> {
+        let mut rest = (&mut self.head).chain(&mut self.body);
+        if writer.write_buf(&mut rest).await? == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        if self.body.is_empty() {
+            self.body = Bytes::new();
+        }
+        Ok(())
+    }
 }
 
 /// Makes the operating system send without delay and detect a dead peer.
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -23,7 +23,6 @@
 use crate::direct::peers::PromptPlacement;
 use crate::direct::placement::choose::Choice;
 use crate::direct::resolve::{Allowed, Denied};
-use crate::memory::Purpose;
 
 /// Silence, as a multiple of the route's target, after which an endpoint counts as unreachable.
 const UNREACHABLE_AFTER_TARGETS: u64 = 3;
@@ -151,11 +150,8 @@
         );
         let is_own = |head: &ResponseHead| self.is_own_answer(key, head);
         let progress = connection.progress();
-        let mut held = self.entry.memory.begin(Purpose::Sending);
-        held.set(self.incoming.body.len());
-        let sending = connection.send(head, &self.incoming.body, is_own);
+        let sending = connection.send(head, self.incoming.body.clone(), is_own);
         let reply = self.wait_for_head(sending, &progress, key, now).await;
-        drop(held);
         let reply = match reply {
             Ok(Ok(reply)) => reply,
             Ok(Err(error @ (ExchangeError::Lost | ExchangeError::Endless))) => {
