Bound the memory that bodies of requests take

By hand (traps): bodies of which a byte came each 300 ms were held beyond the time limits of their requests, and 26 to 58 MB stayed resident 3 s after a burst.

Cause: each body was read up to `max_body_bytes`, whatever was held for others; a body was kept until the end of its answer, also where no attempt could need it again; each read of a body had a limit of its own and the body none; and the allocator kept what was freed.

Change: an account of memory with a limit, half of `memory_mb` in the settings (from `limits.memory_mb` on the platform; 88 MB where they name none). A body whose length is known has its memory before a byte of it is read, another one as it grows; what does not fit is refused as not run, with the time to come back, before `100 Continue`, and as too long where it could never fit. Less urgent and large bodies may fill a smaller part; one that arrives at less than 64 KB/s gives way to another, and so does a less urgent one. A body has until its request's time limit. Large bodies of requests without a route or a key are not read. A body is released once no attempt can need it, a large one as soon as its last attempt has been written; a 421 after that is answered as not run. Large bodies have pages of their own (memmap2), which return to the system. A refused caller may send for 5 s more, so that it reads the refusal.

--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use actix_http::ResponseHead;
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -13,6 +14,7 @@
 use crate::direct::handle::handle;
 use crate::direct::intake::{IncomingRequest, RequestReadError, RequestReader};
 use crate::direct::progress::Progress;
+use crate::direct::refuse;
 
 /// Accepts connections until the task is aborted.
 pub async fn accept(entry: Rc<Entry>, listener: Rc<TcpListener>) -> anyhow::Result<()> {
@@ -47,14 +49,13 @@
             Ok(incoming) => serve_one(&entry, &incoming, &mut request_reader, &mut answerer).await,
             Err(RequestReadError::Refused(error)) => {
                 let head = entry.dialect.error_response(error, None);
-                if answerer
-                    .send_response(head, Bytes::new(), true)
-                    .await
-                    .is_ok()
-                {
-                    request_reader.linger_before_close(&mut answerer).await;
-                }
-                false
+                end_unread(head, &mut request_reader, &mut answerer).await
+            }
+            Err(RequestReadError::BodyRefused(refusal)) => {
+                refuse::record_body(&entry, &refusal);
+                let id = &refusal.parsed.id;
+                let head = entry.dialect.error_response(refusal.error, Some(id));
+                end_unread(head, &mut request_reader, &mut answerer).await
             }
             Err(RequestReadError::Closed) => false,
         };
@@ -65,6 +66,19 @@
     }
 }
 
+/// Refuses a request that was not read completely; the connection is to be closed.
+async fn end_unread(
+    head: ResponseHead,
+    request_reader: &mut RequestReader,
+    answerer: &mut Answerer,
+) -> bool {
+    let written = answerer.send_response(head, Bytes::new(), true).await;
+    if written.is_ok() {
+        request_reader.linger_before_close(answerer).await;
+    }
+    false
+}
+
 /// Serves one request; returns false where the connection must be closed after it.
 async fn serve_one(
     entry: &Rc<Entry>,
--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -278,7 +278,8 @@
     }
 
     /// Sends a request and waits for the head of a response for which `matches_request` returns
-    /// true; other responses are discarded.
+    /// true; other responses are discarded. `written` is called once the whole request has been
+    /// written, if that is before the head.
     ///
     /// Fails with [`ExchangeError::NotSent`] where the connection failed before any byte of the
     /// request was sent, and with [`ExchangeError::Lost`] or [`ExchangeError::Endless`] after that.
@@ -287,10 +288,12 @@
         head: RequestHead,
         body: Bytes,
         matches_request: impl Fn(&ResponseHead) -> bool,
+        written: impl FnOnce(),
     ) -> Result<Reply, ExchangeError> {
         let mut codec = ClientCodec::new(service_config());
         let mut out = Outgoing::new(&mut codec, head, body).map_err(|_| ExchangeError::NotSent)?;
         let mut sent = false;
+        let mut written = Some(written);
         let mut limit = ItemLimit::new(MAX_HEAD_BYTES);
         let mut scan = HeadScan::default();
         let (mut interim_responses, mut late_responses) = (0, 0);
@@ -312,6 +315,11 @@
                 let is_inside_item = limit.has_begun() || is_overdue;
                 self.progress.is_inside_item.set(is_inside_item);
                 arrived = self.exchange(&mut out, &mut sent).await?;
+                if out.is_empty() {
+                    if let Some(written) = written.take() {
+                        written();
+                    }
+                }
                 continue;
             };
             limit.completed();
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -97,6 +97,24 @@
     EndpointRefused,
     /// Its deadline passed before it could be sent.
     TimeOver,
+    /// There is no memory for its body beside what is held for others, or it gave way to another
+    /// one while it arrived.
+    NoMemory {
+        /// Length of the body as far as known, in bytes.
+        body_bytes: u64,
+        /// Bytes that are held for all purposes.
+        held_bytes: u64,
+    },
+    /// Its body is longer than this entry could ever hold.
+    BodyTooLarge {
+        /// Length of the body as far as known, in bytes.
+        body_bytes: u64,
+    },
+    /// Its body did not arrive in time.
+    BodyTooSlow {
+        /// Bytes that had arrived.
+        arrived_bytes: u64,
+    },
     /// This process is stopping.
     Stopping,
 }
@@ -514,8 +532,6 @@
         limit: u64,
         /// Bytes that are held now for bodies of requests.
         requests: u64,
-        /// Bytes that are held now for requests that are being sent, besides their bodies.
-        sending: u64,
         /// Bytes that are held now for answers that are delivered once they are complete.
         answers: u64,
         /// Bytes that are held now for heads that are not complete, further requests, and events for
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -46,6 +46,7 @@
 use crate::direct::peers::{ObservationSchedule, PeerId, PeerTable, RecentPlacements};
 use crate::direct::placement::prefix::PrefixMap;
 use crate::direct::settings::DirectSettings;
+use crate::direct::uploads::Uploads;
 use crate::direct::versions::VersionLog;
 use crate::held_bodies::HeldBodies;
 use crate::memory::{Memory, Purpose};
@@ -63,9 +64,6 @@
     Stopping,
 }
 
-/// Memory of the machine where the settings name none, in MB: that of the smallest supported one.
-const MACHINE_MEMORY_MB: u64 = 88;
-
 /// What an entry fetches from a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Fetch {
@@ -91,6 +89,8 @@
     pub held_bodies: HeldBodies,
     /// Memory that is held for what callers and endpoints send.
     pub memory: Memory,
+    /// Bodies of requests that are arriving.
+    pub uploads: Uploads,
     /// The log of decisions and state changes.
     pub log: DecisionLog,
     /// Metrics.
@@ -215,12 +215,14 @@
         let mut peers = PeerTable::new(settings.link, &settings.seeds, rand::random());
         peers.set_link(settings.link_mbps);
         peers.set_zone(&settings.zone);
+        let memory = Memory::new(settings.memory_mb_or_default());
         let seeds_known_at = (!settings.seeds.is_empty()).then(|| clock.now());
         Rc::new(Self {
             dialect,
             id: PeerId(rand::random()),
             held_bodies: HeldBodies::default(),
-            memory: Memory::new(MACHINE_MEMORY_MB),
+            uploads: Uploads::new(memory.clone()),
+            memory,
             log,
             metrics: EntryMetrics::new(),
             peers: RefCell::new(peers),
@@ -382,14 +384,12 @@
         let peak = memory.take_peak();
         let held_for = |purpose| memory.held_for(purpose) as u64;
         let requests = held_for(Purpose::Request { band: 0 });
-        let sending = held_for(Purpose::Sending);
         let answers = self.held_bodies.bytes() as u64;
         let buffers = held_for(Purpose::Buffer);
         let gauges = [
             ("memory_limit_bytes", memory.limit() as u64),
             ("memory_peak_bytes", peak as u64),
             ("memory_requests_bytes", requests),
-            ("memory_sending_bytes", sending),
             ("memory_answers_bytes", answers),
             ("memory_buffers_bytes", buffers),
         ];
@@ -401,7 +401,6 @@
                 peak: peak as u64,
                 limit: memory.limit() as u64,
                 requests,
-                sending,
                 answers,
                 buffers,
             });
--- a/src/direct/handle.rs
+++ b/src/direct/handle.rs
@@ -22,23 +22,24 @@
     answerer: &mut Answerer,
     progress: &RefCell<Progress>,
 ) -> bool {
-    let parsed = match entry.dialect.parse_request(&incoming.head) {
+    let parsed = match &incoming.parsed {
         Ok(parsed) => parsed,
-        Err(error) => return refuse::write(entry, answerer, error, None).await,
+        Err(error) => return refuse::write(entry, answerer, *error, None).await,
     };
+    let received_at = incoming.received_at;
     progress.borrow_mut().id = parsed.id.as_bytes().to_vec();
     if entry.process_state() == ProcessState::Stopping {
-        refuse::log(entry, &parsed, incoming, RefusalReason::Stopping, None);
+        refuse::log(entry, parsed, received_at, RefusalReason::Stopping, None);
         let error = ErrorResponse::NotRun(RETRY_ELSEWHERE_AFTER);
-        return refuse::write(entry, answerer, error, Some(&parsed)).await;
+        return refuse::write(entry, answerer, error, Some(parsed)).await;
     }
-    let allowed = match entry.allow(&parsed) {
+    let allowed = match entry.allow(parsed) {
         Ok(allowed) => allowed,
-        Err(denied) => return refuse::deny(entry, answerer, &parsed, incoming, denied).await,
+        Err(denied) => return refuse::deny(entry, answerer, parsed, received_at, denied).await,
     };
     let Some(catalog) = entry.catalog() else {
-        return refuse::deny(entry, answerer, &parsed, incoming, Denied::NoCatalog).await;
+        return refuse::deny(entry, answerer, parsed, received_at, Denied::NoCatalog).await;
     };
-    let mut job = Job::new(entry, incoming, &parsed, progress, catalog, allowed);
+    let mut job = Job::new(entry, incoming, parsed, progress, catalog, allowed);
     job.run(answerer).await
 }
--- a/src/direct/intake.rs
+++ b/src/direct/intake.rs
@@ -4,48 +4,70 @@
 
 use actix_http::h1::Message;
 use actix_http::RequestHead;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::timeout;
 
 use crate::clock::Millis;
 use crate::direct::answerer::Answerer;
+use crate::direct::body::RequestBody;
 use crate::direct::catalog::CallerLimits;
-use crate::direct::dialect::ErrorResponse;
+use crate::direct::decision::RefusalReason;
+use crate::direct::dialect::{ErrorResponse, ParsedRequest};
 use crate::direct::entry::{Entry, ProcessState};
-use crate::memory::{HeldMemory, Purpose};
+use crate::direct::incoming_body::IncomingBody;
 
 /// Free space in the read buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Maximum bytes of further requests that are read while a request is being served; the caller can
 /// send the rest only after that.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
-/// Time for which a connection stays open after an error response, so that the caller can read the
-/// response although part of its request was not read.
+/// Time without bytes from the caller for which a connection stays open after an error response, so
+/// that the caller can read the response although part of its request was not read.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which it stays open then: many callers read the response only after they have
+/// sent the whole request.
+const MAX_LINGER_TIME: Duration = Duration::from_millis(5_000);
 
 /// A request that has been read completely.
 #[derive(Debug)]
 pub struct IncomingRequest {
     /// Method, target and headers.
     pub head: RequestHead,
+    /// What decisions depend on, or the response that the caller gets.
+    pub parsed: Result<ParsedRequest, ErrorResponse>,
     /// The body; empty where there is none.
-    pub body: Bytes,
-    /// Memory that is held for it.
-    pub held: HeldMemory,
+    pub body: RequestBody,
     /// When its first byte was read; where that was read together with the request before, when
     /// that request was done.
     pub received_at: Millis,
 }
 
 /// Why no request was read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum RequestReadError {
     /// The caller closed the connection, it was idle for too long, or this process is stopping.
     Closed,
     /// The request is malformed, too long or too slow; the caller gets this error response.
     Refused(ErrorResponse),
+    /// The body of a well-formed request is not taken.
+    BodyRefused(Box<BodyRefusal>),
+}
+
+/// The refusal of a request whose body was not read completely.
+#[derive(Debug)]
+pub struct BodyRefusal {
+    /// The request.
+    pub parsed: ParsedRequest,
+    /// When its first byte was read.
+    pub received_at: Millis,
+    /// The reason.
+    pub why: RefusalReason,
+    /// The response that the caller gets.
+    pub error: ErrorResponse,
+    /// Its route's first pool and urgency; `None` where no route allows it.
+    pub route: Option<(String, u8)>,
 }
 
 /// The reading half of a caller's connection.
@@ -84,18 +106,18 @@
         let head = reading
             .await
             .map_err(|_| RequestReadError::Refused(ErrorResponse::TooSlow))??;
-        if head.expect() && self.read_buffer.is_empty() {
-            answerer
-                .send_continue()
-                .await
-                .map_err(|_| RequestReadError::Closed)?;
-        }
-        let mut held = entry.memory.begin(Purpose::Request { band: 0 });
-        let body = self.read_body(answerer, limits, &mut held).await?;
+        let parsed = entry.dialect.parse_request(&head);
+        let body = match answerer.expects_body() {
+            true => {
+                let body = IncomingBody::new(entry, &head, &parsed, received_at, limits);
+                self.read_body(answerer, body).await?
+            }
+            false => RequestBody::default(),
+        };
         Ok(IncomingRequest {
             head,
+            parsed,
             body,
-            held,
             received_at,
         })
     }
@@ -144,37 +166,26 @@
         }
     }
 
-    /// Reads the body of the request whose head was read last; empty where it has none.
+    /// Reads the body of the request whose head was read last.
     async fn read_body(
         &mut self,
         answerer: &mut Answerer,
-        limits: CallerLimits,
-        held: &mut HeldMemory,
-    ) -> Result<Bytes, RequestReadError> {
-        if !answerer.expects_body() {
-            return Ok(Bytes::new());
-        }
+        mut body: IncomingBody<'_>,
+    ) -> Result<RequestBody, RequestReadError> {
         let malformed = |_| RequestReadError::Refused(ErrorResponse::Malformed);
-        let mut body = BytesMut::new();
+        body.begin()?;
+        if body.head.expect() && self.read_buffer.is_empty() {
+            let sent = answerer.send_continue().await;
+            sent.map_err(|_| RequestReadError::Closed)?;
+        }
         loop {
             match answerer.decode(&mut self.read_buffer).map_err(malformed)? {
-                Some(Message::Chunk(Some(chunk))) => {
-                    body.extend_from_slice(&chunk);
-                    held.set(body.capacity());
-                }
-                Some(Message::Chunk(None)) => return Ok(body.freeze()),
+                Some(Message::Chunk(Some(chunk))) => body.append(&chunk)?,
+                Some(Message::Chunk(None)) => return body.complete(),
                 Some(Message::Item(_)) => {
                     return Err(RequestReadError::Refused(ErrorResponse::Malformed))
                 }
-                None => {
-                    let reading = timeout(limits.head_time.duration(), self.read());
-                    reading
-                        .await
-                        .map_err(|_| RequestReadError::Refused(ErrorResponse::TooSlow))??;
-                }
-            }
-            if body.len() > limits.body_bytes {
-                return Err(RequestReadError::Refused(ErrorResponse::BodyTooLong));
+                None => body.wait_for(self.read()).await?,
             }
         }
     }
@@ -190,20 +201,20 @@
         std::future::pending::<()>().await;
     }
 
-    /// Stops writing and discards what the caller still sends, until it closes the connection or
-    /// [`LINGER_TIMEOUT`] has passed. Closing a socket with unread bytes resets the connection, and
-    /// the caller may lose the response.
+    /// Stops writing and discards what the caller still sends, until it closes the connection, sends
+    /// nothing for [`LINGER_TIMEOUT`], or [`MAX_LINGER_TIME`] has passed. Closing a socket with unread
+    /// bytes resets the connection, and the caller may lose the response.
     pub async fn linger_before_close(&mut self, answerer: &mut Answerer) {
         if answerer.shutdown().await.is_err() {
             return;
         }
         let reading = async {
-            while self.read().await.is_ok() {
+            while let Ok(Ok(())) = timeout(LINGER_TIMEOUT, self.read()).await {
                 self.read_buffer.clear();
             }
         };
         // The connection is closed in either case: the caller has closed it, or time is over.
-        let _ = timeout(LINGER_TIMEOUT, reading).await;
+        let _ = timeout(MAX_LINGER_TIME, reading).await;
     }
 
     /// Reads some bytes into the buffer. Fails with [`RequestReadError::Closed`] at the end of the
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -80,6 +80,7 @@
             answer.run_guard.undecided();
             return self.record_foreign_answer(key, status);
         }
+        self.release_body();
         let relaying = async {
             if !status.is_success() || self.route().shape == ResponseKind::Whole {
                 self.relay_complete(answerer, answer, &response_info).await
--- a/src/direct/job/end.rs
+++ b/src/direct/job/end.rs
@@ -69,7 +69,7 @@
         refuse::log(
             self.entry,
             self.ask,
-            self.incoming,
+            self.incoming.received_at,
             why,
             Some(allowed_request),
         );
--- a/src/direct/job/mod.rs
+++ b/src/direct/job/mod.rs
@@ -283,8 +283,8 @@
                     return self.give_up(answerer, RefusalReason::NoEndpoint).await
                 }
                 AttemptOutcome::Denied(denied) if !self.may_have_run => {
-                    return refuse::deny(self.entry, answerer, self.ask, self.incoming, denied)
-                        .await
+                    let received_at = self.incoming.received_at;
+                    return refuse::deny(self.entry, answerer, self.ask, received_at, denied).await;
                 }
                 AttemptOutcome::Denied(_) => return self.end_with_unknown_outcome(answerer).await,
                 AttemptOutcome::TimeOver => return self.end_at_deadline(answerer).await,
@@ -328,7 +328,8 @@
     let target = head.uri.path_and_query();
     let target = target.map_or("", |target| target.as_str());
     let target = [&*ask.host, head.method.as_str(), target];
-    Fingerprint::of(team.unwrap_or_default(), &target, &incoming.body)
+    let body = incoming.body.bytes().unwrap_or_default();
+    Fingerprint::of(team.unwrap_or_default(), &target, &body)
 }
 
 /// Picks one of a route's pools at random by weight.
--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use actix_http::{RequestHead, ResponseHead};
+use bytes::Bytes;
 
 use super::answer::ReceivedAnswer;
 use super::{AttemptOutcome, Job};
@@ -13,7 +14,7 @@
 use crate::direct::answerer::Answerer;
 use crate::direct::catalog::PoolShare;
 use crate::direct::channel::{Connection, ExchangeError, ReadProgress, Reply};
-use crate::direct::decision::NO_CONNECTION;
+use crate::direct::decision::{RefusalReason, NO_CONNECTION};
 use crate::direct::dialect::EndpointRequest;
 use crate::direct::directory::EndpointKey;
 use crate::direct::ends::EndSign;
@@ -34,6 +35,10 @@
 impl Job<'_> {
     /// Sends the request to one more endpoint and relays its answer.
     pub(super) async fn attempt(&mut self, answerer: &mut Answerer) -> AttemptOutcome {
+        // Released after what was to be the last attempt, which did not run the request.
+        let Some(body) = self.incoming.body.bytes() else {
+            return AttemptOutcome::NotAdmitted(RefusalReason::EndpointRefused);
+        };
         if let Some(why) = self.wait_for_turn().await {
             return AttemptOutcome::NotAdmitted(why);
         }
@@ -91,7 +96,7 @@
         self.attempts += 1;
         self.last_key = Some(key);
         self.last_address = self.entry.directory().get(key).map(|e| e.listed.address);
-        self.send(answerer, connection, choice, now).await
+        self.send(answerer, connection, choice, body, now).await
     }
 
     /// Switches to the configuration in force now. False if it treats the request differently from
@@ -133,6 +138,7 @@
         answerer: &mut Answerer,
         connection: Connection,
         choice: Choice,
+        body: Bytes,
         now: Millis,
     ) -> AttemptOutcome {
         let key = choice.key;
@@ -150,7 +156,7 @@
         );
         let is_own = |head: &ResponseHead| self.is_own_answer(key, head);
         let progress = connection.progress();
-        let sending = connection.send(head, self.incoming.body.clone(), is_own);
+        let sending = connection.send(head, body, is_own, || self.release_large_body());
         let reply = self.wait_for_head(sending, &progress, key, now).await;
         let reply = match reply {
             Ok(Ok(reply)) => reply,
@@ -186,6 +192,21 @@
         self.handle_answer(answerer, answer).await
     }
 
+    /// Frees the memory of the body once no further attempt can need it.
+    pub(super) fn release_body(&self) {
+        let may_repeat = self.may_repeat() && self.has_attempts_left();
+        if !may_repeat && self.copy_key.is_none() {
+            self.incoming.body.release();
+        }
+    }
+
+    /// The same for a large body that has been written completely, as far as its last attempt goes.
+    fn release_large_body(&self) {
+        if self.incoming.body.is_large() && !self.has_attempts_left() {
+            self.release_body();
+        }
+    }
+
     /// Whether an answer belongs to this request. A late answer to an earlier request is skipped,
     /// but what the endpoint announces in it is applied all the same.
     fn is_own_answer(&self, key: EndpointKey, head: &ResponseHead) -> bool {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -36,6 +36,7 @@
 
 pub mod admission;
 pub mod answerer;
+pub mod body;
 pub mod caller;
 pub mod catalog;
 pub mod changes;
@@ -53,6 +54,7 @@
 pub mod gauge;
 pub mod gossip;
 pub mod handle;
+pub mod incoming_body;
 pub mod intake;
 pub mod item_limit;
 pub mod job;
@@ -72,4 +74,5 @@
 pub mod resolve;
 pub mod settings;
 pub mod sync;
+pub mod uploads;
 pub mod versions;
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -203,6 +203,7 @@
             entry.note_seeds(&new.seeds);
             entry.peers.borrow_mut().set_link(new.link_mbps);
             entry.peers.borrow_mut().set_zone(&new.zone);
+            entry.memory.set_machine(new.memory_mb_or_default());
             let before = entry.settings.replace(new);
             if before.store != entry.settings.borrow().store {
                 // A watch may be waiting at the former address.
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -15,6 +15,9 @@
 /// the time that a request takes from its caller to this process.
 const KEY_REMOVAL_MARGIN: Millis = Millis(250);
 
+/// Memory of an instance whose settings name none, in MB.
+const DEFAULT_MEMORY_MB: u64 = 88;
+
 /// Maximum of [`Bounds::longest_rest_ms`]: a day.
 const MAX_LONGEST_REST_MS: u64 = 86_400_000;
 
@@ -44,6 +47,9 @@
     /// with a larger bandwidth are preferred for watching the store.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Memory that this process may use on its instance, in MB; 0 where it is not known.
+    #[serde(default)]
+    pub memory_mb: u64,
     /// Region of each availability zone, by the zone's name.
     #[serde(default)]
     pub regions: BTreeMap<String, String>,
@@ -119,6 +125,17 @@
     }
 }
 
+impl DirectSettings {
+    /// Memory that this process may use, in MB; that of the smallest supported instance where the
+    /// settings name none.
+    pub fn memory_mb_or_default(&self) -> u64 {
+        match self.memory_mb {
+            0 => DEFAULT_MEMORY_MB,
+            named => named,
+        }
+    }
+}
+
 impl Checked for DirectSettings {
     fn check(&self, findings: &mut Findings) {
         findings.require(!self.name.is_empty(), "name", "must not be empty");
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -128,7 +128,7 @@
             Some(channel) => channel,
             None => Connection::connect(self.address.get()).await?,
         };
-        channel.send(head, Bytes::new(), |_| true).await
+        channel.send(head, Bytes::new(), |_| true, || ()).await
     }
 
     async fn read_body(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod audit;
+pub mod body_buffer;
 pub mod budget;
 pub mod bundle;
 pub mod check;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// Number of [`Purpose`]s.
-const PURPOSES: usize = 4;
+const PURPOSES: usize = 3;
 /// Part of the memory of the machine that may be held. The rest is for the process itself, its
 /// connections, and bytes that have arrived and were not read yet.
 const HELD_FRACTION: f64 = 0.5;
@@ -31,8 +31,6 @@
         /// Urgency, from 0 for the highest.
         band: usize,
     },
-    /// Bytes of a request that are being sent to an endpoint, besides its body.
-    Sending,
     /// An answer that is delivered once it is complete.
     Answer,
     /// Bytes of a connection that are neither: a head that is not complete, further requests, events
@@ -44,9 +42,8 @@
     const fn index(self) -> usize {
         match self {
             Self::Request { .. } => 0,
-            Self::Sending => 1,
-            Self::Answer => 2,
-            Self::Buffer => 3,
+            Self::Answer => 1,
+            Self::Buffer => 2,
         }
     }
 
@@ -176,14 +173,6 @@
         self.account.add(self.purpose, bytes);
         self.bytes = bytes;
     }
-
-    /// Changes what the memory is held for.
-    pub fn set_purpose(&mut self, purpose: Purpose) {
-        let bytes = self.bytes;
-        self.set(0);
-        self.purpose = purpose;
-        self.set(bytes);
-    }
 }
 
 impl Drop for HeldMemory {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -92,6 +92,7 @@
         seeds: Vec::new(),
         store: address,
         link_mbps: 0.0,
+        memory_mb: 0,
         regions: BTreeMap::new(),
         bounds: Bounds::default(),
     };
--- a/tests/direct_channel.rs
+++ b/tests/direct_channel.rs
@@ -64,7 +64,7 @@
 async fn send_request(address: SocketAddr) -> Result<Reply, ExchangeError> {
     let connection = Connection::connect(address).await?;
     connection
-        .send(get("/x"), Bytes::new(), is_to_request_1)
+        .send(get("/x"), Bytes::new(), is_to_request_1, || ())
         .await
 }
 
@@ -194,7 +194,7 @@
     let connection = Connection::connect(address).await.unwrap();
     let long = Bytes::from(vec![b'x'; 32 << 20]);
     let reply = connection
-        .send(get("/x"), long, is_to_request_1)
+        .send(get("/x"), long, is_to_request_1, || ())
         .await
         .unwrap();
     assert_eq!(reply.head.status.as_u16(), 503);
