Count answers in the same account of memory as requests

Whole answers had a bound of their own, 64 MB, which no one added to what requests hold: together they could take an entry over its 88 to 110 MB.

Change: one account for both, with its limit from the memory of the machine, behind sidecars too (`memory_mb` in the entry's settings). Requests may fill at most 85% of it, large answers 95%, so that what was accepted finds room to end. Whole answers of direct entries are kept in pages of their own.

That the sum of both is bounded follows from the account; a test with both at once is in the soak alone.

--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -15,8 +15,8 @@
 use crate::bundle::PoolKind;
 use crate::entry::{Counted, Entry};
 use crate::flow::{Flow, Step};
-use crate::held_bodies::HeldBody;
 use crate::intake::Job;
+use crate::memory::{HeldMemory, Purpose};
 use crate::outcome::{FailReason, Outcome, Usage};
 use crate::run::MAX_PLAIN_ANSWER;
 use crate::sse::{self, Event, Splitter};
@@ -58,7 +58,7 @@
     if is_model && flow.job.stream && !has_head {
         return deliver_events(entry, flow, counted);
     }
-    let mut held = entry.held_bodies.begin();
+    let mut held = entry.memory.begin(Purpose::Answer);
     let whole = collect(&mut flow, &mut held).await;
     let job = &flow.job;
     let counted = (counted, held);
@@ -116,7 +116,7 @@
 }
 
 /// Collects a whole answer; nothing is shown to the caller before its end is known.
-async fn collect(flow: &mut Flow, held: &mut HeldBody) -> Result<(Answer, Usage), Outcome> {
+async fn collect(flow: &mut Flow, held: &mut HeldMemory) -> Result<(Answer, Usage), Outcome> {
     let (mut status, mut content_type) = (200, String::new());
     let mut blocks = Blocks::default();
     let mut bytes = 0;
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -48,7 +48,6 @@
 use crate::direct::settings::DirectSettings;
 use crate::direct::uploads::Uploads;
 use crate::direct::versions::VersionLog;
-use crate::held_bodies::HeldBodies;
 use crate::memory::{Memory, Purpose};
 use crate::quarantine::parts::PartQuarantine;
 use crate::quarantine::Quarantine;
@@ -85,8 +84,6 @@
     pub dialect: Rc<dyn Dialect>,
     /// Random identity of this incarnation of the process.
     pub id: PeerId,
-    /// Memory for bodies of answers that have not been delivered.
-    pub held_bodies: HeldBodies,
     /// Memory that is held for what callers and endpoints send.
     pub memory: Memory,
     /// Bodies of requests that are arriving.
@@ -220,7 +217,6 @@
         Rc::new(Self {
             dialect,
             id: PeerId(rand::random()),
-            held_bodies: HeldBodies::default(),
             uploads: Uploads::new(memory.clone()),
             memory,
             log,
@@ -384,7 +380,7 @@
         let peak = memory.take_peak();
         let held_for = |purpose| memory.held_for(purpose) as u64;
         let requests = held_for(Purpose::Request { band: 0 });
-        let answers = self.held_bodies.bytes() as u64;
+        let answers = held_for(Purpose::Answer);
         let buffers = held_for(Purpose::Buffer);
         let gauges = [
             ("memory_limit_bytes", memory.limit() as u64),
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -260,7 +260,7 @@
     ) -> AttemptOutcome {
         let key = answer.choice.key;
         let framing = answer.reply.framing();
-        let mut body = relay::read_whole(&mut answer.reply, &self.entry.held_bodies).await;
+        let mut body = relay::read_whole(&mut answer.reply, &self.entry.memory).await;
         if body.is_ok() && self.check_unmarked_end(framing).await.is_err() {
             body = Err(BodyError::BrokenOff);
         }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -7,11 +7,12 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 
+use crate::body_buffer::BodyBuffer;
 use crate::clock::{Clock, Millis};
 use crate::direct::answerer::Answerer;
 use crate::direct::channel::{ExchangeError, Framing, Reply};
 use crate::direct::item_limit::{Endless, ItemLimit};
-use crate::held_bodies::{HeldBodies, HeldBody};
+use crate::memory::{HeldMemory, Memory, Purpose};
 use crate::sse::{self, Splitter, MAX_EVENT};
 
 /// Maximum length of a body that is not a stream, in bytes.
@@ -87,7 +88,7 @@
     /// The body.
     pub bytes: Bytes,
     /// The memory; to be dropped with the body.
-    pub held: HeldBody,
+    pub held: HeldMemory,
 }
 
 /// Why a whole body was not read.
@@ -102,36 +103,37 @@
 }
 
 /// Reads the whole body of a response that is not a stream, within the memory that an entry has for
-/// all of them.
-pub async fn read_whole(reply: &mut Reply, held: &HeldBodies) -> Result<WholeBody, BodyError> {
+/// all that it holds.
+pub async fn read_whole(reply: &mut Reply, memory: &Memory) -> Result<WholeBody, BodyError> {
     let declared = reply.content_length();
     if declared.is_some_and(|length| length > MAX_WHOLE_BODY_BYTES) {
         return Err(BodyError::Endless);
     }
-    let mut held = held.begin();
-    let mut body = BytesMut::with_capacity(declared.unwrap_or_default());
+    let mut held = memory.begin(Purpose::Answer);
+    let mut buf = BodyBuffer::default();
     loop {
         let chunk = reply.chunk().await.map_err(|err| match err {
             ExchangeError::Endless => BodyError::Endless,
             _ => BodyError::BrokenOff,
         })?;
         let Some(chunk) = chunk else {
-            let bytes = body.freeze();
+            let bytes = buf.freeze();
             return Ok(WholeBody { bytes, held });
         };
-        let length = body.len() + chunk.len();
+        let length = buf.len() + chunk.len();
         if length > MAX_WHOLE_BODY_BYTES {
             return Err(BodyError::Endless);
         }
-        let needed = match declared {
-            Some(_) => length,
-            None => length.next_power_of_two(),
-        };
-        if !held.grow_to(needed) {
-            return Err(BodyError::NoRoom);
+        if length > buf.capacity() {
+            let capacity = declared.unwrap_or(length.next_power_of_two());
+            // Both buffers exist while one is copied to the other.
+            if !held.grow_to(buf.len() + capacity) {
+                return Err(BodyError::NoRoom);
+            }
+            buf = buf.grown_to(capacity).map_err(|_| BodyError::NoRoom)?;
+            held.set(capacity);
         }
-        body.reserve(needed - body.len());
-        body.extend_from_slice(&chunk);
+        buf.extend(&chunk).map_err(|_| BodyError::BrokenOff)?;
     }
 }
 
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -9,15 +9,13 @@
 use crate::direct::admission::budget::RetryBudget;
 use crate::direct::admission::warmup::Excess;
 use crate::finding::Findings;
+use crate::memory;
 use crate::settings::Checked;
 
 /// Safety margin that is subtracted from [`Bounds::key_removal_ms`], for the rounding of clocks and
 /// the time that a request takes from its caller to this process.
 const KEY_REMOVAL_MARGIN: Millis = Millis(250);
 
-/// Memory of an instance whose settings name none, in MB.
-const DEFAULT_MEMORY_MB: u64 = 88;
-
 /// Maximum of [`Bounds::longest_rest_ms`]: a day.
 const MAX_LONGEST_REST_MS: u64 = 86_400_000;
 
@@ -126,13 +124,9 @@
 }
 
 impl DirectSettings {
-    /// Memory that this process may use, in MB; that of the smallest supported instance where the
-    /// settings name none.
+    /// Memory that this process may use, in MB.
     pub fn memory_mb_or_default(&self) -> u64 {
-        match self.memory_mb {
-            0 => DEFAULT_MEMORY_MB,
-            named => named,
-        }
+        memory::machine_mb(self.memory_mb)
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -24,13 +24,13 @@
 use crate::clock::{Clock, Millis};
 use crate::delivery;
 use crate::gossip;
-use crate::held_bodies::HeldBodies;
 use crate::ids::RequestId;
 use crate::intake::{self, BadRequest, Job};
 use crate::limit::Limiter;
 use crate::link;
 use crate::links::Links;
 use crate::listener::{self, CallerSocket};
+use crate::memory::Memory;
 use crate::node::{self, Life, Node};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::quota::{Claim, QuotaBook, Shares};
@@ -69,8 +69,8 @@
     pub shares: RefCell<Shares>,
     /// Shares that this entry has leased to others, for the teams it owns.
     pub book: RefCell<QuotaBook>,
-    /// Memory for answers that are sent whole.
-    pub held_bodies: HeldBodies,
+    /// Memory for bodies of requests, and for answers that are sent whole.
+    pub memory: Memory,
     limiter: RefCell<Limiter>,
     in_flight: Cell<u64>,
     lingering: Cell<bool>,
@@ -109,7 +109,7 @@
             links: Links::default(),
             router: RefCell::new(Router::new(settings.routing, place, seed)),
             reruns: RefCell::default(),
-            held_bodies: HeldBodies::default(),
+            memory: Memory::new(settings.memory_mb_or_default()),
             limiter: RefCell::default(),
             in_flight: Cell::new(0),
             lingering: Cell::new(true),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,7 +48,6 @@
 pub mod flow;
 pub mod gossip;
 pub mod health;
-pub mod held_bodies;
 pub mod ids;
 pub mod intake;
 pub mod keys;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -18,11 +18,24 @@
 const URGENT_FRACTION: f64 = 0.85;
 /// What is taken off that part for each step of urgency below the highest.
 const FRACTION_PER_BAND: f64 = 0.1;
+/// Part of the limit up to which large answers are accepted.
+const LARGE_ANSWER_FRACTION: f64 = 0.95;
 /// Number of steps that are distinguished.
 const MAX_BAND: usize = 2;
 /// What is taken off that part for large bodies.
 const LARGE_FRACTION: f64 = 0.15;
 
+/// Memory of a machine whose settings name none, in MB: that of the smallest supported one.
+const DEFAULT_MACHINE_MB: u64 = 88;
+
+/// Memory of a machine in MB, whose settings name so much; 0 where they name none.
+pub const fn machine_mb(named: u64) -> u64 {
+    match named {
+        0 => DEFAULT_MACHINE_MB,
+        named => named,
+    }
+}
+
 /// What memory is held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -49,13 +62,14 @@
 
     /// Part of the limit up to which so many bytes for it are accepted.
     fn fraction(self, bytes: usize) -> f64 {
-        let Self::Request { band } = self else {
-            return 1.0;
-        };
-        let for_urgency = URGENT_FRACTION - FRACTION_PER_BAND * band.min(MAX_BAND) as f64;
-        match bytes > SMALL_BODY_BYTES {
-            true => for_urgency - LARGE_FRACTION,
-            false => for_urgency,
+        let is_large = bytes > SMALL_BODY_BYTES;
+        match self {
+            Self::Request { band } => {
+                let for_urgency = URGENT_FRACTION - FRACTION_PER_BAND * band.min(MAX_BAND) as f64;
+                for_urgency - if is_large { LARGE_FRACTION } else { 0.0 }
+            }
+            Self::Answer if is_large => LARGE_ANSWER_FRACTION,
+            Self::Answer | Self::Buffer => 1.0,
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::check::MAX_NAME;
 use crate::finding::Findings;
+use crate::memory;
 use crate::route::Routing;
 use crate::schedule::Order;
 use crate::seal::Trust;
@@ -51,6 +52,16 @@
     /// Time after SIGTERM in which new requests are still served, in ms.
     #[serde(default = "default_linger_ms")]
     pub linger_ms: u64,
+    /// Memory that this process may use on its instance, in MB; 0 where it is not known.
+    #[serde(default)]
+    pub memory_mb: u64,
+}
+
+impl EntrySettings {
+    /// Memory that this process may use, in MB.
+    pub fn memory_mb_or_default(&self) -> u64 {
+        memory::machine_mb(self.memory_mb)
+    }
 }
 
 /// Settings of a sidecar.
