Count heads, pipelined bytes and events in the account of memory

A connection could hold 64 KB of further requests, or a head of the length that the configuration allows, and a stream's events up to 64 KB for a caller that reads slowly; no one added them up: 1,000 connections with heads of 48 KB hold over 48 MB.

Change: all three are counted. A head that does not fit beside the rest is refused as not run; further requests are not read on then. Events are counted and never refused, so that new requests are refused before streams that were accepted are cut. A connection that is idle or refused holds no buffer.

Evidence: large_requests::heads_bounded (1,000 connections with heads of 48 KB that never end, 32 MB in the settings) passes; the count of pipelined bytes and events has no test of its own.

--- a/lab/tests/large_requests.rs
+++ b/lab/tests/large_requests.rs
@@ -217,3 +217,35 @@
     assert_eq!(answer.status, 413, "{answer:?}");
     assert_eq!(site.ask("/once/x", "small").await.status, 200);
 }
+
+/// Heads that were never completed were held for each connection, whatever their sum.
+#[actix_rt::test]
+async fn heads_bounded() {
+    const MEMORY_MB: u64 = 32;
+    const CONNECTIONS: usize = 1_000;
+    let mut site = Site::start(1).await;
+    site.configure_with(&["k1"], |config| {
+        config["limits"]["max_header_bytes"] = json!(64 << 10);
+        config["limits"]["header_timeout_ms"] = json!(3_000);
+    });
+    let mut settings = site.settings("127.0.0.1", 0, 0, &[]);
+    settings["memory_mb"] = json!(MEMORY_MB);
+    site.add_entry(&settings).await;
+    let before = resident(&site);
+    let (peak, watching) = watch_memory(&site);
+    let head = format!("POST /once/x HTTP/1.1\r\nx-long: {}", "x".repeat(48 << 10));
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let stream = TcpStream::connect(site.entries[0].addr("callers")).await;
+        let mut stream = stream.unwrap();
+        // Later ones may be refused before all was written.
+        let _ = stream.write_all(head.as_bytes()).await;
+        connections.push(stream);
+    }
+    sleep(Duration::from_millis(500)).await;
+    watching.abort();
+    let growth = peak.get().saturating_sub(before);
+    assert!(growth < MEMORY_MB << 20, "{growth} bytes");
+    drop(connections);
+    assert_eq!(site.ask("/once/x", "small").await.status, 200);
+}
--- a/src/direct/caller.rs
+++ b/src/direct/caller.rs
@@ -41,7 +41,7 @@
         tracing::debug!(%err, "TCP_NODELAY not set; small packets may be delayed");
     }
     let (reader, writer) = stream.into_split();
-    let mut request_reader = RequestReader::new(reader);
+    let mut request_reader = RequestReader::new(reader, &entry.memory);
     let mut answerer = Answerer::new(writer);
     loop {
         let read = request_reader.next(&entry, &mut answerer).await;
--- a/src/direct/intake.rs
+++ b/src/direct/intake.rs
@@ -17,6 +17,8 @@
 use crate::direct::dialect::{ErrorResponse, ParsedRequest};
 use crate::direct::entry::{Entry, ProcessState};
 use crate::direct::incoming_body::IncomingBody;
+use crate::direct::refuse::RETRY_ELSEWHERE_AFTER;
+use crate::memory::{HeldMemory, Memory, Purpose};
 
 /// Free space in the read buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
@@ -76,14 +78,17 @@
     reader: OwnedReadHalf,
     /// Bytes that were read and are not decoded yet.
     read_buffer: BytesMut,
+    /// Memory that is held for those beyond [`READ_BUFFER_BYTES`].
+    held: HeldMemory,
 }
 
 impl RequestReader {
     /// Creates the reader of a new connection.
-    pub fn new(reader: OwnedReadHalf) -> Self {
+    pub fn new(reader: OwnedReadHalf, memory: &Memory) -> Self {
         Self {
             reader,
             read_buffer: BytesMut::new(),
+            held: memory.begin(Purpose::Buffer),
         }
     }
 
@@ -95,6 +100,7 @@
         answerer: &mut Answerer,
     ) -> Result<IncomingRequest, RequestReadError> {
         let limits = entry.catalog().map(|c| c.limits).unwrap_or_default();
+        self.free_buffer();
         if self.read_buffer.is_empty() {
             self.wait_for_request(entry, limits).await?;
         }
@@ -162,6 +168,10 @@
             if before > limits.head_bytes {
                 return Err(RequestReadError::Refused(ErrorResponse::HeadTooLong));
             }
+            if !self.may_buffer_more() {
+                let error = ErrorResponse::NotRun(RETRY_ELSEWHERE_AFTER);
+                return Err(RequestReadError::Refused(error));
+            }
             self.read().await?;
         }
     }
@@ -191,9 +201,9 @@
     }
 
     /// Resolves when the caller has closed its side of the connection. Bytes of further requests
-    /// are buffered; once the buffer is full, this never resolves.
+    /// are buffered; once the buffer is full, or there is no memory for more, this never resolves.
     pub async fn caller_disconnected(&mut self) {
-        while self.read_buffer.len() < MAX_PIPELINED_BYTES {
+        while self.read_buffer.len() < MAX_PIPELINED_BYTES && self.may_buffer_more() {
             if self.read().await.is_err() {
                 return;
             }
@@ -208,6 +218,8 @@
         if answerer.shutdown().await.is_err() {
             return;
         }
+        self.read_buffer.clear();
+        self.free_buffer();
         let reading = async {
             while let Ok(Ok(())) = timeout(LINGER_TIMEOUT, self.read()).await {
                 self.read_buffer.clear();
@@ -217,6 +229,21 @@
         let _ = timeout(MAX_LINGER_TIME, reading).await;
     }
 
+    /// Whether there is memory for more bytes that are not decoded.
+    fn may_buffer_more(&mut self) -> bool {
+        let needed = self.read_buffer.len() + READ_BUFFER_BYTES;
+        let capacity = self.read_buffer.capacity().max(needed);
+        self.held.grow_to(capacity - READ_BUFFER_BYTES)
+    }
+
+    /// Drops the buffer where it is empty, so that idle connections hold no memory.
+    fn free_buffer(&mut self) {
+        if self.read_buffer.is_empty() {
+            self.read_buffer = BytesMut::new();
+            self.held.set(0);
+        }
+    }
+
     /// Reads some bytes into the buffer. Fails with [`RequestReadError::Closed`] at the end of the
     /// stream or on an error.
     async fn read(&mut self) -> Result<(), RequestReadError> {
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -331,6 +331,7 @@
         let head = self.entry.dialect.caller_response(&answer.reply.head);
         let context = RelayContext {
             clock: &self.entry.clock,
+            memory: &self.entry.memory,
             unfinished_since: &self.unfinished_since,
             position: &self.position,
             close: self.is_closing(),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -239,6 +239,8 @@
 pub struct RelayContext<'a> {
     /// Measures how long events take to arrive.
     pub clock: &'a Clock,
+    /// Counts the events that are held.
+    pub memory: &'a Memory,
     /// When the first bytes of an event arrived that is not complete yet; `None` where there is
     /// none. Updated with each chunk.
     pub unfinished_since: &'a Cell<Option<Millis>>,
@@ -266,6 +268,7 @@
     context.unfinished_since.set(None);
     let mut at = position.get();
     let mut reader = EventReader::new(at.last_event);
+    let mut held = context.memory.begin(Purpose::Buffer);
     loop {
         let chunk = next(reply).await.map_err(|err| match err {
             ExchangeError::Endless => RelayError::Endless,
@@ -276,6 +279,8 @@
             Some(chunk) => reader.push(&chunk),
             None => Bytes::new(),
         };
+        // Held as they arrived and encoded.
+        held.set(reader.unfinished_bytes() + bytes.len() * 2);
         let checked = reader.check_limit(context.clock.now());
         context.unfinished_since.set(reader.unfinished_since());
         checked.map_err(|Endless| RelayError::Endless)?;
@@ -289,6 +294,7 @@
                 answerer.start_stream(begin(), bytes, close).await
             };
             written.map_err(|_| RelayError::Caller)?;
+            held.set(reader.unfinished_bytes());
             sent(reader.pushed());
             at.head_sent = true;
             at.last_event = reader.last().or(at.last_event);
