Bound the bodies of requests at entries before sidecars

Each body was read up to `max_body_bytes` (1 MB at most), whatever was held for others, and was held three times while it was parsed and written anew: 120 callers that send theirs slowly hold over 120 MB.

Change: bodies count in the entry's account of memory, three times while they are read and parsed and once after that, by the urgency of their class. What does not fit is refused as not run, reason `no_memory`; a request with a key gets what a stopping entry says of it, since an earlier attempt may have run.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,12 +25,12 @@
 use crate::delivery;
 use crate::gossip;
 use crate::ids::RequestId;
-use crate::intake::{self, BadRequest, Job};
+use crate::intake::{self, BadRequest, BodyFault, Job};
 use crate::limit::Limiter;
 use crate::link;
 use crate::links::Links;
 use crate::listener::{self, CallerSocket};
-use crate::memory::Memory;
+use crate::memory::{Memory, Purpose};
 use crate::node::{self, Life, Node};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::quota::{Claim, QuotaBook, Shares};
@@ -356,8 +356,16 @@
     }
     intake::method(req).map_err(bad)?;
     let limit = policy.bundle.limits.max_body_bytes as usize;
-    let body = intake::body(req.take_payload(), limit).await.map_err(bad)?;
-    intake::job(policy, stamps, team, req, body).map_err(bad)
+    let class = intake::class(&policy, team, req.headers()).map_err(bad)?;
+    let band = usize::from(policy.class_at(class).priority);
+    let held = entry.memory.begin(Purpose::Request { band });
+    let declared = intake::declared_length(req.headers());
+    let body = intake::body(req.take_payload(), limit, declared, held).await;
+    let body = body.map_err(|fault| match fault {
+        BodyFault::Bad(fault) => bad(fault),
+        BodyFault::NoMemory => reject(NotRunReason::NoMemory, req.headers()),
+    })?;
+    intake::job(policy, stamps, team, class, req, body).map_err(bad)
 }
 
 fn models(policy: &crate::bundle::Policy) -> Response<BoxBody> {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{HttpMessage, Method, Payload, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -17,6 +17,7 @@
 use crate::ids::{ClassKey, PoolKey, RequestId, TeamKey};
 use crate::keys;
 use crate::members::Instance;
+use crate::memory::HeldMemory;
 use crate::replica::Stamps;
 
 /// Path of chat completions, as OpenAI's API has it.
@@ -33,6 +34,8 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Time for a caller to send its body.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// Bytes that are held for each byte of a body: as it was read, parsed, and written for the endpoint.
+const HELD_PER_BYTE: usize = 3;
 /// Bytes of text that make one token, roughly.
 const BYTES_PER_TOKEN: usize = 4;
 /// Bytes of the messages that decide where a cached prefix may be.
@@ -69,6 +72,8 @@
     pub path: String,
     /// Body for the endpoint.
     pub body: Bytes,
+    /// The memory that is held for it.
+    pub held: Rc<HeldMemory>,
     /// Whether the caller wants events.
     pub stream: bool,
     /// Model named, for the answer's head.
@@ -152,26 +157,61 @@
         .ok_or_else(|| unauthorized("unknown key"))
 }
 
-/// Reads the body, bounded in size and time.
-pub async fn body(payload: Payload, limit: usize) -> Result<Bytes, BadRequest> {
+/// Length of the body in bytes, as the head names it.
+pub fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Why a body was not read.
+#[derive(Debug)]
+pub enum BodyFault {
+    /// The request is at fault.
+    Bad(BadRequest),
+    /// There is no memory for it.
+    NoMemory,
+}
+
+/// Reads the body, bounded in size and time, within the memory that the process has for all that it
+/// holds. `declared` is its length as the head names it.
+pub async fn body(
+    payload: Payload,
+    limit: usize,
+    declared: Option<usize>,
+    mut held: HeldMemory,
+) -> Result<(Bytes, HeldMemory), BodyFault> {
+    let bad =
+        |status, message: &str| BodyFault::Bad(BadRequest::new(status, "body", message.to_owned()));
+    let too_long = || {
+        bad(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            &format!("longer than {limit} bytes"),
+        )
+    };
+    let declared = declared.unwrap_or_default();
+    if declared > limit {
+        return Err(too_long());
+    }
+    if !held.grow_to(declared * HELD_PER_BYTE) {
+        return Err(BodyFault::NoMemory);
+    }
     let reading = async {
         let mut payload = payload;
-        let mut whole = BytesMut::new();
+        let mut whole = BytesMut::with_capacity(declared);
         while let Some(piece) = payload.next().await {
-            let cut = |_| BadRequest::new(StatusCode::BAD_REQUEST, "body", "cut off or malformed");
-            whole.extend_from_slice(&piece.map_err(cut)?);
-            if whole.len() > limit {
-                let message = format!("longer than {limit} bytes");
-                return Err(BadRequest::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body",
-                    message,
-                ));
+            let cut = |_| bad(StatusCode::BAD_REQUEST, "cut off or malformed");
+            let piece = piece.map_err(cut)?;
+            let length = whole.len() + piece.len();
+            if length > limit {
+                return Err(too_long());
             }
+            if !held.grow_to(length.max(declared) * HELD_PER_BYTE) {
+                return Err(BodyFault::NoMemory);
+            }
+            whole.extend_from_slice(&piece);
         }
-        Ok(whole.freeze())
+        Ok((whole.freeze(), held))
     };
-    let late = |_| BadRequest::new(StatusCode::REQUEST_TIMEOUT, "body", "not sent in time");
+    let late = |_| bad(StatusCode::REQUEST_TIMEOUT, "not sent in time");
     timeout(BODY_TIME, reading).await.map_err(late)?
 }
 
@@ -180,12 +220,14 @@
     policy: Rc<Policy>,
     stamps: Stamps,
     team: TeamKey,
+    class: ClassKey,
     req: &Request,
-    body: Bytes,
+    body: (Bytes, HeldMemory),
 ) -> Result<Job, BadRequest> {
+    let (body, mut held) = body;
     let target = target(&policy, req, &body)?;
+    held.set(target.body.len());
     let headers = req.headers();
-    let class = class(&policy, team, headers)?;
     let default_once = policy.pool_at(target.pool).not_repeatable;
     let once = bool_header(headers, ONCE_HEADER)?.unwrap_or(default_once);
     let key = key(headers, once)?;
@@ -206,6 +248,7 @@
         prefix: target.prefix,
         path: target.path,
         body: target.body,
+        held: Rc::new(held),
         stream: target.stream,
         model: target.model,
         resume_from: 0,
@@ -304,7 +347,8 @@
     u64::from_be_bytes(head)
 }
 
-fn class(policy: &Policy, team: TeamKey, headers: &HeaderMap) -> Result<ClassKey, BadRequest> {
+/// The class that a request asks for.
+pub fn class(policy: &Policy, team: TeamKey, headers: &HeaderMap) -> Result<ClassKey, BadRequest> {
     let allowed = &policy.team_at(team).classes;
     let name = match text_header(headers, CLASS_HEADER)? {
         None => allowed.first().map(String::as_str).unwrap_or_default(),
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -42,6 +42,8 @@
     NotReady,
     /// Endpoints ended in a row under the same work.
     EndsEndpoints,
+    /// This entry has no memory for the request beside what it holds for others.
+    NoMemory,
 }
 
 /// Why nothing can be said about whether a request ran.
