Play bursts of large requests in the soak

The soak's callers send bursts of 20 to 48 requests with 2 to 4 MB each to one entry, one in four of them slowly at its end, under all other faults. Checked: each gets an answer within its time limit where its entry was well, "not run" is true, and no entry ever holds more than 88 MB, what it may use without `memory_mb`.

--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod check;
 mod endless;
 mod faults;
+mod large;
 mod lines;
 mod mixed;
 mod parts;
@@ -238,6 +239,11 @@
     let answering = SmallRng::seed_from_u64(seed + 1_100);
     let answering = endless::answer_on(Rc::clone(&soak), answering, until);
     callers.push(actix_rt::spawn(answering));
+    let bursts = SmallRng::seed_from_u64(seed + 1_200);
+    let bursts = large::burst_on(Rc::clone(&soak), bursts, until);
+    callers.push(actix_rt::spawn(bursts));
+    let watching = large::watch_memory(Rc::clone(&soak));
+    callers.push(actix_rt::spawn(watching));
     let ending = SmallRng::seed_from_u64(seed + 800);
     let ending = parts::end_engines(Rc::clone(&soak), options.end_pause, ending, until);
     callers.push(actix_rt::spawn(ending));
@@ -273,6 +279,7 @@
         let (link, admin) = (site::common_port(&names), site::common_port(&names));
         let mut site = Site::start(0).await;
         site.kinds = [urgency::KINDS, mixed::KINDS].concat();
+        site.max_body_bytes = large::MAX_BODY_BYTES;
         site.configure(&KEYS);
         let models = urgency::start_engines(&site).await?;
         let mixed = MixedPool::start(&site).await?;
--- a/lab/tests/large_requests.rs
+++ b/lab/tests/large_requests.rs
@@ -40,9 +40,8 @@
 }
 
 fn allow_large(site: &mut Site) {
-    site.configure_with(&["k1"], |config| {
-        config["limits"]["max_body_bytes"] = json!(LARGE_BYTES);
-    });
+    site.max_body_bytes = LARGE_BYTES;
+    site.configure(&["k1"]);
 }
 
 /// Sends a request with a large body.
