--- a/src/direct/job/send.rs
+++ b/src/direct/job/send.rs
@@ -157,8 +157,7 @@
         let is_own = |head: &ResponseHead| self.is_own_answer(key, head);
         let progress = connection.progress();
         let sending = connection.send(head, body, is_own, || self.release_large_body());
-        let reply = self.wait_for_head(sending, &progress, key, now).await;
-        let reply = match reply {
+        let reply = match self.wait_for_head(sending, &progress, key, now).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error @ (ExchangeError::Lost | ExchangeError::Endless))) => {
                 run_guard.broken();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -5,6 +5,9 @@
 //! request, [`handle`] allows or refuses it, [`job`] makes the attempts (each one uses
 //! [`placement::choose`], [`channel`] and [`relay`]), [`answerer`] writes the response, and [`progress`] logs the end.
 //!
+//! - Memory: [`incoming_body`] reads the body of a request if there is memory for it, [`uploads`]
+//!   makes slow and less urgent bodies give way, and [`body`] keeps it until no attempt can need it.
+//!   [`crate::memory`] is the account of all that is held.
 //! - Permission: [`resolve`] finds the route and the team, [`residency`] checks the regions, and
 //!   [`refuse`] writes the entry's own error responses.
 //! - Admission: [`admission::overload`] decides whether a request is sent at all, based on the
