Don't give up a slow urgent body for a less urgent one

Callers saw: nothing yet; found when the change was read again. A body that arrives at less than 64 KB/s gave way to any other, also to a less urgent one, so an urgent caller on a slow link was refused first.

Change: a slow body gives way to bodies of its urgency and of higher ones.

Evidence: body_uploads::slow_urgent_stays failed before.

--- a/src/direct/uploads.rs
+++ b/src/direct/uploads.rs
@@ -42,6 +42,11 @@
     fn is_slow(&self, now: Millis) -> bool {
         now >= self.slow_at
     }
+
+    /// Whether it gives way to a body of an urgency band.
+    fn gives_way_to(&self, band: usize, now: Millis) -> bool {
+        self.band > band || (self.band == band && self.is_slow(now))
+    }
 }
 
 impl Uploads {
@@ -83,7 +88,7 @@
             }
             let band = own.band;
             let others = arriving.iter().filter(|(key, _)| *key != upload.key);
-            let giving_way = others.filter(|(_, other)| other.band > band || other.is_slow(now));
+            let giving_way = others.filter(|(_, other)| other.gives_way_to(band, now));
             let last = giving_way.max_by_key(|(_, other)| (other.band, other.is_slow(now)));
             let Some(key) = last.map(|(key, _)| key) else {
                 return false;
