Give up no body for one that finds no room all the same

Callers saw: nothing yet; found when the change was read again. Where a body found no memory, less urgent and slow ones gave way one after the other until it did, also where all of them together were not enough: they were refused and so was the one that they were given up for.

Change: what those that may give way hold is added up first.

Evidence: body_uploads::none_given_up_in_vain failed before.

--- a/src/direct/uploads.rs
+++ b/src/direct/uploads.rs
@@ -75,28 +75,37 @@
         }
     }
 
-    /// Holds at least so many bytes for a body; others give way to it where needed. False if there
-    /// is no room.
+    /// Holds at least so many bytes for a body; others give way to it where that makes enough room.
+    /// False if there is none.
     pub fn grow_to(&self, upload: &Upload, bytes: usize, now: Millis) -> bool {
-        loop {
-            let mut arriving = self.arriving.borrow_mut();
-            let Some(own) = arriving.get_mut(upload.key) else {
-                return false;
-            };
-            if own.held.grow_to(bytes) {
-                return true;
-            }
-            let band = own.band;
-            let others = arriving.iter().filter(|(key, _)| *key != upload.key);
-            let giving_way = others.filter(|(_, other)| other.gives_way_to(band, now));
-            let last = giving_way.max_by_key(|(_, other)| (other.band, other.is_slow(now)));
-            let Some(key) = last.map(|(key, _)| key) else {
-                return false;
-            };
+        let mut arriving = self.arriving.borrow_mut();
+        let Some(own) = arriving.get_mut(upload.key) else {
+            return false;
+        };
+        if own.held.grow_to(bytes) {
+            return true;
+        }
+        let (band, missing) = (own.band, own.held.missing_for(bytes));
+        let others = arriving.iter().filter(|(key, _)| *key != upload.key);
+        let giving_way = others.filter(|(_, other)| other.gives_way_to(band, now));
+        let mut giving_way: Vec<_> = giving_way
+            .map(|(key, other)| (other.band, other.is_slow(now), other.held.bytes(), key))
+            .collect();
+        let available: usize = giving_way.iter().map(|(_, _, held, _)| held).sum();
+        if available < missing {
+            return false;
+        }
+        giving_way.sort_by_key(|(band, is_slow, ..)| (*band, *is_slow));
+        while let Some((.., key)) = giving_way.pop() {
             if let Some(other) = arriving.remove(key) {
                 other.displaced.notify_one();
             }
+            let own = arriving.get_mut(upload.key);
+            if own.is_some_and(|own| own.held.grow_to(bytes)) {
+                return true;
+            }
         }
+        false
     }
 }
 
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -166,18 +166,28 @@
 }
 
 impl HeldMemory {
+    /// Bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Bytes that others would have to free, so that so many can be held.
+    pub fn missing_for(&self, bytes: usize) -> usize {
+        if bytes <= self.bytes {
+            return 0;
+        }
+        let total = self.account.total() + bytes - self.bytes;
+        total.saturating_sub(self.account.limit_of(self.purpose, bytes))
+    }
+
     /// Holds at least so many bytes from now on; false if there is no room for them.
     #[must_use]
     pub fn grow_to(&mut self, bytes: usize) -> bool {
-        if bytes <= self.bytes {
-            return true;
-        }
-        let added = bytes - self.bytes;
-        if self.account.total() + added > self.account.limit_of(self.purpose, bytes) {
-            return false;
+        let has_room = self.missing_for(bytes) == 0;
+        if has_room && bytes > self.bytes {
+            self.set(bytes);
         }
-        self.set(bytes);
-        true
+        has_room
     }
 
     /// Holds exactly so many bytes from now on, also where there is no room: they are held already.
--- a/tests/body_uploads.rs
+++ b/tests/body_uploads.rs
@@ -87,6 +87,20 @@
     assert!(has_given_way(&slow) && !has_given_way(&prompt));
 }
 
+/// Bodies were given up for one that found no room all the same.
+#[test]
+fn none_given_up_in_vain() {
+    let memory = memory();
+    let uploads = Uploads::new(memory.clone());
+    let mut answer = memory.begin(Purpose::Answer);
+    assert!(answer.grow_to(45 * MB));
+    let less_urgent = begin(&uploads, 2, 4 * MB);
+    let urgent = uploads.begin(0, NOW);
+    assert!(!uploads.grow_to(&urgent, 40 * MB, NOW));
+    assert!(!has_given_way(&less_urgent));
+    assert!(less_urgent.complete().is_some());
+}
+
 /// A lower limit, as after a reload, takes nothing from what is held, and refuses what comes.
 #[test]
 fn limit_changes() {
