--- a/src/direct/incoming_body.rs
+++ b/src/direct/incoming_body.rs
@@ -45,6 +45,8 @@
     limits: CallerLimits,
     /// Its route, or why no route allows it.
     route: Result<BodyRoute, Denied>,
+    /// Urgency band; the least urgent one where no route allows the request.
+    band: usize,
     /// When it must have arrived.
     deadline: Millis,
     upload: Upload,
@@ -62,11 +64,11 @@
     ) -> Self {
         let parsed_ok = parsed.as_ref().ok();
         let route = parsed_ok.map_or(Err(Denied::NoRoute), |ask| find_route(entry, ask));
-        let urgency = route.as_ref().map_or(u8::MAX, |route| route.urgency);
+        let band = load::band(route.as_ref().map_or(u8::MAX, |route| route.urgency));
         let route_time = route.as_ref().map_or(limits.head_time, |r| r.timeout);
         let caller_time = parsed_ok.and_then(|ask| ask.caller_timeout);
         let time = caller_time.map_or(route_time, |time| time.min(route_time));
-        let upload = entry.uploads.begin(load::band(urgency), entry.clock.now());
+        let upload = entry.uploads.begin(band, entry.clock.now());
         Self {
             entry,
             head,
@@ -74,6 +76,7 @@
             received_at,
             limits,
             route,
+            band,
             deadline: received_at + time,
             upload,
             buf: BodyBuffer::default(),
@@ -146,10 +149,7 @@
         }
         // Both buffers exist while one is copied to the other.
         let needed = self.buf.len() + capacity;
-        let urgency = self.route.as_ref().map_or(u8::MAX, |route| route.urgency);
-        let purpose = Purpose::Request {
-            band: load::band(urgency),
-        };
+        let purpose = Purpose::Request { band: self.band };
         if !self.entry.memory.could_hold(purpose, needed) {
             let body_bytes = length as u64;
             let why = RefusalReason::BodyTooLarge { body_bytes };
@@ -187,8 +187,7 @@
             body_bytes: body_bytes as u64,
             held_bytes: self.entry.memory.held() as u64,
         };
-        let urgency = self.route.as_ref().map_or(u8::MAX, |route| route.urgency);
-        let delay = refuse::delay_without_memory(load::band(urgency));
+        let delay = refuse::delay_without_memory(self.band);
         self.refusal(why, ErrorResponse::NotRun(delay))
     }
 
