--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -165,3 +165,39 @@
         Ok(())
     });
 }
+
+/// The last key of a page was sent as it stood: characters that end or change a query led to another page.
+#[test]
+fn page_start_escaped() {
+    let query = |key: &str| Platform.page_query(Some(key)).uri.to_string();
+    let start = "/violetline/kv-range?path_prefix=&since_rev=";
+    let cases = [
+        ("servers/i-7f3a91c2", "servers/i-7f3a91c2"),
+        ("servers/a&since_rev=zz", "servers/a%26since_rev%3Dzz"),
+        ("servers/a+b#c%41", "servers/a%2Bb%23c%2541"),
+        ("servers/a b\"<\r\n", "servers/a%20b%22%3C%0D%0A"),
+        ("servers/\u{e9}\u{0}", "servers/%C3%A9%00"),
+    ];
+    for (key, sent) in cases {
+        assert_eq!(query(key), format!("{start}{sent}"));
+    }
+    let long = format!("servers/{}", "&".repeat(192));
+    assert_eq!(
+        query(&long),
+        format!("{start}servers/{}", "%26".repeat(192))
+    );
+}
+
+/// Such an entry was used like any other one, at an address that may be another endpoint's.
+#[test]
+fn odd_names_skipped() {
+    let text = valid_endpoint().to_string();
+    let names = [
+        "a&b", "a+b", "a#b", "a%41", "a b", "a\"b", "a/b", "a\u{1}", "\u{e9}", "",
+    ];
+    let mut items = vec![item("servers/a-1.2_3~4:5", &text, 1)];
+    items.extend(names.map(|name| item(&format!("servers/{name}"), &text, 2)));
+    let page = page(&items);
+    assert_eq!(page.listing.endpoints.len(), 1);
+    assert_eq!(page.unreadable.len(), names.len());
+}
