Give up a listing that does not move on

Seen with a stand-in store that answers every page from the start: an entry read 8,076 pages in 4 s, without a pause, and would have gone on for good; the calls that a store allows are shared by all entries.

--- a/lab/tests/odd_keys.rs
+++ b/lab/tests/odd_keys.rs
@@ -2,14 +2,18 @@
 //! those of the endpoints: the key at the end of a page went into the next call as it stood.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use serde_json::json;
+use tokio::time::sleep;
 use violetline_lab::site::*;
 
 const ENTRIES: u8 = 3;
 const ENGINES: usize = 8;
 /// Requests through each entry after the restart.
 const REQUESTS: usize = 50;
+/// Time for which a listing does not move on.
+const STUCK_TIME: Duration = Duration::from_secs(4);
 /// Calls for pages with which all entries come back: each may list a few times.
 const MAX_CALLS: u64 = 200;
 
@@ -75,3 +79,19 @@
         check_restart(name, None).await;
     }
 }
+
+/// A listing that does not move on was read without end, and without a pause.
+#[actix_rt::test]
+async fn stuck_listing() {
+    let mut site = Site::start(ENGINES).await;
+    site.store.repeat_pages(true);
+    let settings = site.settings("127.0.0.1", 0, 0, &[]);
+    site.add_unready(&settings);
+    sleep(STUCK_TIME).await;
+    let calls = site.store.calls();
+    assert!(calls < MAX_CALLS, "{calls} calls");
+    assert!(!site.is_ready(0).await, "ready without the list");
+    site.store.repeat_pages(false);
+    site.wait_ready(0).await;
+    assert_eq!(site.ask("/once/ok", "r").await.status, 200);
+}
--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -38,6 +38,13 @@
     InvalidResponse(InvalidResponse),
 }
 
+impl CallError {
+    /// Whether a whole answer came that says nothing usable, as the next one may.
+    pub const fn is_unusable_answer(&self) -> bool {
+        matches!(self, Self::InvalidResponse(InvalidResponse::Body(_)))
+    }
+}
+
 impl std::fmt::Display for CallError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -40,6 +40,9 @@
             }
             Err(err) => {
                 entry.store_failed(&err);
+                if err.is_unusable_answer() {
+                    pacing.wait(Millis(0)).await;
+                }
                 wait_for_store(&entry).await;
             }
         }
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -1,5 +1,6 @@
 //! Reading everything from the store: the list of endpoints and the configuration.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,10 +68,12 @@
 }
 
 /// Reads the list of endpoints and the cordons, page by page; returns them with the store's
-/// revision at the first page, up to which the list is complete.
+/// revision at the first page, up to which the list is complete. Fails where a page starts at a key
+/// for the second time: the listing would never end.
 async fn read_list(entry: &Entry, client: &StoreClient) -> Result<(Listing, Revision), CallError> {
     let mut listing = Listing::default();
     let mut next_page = None;
+    let mut starts = HashSet::new();
     let mut first_revision = None;
     loop {
         let query = entry.dialect.page_query(next_page.as_deref());
@@ -86,10 +89,14 @@
         for found in page.unreadable {
             entry.report_unreadable(found);
         }
-        next_page = page.next;
-        if next_page.is_none() {
+        let Some(next) = page.next else {
             return Ok((listing, list_revision));
+        };
+        if !starts.insert(next.clone()) {
+            let why = format!("the page after {next:?} was read before");
+            return Err(CallError::InvalidResponse(InvalidResponse::Body(why)));
         }
+        next_page = Some(next);
     }
 }
 
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -201,3 +201,11 @@
     assert_eq!(page.listing.endpoints.len(), 1);
     assert_eq!(page.unreadable.len(), names.len());
 }
+
+/// A page that more follows, and that holds nothing, counted as the last: all endpoints after it left.
+#[test]
+fn empty_page_not_last() {
+    let body = json!({"items": [], "has_more": true, "current_rev": 9}).to_string();
+    let page = Platform.parse_page(&store_answer(StatusCode::OK, &body));
+    assert!(page.is_err(), "{page:?}");
+}
