Tell what an entry lacks to be ready

An entry that is not ready did not say why: without the list, without the configuration or without a fresh proof all looked the same in lines and metrics, so the hypotheses on service that does not come back could not be told apart. Now a `readiness` line at each change, a gauge for each thing lacking, and `lacks` in /v1/state. odd_keys::stuck_listing checks it.

--- a/lab/tests/odd_keys.rs
+++ b/lab/tests/odd_keys.rs
@@ -91,7 +91,9 @@
     let calls = site.store.calls();
     assert!(calls < MAX_CALLS, "{calls} calls");
     assert!(!site.is_ready(0).await, "ready without the list");
+    assert_eq!(site.state(0).await["lacks"], "list");
     site.store.repeat_pages(false);
     site.wait_ready(0).await;
+    assert_eq!(site.state(0).await["lacks"], json!(null));
     assert_eq!(site.ask("/once/ok", "r").await.status, 200);
 }
--- a/src/direct/decision.rs
+++ b/src/direct/decision.rs
@@ -16,6 +16,7 @@
 use crate::direct::channel::Framing;
 use crate::direct::directory::Era;
 use crate::direct::ends::{EndSign, LostRun};
+use crate::direct::entry::Lack;
 use crate::direct::resolve::Denied;
 use crate::direct::sync::Document;
 use crate::fingerprint::Fingerprint;
@@ -538,6 +539,13 @@
         /// callers that read slowly.
         buffers: u64,
     },
+    /// The entry became ready, or lacks something else than before.
+    Readiness {
+        /// What it lacks; `None` where it is ready.
+        lacks: Option<Lack>,
+        /// Time since the process started, in ms.
+        age_ms: u64,
+    },
     /// The configuration store stopped answering, or answers again.
     Store {
         /// Whether it answers.
--- a/src/direct/entry/mod.rs
+++ b/src/direct/entry/mod.rs
@@ -8,6 +8,7 @@
 mod observations;
 mod origins;
 mod parts;
+mod readiness;
 mod shared;
 mod store;
 mod suspicion;
@@ -25,6 +26,7 @@
 use self::limited::PendingRequests;
 pub use self::origins::OriginLookup;
 use self::origins::OriginQueries;
+pub use self::readiness::Lack;
 use self::store::LargeAnswer;
 pub use self::store::ListSource;
 use crate::clock::{Clock, Millis};
@@ -199,6 +201,8 @@
     /// What is being fetched from peers now.
     active_fetches: RefCell<HashSet<Fetch>>,
     process_state: watch::Sender<ProcessState>,
+    /// What was last logged of its readiness; `None` before the first time.
+    logged_lack: Cell<Option<Option<Lack>>>,
 }
 
 impl Entry {
@@ -275,6 +279,7 @@
             peers_without_changes: RefCell::default(),
             active_fetches: RefCell::default(),
             process_state: watch::Sender::new(ProcessState::Serving),
+            logged_lack: Cell::default(),
             clock,
             settings: RefCell::new(settings),
         })
@@ -302,18 +307,6 @@
         self.process_state.subscribe()
     }
 
-    /// Whether the load balancer should send connections: the process serves, the configuration and
-    /// the list of endpoints have been read, and the configuration is fresh enough for requests
-    /// with a key.
-    pub fn is_ready(&self) -> bool {
-        let bound = self.settings.borrow().bounds.max_key_proof_age();
-        let fresh = bound.is_none_or(|b| self.freshness.get().is_younger_than(self.clock.now(), b));
-        self.process_state() == ProcessState::Serving
-            && self.has_list.get()
-            && self.version() > 0
-            && fresh
-    }
-
     /// Counts a request as in flight until the guard is dropped.
     pub fn count_in_flight(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -421,6 +414,9 @@
         metrics.set("entries", self.peers.borrow().entries(now) as u64);
         metrics.set("in_flight", self.in_flight.get());
         metrics.set("ready", u64::from(self.is_ready()));
+        for lack in Lack::ALL {
+            metrics.set(lack.gauge(), u64::from(self.lack() == Some(lack)));
+        }
         metrics.set(
             "proof_age_ms",
             self.proof_age().map_or(u64::MAX, |age| age.0),
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -143,6 +143,7 @@
             entry.handle_resume(time);
         }
         entry.expire();
+        entry.log_readiness();
         rounds += 1;
         if rounds % ROUNDS_PER_SECOND == 0 {
             entry.log.next_second();
--- a/src/direct/ready.rs
+++ b/src/direct/ready.rs
@@ -142,6 +142,7 @@
         "watches": entry.is_watching(),
         "proof_age_ms": entry.proof_age().map(|age| age.0),
         "ready": entry.is_ready(),
+        "lacks": entry.lack(),
         "entries": entry.peers.borrow().entries(now),
         "endpoints": endpoints,
     })
