Go on with a reading of the store after a failed call

Callers got 503 for as long as the store turned away part of the calls after all entries had returned at once: none of them could list the endpoints.

Cause: a reading of everything (pages of the list, then the configuration) began at its first page again after each call that failed, and by then asked only once the store had answered a proof. With p of the calls answered and n calls in a reading it ends in one of 1/p^n tries. Nobody had the list, so no entry could take it from another one. Class: work in several steps that has no memory of the steps done.

Change: the reading keeps its pages and goes on at the one that failed, for 10 s from its first page on; a call that the store turns away is made again after 150 to 300 ms, three times. The list is complete up to the revision of the first page, as before, and the watch begins there. An unusable answer begins it anew. A proof ahead of an entry that has no list asks for no further reading.

--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -39,6 +39,14 @@
 }
 
 impl CallError {
+    /// Whether the store did not answer, or turned the call away, so that the same call may succeed later.
+    pub const fn is_passing(&self) -> bool {
+        match self {
+            Self::Connection(_) | Self::TimedOut => true,
+            Self::InvalidResponse(why) => matches!(why, InvalidResponse::Status(_)),
+        }
+    }
+
     /// Whether a whole answer came that says nothing usable, as the next one may.
     pub const fn is_unusable_answer(&self) -> bool {
         matches!(self, Self::InvalidResponse(InvalidResponse::Body(_)))
--- a/src/direct/sync/follow.rs
+++ b/src/direct/sync/follow.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::sleep;
 
-use super::listing::read_all;
+use super::listing::{read_all, Reading};
 use super::turn::Turn;
 use super::watch::{watch, watch_endpoints_once};
 use super::{pause, CallError, StoreClient};
@@ -31,8 +31,9 @@
 pub async fn follow(entry: Rc<Entry>) -> anyhow::Result<()> {
     let client = StoreClient::new(entry.settings.borrow().store);
     let mut pacing = Pacing::default();
+    let mut reading = Reading::default();
     loop {
-        match obtain_all(&entry, &client).await {
+        match obtain_all(&entry, &client, &mut reading).await {
             Ok(()) => {
                 let obtained_at = entry.clock.now();
                 keep_up(&entry, &client).await;
@@ -75,7 +76,11 @@
 /// Gets the list of endpoints from a peer, which provides the configuration as well as soon as it
 /// has one; both from the store if this entry is to watch it, or if no peer provides them before its
 /// turn.
-async fn obtain_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
+async fn obtain_all(
+    entry: &Rc<Entry>,
+    client: &StoreClient,
+    reading: &mut Reading,
+) -> Result<(), CallError> {
     let mut turn = Turn::default();
     while !entry.is_to_watch() {
         if entry.has_list() {
@@ -86,7 +91,7 @@
         }
         sleep(START_CHECK_INTERVAL).await;
     }
-    read_all(entry, client).await
+    read_all(entry, client, reading).await
 }
 
 /// Waits after a failed call until the store answers again, for which it is asked by
@@ -137,7 +142,7 @@
     match wait_for_wake(entry).await {
         WakeReason::CheckRole => true,
         WakeReason::CatchUp => catch_up(entry, client, turn).await,
-        WakeReason::ReadAll => match read_all(entry, client).await {
+        WakeReason::ReadAll => match read_all(entry, client, &mut Reading::default()).await {
             Ok(()) => true,
             Err(err) => {
                 entry.store_failed(&err);
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::watch::watch_endpoints_meanwhile;
-use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT};
+use super::{call_again_if_refused, CallError, Document, StoreClient};
 use crate::clock::Millis;
 use crate::direct::catalog::Catalog;
 use crate::direct::dialect::InvalidResponse;
@@ -21,16 +21,87 @@
 /// Time after a start within which a peer that runs has answered.
 const FIRST_PEER_TIMEOUT: Millis = Millis(300);
 
-/// Reads and applies the list of endpoints, then the configuration unless peers provide that.
-pub(super) async fn read_all(entry: &Rc<Entry>, client: &StoreClient) -> Result<(), CallError> {
-    // Requests to read everything that were made before are met by this reading.
-    let _ = entry.relist_requested.notified().now_or_never();
-    let asked_at = entry.clock.now();
-    let (listing, list_revision) = read_list(entry, client).await?;
+/// Time from its first page on after which a reading begins anew: the store keeps the changes since
+/// then for some time only.
+const MAX_READING_TIME: Millis = Millis(10_000);
+
+/// A reading of everything. After a failed call the next one goes on where it was: a store that
+/// answers only some of the calls would never be read to the end otherwise.
+#[derive(Debug, Default)]
+pub(super) struct Reading(Option<Progress>);
+
+/// How far a reading has got.
+#[derive(Debug)]
+struct Progress {
+    /// When the first page was asked for.
+    begun_at: Millis,
+    /// What the pages so far hold.
+    listing: Listing,
+    /// Key after which the next page starts.
+    next_page: Option<String>,
+    /// All such keys so far.
+    starts: HashSet<String>,
+    /// The store's revision at the first page, up to which the list is complete.
+    first_revision: Option<Revision>,
+    /// Whether the last page has been read, and the list applied.
+    is_listed: bool,
+}
+
+impl Progress {
+    fn new(begun_at: Millis) -> Self {
+        Self {
+            begun_at,
+            listing: Listing::default(),
+            next_page: None,
+            starts: HashSet::new(),
+            first_revision: None,
+            is_listed: false,
+        }
+    }
+}
+
+impl Reading {
+    /// Where the reading goes on, or a new one where there is none or it has taken too long.
+    fn resume(&mut self, entry: &Entry) -> Progress {
+        let now = entry.clock.now();
+        let begun = self.0.take();
+        let begun = begun.filter(|progress| now - progress.begun_at < MAX_READING_TIME);
+        begun.unwrap_or_else(|| {
+            // Requests to read everything that were made before are met by this reading.
+            let _ = entry.relist_requested.notified().now_or_never();
+            Progress::new(now)
+        })
+    }
+}
+
+/// Reads and applies the list of endpoints, then the configuration unless peers provide that. Where
+/// a call fails, `reading` keeps what was read, unless an answer was unusable.
+pub(super) async fn read_all(
+    entry: &Rc<Entry>,
+    client: &StoreClient,
+    reading: &mut Reading,
+) -> Result<(), CallError> {
+    let mut progress = reading.resume(entry);
+    let result = go_on(entry, client, &mut progress).await;
+    if result.as_ref().is_err_and(CallError::is_passing) {
+        reading.0 = Some(progress);
+    }
+    result
+}
+
+async fn go_on(
+    entry: &Rc<Entry>,
+    client: &StoreClient,
+    progress: &mut Progress,
+) -> Result<(), CallError> {
+    let list_revision = read_list(entry, client, progress).await?;
     entry.store_answered();
-    let before = entry.list_revision();
-    entry.apply_listing(listing, list_revision);
-    entry.log_list_advanced(before, ListSource::Listing);
+    if !progress.is_listed {
+        let before = entry.list_revision();
+        entry.apply_listing(std::mem::take(&mut progress.listing), list_revision);
+        entry.log_list_advanced(before, ListSource::Listing);
+        progress.is_listed = true;
+    }
     let read = tokio::select! {
         biased;
         () = wait_for_peers_catalog(entry) => None,
@@ -46,7 +117,7 @@
         }
         entry.confirm_catalog_at(list_revision);
     }
-    entry.prove_up_to(asked_at, list_revision);
+    entry.prove_up_to(progress.begun_at, list_revision);
     Ok(())
 }
 
@@ -67,36 +138,38 @@
     }
 }
 
-/// Reads the list of endpoints and the cordons, page by page; returns them with the store's
-/// revision at the first page, up to which the list is complete. Fails where a page starts at a key
-/// for the second time: the listing would never end.
-async fn read_list(entry: &Entry, client: &StoreClient) -> Result<(Listing, Revision), CallError> {
-    let mut listing = Listing::default();
-    let mut next_page = None;
-    let mut starts = HashSet::new();
-    let mut first_revision = None;
+/// Reads the list of endpoints and the cordons, page by page, from where the reading was; returns the
+/// store's revision at the first page, up to which the list is complete. Fails where a page starts at
+/// a key for the second time: the listing would never end.
+async fn read_list(
+    entry: &Entry,
+    client: &StoreClient,
+    progress: &mut Progress,
+) -> Result<Revision, CallError> {
     loop {
-        let query = entry.dialect.page_query(next_page.as_deref());
-        let answer = call(entry, client, Document::List, query, CALL_TIMEOUT).await?;
+        if let (Some(revision), None) = (progress.first_revision, &progress.next_page) {
+            return Ok(revision);
+        }
+        let query = entry.dialect.page_query(progress.next_page.as_deref());
+        let answer = call_again_if_refused(entry, client, Document::List, query).await?;
         let page = entry.dialect.parse_page(&answer);
         let page = page.map_err(CallError::InvalidResponse)?;
-        let list_revision = *first_revision.get_or_insert(page.current);
+        let list_revision = *progress.first_revision.get_or_insert(page.current);
         if page.current.era != list_revision.era {
             return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
         }
-        listing.endpoints.extend(page.listing.endpoints);
-        listing.cordons.extend(page.listing.cordons);
+        progress.listing.endpoints.extend(page.listing.endpoints);
+        progress.listing.cordons.extend(page.listing.cordons);
         for found in page.unreadable {
             entry.report_unreadable(found);
         }
-        let Some(next) = page.next else {
-            return Ok((listing, list_revision));
-        };
-        if !starts.insert(next.clone()) {
-            let why = format!("the page after {next:?} was read before");
-            return Err(CallError::InvalidResponse(InvalidResponse::Body(why)));
+        if let Some(next) = &page.next {
+            if !progress.starts.insert(next.clone()) {
+                let why = format!("the page after {next:?} was read before");
+                return Err(CallError::InvalidResponse(InvalidResponse::Body(why)));
+            }
         }
-        next_page = Some(next);
+        progress.next_page = page.next;
     }
 }
 
@@ -107,7 +180,7 @@
     era: Option<Era>,
 ) -> Result<Option<Box<Catalog>>, CallError> {
     let query = entry.dialect.catalog_query();
-    let answer = call(entry, client, Document::Catalog, query, CALL_TIMEOUT).await?;
+    let answer = call_again_if_refused(entry, client, Document::Catalog, query).await?;
     let catalog = entry.dialect.parse_catalog(&answer);
     let catalog = catalog.map_err(CallError::InvalidResponse)?;
     if answer.era != era {
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -36,6 +36,9 @@
 /// Pause after a failed call in ms, to which a random time of up to as much is added.
 const RETRY_PAUSE_MS: u64 = 150;
 
+/// Refusals of one call after which it has failed.
+const MAX_REFUSALS: u32 = 3;
+
 /// Bytes from which on a response counts as large: 50 ms of a link of 10 Mbit/s.
 const LARGE_RESPONSE_BYTES: u64 = 64 << 10;
 
@@ -53,6 +56,29 @@
     finish(entry, client, reading, response).await
 }
 
+/// Makes a call again, after a pause, where the store turns it away, up to [`MAX_REFUSALS`] times:
+/// one above its rate is likely to answer the next call.
+async fn call_again_if_refused(
+    entry: &Entry,
+    client: &StoreClient,
+    document: Document,
+    request: RequestHead,
+) -> Result<StoreAnswer, CallError> {
+    for _ in 0..MAX_REFUSALS {
+        let answer = call(entry, client, document, request.clone(), CALL_TIMEOUT).await?;
+        if !is_refusal(answer.status) {
+            return Ok(answer);
+        }
+        pause().await;
+    }
+    call(entry, client, document, request, CALL_TIMEOUT).await
+}
+
+/// Whether the store turned a call away and did nothing.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+}
+
 /// Reads the rest of a response if it has begun, and counts the call.
 async fn finish(
     entry: &Entry,
@@ -92,9 +118,8 @@
 /// The answer that a response is. That of a store which refuses the call is one whatever its era.
 fn store_answer(entry: &Entry, head: &ResponseHead, body: Bytes) -> Result<StoreAnswer, CallError> {
     let status = head.status;
-    let is_refusal = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
     let era = match entry.note_store_era(head) {
-        Err(_) if is_refusal => None,
+        Err(_) if is_refusal(status) => None,
         era => era.map_err(CallError::InvalidResponse)?,
     };
     Ok(StoreAnswer { status, era, body })
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -155,7 +155,9 @@
 /// response that may hold it is arriving.
 async fn list_if_behind(entry: &Entry, revision: Revision) {
     sleep(MAX_WATCH_LAG).await;
-    if entry.applied() < revision && !entry.is_reading_large_answer() {
+    // Without a list everything is being read anyway.
+    let is_behind = entry.has_list() && entry.applied() < revision;
+    if is_behind && !entry.is_reading_large_answer() {
         entry.relist_requested.notify_one();
     }
 }
