Wait for an answer of the store that is late, and ask once more beside it

Callers got 503 for as long as each answer of the store took over 0.9 s and all entries had returned at once: none of them got the list, and a fleet that ran would have lost its proofs.

Cause: a call was given up after 0.9 s, and the next one had the same time. An answer that was lost and one that is late look alike, so a longer time for all would find a lost connection later. Class: a retry that throws away the try that would have succeeded.

Change: after 0.9 s the store counts as unreachable, as before, and the call is made once more on a connection of its own while the first one goes on; three in all, the first head that arrives counts. 2.7 s are below the age at which proofs are too old; proofs are dated from the first question.

A store that takes over 2.7 s an answer still keeps entries from being ready: no proof would be fresh.

--- a/src/direct/sync/client.rs
+++ b/src/direct/sync/client.rs
@@ -9,6 +9,8 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use tokio::time::{timeout, Instant};
 
 use crate::direct::channel::{Connection, ExchangeError, Reply};
@@ -124,6 +126,29 @@
         reply.map(PendingResponse).map_err(CallError::Connection)
     }
 
+    /// Sends a request, and once more on a connection of its own each `patience` without the head of a
+    /// response, `tries` times in all; the first head that arrives counts. An answer that was lost and
+    /// one that is late can't be told apart: asking again serves the one, waiting on the other.
+    /// `is_late` is called each time that no head has arrived.
+    pub async fn begin_patiently(
+        &self,
+        head: RequestHead,
+        patience: Duration,
+        tries: u32,
+        is_late: impl Fn(),
+    ) -> Result<PendingResponse, CallError> {
+        self.received_bytes.set(0);
+        let mut pending = FuturesUnordered::new();
+        for _ in 0..tries {
+            pending.push(self.exchange(head.clone()));
+            if let Ok(Some(reply)) = timeout(patience, pending.next()).await {
+                return reply.map(PendingResponse).map_err(CallError::Connection);
+            }
+            is_late();
+        }
+        Err(CallError::TimedOut)
+    }
+
     /// Reads the rest of a response of at most `max_bytes` for as long as it keeps arriving.
     /// `on_progress` is called after each piece with the number of bytes that have arrived.
     pub async fn finish(
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -30,9 +30,13 @@
 use crate::direct::dialect::StoreAnswer;
 use crate::direct::entry::Entry;
 
-/// Time for the response to begin, of any call other than a watch. The store answers within
-/// milliseconds, and within some hundred at its slowest.
+/// Time for the response to begin, of any call other than a watch, after which the store counts as
+/// unreachable and is asked once more. It answers within milliseconds, and within some hundred at its
+/// slowest.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Times that a call is made before it has failed: together they take less than the age up to which
+/// a proof is fresh.
+const CALL_TRIES: u32 = 3;
 /// Pause after a failed call in ms, to which a random time of up to as much is added.
 const RETRY_PAUSE_MS: u64 = 150;
 
@@ -42,17 +46,23 @@
 /// Bytes from which on a response counts as large: 50 ms of a link of 10 Mbit/s.
 const LARGE_RESPONSE_BYTES: u64 = 64 << 10;
 
-/// Makes one call for a document and counts it.
+/// Makes one call for a document and counts it. The store counts as unreachable from
+/// [`CALL_TIMEOUT`] on, and the answer is waited for [`CALL_TRIES`] times as long.
 async fn call(
     entry: &Entry,
     client: &StoreClient,
     document: Document,
     request: RequestHead,
-    head_timeout: Duration,
 ) -> Result<StoreAnswer, CallError> {
     let reading = OngoingRead::begin(entry, document, None);
     client.set_address(entry.settings.borrow().store);
-    let response = client.begin(request, head_timeout).await;
+    let is_late = || {
+        if !entry.is_reading_large_answer() {
+            entry.store_failed(&CallError::TimedOut);
+        }
+    };
+    let response = client.begin_patiently(request, CALL_TIMEOUT, CALL_TRIES, is_late);
+    let response = response.await;
     finish(entry, client, reading, response).await
 }
 
@@ -65,13 +75,13 @@
     request: RequestHead,
 ) -> Result<StoreAnswer, CallError> {
     for _ in 0..MAX_REFUSALS {
-        let answer = call(entry, client, document, request.clone(), CALL_TIMEOUT).await?;
+        let answer = call(entry, client, document, request.clone()).await?;
         if !is_refusal(answer.status) {
             return Ok(answer);
         }
         pause().await;
     }
-    call(entry, client, document, request, CALL_TIMEOUT).await
+    call(entry, client, document, request).await
 }
 
 /// Whether the store turned a call away and did nothing.
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -10,7 +10,7 @@
 
 use super::turn::Turn;
 use super::watch::MAX_WATCH_LAG;
-use super::{call, CallError, Document, StoreClient, CALL_TIMEOUT, RETRY_PAUSE_MS};
+use super::{call, CallError, Document, StoreClient, RETRY_PAUSE_MS};
 use crate::clock::Millis;
 use crate::direct::dialect::Snapshot;
 use crate::direct::directory::Revision;
@@ -90,7 +90,7 @@
     client: &StoreClient,
 ) -> Result<Snapshot, CallError> {
     let head = entry.dialect.snapshot_query();
-    let answer = call(entry, client, Document::Revision, head, CALL_TIMEOUT).await?;
+    let answer = call(entry, client, Document::Revision, head).await?;
     let snapshot = entry.dialect.parse_snapshot(&answer);
     snapshot.map_err(CallError::InvalidResponse)
 }
