Take no answer without a length for whole after a failed write

A caller got a part of an answer as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a connection's error is told once. The write that failed took it, the read after it got what had arrived, and the next read saw a plain end, which is the end of a body that only its connection marks. Class: an end of file taken for a good end.

Change: after a failed write a body that its connection ends has broken off. One with a length or chunks is whole by its own framing, as before. Idle connections aren't concerned: one on which an error was seen is not used. The granted path takes no body without a length for whole at all; the store's and peers' requests have no body, and their answers are read by the same code.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -148,6 +148,8 @@
     pub idle_time: Option<Millis>,
     opened_at: Instant,
     progress: Rc<ReadProgress>,
+    /// Whether a write failed. The error is told once, so that reads see a plain end from then on.
+    write_failed: bool,
 }
 
 /// How a response marks the end of its body (RFC 9112, 6.3).
@@ -239,6 +241,7 @@
             idle_time: None,
             opened_at: Instant::now(),
             progress: Rc::default(),
+            write_failed: false,
         })
     }
 
@@ -379,6 +382,7 @@
     /// Reads once more after a failed write: the response may have arrived before the other side
     /// stopped reading the request. Returns how many bytes were read.
     async fn read_after_write_error(&mut self) -> Result<usize, ExchangeError> {
+        self.write_failed = true;
         match self.stream.read_buf(&mut self.read_buffer).await {
             Ok(n) if n > 0 => Ok(n),
             _ => Err(ExchangeError::Lost),
@@ -506,7 +510,8 @@
         }
     }
 
-    /// The next chunk of a body that ends when the connection is closed; `None` after its end.
+    /// The next chunk of a body that ends when the connection is closed; `None` after its end. Fails
+    /// with [`ExchangeError::Lost`] where a write has failed: the end may have been a reset.
     async fn unframed_chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         if self.connection.read_buffer.is_empty() {
             self.connection.read_buffer.reserve(READ_BUFFER_BYTES);
@@ -516,6 +521,9 @@
                 .read_buf(&mut self.connection.read_buffer)
                 .await;
             if read.map_err(|_| ExchangeError::Lost)? == 0 {
+                if self.connection.write_failed {
+                    return Err(ExchangeError::Lost);
+                }
                 self.body = Body::Closed;
                 return Ok(None);
             }
--- a/tests/direct_channel.rs
+++ b/tests/direct_channel.rs
@@ -217,3 +217,40 @@
         Err(ExchangeError::Lost)
     );
 }
+
+/// The part of an answer that a reset cut off was taken for a whole one: the write that failed took the error away, and
+/// the read after it saw a plain end.
+#[actix_rt::test]
+async fn reset_during_upload() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    socket2::SockRef::from(&listener)
+        .set_recv_buffer_size(4 << 10)
+        .unwrap();
+    let address = listener.local_addr().unwrap();
+    let answering = std::thread::spawn(move || {
+        use std::io::{Read, Write};
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 16]).unwrap();
+        let part = [&b"HTTP/1.1 200 OK\r\n\r\n"[..], &[b'x'; 20_000]].concat();
+        stream.write_all(&part).unwrap();
+        // A reset drops what has not arrived.
+        std::thread::sleep(Duration::from_millis(100));
+        let linger = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        linger.unwrap();
+    });
+    let connection = Connection::connect(address).await.unwrap();
+    let mut head = get("/x");
+    head.method = actix_http::Method::POST;
+    let body = Bytes::from(vec![b'x'; 32 << 20]);
+    let sending = connection.send(head, body, is_to_request_1, || ());
+    let mut sending = std::pin::pin!(sending);
+    // Answer and reset arrive while the request is being written: nothing else runs on this thread.
+    let is_pending = futures_util::poll!(sending.as_mut()).is_pending();
+    assert!(is_pending, "all of the body was written at once");
+    answering.join().unwrap();
+    let whole = match sending.await {
+        Ok(mut reply) => relay::read_body(&mut reply).await,
+        Err(err) => Err(err),
+    };
+    assert_eq!(whole.map(|body| body.len()), Err(ExchangeError::Lost));
+}
