Pass on no answer with an encoded body

A caller got a 200 with `content-encoding: gzip` as the endpoint's answer.

Change: such an answer counts as the endpoint's failure, whatever its status: another attempt where the route allows one, else 502. That a request was not run is still believed from its head.

--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -102,6 +102,8 @@
     /// Whether it carries the header by which an endpoint marks its own responses; without it, a
     /// success does not count.
     pub sealed: bool,
+    /// Whether its body is encoded, which no request asks for: it is not the endpoint's own.
+    pub encoded: bool,
     /// Load that the endpoint reports.
     pub report: Option<EndpointReport>,
     /// Idle time after which the endpoint closes a connection.
--- a/src/direct/job/answer.rs
+++ b/src/direct/job/answer.rs
@@ -142,6 +142,9 @@
         status: StatusCode,
         response_info: &ResponseInfo,
     ) -> Option<&'static str> {
+        if response_info.encoded {
+            return Some("an encoded body, which was not asked for");
+        }
         if status.is_success() {
             return (!response_info.sealed).then_some("success without the endpoint's seal");
         }
