Read answers behind sidecars by the same code as elsewhere

A call behind a sidecar got 6 bytes of an answer of 9 as a whole one: the endpoint named the length, sent a part and closed its connection. Heads with faults (101, 600, 999, a blank before a colon, an encoded body) were answers there too, and an answer after `100 Continue` was lost.

Cause: sidecars read endpoints through awc, which takes the end of a connection for the end of any body and repairs heads. The direct path has its own reader for that reason; the granted path had not.

Change: sidecars send work on channel::Connection, one for each piece of work (plain services had that already), and take no body that is encoded or that only its connection ends. Orders (cancel, fence) have no answer that is passed on and stay with awc.

--- a/src/direct/channel.rs
+++ b/src/direct/channel.rs
@@ -230,7 +230,15 @@
     /// address, with [`ExchangeError::Reset`] where it was reset, and with
     /// [`ExchangeError::Connect`] on any other error or timeout.
     pub async fn connect(address: SocketAddr) -> Result<Self, ExchangeError> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        Self::connect_within(address, CONNECT_TIMEOUT).await
+    }
+
+    /// Opens a connection like [`Connection::connect`], within another time.
+    pub async fn connect_within(
+        address: SocketAddr,
+        time: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let connecting = tokio::time::timeout(time, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(err)) => return Err(connect_error(err.kind())),
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -2,23 +2,24 @@
 
 use std::future::ready;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::error::PayloadError;
-use awc::error::{ConnectError, SendRequestError};
+use actix_http::header::{HeaderName, HeaderValue, CONTENT_ENCODING, CONTENT_TYPE, HOST};
+use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use awc::http::header::{DATE, RETRY_AFTER};
 use awc::http::StatusCode;
-use awc::{Client, ClientResponse, Connector};
+use awc::{Client, Connector};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
-use futures_util::{stream, FutureExt, Stream, StreamExt};
+use futures_util::{stream, FutureExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::announced::{self, AnnouncedLimit, Announcement};
 use crate::bundle::PoolKind;
-use crate::direct::channel::ends_with_connection;
+use crate::direct::channel::{self, Connection, ExchangeError, Framing};
 use crate::ids::{Incarnation, RequestId};
 
 /// Time for small orders such as a cancellation.
@@ -118,15 +119,11 @@
 impl HttpEndpoint {
     /// An endpoint at a base address.
     ///
-    /// Redirects are off, since following one sends the call again. Plain services get a fresh
-    /// connection for each call: on a reused one that the service is closing, a call that was
-    /// never read could not be told from one that ran.
+    /// Work goes out on a connection of its own each time: on a reused one that the endpoint is
+    /// closing, work that was never read could not be told from work that ran. Orders follow no
+    /// redirects, which would send them again.
     pub fn new(base: &str, kind: PoolKind) -> Self {
         let connector = Connector::new().timeout(CONNECT_TIME).limit(0);
-        let connector = match kind {
-            PoolKind::Model => connector,
-            PoolKind::Plain => connector.conn_keep_alive(Duration::ZERO),
-        };
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
@@ -139,26 +136,47 @@
         }
     }
 
+    /// Sends work on [`Connection`]: awc takes a body that ends early for a whole one, and passes on
+    /// heads with faults.
     async fn send(&self, call: Call) -> Result<Reply, EndpointError> {
+        let (address, head) = self.work_request(&call).ok_or(EndpointError::NotSent)?;
+        let connection = Connection::connect_within(address, CONNECT_TIME).await;
+        let connection = connection.map_err(|_| EndpointError::NotSent)?;
+        let sending = connection.send(head, call.body, |_| true, || ());
+        match sending.await {
+            Ok(answer) => Ok(reply(answer)),
+            Err(ExchangeError::NotSent) => Err(EndpointError::NotSent),
+            Err(_) => Err(EndpointError::Lost),
+        }
+    }
+
+    /// The address and the head of the request for some work; `None` where the base address or the
+    /// path can't be one.
+    fn work_request(&self, call: &Call) -> Option<(SocketAddr, RequestHead)> {
         let url = match self.kind {
             PoolKind::Model => format!("{}/v1/chat/completions", self.base),
             PoolKind::Plain => format!("{}{}", self.base, call.path),
         };
-        let mut req = self
-            .client
-            .post(url)
-            .insert_header((RUN_HEADER, call.run.to_string()))
-            .insert_header((INCARNATION_HEADER, call.incarnation.0.to_string()))
-            .insert_header((PRIORITY_HEADER, call.priority.to_string()))
-            .insert_header(("content-type", "application/json"));
+        let url: Uri = url.parse().ok()?;
+        let host = url.authority()?.as_str();
+        let mut head = RequestHead::default();
+        head.method = Method::POST;
+        head.uri = url.path_and_query()?.as_str().parse().ok()?;
+        let mut put = |name: &str, value: &str| {
+            let name = HeaderName::try_from(name).ok()?;
+            head.headers
+                .insert(name, HeaderValue::try_from(value).ok()?);
+            Some(())
+        };
+        put(HOST.as_str(), host)?;
+        put(CONTENT_TYPE.as_str(), "application/json")?;
+        put(RUN_HEADER, &call.run.to_string())?;
+        put(INCARNATION_HEADER, &call.incarnation.0.to_string())?;
+        put(PRIORITY_HEADER, &call.priority.to_string())?;
         if let Some(from) = call.resume_from {
-            req = req.insert_header((RESUME_HEADER, from.to_string()));
+            put(RESUME_HEADER, &from.to_string())?;
         }
-        let res = req
-            .send_body(call.body)
-            .await
-            .map_err(|err| classify(&err))?;
-        Ok(reply(res))
+        Some((host.parse().ok()?, head))
     }
 
     /// Whether a connection is refused at once; one that hangs tells nothing.
@@ -211,55 +229,45 @@
 }
 
 /// The limit that an answer names.
-fn limit<S>(res: &ClientResponse<S>) -> AnnouncedLimit {
-    let named = res.headers().get_all(LIMIT_HEADER);
+fn limit(head: &ResponseHead) -> AnnouncedLimit {
+    let named = head.headers.get_all(LIMIT_HEADER);
     // What is no text can't be read as a limit either.
     AnnouncedLimit::parse(named.map(|value| value.to_str().unwrap_or_default()))
 }
 
-/// Whether an error shows that nothing was sent. awc also says `Connect(Disconnected)` when the
-/// endpoint closes the connection after the work was written.
-fn classify(err: &SendRequestError) -> EndpointError {
-    match err {
-        SendRequestError::Connect(ConnectError::Disconnected) => EndpointError::Lost,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => EndpointError::NotSent,
-        _ => EndpointError::Lost,
-    }
-}
-
-fn reply<S>(res: ClientResponse<S>) -> Reply
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
-{
+fn reply(answer: channel::Reply) -> Reply {
+    let head = &answer.head;
     let header = |name: &str| {
-        let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+        let value = head.headers.get(name).and_then(|v| v.to_str().ok());
         value.map(str::to_owned)
     };
     let rest =
-        header(RETRY_AFTER.as_str()).filter(|_| res.status() == StatusCode::SERVICE_UNAVAILABLE);
+        header(RETRY_AFTER.as_str()).filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE);
     let answered = header(DATE.as_str());
     let announcement = Announcement {
         leaves: header(LEAVING_HEADER).as_deref() == Some("1"),
         rest: rest.and_then(|told| announced::parse_retry_after(&told, answered.as_deref())),
-        limit: limit(&res),
+        limit: limit(head),
     };
     Reply {
-        status: res.status().as_u16(),
+        status: head.status.as_u16(),
         announcement,
-        content_type: header("content-type").unwrap_or_default(),
+        content_type: header(CONTENT_TYPE.as_str()).unwrap_or_default(),
         resumed_at: header(RESUME_HEADER).and_then(|v| v.parse().ok()),
-        body: body(res),
+        body: body(answer),
     }
 }
 
-/// The body in pieces. awc takes one that ends with its connection for an empty one, so that is lost.
-fn body<S>(res: ClientResponse<S>) -> LocalBoxStream<'static, Result<Bytes, EndpointError>>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
-{
-    if ends_with_connection(res.status(), res.headers()) {
+/// The body in pieces. One that its connection ends, or that is encoded, is none that can be passed
+/// on.
+fn body(answer: channel::Reply) -> LocalBoxStream<'static, Result<Bytes, EndpointError>> {
+    let is_encoded = answer.head.headers.contains_key(CONTENT_ENCODING);
+    if is_encoded || answer.framing() == Framing::Connection {
         return stream::once(ready(Err(EndpointError::Lost))).boxed_local();
     }
-    res.map(|piece| piece.map_err(|_| EndpointError::Lost))
-        .boxed_local()
+    let pieces = stream::try_unfold(answer, |mut answer| async move {
+        let piece = answer.chunk().await.map_err(|_| EndpointError::Lost)?;
+        Ok(piece.map(|piece| (piece, answer)))
+    });
+    pieces.boxed_local()
 }
