End within a short grace, and take no late work that would be cut

With a grace below 2.4 s a stopping entry took new requests for 2.4 s whatever its settings said, so it was killed with requests on endpoints that may not be repeated; up to 8 s the time left for late ones shrank with the grace. With the usual 8 s nothing changes.

Change: new connections are served for 2.4 s or 0.3 of the grace, whichever is shorter. What comes later is refused as not run.

--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -29,6 +29,9 @@
 /// Time after SIGTERM for which new connections still arrive: the load balancer checks readiness
 /// every second and removes a process after the second failed check.
 const LINGER_TIME: Millis = Millis(2_400);
+/// Largest fraction of the time between SIGTERM and SIGKILL for which new connections are served: what
+/// is taken then has the rest to end.
+const LINGER_GRACE_FRACTION: f64 = 0.3;
 /// Fraction of the time between SIGTERM and SIGKILL after which the process ends even if requests
 /// are still in flight.
 const STOP_GRACE_FRACTION: f64 = 0.94;
@@ -227,10 +230,12 @@
         }
     }
     let stop_started = entry.clock.now();
-    entry.clock.sleep_until(stop_started + LINGER_TIME).await;
-    entry.stop_accepting();
     let grace = entry.settings.borrow().bounds.stop_grace_ms;
-    let end = stop_started + Millis((grace as f64 * STOP_GRACE_FRACTION) as u64);
+    let part_of_grace = |fraction: f64| Millis((grace as f64 * fraction) as u64);
+    let linger_time = LINGER_TIME.min(part_of_grace(LINGER_GRACE_FRACTION));
+    entry.clock.sleep_until(stop_started + linger_time).await;
+    entry.stop_accepting();
+    let end = stop_started + part_of_grace(STOP_GRACE_FRACTION);
     while entry.in_flight() > 0 && entry.clock.now() < end {
         sleep(STOP_POLL_INTERVAL).await;
     }
