Read all pages of the cordons beside a watch of the list

Requests went to endpoints of a cordoned availability zone once the cordons, those of other writers among them, filled more than a page: a watch of the list alone took the cordons from one answer, and where that had a further page, it took none to be in force and lifted all. Found by looking for further places where entries of the store are read.

Change: cordons are read page by page, by the same code that tells a listing that does not move on (sync/pages.rs), for proofs as well, which left the cordons alone in that case.

--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -168,13 +168,15 @@
     pub why: String,
 }
 
-/// The store's revision, with the cordons in force at that revision.
+/// The store's revision, with a page of the cordons in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Snapshot {
     /// The revision.
     pub current: Revision,
-    /// The cordons; `None` where there are too many for one response.
-    pub cordons: Option<Vec<Cordon>>,
+    /// The cordons on this page.
+    pub cordons: Vec<Cordon>,
+    /// Key after which the next page starts; `None` for the last page.
+    pub next: Option<String>,
 }
 
 /// A change of a document in the store.
@@ -287,8 +289,9 @@
     fn watch_query(&self, scope: WatchScope, since: Revision, wait: Millis) -> RequestHead;
     /// Parses the response to [`Dialect::watch_query`].
     fn parse_watch(&self, answer: &StoreAnswer) -> Result<WatchResult, InvalidResponse>;
-    /// Makes the request for the store's current revision and cordons. Its response is never stale.
-    fn snapshot_query(&self) -> RequestHead;
+    /// Makes the request for the store's current revision and a page of the cordons; `from` is
+    /// [`Snapshot::next`] of the previous page. Its response is never stale.
+    fn snapshot_query(&self, from: Option<&str>) -> RequestHead;
     /// Parses the response to [`Dialect::snapshot_query`].
     fn parse_snapshot(&self, answer: &StoreAnswer) -> Result<Snapshot, InvalidResponse>;
 }
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -1,12 +1,12 @@
 //! Reading everything from the store: the list of endpoints and the configuration.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use tokio::time::sleep;
 
+use super::pages::Pages;
 use super::watch::watch_endpoints_meanwhile;
 use super::{call_again_if_refused, CallError, Document, StoreClient};
 use crate::clock::Millis;
@@ -37,14 +37,10 @@
     begun_at: Millis,
     /// What the pages so far hold.
     listing: Listing,
-    /// Key after which the next page starts.
-    next_page: Option<String>,
-    /// All such keys so far.
-    starts: HashSet<String>,
-    /// The store's revision at the first page, up to which the list is complete.
-    first_revision: Option<Revision>,
-    /// Whether the last page has been read, and the list applied.
-    is_listed: bool,
+    pages: Pages,
+    /// Revision up to which the list is complete, once the last page has been read and the list has been
+    /// applied.
+    listed: Option<Revision>,
 }
 
 impl Progress {
@@ -52,10 +48,8 @@
         Self {
             begun_at,
             listing: Listing::default(),
-            next_page: None,
-            starts: HashSet::new(),
-            first_revision: None,
-            is_listed: false,
+            pages: Pages::default(),
+            listed: None,
         }
     }
 }
@@ -94,14 +88,10 @@
     client: &StoreClient,
     progress: &mut Progress,
 ) -> Result<(), CallError> {
-    let list_revision = read_list(entry, client, progress).await?;
-    entry.store_answered();
-    if !progress.is_listed {
-        let before = entry.list_revision();
-        entry.apply_listing(std::mem::take(&mut progress.listing), list_revision);
-        entry.log_list_advanced(before, ListSource::Listing);
-        progress.is_listed = true;
-    }
+    let list_revision = match progress.listed {
+        Some(revision) => revision,
+        None => read_list(entry, client, progress).await?,
+    };
     let read = tokio::select! {
         biased;
         () = wait_for_peers_catalog(entry) => None,
@@ -138,39 +128,33 @@
     }
 }
 
-/// Reads the list of endpoints and the cordons, page by page, from where the reading was; returns the
-/// store's revision at the first page, up to which the list is complete. Fails where a page starts at
-/// a key for the second time: the listing would never end.
+/// Reads the list of endpoints and the cordons, page by page, from where the reading was, and applies
+/// it; returns the store's revision at the first page, up to which the list is complete.
 async fn read_list(
     entry: &Entry,
     client: &StoreClient,
     progress: &mut Progress,
 ) -> Result<Revision, CallError> {
-    loop {
-        if let (Some(revision), None) = (progress.first_revision, &progress.next_page) {
-            return Ok(revision);
-        }
-        let query = entry.dialect.page_query(progress.next_page.as_deref());
+    let revision = loop {
+        let query = entry.dialect.page_query(progress.pages.next());
         let answer = call_again_if_refused(entry, client, Document::List, query).await?;
         let page = entry.dialect.parse_page(&answer);
         let page = page.map_err(CallError::InvalidResponse)?;
-        let list_revision = *progress.first_revision.get_or_insert(page.current);
-        if page.current.era != list_revision.era {
-            return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
-        }
         progress.listing.endpoints.extend(page.listing.endpoints);
         progress.listing.cordons.extend(page.listing.cordons);
         for found in page.unreadable {
             entry.report_unreadable(found);
         }
-        if let Some(next) = &page.next {
-            if !progress.starts.insert(next.clone()) {
-                let why = format!("the page after {next:?} was read before");
-                return Err(CallError::InvalidResponse(InvalidResponse::Body(why)));
-            }
+        if let Some(revision) = progress.pages.advance(page.current, page.next)? {
+            break revision;
         }
-        progress.next_page = page.next;
-    }
+    };
+    entry.store_answered();
+    let before = entry.list_revision();
+    entry.apply_listing(std::mem::take(&mut progress.listing), revision);
+    entry.log_list_advanced(before, ListSource::Listing);
+    progress.listed = Some(revision);
+    Ok(revision)
 }
 
 /// Reads the configuration of an era; `None` if the store has none.
--- a/src/direct/sync/mod.rs
+++ b/src/direct/sync/mod.rs
@@ -11,6 +11,7 @@
 mod client;
 mod follow;
 mod listing;
+mod pages;
 mod prove;
 mod reading;
 mod turn;
--- a/src/direct/sync/prove.rs
+++ b/src/direct/sync/prove.rs
@@ -8,12 +8,12 @@
 use std::rc::Rc;
 use tokio::time::sleep;
 
+use super::pages::Pages;
 use super::turn::Turn;
 use super::watch::MAX_WATCH_LAG;
 use super::{call, CallError, Document, StoreClient, RETRY_PAUSE_MS};
 use crate::clock::Millis;
-use crate::direct::dialect::Snapshot;
-use crate::direct::directory::Revision;
+use crate::direct::directory::{Cordon, Revision};
 use crate::direct::entry::{Entry, ListSource};
 
 /// Age of the newest proof, own or a peer's, at which an entry that watches asks for another. It is
@@ -50,13 +50,10 @@
     loop {
         wait_until_due(&entry).await;
         let asked_at = entry.clock.now();
-        match read_snapshot(&entry, &client).await {
-            Ok(snapshot) => {
+        match read_cordons(&entry, &client).await {
+            Ok((revision, cordons)) => {
                 entry.store_answered();
-                let revision = snapshot.current;
-                if let Some(cordons) = snapshot.cordons {
-                    entry.apply_cordons(cordons, revision);
-                }
+                entry.apply_cordons(cordons, revision);
                 if revision <= entry.list_revision() {
                     entry.confirm_list(asked_at, ListSource::Store);
                 }
@@ -84,15 +81,24 @@
     }
 }
 
-/// Reads the store's revision and the cordons.
-pub(super) async fn read_snapshot(
+/// Reads the cordons, page by page, and the store's revision at the first page, up to which they are
+/// complete.
+pub(super) async fn read_cordons(
     entry: &Entry,
     client: &StoreClient,
-) -> Result<Snapshot, CallError> {
-    let head = entry.dialect.snapshot_query();
-    let answer = call(entry, client, Document::Revision, head).await?;
-    let snapshot = entry.dialect.parse_snapshot(&answer);
-    snapshot.map_err(CallError::InvalidResponse)
+) -> Result<(Revision, Vec<Cordon>), CallError> {
+    let mut pages = Pages::default();
+    let mut cordons = Vec::new();
+    loop {
+        let query = entry.dialect.snapshot_query(pages.next());
+        let answer = call(entry, client, Document::Revision, query).await?;
+        let page = entry.dialect.parse_snapshot(&answer);
+        let page = page.map_err(CallError::InvalidResponse)?;
+        cordons.extend(page.cordons);
+        if let Some(revision) = pages.advance(page.current, page.next)? {
+            return Ok((revision, cordons));
+        }
+    }
 }
 
 /// Waits until the newest proof is so old that another is due. An entry that follows others waits
--- a/src/direct/sync/watch.rs
+++ b/src/direct/sync/watch.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::sleep;
 
-use super::prove::read_snapshot;
+use super::prove::read_cordons;
 use super::{finish, pause, CallError, Document, OngoingRead, PendingResponse, StoreClient};
 use crate::clock::Millis;
 use crate::direct::dialect::{InvalidResponse, StoreUpdate, WatchResult, WatchScope};
@@ -98,14 +98,13 @@
     mut changes: Vec<StoreUpdate>,
     current: Revision,
 ) -> Result<WatchResult, CallError> {
-    let snapshot = read_snapshot(entry, client).await?;
+    let (revision, cordons) = read_cordons(entry, client).await?;
     let before = entry.list_revision();
-    if snapshot.current.era != current.era {
+    if revision.era != current.era {
         return Err(CallError::InvalidResponse(InvalidResponse::ErasDiffer));
     }
-    let cordons = snapshot.cordons.unwrap_or_default();
     let directory = entry.directory();
-    let cordons = directory.cordon_changes_to(&cordons, before, snapshot.current);
+    let cordons = directory.cordon_changes_to(&cordons, before, revision);
     changes.extend(cordons.into_iter().map(StoreUpdate::Change));
     Ok(WatchResult::Changes(changes, current))
 }
