One place for the settings of a fleet in tests

whole_restart drew ports and seeds as Site::add_entries does; both use Site::fleet_settings now. Nothing else changes; whole_restart::others_never_return was run again and passes.

--- a/lab/tests/whole_restart.rs
+++ b/lab/tests/whole_restart.rs
@@ -25,13 +25,7 @@
 impl Fleet {
     async fn start() -> Self {
         let mut site = Site::start(ENGINES).await;
-        let ips: Vec<String> = (2..2 + ENTRIES).map(|i| format!("127.0.0.{i}")).collect();
-        let ips: Vec<&str> = ips.iter().map(String::as_str).collect();
-        let (link, admin) = (common_port(&ips), common_port(&ips));
-        let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:1")).collect();
-        let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
-        let settings = ips.iter().map(|ip| site.settings(ip, link, admin, &seeds));
-        let settings: Vec<_> = settings.collect();
+        let settings = site.fleet_settings(ENTRIES);
         for settings in &settings {
             site.add_unready(settings);
         }
