--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -82,6 +82,9 @@
     /// Mean time in ms between two restorations of the store from an older copy; 0 for none
     #[bpaf(argument("MS"), fallback(4_000))]
     pub restore_pause: u64,
+    /// Do without the loss of power of all entries at the end of each seed
+    #[bpaf(switch)]
+    pub keep_power: bool,
 }
 
 /// Runs the seeds; code 1 when a promise broke.
@@ -261,7 +264,9 @@
     }
     restoring.await?;
     soak.lift();
-    soak.lose_power(&mut rng);
+    if !options.keep_power {
+        soak.lose_power(&mut rng);
+    }
     soak.wait_restarts().await;
     soak.check_recovery().await;
     sleep(urgency::CALM).await;
--- a/lab/tests/many_cordons.rs
+++ b/lab/tests/many_cordons.rs
@@ -8,8 +8,8 @@
 use violetline_lab::site::*;
 use violetline_lab::standin::Engine;
 
-/// Cordoned zones, the last ones of another program; more than a page of the store.
-const CORDONED: [&str; 4] = ["hall-b", "x&1", "x 2", "x-3"];
+/// Cordoned zones, the first ones of another program, which fill a page of the store.
+const CORDONED: [&str; 4] = ["a&1", "a 2", "a-3", "hall-b"];
 /// Routes of a configuration that takes long over [`NARROW`].
 const MANY_ROUTES: usize = 10_000;
 /// Rate of the way to the store, in bytes a second.
--- a/lab/tests/soak_short.rs
+++ b/lab/tests/soak_short.rs
@@ -10,6 +10,7 @@
     engines: 3,
     end_pause: 3_500,
     restore_pause: 1_500,
+    keep_power: true,
 };
 
 #[actix_rt::test]
@@ -27,6 +28,17 @@
     play_seed(options).await;
 }
 
+/// The same, and all entries lose power at the end.
+#[actix_rt::test]
+async fn all_return() {
+    let options = SoakOptions {
+        restore_pause: 0,
+        keep_power: false,
+        ..OPTIONS
+    };
+    play_seed(options).await;
+}
+
 async fn play_seed(options: SoakOptions) {
     let report = play(1, &options).await.unwrap();
     assert!(report.requests > 0);
--- a/lab/tests/whole_restart.rs
+++ b/lab/tests/whole_restart.rs
@@ -11,6 +11,10 @@
 const ENGINES: usize = 12;
 /// Time after the return within which service is due.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Calls of which the store answers one at its worst.
+const MOST: u64 = 5;
+/// Time for a reading from such a store: several times what its pages take.
+const READING: Duration = Duration::from_secs(90);
 /// Requests after that time, through all entries.
 const REQUESTS: usize = 60;
 /// Part of them that is due.
@@ -93,17 +97,36 @@
     check_slow_store(1_100).await;
 }
 
-#[actix_rt::test]
-async fn store_turns_away() {
+/// The store answers one of so many calls, from the return on.
+async fn check_refusing_store(of: u64) {
     let mut fleet = Fleet::start().await;
     fleet.power_off();
-    fleet.site.store.turn_away(3);
+    fleet.site.store.turn_away(of);
     fleet.power_on(ENTRIES.into()).await;
     fleet
-        .check_service(Instant::now(), "two of three turned away")
+        .check_service(Instant::now(), &format!("one of {of} answered"))
         .await;
 }
 
+#[actix_rt::test]
+async fn store_turns_away() {
+    check_refusing_store(3).await;
+}
+
+/// A reading of several pages began at the first one after each call that failed, and so never ended.
+#[actix_rt::test]
+async fn reading_goes_on() {
+    let mut site = Site::start(ENGINES).await;
+    site.store.turn_away(MOST);
+    let settings = site.settings("127.0.0.1", 0, 0, &[]);
+    site.add_unready(&settings);
+    let until = Instant::now() + READING;
+    while !site.is_ready(0).await {
+        assert!(Instant::now() < until, "{}", site.state(0).await["lacks"]);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// The store answers nothing when the machines return, for a while.
 #[actix_rt::test]
 async fn store_returns_later() {
--- a/src/direct/sync/listing.rs
+++ b/src/direct/sync/listing.rs
@@ -21,9 +21,9 @@
 /// Time after a start within which a peer that runs has answered.
 const FIRST_PEER_TIMEOUT: Millis = Millis(300);
 
-/// Time from its first page on after which a reading begins anew: the store keeps the changes since
-/// then for some time only.
-const MAX_READING_TIME: Millis = Millis(10_000);
+/// Time from its first page on after which a reading begins anew: what it holds is too old to be of
+/// use then.
+const MAX_READING_TIME: Millis = Millis(30_000);
 
 /// A reading of everything. After a failed call the next one goes on where it was: a store that
 /// answers only some of the calls would never be read to the end otherwise.
