Play one seed of the soak at a time in its test

Two tests of the file play at the same time in one process, and where the lines of a seed's processes go is a variable of that process: both took the same folder, and the second to end found it removed. It also took the lines of the other seed away, so that some findings had none. A lock lets them play one after the other; checks and seeds are the same.

--- a/lab/tests/soak_short.rs
+++ b/lab/tests/soak_short.rs
@@ -1,7 +1,11 @@
 //! One short seed of the soak; longer ones are run by hand (`lab soak --help`).
 
+use tokio::sync::Mutex;
 use violetline_lab::soak::{play, SoakOptions};
 
+/// Held while a seed is played: the lines of its processes go where a variable of this process says.
+static PLAYING: Mutex<()> = Mutex::const_new(());
+
 const OPTIONS: SoakOptions = SoakOptions {
     first: 1,
     seeds: 1,
@@ -40,6 +44,7 @@
 }
 
 async fn play_seed(options: SoakOptions) {
+    let _playing = PLAYING.lock().await;
     let report = play(1, &options).await.unwrap();
     assert!(report.requests > 0);
     assert_eq!(report.findings, Vec::<String>::new());
